Set down the shape: tables, systems, tick, kinds with handler tables

Cause: the repository was empty; folders, core types and lint come first so that every later part is built in one shape. Ruled out: a table with one change list shared by all systems, because a system that runs less often would miss changes; each reader has its own set instead. Before: nothing. After: 5 tests pass, lint refuses enums, classes, switch, clocks, randomness and upward imports.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,110 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+
+/** The layers from the lowest to the highest; a file imports only from its own layer or below. */
+const layers = ['base', 'platform', 'service', 'daemon', 'command'];
+
+const aboveLayer = (layer) => layers.slice(layers.indexOf(layer) + 1);
+
+const importsOnlyDownwards = layers.map((layer) => ({
+  files: [`src/${layer}/**/*.ts`],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [
+          ...aboveLayer(layer).map((above) => ({
+            regex: `^(\\.\\./)+${above}/`,
+            message: `Layer ${layer} may not import from layer ${above}; move the shared part down.`,
+          })),
+          {
+            regex: '/(standins|bench|scripts)/',
+            message: 'The product may not import its stand-ins, bench or scripts.',
+          },
+        ],
+      },
+    ],
+  },
+}));
+
+const houseStyle = [
+  {
+    selector: 'TSEnumDeclaration',
+    message: 'Use a constant object (`as const`) in place of an enum.',
+  },
+  {
+    selector: ':matches(ClassDeclaration, ClassExpression)',
+    message: 'Use a factory function that closes over its state in place of a class.',
+  },
+  { selector: 'SwitchStatement', message: 'Use a lookup table of handlers in place of a switch.' },
+];
+
+const clockAndRandomness = [
+  {
+    selector:
+      ":matches(MemberExpression[object.name='Date'][property.name='now'], MemberExpression[object.name='Math'][property.name='random'], MemberExpression[object.name='performance'][property.name='now'], NewExpression[callee.name='Date'])",
+    message:
+      'Take the clock or the random generator as an argument; only folders named node may read them.',
+  },
+  {
+    selector: 'CallExpression[callee.name=/^(setTimeout|setInterval|setImmediate)$/]',
+    message: 'Store a deadline in a row; only folders named node may set timers.',
+  },
+];
+
+const pureFolders = ['src/**/common/**/*.ts'];
+
+export default [
+  { ignores: ['out/', 'node_modules/'] },
+  plugins.stylistic,
+  plugins.importX,
+  ...configs.base.recommended,
+  plugins.node,
+  ...configs.node.recommended,
+  plugins.typescriptEslint,
+  ...configs.base.typescript,
+  prettier,
+  {
+    files: ['**/*.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', ...houseStyle],
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-rename-default': 'off',
+      'no-void': ['error', { allowAsStatement: true }],
+      '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
+      'n/no-process-exit': 'off',
+      'max-lines': ['error', { max: 300, skipBlankLines: false, skipComments: false }],
+    },
+  },
+  {
+    files: pureFolders,
+    rules: {
+      'no-restricted-syntax': ['error', ...houseStyle, ...clockAndRandomness],
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              regex: '^node:',
+              message: 'Folders named common are pure; do I/O in a folder named node.',
+            },
+            {
+              regex: '/node/',
+              message: 'Folders named common may not import from folders named node.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  ...importsOnlyDownwards,
+  {
+    files: ['**/test/**/*.ts', 'bench/**/*.ts', 'scripts/**/*.ts', 'standins/**/*.ts', '*.js'],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'no-console': 'off',
+      'no-await-in-loop': 'off',
+    },
+  },
+];
--- /dev/null
+++ b/src/base/common/handlers.ts
@@ -0,0 +1,38 @@
+/**
+ * Constant objects in place of enums, and lookup tables of handlers over them.
+ */
+
+/** The union of the values of a constant object. */
+export type ValueOf<Constants> = Constants[keyof Constants];
+
+/** The member of a tagged union whose `kind` is `Kind`. */
+export type Member<Union extends { readonly kind: string }, Kind extends Union['kind']> = Extract<
+  Union,
+  { readonly kind: Kind }
+>;
+
+/** One handler for every kind of a tagged union; the type checker proves that none is missing. */
+export type HandlerTable<
+  Union extends { readonly kind: string },
+  Result,
+  Rest extends readonly unknown[] = [],
+> = {
+  readonly [Kind in Union['kind']]: (value: Member<Union, Kind>, ...rest: Rest) => Result;
+};
+
+/** Calls the handler that belongs to the kind of `value`. */
+export const dispatchByKind = <
+  Union extends { readonly kind: string },
+  Result,
+  Rest extends readonly unknown[],
+>(
+  handlers: HandlerTable<Union, Result, Rest>,
+  value: Union,
+  ...rest: Rest
+): Result => {
+  const handler = handlers[value.kind as Union['kind']] as (
+    member: Union,
+    ...others: Rest
+  ) => Result;
+  return handler(value, ...rest);
+};
--- /dev/null
+++ b/src/platform/tables/common/indices.ts
@@ -0,0 +1,114 @@
+/**
+ * The indices of a table. Each follows every change of a row; the table alone calls them, so that no
+ * index can drift from the rows.
+ */
+import { createHeap } from '../../../base/common/heap.js';
+import { never, type Instant } from '../../../base/common/time.js';
+
+/** An index is told of every row before and after its change; `undefined` stands for no row. */
+export interface IndexMaintenance<Row> {
+  readonly onDidChangeRow: (before: Row | undefined, after: Row | undefined) => void;
+}
+
+/** Rows by the value of one column. */
+export interface ValueIndex<Row> extends IndexMaintenance<Row> {
+  readonly identifiers: (value: string) => ReadonlySet<string>;
+  readonly values: () => Iterable<string>;
+}
+
+const noIdentifiers: ReadonlySet<string> = new Set();
+
+/** Creates an index over the column that `columnOf` reads; rows where it is undefined are left out. */
+export const createValueIndex = <Row extends { readonly id: string }>(
+  columnOf: (row: Row) => string | undefined,
+): ValueIndex<Row> => {
+  const identifiersByValue = new Map<string, Set<string>>();
+
+  const removeRow = (row: Row): void => {
+    const value = columnOf(row);
+    if (value === undefined) return;
+    const identifiers = identifiersByValue.get(value);
+    identifiers?.delete(row.id);
+    if (identifiers?.size === 0) identifiersByValue.delete(value);
+  };
+
+  const addRow = (row: Row): void => {
+    const value = columnOf(row);
+    if (value === undefined) return;
+    const identifiers = identifiersByValue.get(value);
+    if (identifiers === undefined) identifiersByValue.set(value, new Set([row.id]));
+    else identifiers.add(row.id);
+  };
+
+  return {
+    identifiers: (value) => identifiersByValue.get(value) ?? noIdentifiers,
+    values: () => identifiersByValue.keys(),
+    onDidChangeRow: (before, after) => {
+      const isUnmoved =
+        before !== undefined && after !== undefined && columnOf(before) === columnOf(after);
+      if (isUnmoved) return;
+      if (before !== undefined) removeRow(before);
+      if (after !== undefined) addRow(after);
+    },
+  };
+};
+
+/** Rows by a deadline; each deadline is reported once, and again only after the column has changed. */
+export interface DeadlineIndex<Row> extends IndexMaintenance<Row> {
+  /** The earliest deadline that has not been reported, or `never`. */
+  readonly earliest: () => Instant;
+  /** Takes the identifiers whose deadline is not after `now`. */
+  readonly takeDue: (now: Instant) => string[];
+}
+
+/** Creates an index over the deadline that `deadlineOf` reads; `never` leaves a row out. */
+export const createDeadlineIndex = <Row extends { readonly id: string }>(
+  deadlineOf: (row: Row) => Instant,
+): DeadlineIndex<Row> => {
+  const heap = createHeap<string>();
+  const armed = new Map<string, Instant>();
+
+  const skipObsolete = (): void => {
+    let first = heap.peek();
+    while (first !== undefined && armed.get(first.value) !== first.priority) {
+      heap.pop();
+      first = heap.peek();
+    }
+  };
+
+  const earliest = (): Instant => {
+    skipObsolete();
+    return heap.peek()?.priority ?? never;
+  };
+
+  const arm = (row: Row): void => {
+    const deadline = deadlineOf(row);
+    if (deadline === never) {
+      armed.delete(row.id);
+      return;
+    }
+    armed.set(row.id, deadline);
+    heap.push(deadline, row.id);
+  };
+
+  return {
+    earliest,
+    takeDue: (now) => {
+      const due: string[] = [];
+      while (earliest() <= now) {
+        const identifier = heap.pop()!.value;
+        armed.delete(identifier);
+        due.push(identifier);
+      }
+      return due;
+    },
+    onDidChangeRow: (before, after) => {
+      if (after === undefined) {
+        if (before !== undefined) armed.delete(before.id);
+        return;
+      }
+      const isUnmoved = before !== undefined && deadlineOf(before) === deadlineOf(after);
+      if (!isUnmoved) arm(after);
+    },
+  };
+};
--- /dev/null
+++ b/src/platform/tables/common/table.ts
@@ -0,0 +1,165 @@
+/**
+ * Tables of entities. A row is a plain record that is never mutated: a change puts a new record in its
+ * place, through the table, which keeps every index and tells every change reader.
+ */
+import type { Brand } from '../../../base/common/brand.js';
+import type { Disposable } from '../../../base/common/disposable.js';
+import { createDisposable } from '../../../base/common/disposable.js';
+import { never, type Instant } from '../../../base/common/time.js';
+import {
+  createDeadlineIndex,
+  createValueIndex,
+  type DeadlineIndex,
+  type IndexMaintenance,
+  type ValueIndex,
+} from './indices.js';
+
+/** What every row has: its identifier in the table. */
+export interface Entity<Id extends Brand<string> = Brand<string>> {
+  readonly id: Id;
+}
+
+/** The identifier type of a row. */
+export type IdOf<Row extends Entity> = Row['id'];
+
+/** Collects which rows have changed since it was last asked; every reader has its own list. */
+export interface ChangeReader<Id> extends Disposable {
+  readonly isEmpty: () => boolean;
+  /** Takes the identifiers of the rows that were inserted, changed or removed, each once. */
+  readonly take: () => readonly Id[];
+}
+
+/** The columns by which a table can be searched, and its deadlines. */
+export interface TableDefinition<
+  Row extends Entity,
+  IndexName extends string,
+  DeadlineName extends string,
+> {
+  /** Name of the table, for messages of errors. */
+  readonly name: string;
+  readonly indices: Readonly<Record<IndexName, (row: Row) => string | undefined>>;
+  readonly deadlines: Readonly<Record<DeadlineName, (row: Row) => Instant>>;
+}
+
+/** What is common to all tables, whatever their rows. */
+export interface AnyTable {
+  readonly name: string;
+  readonly size: () => number;
+  /** The earliest deadline of any row, or `never`. */
+  readonly earliestDeadline: () => Instant;
+  /** Whether a change reader has rows that it has not taken. */
+  readonly hasUnreadChanges: () => boolean;
+}
+
+/** A table of rows. */
+export interface Table<
+  Row extends Entity,
+  IndexName extends string = never,
+  DeadlineName extends string = never,
+> extends AnyTable {
+  readonly get: (id: IdOf<Row>) => Row | undefined;
+  readonly has: (id: IdOf<Row>) => boolean;
+  readonly rows: () => IterableIterator<Row>;
+  /** Inserts the row, or puts it in the place of the one with the same identifier. */
+  readonly put: (row: Row) => Row;
+  /** Changes some columns of a row; returns the new row, or undefined where there is none. */
+  readonly change: (id: IdOf<Row>, columns: Partial<Omit<Row, 'id'>>) => Row | undefined;
+  readonly remove: (id: IdOf<Row>) => Row | undefined;
+  /** The rows whose indexed column has this value, in the order in which they came to it. */
+  readonly where: (index: IndexName, value: string) => Row[];
+  /** How many rows have this value, at constant cost. */
+  readonly count: (index: IndexName, value: string) => number;
+  /** The values that the indexed column has in any row. */
+  readonly values: (index: IndexName) => Iterable<string>;
+  /** Takes the rows whose deadline has passed; a deadline is reported once. */
+  readonly takeDue: (deadline: DeadlineName, now: Instant) => Row[];
+  readonly readChanges: () => ChangeReader<IdOf<Row>>;
+}
+
+const mapColumns = <Name extends string, Column, Index>(
+  columns: Readonly<Record<Name, Column>>,
+  create: (column: Column) => Index,
+): Record<Name, Index> => {
+  const entries = Object.entries<Column>(columns).map(([name, column]) => [name, create(column)]);
+  return Object.fromEntries(entries) as Record<Name, Index>;
+};
+
+/** Creates an empty table. */
+export const createTable = <
+  Row extends Entity,
+  IndexName extends string = never,
+  DeadlineName extends string = never,
+>(
+  definition: TableDefinition<Row, IndexName, DeadlineName>,
+): Table<Row, IndexName, DeadlineName> => {
+  const rows = new Map<IdOf<Row>, Row>();
+  const readers = new Set<Set<IdOf<Row>>>();
+  const valueIndices = mapColumns(definition.indices, (column): ValueIndex<Row> =>
+    createValueIndex(column),
+  );
+  const deadlineIndices = mapColumns(definition.deadlines, (column): DeadlineIndex<Row> =>
+    createDeadlineIndex(column),
+  );
+  const deadlineList = Object.values<DeadlineIndex<Row>>(deadlineIndices);
+  const allIndices: IndexMaintenance<Row>[] = [
+    ...Object.values<ValueIndex<Row>>(valueIndices),
+    ...deadlineList,
+  ];
+
+  const onDidChangeRow = (before: Row | undefined, after: Row | undefined): void => {
+    allIndices.forEach((index) => index.onDidChangeRow(before, after));
+    const id = (after ?? before)!.id as IdOf<Row>;
+    readers.forEach((changed) => changed.add(id));
+  };
+
+  const put = (row: Row): Row => {
+    const before = rows.get(row.id);
+    rows.set(row.id, row);
+    onDidChangeRow(before, row);
+    return row;
+  };
+
+  const rowsOf = (identifiers: Iterable<string>): Row[] =>
+    Array.from(identifiers, (id) => rows.get(id as IdOf<Row>)).filter((row) => row !== undefined);
+
+  return {
+    name: definition.name,
+    size: () => rows.size,
+    earliestDeadline: () =>
+      deadlineList.reduce((earliest, index) => Math.min(earliest, index.earliest()), never),
+    hasUnreadChanges: () => [...readers].some((changed) => changed.size > 0),
+    get: (id) => rows.get(id),
+    has: (id) => rows.has(id),
+    rows: () => rows.values(),
+    put,
+    change: (id, columns) => {
+      const before = rows.get(id);
+      return before === undefined ? undefined : put({ ...before, ...columns });
+    },
+    remove: (id) => {
+      const before = rows.get(id);
+      if (before === undefined) return undefined;
+      rows.delete(id);
+      onDidChangeRow(before, undefined);
+      return before;
+    },
+    where: (index, value) => rowsOf(valueIndices[index].identifiers(value)),
+    count: (index, value) => valueIndices[index].identifiers(value).size,
+    values: (index) => valueIndices[index].values(),
+    takeDue: (deadline, now) => rowsOf(deadlineIndices[deadline].takeDue(now)),
+    readChanges: () => {
+      const changed = new Set<IdOf<Row>>();
+      readers.add(changed);
+      const { dispose } = createDisposable(() => readers.delete(changed));
+      return {
+        isEmpty: () => changed.size === 0,
+        take: () => {
+          const taken = [...changed];
+          changed.clear();
+          return taken;
+        },
+        dispose,
+      };
+    },
+  };
+};
--- /dev/null
+++ b/src/platform/tables/test/common/table.test.ts
@@ -0,0 +1,81 @@
+/** Tables: indices follow rows, deadlines are reported once, change readers see each row once. */
+import test from 'ava';
+import { asBrand, type Brand } from '../../../../base/common/brand.js';
+import { never } from '../../../../base/common/time.js';
+import { createTable } from '../../common/table.js';
+import { createTicker } from '../../common/tick.js';
+
+type LampId = Brand<'lamp'>;
+interface LampRow {
+  readonly id: LampId;
+  readonly room: string;
+  readonly offDeadline: number;
+}
+
+const lampId = (value: string): LampId => asBrand(value);
+
+const createLamps = () =>
+  createTable<LampRow, 'room', 'off'>({
+    name: 'lamps',
+    indices: { room: (row) => row.room },
+    deadlines: { off: (row) => row.offDeadline },
+  });
+
+test('an index follows a row from one value to another and out', (t) => {
+  const lamps = createLamps();
+  lamps.put({ id: lampId('a'), room: 'hall', offDeadline: never });
+  lamps.change(lampId('a'), { room: 'attic' });
+  t.is(lamps.count('room', 'hall'), 0);
+  t.deepEqual(
+    lamps.where('room', 'attic').map((row) => row.id),
+    [lampId('a')],
+  );
+  lamps.remove(lampId('a'));
+  t.deepEqual([...lamps.values('room')], []);
+});
+
+test('a deadline is reported once, and again after it was moved', (t) => {
+  const lamps = createLamps();
+  lamps.put({ id: lampId('a'), room: 'hall', offDeadline: 10 });
+  t.deepEqual(lamps.takeDue('off', 9), []);
+  t.is(lamps.takeDue('off', 10).length, 1);
+  t.is(lamps.takeDue('off', 11).length, 0);
+  lamps.change(lampId('a'), { offDeadline: 12 });
+  t.is(lamps.earliestDeadline(), 12);
+  t.is(lamps.takeDue('off', 12).length, 1);
+});
+
+test('a deadline that was moved later is not reported at its old time', (t) => {
+  const lamps = createLamps();
+  lamps.put({ id: lampId('a'), room: 'hall', offDeadline: 10 });
+  lamps.change(lampId('a'), { offDeadline: 20 });
+  t.deepEqual(lamps.takeDue('off', 10), []);
+  t.is(lamps.takeDue('off', 20).length, 1);
+});
+
+test('each change reader sees each changed row once', (t) => {
+  const lamps = createLamps();
+  const first = lamps.readChanges();
+  lamps.put({ id: lampId('a'), room: 'hall', offDeadline: never });
+  lamps.change(lampId('a'), { room: 'attic' });
+  t.deepEqual(first.take(), [lampId('a')]);
+  t.true(first.isEmpty());
+  t.false(lamps.hasUnreadChanges());
+});
+
+test('a tick repeats its systems until no change is unread, and reports a cycle', (t) => {
+  const lamps = createLamps();
+  const changes = lamps.readChanges();
+  lamps.put({ id: lampId('a'), room: 'hall', offDeadline: never });
+  const toggle = {
+    name: 'toggle',
+    run: () =>
+      changes.take().forEach((id) => {
+        const room = lamps.get(id)?.room === 'hall' ? 'attic' : 'hall';
+        lamps.change(id, { room });
+      }),
+  };
+  const outcome = createTicker([lamps], [toggle]).tick(0);
+  t.is(outcome._unsafeUnwrapErr().kind, 'tickNotSettled');
+  t.regex(outcome._unsafeUnwrapErr().message, /lamps/);
+});
