--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,26 +6,31 @@
 
 const aboveLayer = (layer) => layers.slice(layers.indexOf(layer) + 1);
 
-const importsOnlyDownwards = layers.map((layer) => ({
-  files: [`src/${layer}/**/*.ts`],
-  rules: {
-    'no-restricted-imports': [
-      'error',
-      {
-        patterns: [
-          ...aboveLayer(layer).map((above) => ({
-            regex: `^(\\.\\./)+${above}/`,
-            message: `Layer ${layer} may not import from layer ${above}; move the shared part down.`,
-          })),
-          {
-            regex: '/(standins|bench|scripts)/',
-            message: 'The product may not import its stand-ins, bench or scripts.',
-          },
-        ],
-      },
-    ],
+const layerPatterns = (layer) => [
+  ...aboveLayer(layer).map((above) => ({
+    regex: `^(\\.\\./)+${above}/`,
+    message: `Layer ${layer} may not import from layer ${above}; move the shared part down.`,
+  })),
+  {
+    regex: '/(standins|bench|scripts)/',
+    message: 'The product may not import its stand-ins, bench or scripts.',
   },
-}));
+];
+
+const purePatterns = [
+  { regex: '^node:', message: 'Folders named common are pure; do I/O in a folder named node.' },
+  { regex: '/node/', message: 'Folders named common may not import from folders named node.' },
+];
+
+const restrictImports = (files, patterns) => ({
+  files,
+  rules: { 'no-restricted-imports': ['error', { patterns }] },
+});
+
+const importsOnlyDownwards = layers.flatMap((layer) => [
+  restrictImports([`src/${layer}/**/*.ts`], layerPatterns(layer)),
+  restrictImports([`src/${layer}/**/common/**/*.ts`], [...layerPatterns(layer), ...purePatterns]),
+]);
 
 const houseStyle = [
   {
@@ -81,21 +86,6 @@
     files: pureFolders,
     rules: {
       'no-restricted-syntax': ['error', ...houseStyle, ...clockAndRandomness],
-      'no-restricted-imports': [
-        'error',
-        {
-          patterns: [
-            {
-              regex: '^node:',
-              message: 'Folders named common are pure; do I/O in a folder named node.',
-            },
-            {
-              regex: '/node/',
-              message: 'Folders named common may not import from folders named node.',
-            },
-          ],
-        },
-      ],
     },
   },
   ...importsOnlyDownwards,
@@ -105,6 +95,7 @@
       'import-x/no-extraneous-dependencies': 'off',
       'no-console': 'off',
       'no-await-in-loop': 'off',
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
     },
   },
 ];
--- a/src/base/common/heap.ts
+++ b/src/base/common/heap.ts
@@ -19,55 +19,56 @@
 
 const parentOf = (position: number): number => Math.floor((position - 1) / 2);
 
-const siftUp = <Value>(entries: HeapEntry<Value>[], start: number): void => {
-  let position = start;
-  while (position > 0) {
-    const parent = parentOf(position);
-    const entry = entries[position]!;
-    const above = entries[parent]!;
-    if (above.priority <= entry.priority) return;
-    entries[position] = above;
-    entries[parent] = entry;
-    position = parent;
-  }
-};
-
-const smallestChildOf = <Value>(entries: HeapEntry<Value>[], position: number): number => {
-  const left = 2 * position + 1;
-  const right = left + 1;
-  if (right < entries.length && entries[right]!.priority < entries[left]!.priority) return right;
-  return left;
-};
-
-const siftDown = <Value>(entries: HeapEntry<Value>[]): void => {
-  let position = 0;
-  while (2 * position + 1 < entries.length) {
-    const child = smallestChildOf(entries, position);
-    const entry = entries[position]!;
-    const below = entries[child]!;
-    if (entry.priority <= below.priority) return;
-    entries[position] = below;
-    entries[child] = entry;
-    position = child;
-  }
-};
-
 /** Creates an empty heap. */
 export const createHeap = <Value>(): Heap<Value> => {
   const entries: HeapEntry<Value>[] = [];
+
+  const swap = (first: number, second: number): void => {
+    const entry = entries[first]!;
+    entries[first] = entries[second]!;
+    entries[second] = entry;
+  };
+
+  const goesBefore = (first: number, second: number): boolean =>
+    entries[first]!.priority < entries[second]!.priority;
+
+  const siftUp = (): void => {
+    let position = entries.length - 1;
+    while (position > 0 && goesBefore(position, parentOf(position))) {
+      swap(position, parentOf(position));
+      position = parentOf(position);
+    }
+  };
+
+  const firstChildOf = (position: number): number => {
+    const left = 2 * position + 1;
+    const right = left + 1;
+    return right < entries.length && goesBefore(right, left) ? right : left;
+  };
+
+  const siftDown = (): void => {
+    let position = 0;
+    let child = firstChildOf(position);
+    while (child < entries.length && goesBefore(child, position)) {
+      swap(child, position);
+      position = child;
+      child = firstChildOf(position);
+    }
+  };
+
   return {
     size: () => entries.length,
     peek: () => entries[0],
     push: (priority, value) => {
       entries.push({ priority, value });
-      siftUp(entries, entries.length - 1);
+      siftUp();
     },
     pop: () => {
       const first = entries[0];
       const last = entries.pop();
       if (entries.length > 0 && last !== undefined) {
         entries[0] = last;
-        siftDown(entries);
+        siftDown();
       }
       return first;
     },
