Add the decisions of the thin path as systems over tables

Cause: admission, routing, dispatch, membership, advice and rollouts have to be one set of rows before ports are put around them. Ruled out: passing answer bytes through tables, since the cost of a tick would grow with traffic; ports pipe bytes and report facts. Before: tables only.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -79,6 +79,8 @@
       'no-void': ['error', { allowAsStatement: true }],
       '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
       'n/no-process-exit': 'off',
+      // Settings are read once at start, and a synced append must block what follows it.
+      'n/no-sync': 'off',
       'max-lines': ['error', { max: 300, skipBlankLines: false, skipComments: false }],
     },
   },
--- /dev/null
+++ b/src/platform/metrics/node/statsdMetrics.ts
@@ -0,0 +1,31 @@
+/**
+ * Metrics by the StatsD protocol over UDP. A lost datagram is not an error.
+ */
+import { StatsD } from 'hot-shots';
+import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import type { Metrics } from '../common/metrics.js';
+
+const prefix = 'shallotquay.';
+
+/** Opens a StatsD client; `address` is `host:port`. */
+export const createStatsdMetrics = (
+  address: string,
+  process: string,
+): Metrics & AsyncDisposable => {
+  const [host, port] = address.split(':');
+  const client = new StatsD({
+    host: host!,
+    port: Number(port),
+    prefix,
+    globalTags: { process },
+    errorHandler: () => {},
+  });
+  return {
+    count: (name, amount = 1, tags = {}) => client.increment(name, amount, { ...tags }),
+    gauge: (name, value, tags = {}) => client.gauge(name, value, { ...tags }),
+    dispose: () =>
+      new Promise((resolve) => {
+        client.close(() => resolve());
+      }),
+  };
+};
--- a/src/platform/tables/common/indices.ts
+++ b/src/platform/tables/common/indices.ts
@@ -53,6 +53,52 @@
   };
 };
 
+/** Rows by the value of one column, in no order, from which one can be drawn at constant cost. */
+export interface DrawIndex<Row> extends IndexMaintenance<Row> {
+  /** The identifiers with this value; positions are stable only until the next change. */
+  readonly identifiers: (value: string) => readonly string[];
+}
+
+const emptyList: readonly string[] = [];
+
+/** Creates an index from which rows are drawn by position; undefined columns are left out. */
+export const createDrawIndex = <Row extends { readonly id: string }>(
+  columnOf: (row: Row) => string | undefined,
+): DrawIndex<Row> => {
+  const listsByValue = new Map<string, string[]>();
+  const positions = new Map<string, number>();
+
+  const removeRow = (id: string, value: string): void => {
+    const list = listsByValue.get(value)!;
+    const position = positions.get(id)!;
+    const last = list.pop()!;
+    positions.delete(id);
+    if (last !== id) {
+      list[position] = last;
+      positions.set(last, position);
+    }
+    if (list.length === 0) listsByValue.delete(value);
+  };
+
+  const addRow = (id: string, value: string): void => {
+    const list = listsByValue.get(value) ?? [];
+    listsByValue.set(value, list);
+    positions.set(id, list.length);
+    list.push(id);
+  };
+
+  return {
+    identifiers: (value) => listsByValue.get(value) ?? emptyList,
+    onDidChangeRow: (before, after) => {
+      const oldValue = before === undefined ? undefined : columnOf(before);
+      const newValue = after === undefined ? undefined : columnOf(after);
+      if (oldValue === newValue) return;
+      if (oldValue !== undefined) removeRow(before!.id, oldValue);
+      if (newValue !== undefined) addRow(after!.id, newValue);
+    },
+  };
+};
+
 /** Rows by a deadline; each deadline is reported once, and again only after the column has changed. */
 export interface DeadlineIndex<Row> extends IndexMaintenance<Row> {
   /** The earliest deadline that has not been reported, or `never`. */
--- a/src/platform/tables/common/table.ts
+++ b/src/platform/tables/common/table.ts
@@ -5,11 +5,14 @@
 import type { Brand } from '../../../base/common/brand.js';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { createDisposable } from '../../../base/common/disposable.js';
+import { pickOne, type Random } from '../../../base/common/random.js';
 import { never, type Instant } from '../../../base/common/time.js';
 import {
   createDeadlineIndex,
+  createDrawIndex,
   createValueIndex,
   type DeadlineIndex,
+  type DrawIndex,
   type IndexMaintenance,
   type ValueIndex,
 } from './indices.js';
@@ -34,11 +37,14 @@
   Row extends Entity,
   IndexName extends string,
   DeadlineName extends string,
+  DrawName extends string,
 > {
   /** Name of the table, for messages of errors. */
   readonly name: string;
   readonly indices: Readonly<Record<IndexName, (row: Row) => string | undefined>>;
   readonly deadlines: Readonly<Record<DeadlineName, (row: Row) => Instant>>;
+  /** Columns by which a row is drawn at random at constant cost. */
+  readonly draws?: Readonly<Record<DrawName, (row: Row) => string | undefined>>;
 }
 
 /** What is common to all tables, whatever their rows. */
@@ -56,6 +62,7 @@
   Row extends Entity,
   IndexName extends string = never,
   DeadlineName extends string = never,
+  DrawName extends string = never,
 > extends AnyTable {
   readonly get: (id: IdOf<Row>) => Row | undefined;
   readonly has: (id: IdOf<Row>) => boolean;
@@ -71,6 +78,12 @@
   readonly count: (index: IndexName, value: string) => number;
   /** The values that the indexed column has in any row. */
   readonly values: (index: IndexName) => Iterable<string>;
+  /** Draws one row whose column has this value, at constant cost whatever the size of the table. */
+  readonly draw: (index: DrawName, value: string, random: Random) => Row | undefined;
+  /** How many rows can be drawn for this value. */
+  readonly drawCount: (index: DrawName, value: string) => number;
+  /** All rows that can be drawn for this value, in no order. */
+  readonly drawable: (index: DrawName, value: string) => Row[];
   /** Takes the rows whose deadline has passed; a deadline is reported once. */
   readonly takeDue: (deadline: DeadlineName, now: Instant) => Row[];
   readonly readChanges: () => ChangeReader<IdOf<Row>>;
@@ -89,9 +102,10 @@
   Row extends Entity,
   IndexName extends string = never,
   DeadlineName extends string = never,
+  DrawName extends string = never,
 >(
-  definition: TableDefinition<Row, IndexName, DeadlineName>,
-): Table<Row, IndexName, DeadlineName> => {
+  definition: TableDefinition<Row, IndexName, DeadlineName, DrawName>,
+): Table<Row, IndexName, DeadlineName, DrawName> => {
   const rows = new Map<IdOf<Row>, Row>();
   const readers = new Set<Set<IdOf<Row>>>();
   const valueIndices = mapColumns(definition.indices, (column): ValueIndex<Row> =>
@@ -100,9 +114,14 @@
   const deadlineIndices = mapColumns(definition.deadlines, (column): DeadlineIndex<Row> =>
     createDeadlineIndex(column),
   );
+  const drawIndices = mapColumns(
+    definition.draws ?? ({} as Record<DrawName, (row: Row) => string | undefined>),
+    (column): DrawIndex<Row> => createDrawIndex(column),
+  );
   const deadlineList = Object.values<DeadlineIndex<Row>>(deadlineIndices);
   const allIndices: IndexMaintenance<Row>[] = [
     ...Object.values<ValueIndex<Row>>(valueIndices),
+    ...Object.values<DrawIndex<Row>>(drawIndices),
     ...deadlineList,
   ];
 
@@ -146,6 +165,12 @@
     where: (index, value) => rowsOf(valueIndices[index].identifiers(value)),
     count: (index, value) => valueIndices[index].identifiers(value).size,
     values: (index) => valueIndices[index].values(),
+    draw: (index, value, random) => {
+      const id = pickOne(random, drawIndices[index].identifiers(value));
+      return id === undefined ? undefined : rows.get(id as IdOf<Row>);
+    },
+    drawCount: (index, value) => drawIndices[index].identifiers(value).length,
+    drawable: (index, value) => rowsOf(drawIndices[index].identifiers(value)),
     takeDue: (deadline, now) => rowsOf(deadlineIndices[deadline].takeDue(now)),
     readChanges: () => {
       const changed = new Set<IdOf<Row>>();
--- /dev/null
+++ b/src/service/admission/common/admissionSystem.ts
@@ -0,0 +1,104 @@
+/**
+ * Admission: finds the workspace by the key that came with the request, checks that it may use the
+ * service, and freezes the policy in force for the whole request.
+ */
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import type { System } from '../../../platform/tables/common/tick.js';
+import { effectivePolicy, type Policy } from '../../configuration/common/tree.js';
+import { EventKind } from '../../events/common/eventKind.js';
+import { refuseRequest } from '../../traffic/common/endRequest.js';
+import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
+import { RequestState, type RequestRow } from '../../traffic/common/trafficTables.js';
+import type { WorkspaceName } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+
+const isOpen = (world: World, request: RequestRow): boolean =>
+  request.service !== null && world.services.get(request.service)?.settings.open === true;
+
+const workspaceOf = (world: World, request: RequestRow): WorkspaceName | null => {
+  if (request.madeFor !== null) return request.madeFor;
+  if (request.keyDigest === null) return null;
+  return world.keys.get(request.keyDigest)?.workspace ?? null;
+};
+
+type Check = (
+  world: World,
+  request: RequestRow,
+  workspace: WorkspaceName | null,
+) => RefusalKind | undefined;
+
+const checkLeaving: Check = (world, request) =>
+  world.isLeaving() && request.sample === null ? RefusalKind.Leaving : undefined;
+
+const checkKey: Check = (world, request) => {
+  if (request.madeFor !== null) return undefined;
+  if (request.keyDigest === null) {
+    return isOpen(world, request) ? undefined : RefusalKind.MissingKey;
+  }
+  const key = world.keys.get(request.keyDigest);
+  if (key === undefined) return RefusalKind.UnknownKey;
+  return key.withdrawn ? RefusalKind.WithdrawnKey : undefined;
+};
+
+const checkService: Check = (world, request) =>
+  request.service === null || !world.services.has(request.service)
+    ? RefusalKind.UnknownService
+    : undefined;
+
+const checkAllowed: Check = (world, request, workspace) => {
+  if (workspace === null) return undefined;
+  const allowed = world.workspaces.get(workspace)?.settings.services ?? [];
+  return allowed.includes(request.service!) ? undefined : RefusalKind.ServiceNotAllowed;
+};
+
+/** The checks in the order in which they are made; the first that refuses decides. */
+const checks: readonly Check[] = [checkLeaving, checkKey, checkService, checkAllowed];
+
+const policyFor = (world: World, request: RequestRow, workspace: WorkspaceName | null): Policy => {
+  const service = world.services.get(request.service!)!.settings;
+  const settings = workspace === null ? undefined : world.workspaces.get(workspace)?.settings;
+  return effectivePolicy(world.tree(), service, settings);
+};
+
+const admit = (
+  world: World,
+  request: RequestRow,
+  workspace: WorkspaceName | null,
+  now: Instant,
+): void => {
+  const policy = policyFor(world, request, workspace);
+  world.requests.change(request.id, {
+    state: RequestState.Waiting,
+    workspace,
+    policy,
+    queueDeadline: deadlineAfter(now, policy.queueMilliseconds),
+    requestDeadline: deadlineAfter(now, policy.requestMilliseconds),
+  });
+  world.metrics.count('requests.admitted');
+  world.events.append({
+    kind: EventKind.RequestAdmitted,
+    subject: { request: request.id, workspace, service: request.service, sample: request.sample },
+  });
+};
+
+const decide = (world: World, request: RequestRow, now: Instant): void => {
+  const workspace = workspaceOf(world, request);
+  const kind = checks
+    .map((check) => check(world, request, workspace))
+    .find((refusal) => refusal !== undefined);
+  if (kind === undefined) admit(world, request, workspace, now);
+  else refuseRequest(world, request, createRefusal(kind, true), now);
+};
+
+/** Creates the system of admission. */
+export const createAdmissionSystem = (world: World): System => {
+  const changes = world.requests.readChanges();
+  return {
+    name: 'admission',
+    run: (now) =>
+      changes.take().forEach((id) => {
+        const request = world.requests.get(id);
+        if (request?.state === RequestState.Arrived) decide(world, request, now);
+      }),
+  };
+};
--- /dev/null
+++ b/src/service/configuration/common/configurationTables.ts
@@ -0,0 +1,81 @@
+/**
+ * The accepted configuration as tables: the rows that admission and routing look up for each request.
+ */
+import { asBrand } from '../../../base/common/brand.js';
+import { createTable } from '../../../platform/tables/common/table.js';
+import type { KeyDigest, ServiceName, WorkspaceName } from '../../world/common/identifiers.js';
+import type { ServiceSettings, Tree, WorkspaceSettings } from './tree.js';
+
+export interface ServiceRow {
+  readonly id: ServiceName;
+  readonly settings: ServiceSettings;
+}
+
+export interface WorkspaceRow {
+  readonly id: WorkspaceName;
+  readonly settings: WorkspaceSettings;
+}
+
+/** A key, by its SHA-256 digest; the key itself is stored nowhere. */
+export interface KeyRow {
+  readonly id: KeyDigest;
+  readonly name: string;
+  readonly workspace: WorkspaceName;
+  readonly withdrawn: boolean;
+}
+
+export const createConfigurationTables = () => ({
+  services: createTable<ServiceRow>({ name: 'services', indices: {}, deadlines: {} }),
+  workspaces: createTable<WorkspaceRow>({ name: 'workspaces', indices: {}, deadlines: {} }),
+  keys: createTable<KeyRow, 'workspace'>({
+    name: 'keys',
+    indices: { workspace: (row) => row.workspace },
+    deadlines: {},
+  }),
+});
+export type ConfigurationTables = ReturnType<typeof createConfigurationTables>;
+
+const keyRowsOf = (tree: Tree): KeyRow[] =>
+  Object.entries(tree.workspaces).flatMap(([workspace, settings]) =>
+    Object.entries(settings.keys).map(([name, key]) => ({
+      id: asBrand<KeyDigest>(key.digest),
+      name,
+      workspace: asBrand<WorkspaceName>(workspace),
+      withdrawn: key.withdrawn,
+    })),
+  );
+
+interface RowsById<Row extends { readonly id: string }> {
+  readonly rows: () => IterableIterator<Row>;
+  readonly remove: (id: Row['id']) => Row | undefined;
+  readonly put: (row: Row) => Row;
+}
+
+const replaceRows = <Row extends { readonly id: string }>(
+  table: RowsById<Row>,
+  rows: readonly Row[],
+): void => {
+  const kept = new Set<string>(rows.map((row) => row.id));
+  const obsolete = [...table.rows()].filter((row) => !kept.has(row.id));
+  obsolete.forEach((row) => table.remove(row.id));
+  rows.forEach((row) => table.put(row));
+};
+
+/** Makes the tables equal to a checked tree. */
+export const applyTree = (tables: ConfigurationTables, tree: Tree): void => {
+  replaceRows(
+    tables.services,
+    Object.entries(tree.services).map(([name, settings]) => ({
+      id: asBrand<ServiceName>(name),
+      settings,
+    })),
+  );
+  replaceRows(
+    tables.workspaces,
+    Object.entries(tree.workspaces).map(([name, settings]) => ({
+      id: asBrand<WorkspaceName>(name),
+      settings,
+    })),
+  );
+  replaceRows(tables.keys, keyRowsOf(tree));
+};
--- /dev/null
+++ b/src/service/core/common/core.ts
@@ -0,0 +1,50 @@
+/**
+ * The core of a daemon: its world and the ordered list of systems, without any port. The same core runs
+ * under the ports of a real process and under fakes on virtual time.
+ */
+import type { Instant } from '../../../base/common/time.js';
+import { createTicker, type System, type Ticker } from '../../../platform/tables/common/tick.js';
+import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
+import { applyTree } from '../../configuration/common/configurationTables.js';
+import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
+import { createDeadlineSystem } from '../../dispatch/common/deadlineSystem.js';
+import { createDispatchSystem } from '../../dispatch/common/dispatchSystem.js';
+import { createAnnouncementSystem } from '../../membership/common/announcementSystem.js';
+import { createDaemonSystem, insertDaemons } from '../../membership/common/daemonSystem.js';
+import { createFetchSystem } from '../../rollout/common/fetchSystem.js';
+import { createPlanSystem } from '../../rollout/common/planSystem.js';
+import { createSampleSystem } from '../../rollout/common/sampleSystem.js';
+import { createRoutingSystem } from '../../routing/common/routingSystem.js';
+import { createWorld, type World, type WorldOptions } from '../../world/common/world.js';
+
+/** Creates one system over a world. */
+type SystemFactory = (world: World) => System;
+
+/** The systems in the order in which they run in each round of a tick. */
+const systemFactories: readonly SystemFactory[] = [
+  createDaemonSystem,
+  createAnnouncementSystem,
+  createPlanSystem,
+  createAdmissionSystem,
+  createAttemptFactSystem,
+  createDeadlineSystem,
+  createRoutingSystem,
+  createDispatchSystem,
+  createSampleSystem,
+  createFetchSystem,
+];
+
+/** A daemon without ports. */
+export interface Core {
+  readonly world: World;
+  readonly ticker: Ticker;
+}
+
+/** Creates a core whose tables hold the settings and nothing else. */
+export const createCore = (options: WorldOptions, now: Instant): Core => {
+  const world = createWorld(options);
+  applyTree(world, options.tree);
+  insertDaemons(world, now);
+  const systems = systemFactories.map((create) => create(world));
+  return { world, ticker: createTicker(world.allTables, systems) };
+};
--- /dev/null
+++ b/src/service/dispatch/common/attemptFactSystem.ts
@@ -0,0 +1,127 @@
+/**
+ * Takes the facts that ports report of attempts. A fact of an attempt that has ended is counted and
+ * changes nothing, so that late and crossed answers reach nobody.
+ */
+import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import type { System } from '../../../platform/tables/common/tick.js';
+import { EventKind } from '../../events/common/eventKind.js';
+import type { AttemptFact } from '../../traffic/common/attemptFact.js';
+import { answerRequest, cancelRequest } from '../../traffic/common/endRequest.js';
+import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
+import {
+  AttemptState,
+  type AttemptRow,
+  type RequestRow,
+} from '../../traffic/common/trafficTables.js';
+import { addUsage } from '../../usage/common/usageTables.js';
+import type { World } from '../../world/common/world.js';
+import { endAttempt, retryOrEnd } from './endAttempt.js';
+import { addToSpans } from './versionSpans.js';
+
+/** Progress moves the stored deadline only in steps of this size, so that chunks stay cheap. */
+const progressStepMilliseconds = 250;
+
+const extendProgress = (
+  world: World,
+  attempt: AttemptRow,
+  request: RequestRow,
+  now: Instant,
+): void => {
+  const progressDeadline = deadlineAfter(now, request.policy!.progressMilliseconds);
+  if (progressDeadline - attempt.progressDeadline < progressStepMilliseconds) return;
+  world.attempts.change(attempt.id, { progressDeadline });
+};
+
+const countUsage = (world: World, attempt: AttemptRow, request: RequestRow): void => {
+  if (request.workspace === null) return;
+  addUsage(world, request.workspace, {
+    promptTokens: attempt.promptTokens,
+    completionTokens: attempt.completionTokens,
+    requests: 1,
+    wastedTokens: 0,
+  });
+};
+
+/** Counts the tokens of an attempt whose answer nobody gets. */
+export const countWaste = (world: World, attempt: AttemptRow, request: RequestRow): void => {
+  if (request.workspace === null) return;
+  addUsage(world, request.workspace, {
+    promptTokens: 0,
+    completionTokens: 0,
+    requests: 0,
+    wastedTokens: attempt.completionTokens,
+  });
+};
+
+const handlers: HandlerTable<AttemptFact, void, [World, AttemptRow, RequestRow, Instant]> = {
+  notRun: (fact, world, attempt, request, now) => {
+    endAttempt(world, attempt, fact.kind);
+    const detail = `The upstream did not take the request (${fact.reason}).`;
+    const failure = { kind: RefusalKind.QueueDeadlinePassed, detail, mayHaveRun: false };
+    retryOrEnd(world, request, failure, now);
+  },
+  answerStarted: (_, world, attempt, request, now) => {
+    world.attempts.change(attempt.id, { state: AttemptState.Answering });
+    world.requests.change(request.id, { answerStarted: true, mayHaveRun: true });
+    extendProgress(world, attempt, request, now);
+  },
+  tokensCame: (fact, world, attempt, request, now) => {
+    const { tokens, weightVersion, incarnation } = fact;
+    const isNamed = weightVersion !== null;
+    world.attempts.change(attempt.id, {
+      completionTokens: attempt.completionTokens + tokens,
+      unnamedTokens: attempt.unnamedTokens + (isNamed ? 0 : tokens),
+      spans: isNamed
+        ? addToSpans(attempt.spans, { weightVersion, incarnation, tokens })
+        : attempt.spans,
+    });
+    extendProgress(world, attempt, request, now);
+  },
+  progress: (_, world, attempt, request, now) => extendProgress(world, attempt, request, now),
+  usageCame: (fact, world, attempt) => {
+    const { promptTokens, completionTokens } = fact;
+    world.attempts.change(attempt.id, { promptTokens, completionTokens });
+  },
+  answerEnded: (fact, world, attempt, request, now) => {
+    endAttempt(world, attempt, fact.kind);
+    countUsage(world, attempt, request);
+    answerRequest(world, request, now);
+  },
+  broken: (fact, world, attempt, request, now) => {
+    endAttempt(world, attempt, fact.kind);
+    countWaste(world, attempt, request);
+    const detail = `The connection to the upstream broke (${fact.reason}).`;
+    retryOrEnd(world, request, { kind: RefusalKind.UpstreamFailed, detail, mayHaveRun: true }, now);
+  },
+  callerGone: (fact, world, attempt, request, now) => {
+    endAttempt(world, attempt, fact.kind);
+    countWaste(world, attempt, request);
+    cancelRequest(world, request, createRefusal(RefusalKind.CallerGone, false), now);
+  },
+};
+
+const recordLateFact = (world: World, fact: AttemptFact): void => {
+  world.metrics.count('attempts.lateFacts', 1, { fact: fact.kind });
+  world.events.append({
+    kind: EventKind.LateFact,
+    subject: { attempt: fact.attempt, fact: fact.kind },
+  });
+};
+
+const takeFact = (world: World, fact: AttemptFact, now: Instant): void => {
+  const attempt = world.attempts.get(fact.attempt);
+  const request = attempt === undefined ? undefined : world.requests.get(attempt.request);
+  const isLate = attempt === undefined || attempt.state === AttemptState.Ended;
+  if (isLate || request === undefined) {
+    recordLateFact(world, fact);
+    return;
+  }
+  dispatchByKind(handlers, fact, world, attempt, request, now);
+};
+
+/** Creates the system of facts of attempts. */
+export const createAttemptFactSystem = (world: World): System => ({
+  name: 'attemptFact',
+  run: (now) => world.attemptFacts.takeAll().forEach((fact) => takeFact(world, fact, now)),
+});
--- /dev/null
+++ b/src/service/dispatch/common/deadlineSystem.ts
@@ -0,0 +1,75 @@
+/**
+ * What falls due in traffic: requests that waited too long, answers that took too long, upstreams that
+ * fell silent, and rows that are no longer needed.
+ */
+import type { Instant } from '../../../base/common/time.js';
+import type { System } from '../../../platform/tables/common/tick.js';
+import { failRequest, hasEnded, refuseRequest } from '../../traffic/common/endRequest.js';
+import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
+import {
+  AttemptState,
+  type AttemptRow,
+  type RequestRow,
+} from '../../traffic/common/trafficTables.js';
+import type { World } from '../../world/common/world.js';
+import { countWaste } from './attemptFactSystem.js';
+import { endAttempt, retryOrEnd } from './endAttempt.js';
+
+const endByDeadline = (
+  world: World,
+  request: RequestRow,
+  kind: RefusalKind,
+  now: Instant,
+): void => {
+  const refusal = createRefusal(kind, !request.mayHaveRun);
+  if (request.mayHaveRun) failRequest(world, request, refusal, now);
+  else refuseRequest(world, request, refusal, now);
+};
+
+const passRequestDeadline = (world: World, request: RequestRow, now: Instant): void => {
+  const running = world.attempts
+    .where('request', request.id)
+    .filter((attempt) => attempt.state !== AttemptState.Ended);
+  running.forEach((attempt) => {
+    endAttempt(world, attempt, RefusalKind.RequestDeadlinePassed);
+    countWaste(world, attempt, request);
+  });
+  const wrote = running.some((attempt) => attempt.state !== AttemptState.Queued);
+  const mayHaveRun = request.mayHaveRun || wrote;
+  const changed = world.requests.change(request.id, { mayHaveRun })!;
+  endByDeadline(world, changed, RefusalKind.RequestDeadlinePassed, now);
+};
+
+const passProgressDeadline = (world: World, attempt: AttemptRow, now: Instant): void => {
+  const request = world.requests.get(attempt.request);
+  if (request === undefined || hasEnded(request)) return;
+  endAttempt(world, attempt, RefusalKind.UpstreamSilent);
+  countWaste(world, attempt, request);
+  const mayHaveRun = attempt.state !== AttemptState.Queued;
+  const detail = `${attempt.upstream} gave no sign of progress.`;
+  retryOrEnd(world, request, { kind: RefusalKind.UpstreamSilent, detail, mayHaveRun }, now);
+};
+
+const dropRequest = (world: World, request: RequestRow): void => {
+  world.attempts
+    .where('request', request.id)
+    .forEach((attempt) => world.attempts.remove(attempt.id));
+  world.requests.remove(request.id);
+};
+
+/** Creates the system of deadlines in traffic. */
+export const createDeadlineSystem = (world: World): System => ({
+  name: 'deadline',
+  run: (now) => {
+    world.requests
+      .takeDue('request', now)
+      .forEach((request) => passRequestDeadline(world, request, now));
+    world.requests
+      .takeDue('queue', now)
+      .forEach((request) => endByDeadline(world, request, RefusalKind.QueueDeadlinePassed, now));
+    world.attempts
+      .takeDue('progress', now)
+      .forEach((attempt) => passProgressDeadline(world, attempt, now));
+    world.requests.takeDue('retention', now).forEach((request) => dropRequest(world, request));
+  },
+});
--- /dev/null
+++ b/src/service/dispatch/common/dispatchSystem.ts
@@ -0,0 +1,63 @@
+/**
+ * The last check before the first byte: an attempt goes from queued to writing only where its upstream
+ * still serves and the key of its request still holds. The port begins to write when it sees the state
+ * `writing`; from then on the request may have run.
+ */
+import type { Instant } from '../../../base/common/time.js';
+import type { System } from '../../../platform/tables/common/tick.js';
+import { UpstreamState } from '../../protocol/common/upstreamProtocol.js';
+import { refuseRequest } from '../../traffic/common/endRequest.js';
+import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
+import {
+  AttemptState,
+  type AttemptRow,
+  type RequestRow,
+} from '../../traffic/common/trafficTables.js';
+import type { World } from '../../world/common/world.js';
+import { endAttempt, retryOrEnd } from './endAttempt.js';
+
+const isWithdrawn = (world: World, request: RequestRow): boolean =>
+  request.keyDigest !== null && world.keys.get(request.keyDigest)?.withdrawn !== false;
+
+const isServing = (world: World, attempt: AttemptRow): boolean =>
+  world.upstreams.get(attempt.upstream)?.state === UpstreamState.Serving;
+
+const refuseWithdrawn = (
+  world: World,
+  attempt: AttemptRow,
+  request: RequestRow,
+  now: Instant,
+): void => {
+  endAttempt(world, attempt, RefusalKind.WithdrawnKey);
+  const refusal = createRefusal(RefusalKind.WithdrawnKey, !request.mayHaveRun);
+  refuseRequest(world, request, refusal, now);
+};
+
+const dispatch = (world: World, attempt: AttemptRow, now: Instant): void => {
+  const request = world.requests.get(attempt.request)!;
+  if (isWithdrawn(world, request)) {
+    refuseWithdrawn(world, attempt, request, now);
+    return;
+  }
+  if (isServing(world, attempt)) {
+    world.attempts.change(attempt.id, { state: AttemptState.Writing });
+    return;
+  }
+  endAttempt(world, attempt, 'upstreamLeft');
+  const detail = `${attempt.upstream} left before the request was sent.`;
+  const failure = { kind: RefusalKind.QueueDeadlinePassed, detail, mayHaveRun: false };
+  retryOrEnd(world, request, failure, now);
+};
+
+/** Creates the system of dispatch. */
+export const createDispatchSystem = (world: World): System => {
+  const changes = world.attempts.readChanges();
+  return {
+    name: 'dispatch',
+    run: (now) =>
+      changes.take().forEach((id) => {
+        const attempt = world.attempts.get(id);
+        if (attempt?.state === AttemptState.Queued) dispatch(world, attempt, now);
+      }),
+  };
+};
--- /dev/null
+++ b/src/service/events/common/eventKind.ts
@@ -0,0 +1,42 @@
+/**
+ * The kinds of events of the time line, and the queue through which systems record them.
+ */
+import type { ValueOf } from '../../../base/common/handlers.js';
+import type { EventSubject } from '../../../platform/timeline/common/timelineEvent.js';
+import { createRowQueue, QueueReader } from '../../../platform/tables/common/rowQueue.js';
+
+export const EventKind = {
+  DaemonStarted: 'daemonStarted',
+  DaemonLeaving: 'daemonLeaving',
+  PeerAlive: 'peerAlive',
+  PeerSuspected: 'peerSuspected',
+  UpstreamAnnounced: 'upstreamAnnounced',
+  UpstreamChanged: 'upstreamChanged',
+  UpstreamGone: 'upstreamGone',
+  RequestAdmitted: 'requestAdmitted',
+  RequestRefused: 'requestRefused',
+  RequestAnswered: 'requestAnswered',
+  RequestFailed: 'requestFailed',
+  RequestCancelled: 'requestCancelled',
+  AttemptStarted: 'attemptStarted',
+  AttemptEnded: 'attemptEnded',
+  LateFact: 'lateFact',
+  LotOpened: 'lotOpened',
+  LotComplete: 'lotComplete',
+  SampleComplete: 'sampleComplete',
+  SampleDiscarded: 'sampleDiscarded',
+  BatchAssigned: 'batchAssigned',
+  BatchAcknowledged: 'batchAcknowledged',
+} as const;
+export type EventKind = ValueOf<typeof EventKind>;
+
+/** An event that has not been stamped yet. */
+export interface RecordedEvent {
+  readonly kind: EventKind;
+  readonly subject: EventSubject;
+}
+
+/** Creates the queue of recorded events, which a port stamps and writes. */
+export const createEventTables = () => ({
+  events: createRowQueue<RecordedEvent>('events', QueueReader.Port),
+});
--- /dev/null
+++ b/src/service/rollout/common/planSystem.ts
@@ -0,0 +1,54 @@
+/**
+ * The planner: makes a request for each planned sample. Requests of samples wait in the same queue as
+ * those of callers, and go after them.
+ */
+import { never, type Instant } from '../../../base/common/time.js';
+import type { System } from '../../../platform/tables/common/tick.js';
+import { RequestState } from '../../traffic/common/trafficTables.js';
+import type { RequestId } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+import { LotState, SampleState, type LotRow, type SampleRow } from './rolloutTables.js';
+
+const putRequest = (world: World, sample: SampleRow, lot: LotRow, now: Instant): RequestId => {
+  const id = world.identifiers.next<RequestId>('request');
+  world.requests.put({
+    id,
+    keyDigest: null,
+    service: lot.service,
+    estimatedTokens: lot.maximumTokens,
+    sample: sample.id,
+    madeFor: lot.workspace,
+    state: RequestState.Arrived,
+    workspace: null,
+    policy: null,
+    arrivedAt: now,
+    queueDeadline: never,
+    requestDeadline: never,
+    retentionDeadline: never,
+    attemptCount: 0,
+    mayHaveRun: false,
+    answerStarted: false,
+    refusal: null,
+  });
+  return id;
+};
+
+const plan = (world: World, sample: SampleRow, now: Instant): void => {
+  const lot = world.lots.get(sample.lot);
+  if (lot?.state !== LotState.Open) return;
+  const request = putRequest(world, sample, lot, now);
+  world.samples.change(sample.id, { state: SampleState.Running, request });
+};
+
+/** Creates the planner. */
+export const createPlanSystem = (world: World): System => {
+  const changes = world.samples.readChanges();
+  return {
+    name: 'plan',
+    run: (now) =>
+      changes.take().forEach((id) => {
+        const sample = world.samples.get(id);
+        if (sample?.state === SampleState.Planned) plan(world, sample, now);
+      }),
+  };
+};
--- /dev/null
+++ b/src/service/traffic/common/attemptFact.ts
@@ -0,0 +1,45 @@
+/**
+ * What a port reports of an attempt: facts only, no bytes of prompts or answers.
+ */
+import type { AttemptId } from '../../world/common/identifiers.js';
+
+export const AttemptFactKind = {
+  /** The connection could not be made, or the upstream refused before running: it did not run. */
+  NotRun: 'notRun',
+  /** The upstream has sent the head of its answer. */
+  AnswerStarted: 'answerStarted',
+  /** Tokens have come, all from one weight version and one start of the engine. */
+  TokensCame: 'tokensCame',
+  /** Bytes have come that are not counted as tokens. */
+  Progress: 'progress',
+  /** The upstream has given its own count of the tokens. */
+  UsageCame: 'usageCame',
+  /** The answer has come whole. */
+  AnswerEnded: 'answerEnded',
+  /** The connection broke after the first byte was written; it may have run. */
+  Broken: 'broken',
+  /** The caller of the request has gone. */
+  CallerGone: 'callerGone',
+} as const;
+
+export type AttemptFact =
+  | { readonly kind: 'notRun'; readonly attempt: AttemptId; readonly reason: string }
+  | { readonly kind: 'answerStarted'; readonly attempt: AttemptId; readonly status: number }
+  | {
+      readonly kind: 'tokensCame';
+      readonly attempt: AttemptId;
+      readonly tokens: number;
+      /** Null where the engine named none. */
+      readonly weightVersion: number | null;
+      readonly incarnation: number;
+    }
+  | { readonly kind: 'progress'; readonly attempt: AttemptId }
+  | {
+      readonly kind: 'usageCame';
+      readonly attempt: AttemptId;
+      readonly promptTokens: number;
+      readonly completionTokens: number;
+    }
+  | { readonly kind: 'answerEnded'; readonly attempt: AttemptId }
+  | { readonly kind: 'broken'; readonly attempt: AttemptId; readonly reason: string }
+  | { readonly kind: 'callerGone'; readonly attempt: AttemptId };
--- /dev/null
+++ b/src/service/traffic/common/endRequest.ts
@@ -0,0 +1,92 @@
+/**
+ * The ends of a request. Each sets a final state, says why, counts, and lets the row be dropped later.
+ */
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { EventKind } from '../../events/common/eventKind.js';
+import type { World } from '../../world/common/world.js';
+import type { Refusal } from './refusal.js';
+import { RequestState, type RequestRow } from './trafficTables.js';
+
+const retentionMilliseconds = 2_000;
+
+interface RequestEnd {
+  readonly state: RequestState;
+  readonly event: EventKind;
+  readonly refusal: Refusal | null;
+}
+
+const endRequest = (world: World, request: RequestRow, end: RequestEnd, now: Instant): void => {
+  world.requests.change(request.id, {
+    state: end.state,
+    refusal: end.refusal,
+    retentionDeadline: deadlineAfter(now, retentionMilliseconds),
+  });
+  world.metrics.count(`requests.${end.state}`, 1, { reason: end.refusal?.kind ?? 'none' });
+  world.events.append({
+    kind: end.event,
+    subject: {
+      request: request.id,
+      workspace: request.workspace,
+      reason: end.refusal?.kind ?? null,
+      notRun: end.refusal?.notRun ?? false,
+    },
+  });
+};
+
+/** Refuses a request that has not run; `refusal.notRun` must be true. */
+export const refuseRequest = (
+  world: World,
+  request: RequestRow,
+  refusal: Refusal,
+  now: Instant,
+): void =>
+  endRequest(
+    world,
+    request,
+    { state: RequestState.Refused, event: EventKind.RequestRefused, refusal },
+    now,
+  );
+
+/** Fails a request that may have run. */
+export const failRequest = (
+  world: World,
+  request: RequestRow,
+  refusal: Refusal,
+  now: Instant,
+): void =>
+  endRequest(
+    world,
+    request,
+    { state: RequestState.Failed, event: EventKind.RequestFailed, refusal },
+    now,
+  );
+
+/** Ends a request whose whole answer has come. */
+export const answerRequest = (world: World, request: RequestRow, now: Instant): void =>
+  endRequest(
+    world,
+    request,
+    { state: RequestState.Answered, event: EventKind.RequestAnswered, refusal: null },
+    now,
+  );
+
+/** Ends a request that nobody waits for any more. */
+export const cancelRequest = (
+  world: World,
+  request: RequestRow,
+  refusal: Refusal,
+  now: Instant,
+): void =>
+  endRequest(
+    world,
+    request,
+    { state: RequestState.Cancelled, event: EventKind.RequestCancelled, refusal },
+    now,
+  );
+
+/** Whether the request has reached a final state. */
+export const hasEnded = (request: RequestRow): boolean =>
+  request.state === RequestState.Answered ||
+  request.state === RequestState.Refused ||
+  request.state === RequestState.Failed ||
+  request.state === RequestState.Cancelled;
--- /dev/null
+++ b/src/service/traffic/common/refusal.ts
@@ -0,0 +1,65 @@
+/**
+ * Why a request is refused or failed. Every kind says whether the request certainly did not run, and its
+ * message names the remedy. A front end maps kinds to its own codes.
+ */
+import type { ValueOf } from '../../../base/common/handlers.js';
+
+export const RefusalKind = {
+  MissingKey: 'missingKey',
+  UnknownKey: 'unknownKey',
+  WithdrawnKey: 'withdrawnKey',
+  UnknownService: 'unknownService',
+  ServiceNotAllowed: 'serviceNotAllowed',
+  BodyNotJson: 'bodyNotJson',
+  BodyInvalid: 'bodyInvalid',
+  BodyTooLarge: 'bodyTooLarge',
+  HeadersTooLarge: 'headersTooLarge',
+  QueueFull: 'queueFull',
+  QueueDeadlinePassed: 'queueDeadlinePassed',
+  Leaving: 'leaving',
+  UpstreamFailed: 'upstreamFailed',
+  UpstreamSilent: 'upstreamSilent',
+  RequestDeadlinePassed: 'requestDeadlinePassed',
+  CallerGone: 'callerGone',
+  UnknownLot: 'unknownLot',
+  UnknownPath: 'unknownPath',
+  InternalFault: 'internalFault',
+} as const;
+export type RefusalKind = ValueOf<typeof RefusalKind>;
+
+/** A refusal or a failure as the caller is told of it. */
+export interface Refusal {
+  readonly kind: RefusalKind;
+  readonly message: string;
+  /** True only where no byte of any attempt was written or every upstream refused before running. */
+  readonly notRun: boolean;
+}
+
+const remedies: Readonly<Record<RefusalKind, string>> = {
+  missingKey: 'Send a key of your workspace as `Authorization: Bearer KEY`.',
+  unknownKey: 'The key is not known here; ask the operator of your workspace for a new one.',
+  withdrawnKey: 'The key was withdrawn; ask the operator of your workspace for a new one.',
+  unknownService: 'No service has this path or model; check its spelling in the settings tree.',
+  serviceNotAllowed: 'The workspace may not use this service; ask its operator to add it.',
+  bodyNotJson: 'The body is not JSON; send a JSON object with `content-type: application/json`.',
+  bodyInvalid: 'The body lacks members or has wrong ones; correct them as named.',
+  bodyTooLarge: 'The body is over the limit; send less or ask the operator to raise the limit.',
+  headersTooLarge: 'The headers are over the limit; send fewer or shorter headers.',
+  queueFull: 'Too many requests of the workspace wait; send again after the delay given.',
+  queueDeadlinePassed: 'No upstream was free in time; send again after the delay given.',
+  leaving: 'This entry is leaving; ask for another address and send again there.',
+  upstreamFailed: 'The upstream failed while it ran the request; send again if it is idempotent.',
+  upstreamSilent: 'The upstream fell silent while it ran; send again if it is idempotent.',
+  requestDeadlinePassed: 'The request passed its deadline; allow more time or ask for less.',
+  callerGone: 'The caller closed the connection; nothing is left to do.',
+  unknownLot: 'No such lot is open on this entry; use the entry that opened it.',
+  unknownPath: 'Nothing is served on this path; see the paths in the README.',
+  internalFault: 'The entry met a fault of its own; report it with the request identifier.',
+};
+
+/** Makes a refusal; `detail` is put before the remedy. */
+export const createRefusal = (kind: RefusalKind, notRun: boolean, detail = ''): Refusal => ({
+  kind,
+  message: detail === '' ? remedies[kind] : `${detail} ${remedies[kind]}`,
+  notRun,
+});
--- /dev/null
+++ b/src/service/traffic/common/trafficTables.ts
@@ -0,0 +1,133 @@
+/**
+ * Requests and the attempts by which upstreams run them.
+ */
+import type { ValueOf } from '../../../base/common/handlers.js';
+import { never, type Instant } from '../../../base/common/time.js';
+import { createRowQueue, QueueReader } from '../../../platform/tables/common/rowQueue.js';
+import { createTable } from '../../../platform/tables/common/table.js';
+import type { Policy } from '../../configuration/common/tree.js';
+import type {
+  AttemptId,
+  KeyDigest,
+  RequestId,
+  SampleId,
+  ServiceName,
+  UpstreamId,
+  WorkspaceName,
+} from '../../world/common/identifiers.js';
+import type { AttemptFact } from './attemptFact.js';
+import type { Refusal } from './refusal.js';
+
+export const RequestState = {
+  /** Decoded by a port and not admitted yet. */
+  Arrived: 'arrived',
+  /** Admitted; waits for an upstream. */
+  Waiting: 'waiting',
+  /** Has an attempt that is queued, writing or answering. */
+  Running: 'running',
+  Answered: 'answered',
+  Refused: 'refused',
+  Failed: 'failed',
+  Cancelled: 'cancelled',
+} as const;
+export type RequestState = ValueOf<typeof RequestState>;
+
+/** What a port says of a request that it has decoded. */
+export interface ArrivedRequest {
+  readonly id: RequestId;
+  /** The digest of the key that came with the request, or null where none came. */
+  readonly keyDigest: KeyDigest | null;
+  /** The service that the path or model names, or null where none has it. */
+  readonly service: ServiceName | null;
+  /** Tokens that the request will take by its own limits: prompt and answer. */
+  readonly estimatedTokens: number;
+  /** The sample for which the request runs, or null for a caller's request. */
+  readonly sample: SampleId | null;
+  /** The workspace of a request that the system made itself; null where the key decides. */
+  readonly madeFor: WorkspaceName | null;
+}
+
+export interface RequestRow extends ArrivedRequest {
+  readonly state: RequestState;
+  readonly workspace: WorkspaceName | null;
+  /** The policy in force at admission, which holds for the whole request. */
+  readonly policy: Policy | null;
+  readonly arrivedAt: Instant;
+  /** Until when the request may wait for an upstream. */
+  readonly queueDeadline: Instant;
+  /** Until when the answer must have ended. */
+  readonly requestDeadline: Instant;
+  /** When the row is dropped after its end. */
+  readonly retentionDeadline: Instant;
+  readonly attemptCount: number;
+  /** Whether any attempt may have run. */
+  readonly mayHaveRun: boolean;
+  /** Whether bytes of an answer have gone to the caller. */
+  readonly answerStarted: boolean;
+  readonly refusal: Refusal | null;
+}
+
+export const AttemptState = {
+  /** An upstream is chosen; no byte is written. */
+  Queued: 'queued',
+  /** The first byte may have been written. */
+  Writing: 'writing',
+  /** The upstream has begun to answer. */
+  Answering: 'answering',
+  Ended: 'ended',
+} as const;
+export type AttemptState = ValueOf<typeof AttemptState>;
+
+/** Tokens in a row that one weight version on one start of an engine has made. */
+export interface VersionSpan {
+  readonly weightVersion: number;
+  readonly incarnation: number;
+  readonly tokens: number;
+}
+
+export interface AttemptRow {
+  readonly id: AttemptId;
+  readonly request: RequestId;
+  readonly upstream: UpstreamId;
+  readonly service: ServiceName;
+  readonly state: AttemptState;
+  /** Until when the upstream must show progress. */
+  readonly progressDeadline: Instant;
+  readonly estimatedTokens: number;
+  readonly promptTokens: number;
+  readonly completionTokens: number;
+  readonly spans: readonly VersionSpan[];
+  /** Tokens for which the engine named no weight version. */
+  readonly unnamedTokens: number;
+}
+
+export const createTrafficTables = () => ({
+  requests: createTable<RequestRow, 'waitingFor' | 'state', 'queue' | 'request' | 'retention'>({
+    name: 'requests',
+    indices: {
+      waitingFor: (row) =>
+        row.state === RequestState.Waiting ? (row.service ?? undefined) : undefined,
+      state: (row) => row.state,
+    },
+    deadlines: {
+      queue: (row) => (row.state === RequestState.Waiting ? row.queueDeadline : never),
+      request: (row) =>
+        row.state === RequestState.Waiting || row.state === RequestState.Running
+          ? row.requestDeadline
+          : never,
+      retention: (row) => row.retentionDeadline,
+    },
+  }),
+  attempts: createTable<AttemptRow, 'request' | 'upstream', 'progress'>({
+    name: 'attempts',
+    indices: {
+      request: (row) => row.request,
+      upstream: (row) => row.upstream,
+    },
+    deadlines: {
+      progress: (row) => (row.state === AttemptState.Ended ? never : row.progressDeadline),
+    },
+  }),
+  attemptFacts: createRowQueue<AttemptFact>('attemptFacts', QueueReader.System),
+});
+export type TrafficTables = ReturnType<typeof createTrafficTables>;
--- /dev/null
+++ b/src/service/usage/common/usageTables.ts
@@ -0,0 +1,36 @@
+/**
+ * Usage that this daemon has counted, by workspace. Totals only rise within one incarnation.
+ */
+import { createTable } from '../../../platform/tables/common/table.js';
+import type { WorkspaceName } from '../../world/common/identifiers.js';
+
+export interface UsageRow {
+  readonly id: WorkspaceName;
+  readonly promptTokens: number;
+  readonly completionTokens: number;
+  /** Answers that ended whole. */
+  readonly requests: number;
+  /** Tokens of attempts whose answer nobody got. */
+  readonly wastedTokens: number;
+}
+
+export const createUsageTables = () => ({
+  usage: createTable<UsageRow>({ name: 'usage', indices: {}, deadlines: {} }),
+});
+export type UsageTables = ReturnType<typeof createUsageTables>;
+
+/** Adds to the usage of a workspace. */
+export const addUsage = (
+  { usage }: UsageTables,
+  workspace: WorkspaceName,
+  added: Omit<UsageRow, 'id'>,
+): void => {
+  const before = usage.get(workspace);
+  usage.put({
+    id: workspace,
+    promptTokens: (before?.promptTokens ?? 0) + added.promptTokens,
+    completionTokens: (before?.completionTokens ?? 0) + added.completionTokens,
+    requests: (before?.requests ?? 0) + added.requests,
+    wastedTokens: (before?.wastedTokens ?? 0) + added.wastedTokens,
+  });
+};
--- /dev/null
+++ b/src/service/world/common/identifiers.ts
@@ -0,0 +1,35 @@
+/**
+ * The identifiers of all tables, and the generator that makes new ones: the daemon, its incarnation and
+ * a count, so that no two daemons and no two starts of one daemon give the same.
+ */
+import { asBrand, type Brand } from '../../../base/common/brand.js';
+
+export type RequestId = Brand<'request'>;
+export type AttemptId = Brand<'attempt'>;
+export type UpstreamId = Brand<'upstream'>;
+export type DaemonId = Brand<'daemon'>;
+export type ServiceName = Brand<'service'>;
+export type WorkspaceName = Brand<'workspace'>;
+export type KeyDigest = Brand<'keyDigest'>;
+export type LotId = Brand<'lot'>;
+export type GroupId = Brand<'group'>;
+export type SampleId = Brand<'sample'>;
+export type FetchId = Brand<'fetch'>;
+export type BatchId = Brand<'batch'>;
+
+/** Makes identifiers that are unique over all daemons and all their starts. */
+export interface Identifiers {
+  readonly next: <Id extends Brand<string>>(prefix: string) => Id;
+}
+
+/** Creates the generator of one start of one daemon. */
+export const createIdentifiers = (daemon: string, incarnation: number): Identifiers => {
+  let count = 0;
+  const origin = `${daemon}.${incarnation.toString(36)}`;
+  return {
+    next: <Id extends Brand<string>>(prefix: string): Id => {
+      count += 1;
+      return asBrand<Id>(`${prefix}-${origin}-${count}`);
+    },
+  };
+};
--- /dev/null
+++ b/src/service/world/common/world.ts
@@ -0,0 +1,78 @@
+/**
+ * The world of one daemon: all its tables, and what systems need besides rows.
+ */
+import type { Random } from '../../../base/common/random.js';
+import type { Metrics } from '../../../platform/metrics/common/metrics.js';
+import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
+import type { AnyTable } from '../../../platform/tables/common/table.js';
+import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
+import type { Tree } from '../../configuration/common/tree.js';
+import { createEventTables } from '../../events/common/eventKind.js';
+import { createMembershipTables } from '../../membership/common/membershipTables.js';
+import { createRolloutTables } from '../../rollout/common/rolloutTables.js';
+import { createTrafficTables } from '../../traffic/common/trafficTables.js';
+import { createUsageTables } from '../../usage/common/usageTables.js';
+import { createIdentifiers, type Identifiers } from './identifiers.js';
+
+const createTables = () => ({
+  ...createConfigurationTables(),
+  ...createEventTables(),
+  ...createMembershipTables(),
+  ...createRolloutTables(),
+  ...createTrafficTables(),
+  ...createUsageTables(),
+});
+export type Tables = ReturnType<typeof createTables>;
+
+/** What a world is made from; the same options and the same inputs give the same rows. */
+export interface WorldOptions {
+  readonly deployment: Deployment;
+  readonly self: DaemonSettings;
+  readonly tree: Tree;
+  /** A number that rises with every start of this daemon. */
+  readonly incarnation: number;
+  readonly random: Random;
+  readonly metrics: Metrics;
+}
+
+/** All tables of one daemon and the resources of its systems. */
+export interface World extends Tables {
+  readonly deployment: Deployment;
+  readonly self: DaemonSettings;
+  readonly incarnation: number;
+  readonly identifiers: Identifiers;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  /** The settings tree in force. */
+  readonly tree: () => Tree;
+  readonly setTree: (tree: Tree) => void;
+  /** Whether this daemon is leaving and takes no new requests. */
+  readonly isLeaving: () => boolean;
+  readonly setLeaving: () => void;
+  readonly allTables: readonly AnyTable[];
+}
+
+/** Creates a world whose tables are empty. */
+export const createWorld = (options: WorldOptions): World => {
+  const tables = createTables();
+  let { tree } = options;
+  let leaving = false;
+  return {
+    ...tables,
+    deployment: options.deployment,
+    self: options.self,
+    incarnation: options.incarnation,
+    identifiers: createIdentifiers(options.self.name, options.incarnation),
+    random: options.random,
+    metrics: options.metrics,
+    tree: () => tree,
+    setTree: (newTree) => {
+      tree = newTree;
+    },
+    isLeaving: () => leaving,
+    setLeaving: () => {
+      leaving = true;
+    },
+    allTables: Object.values(tables),
+  };
+};
