--- a/eslint.config.js
+++ b/eslint.config.js
@@ -79,6 +79,20 @@
       'no-void': ['error', { allowAsStatement: true }],
       '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
       'n/no-process-exit': 'off',
+      // hono is built on the web types that Node.js 20 ships as experimental.
+      'n/no-unsupported-features/node-builtins': [
+        'error',
+        {
+          ignores: [
+            'Headers',
+            'ReadableStream',
+            'ReadableStreamDefaultController',
+            'Response',
+            'Request',
+            'fetch',
+          ],
+        },
+      ],
       // Settings are read once at start, and a synced append must block what follows it.
       'n/no-sync': 'off',
       'max-lines': ['error', { max: 300, skipBlankLines: false, skipComments: false }],
--- /dev/null
+++ b/src/daemon/exchange/node/exchangePort.ts
@@ -0,0 +1,26 @@
+/**
+ * Closes the exchange of a request when its row has reached a final state.
+ */
+import type { Disposable } from '../../../base/common/disposable.js';
+import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { hasEnded } from '../../../service/traffic/common/endRequest.js';
+import type { World } from '../../../service/world/common/world.js';
+import type { ExchangeRegistry } from './exchange.js';
+
+/** The port; `drain` is run after each tick. */
+export interface ExchangePort extends Disposable {
+  readonly drain: () => void;
+}
+
+/** Creates the port. */
+export const createExchangePort = (world: World, registry: ExchangeRegistry): ExchangePort => {
+  const changes = world.requests.readChanges(RowReader.Port);
+  return {
+    drain: () =>
+      changes.take().forEach((id) => {
+        const request = world.requests.get(id);
+        if (request !== undefined && hasEnded(request)) registry.take(id)?.close(request.refusal);
+      }),
+    dispose: changes.dispose,
+  };
+};
--- /dev/null
+++ b/src/daemon/front/node/callerRoutes.ts
@@ -0,0 +1,138 @@
+/**
+ * The routes of callers: chat and completion routes of model engines, plain services by path, and the
+ * advice which address to use.
+ */
+import { Hono, type Context } from 'hono';
+import { err, ok, Result } from 'neverthrow';
+import { z } from 'zod';
+import { adviseAddresses } from '../../../service/advice/common/advice.js';
+import {
+  chatCompletionsPath,
+  completionsPath,
+} from '../../../service/protocol/common/engineProtocol.js';
+import { createRefusal, RefusalKind } from '../../../service/traffic/common/refusal.js';
+import type { ServiceName } from '../../../service/world/common/identifiers.js';
+import type { World } from '../../../service/world/common/world.js';
+import type { RequestContent } from '../../exchange/node/exchange.js';
+import { describeFaults, parseJson, type RouteEnvironment } from './decoding.js';
+import { errorResponse } from './errorResponse.js';
+import { readKeyDigest } from './keys.js';
+import type { DecodedRequest, Submitter } from './submission.js';
+
+type RouteContext = Context<RouteEnvironment>;
+
+/** Headers of a caller that go on to an upstream; a key is never among them. */
+const allowedRequestHeaders = [
+  'content-type',
+  'accept',
+  'accept-language',
+  'x-request-id',
+  'traceparent',
+  'if-none-match',
+  'if-match',
+];
+
+const engineBodySchema = z.looseObject({
+  model: z.string().min(1),
+  stream: z.boolean().optional(),
+  max_tokens: z.number().int().positive().optional(),
+});
+type EngineBody = z.infer<typeof engineBodySchema>;
+
+const defaultAnswerTokens = 256;
+const bytesPerToken = 4;
+
+const forwardedHeaders = (headers: Headers): Record<string, string> =>
+  Object.fromEntries(
+    allowedRequestHeaders.flatMap((name) => {
+      const value = headers.get(name);
+      return value === null ? [] : [[name, value]];
+    }),
+  );
+
+const findModelService = (world: World, model: string): ServiceName | null =>
+  [...world.services.rows()].find((row) => row.settings.models.includes(model))?.id ?? null;
+
+const isUnderPath = (path: string, prefix: string): boolean =>
+  path === prefix || path.startsWith(`${prefix}/`);
+
+const findPlainService = (world: World, path: string): ServiceName | null =>
+  [...world.services.rows()].find(
+    (row) => row.settings.path !== undefined && isUnderPath(path, row.settings.path),
+  )?.id ?? null;
+
+const contentOf = (context: RouteContext, path: string, body: Uint8Array): RequestContent => ({
+  method: context.req.method,
+  path,
+  headers: forwardedHeaders(context.req.raw.headers),
+  body: body.length === 0 ? null : body,
+});
+
+/** Answers from the submitter, and tells it when the connection closes early. */
+const submitAndWatch = (
+  submitter: Submitter,
+  context: RouteContext,
+  decoded: DecodedRequest,
+  content: RequestContent,
+): Promise<Response> => {
+  const { request, response } = submitter.submit(decoded, content);
+  const { outgoing } = context.env;
+  outgoing.once('close', () => {
+    if (!outgoing.writableFinished) submitter.depart(request);
+  });
+  return response;
+};
+
+const decodeEngineBody = (bytes: Uint8Array): Result<EngineBody, Response> => {
+  const refuse = (kind: RefusalKind, detail?: string): Response =>
+    errorResponse(createRefusal(kind, true, detail));
+  return parseJson(Buffer.from(bytes).toString('utf8'))
+    .mapErr(() => refuse(RefusalKind.BodyNotJson))
+    .andThen((value) => {
+      const parsed = engineBodySchema.safeParse(value);
+      if (parsed.success) return ok(parsed.data);
+      return err(refuse(RefusalKind.BodyInvalid, describeFaults(parsed.error)));
+    });
+};
+
+/** Creates the routes of callers. */
+export const createCallerRoutes = (world: World, submitter: Submitter): Hono<RouteEnvironment> => {
+  const routes = new Hono<RouteEnvironment>();
+
+  const submitToEngine = async (context: RouteContext): Promise<Response> => {
+    const bytes = new Uint8Array(await context.req.arrayBuffer());
+    const body = decodeEngineBody(bytes);
+    if (body.isErr()) return body.error;
+    const decoded: DecodedRequest = {
+      keyDigest: readKeyDigest(context.req.raw.headers),
+      service: findModelService(world, body.value.model),
+      estimatedTokens:
+        Math.ceil(bytes.length / bytesPerToken) + (body.value.max_tokens ?? defaultAnswerTokens),
+    };
+    return submitAndWatch(submitter, context, decoded, contentOf(context, context.req.path, bytes));
+  };
+
+  const submitToPlain = async (context: RouteContext): Promise<Response> => {
+    const bytes = new Uint8Array(await context.req.arrayBuffer());
+    const { pathname, search } = new URL(context.req.url);
+    const decoded: DecodedRequest = {
+      keyDigest: readKeyDigest(context.req.raw.headers),
+      service: findPlainService(world, pathname),
+      estimatedTokens: Math.ceil(bytes.length / bytesPerToken),
+    };
+    return submitAndWatch(
+      submitter,
+      context,
+      decoded,
+      contentOf(context, `${pathname}${search}`, bytes),
+    );
+  };
+
+  routes.get('/v1/address', (context) =>
+    context.json(adviseAddresses(world, context.req.query('zone'))),
+  );
+  routes.post(chatCompletionsPath, submitToEngine);
+  routes.post(completionsPath, submitToEngine);
+  routes.all('*', submitToPlain);
+  return routes;
+};
--- /dev/null
+++ b/src/daemon/front/node/errorResponse.ts
@@ -0,0 +1,56 @@
+/**
+ * Refusals as HTTP responses, in the form that clients of model engines already read.
+ */
+import { RefusalKind, type Refusal } from '../../../service/traffic/common/refusal.js';
+
+const statusByKind: Readonly<Record<RefusalKind, number>> = {
+  missingKey: 401,
+  unknownKey: 401,
+  withdrawnKey: 401,
+  unknownService: 404,
+  serviceNotAllowed: 403,
+  bodyNotJson: 400,
+  bodyInvalid: 400,
+  bodyTooLarge: 413,
+  headersTooLarge: 431,
+  queueFull: 429,
+  queueDeadlinePassed: 503,
+  leaving: 503,
+  upstreamFailed: 502,
+  upstreamSilent: 504,
+  requestDeadlinePassed: 504,
+  callerGone: 499,
+  unknownLot: 404,
+  unknownPath: 404,
+  internalFault: 500,
+};
+
+const retryAfterSeconds = 1;
+const retryableKinds: ReadonlySet<RefusalKind> = new Set([
+  RefusalKind.QueueFull,
+  RefusalKind.QueueDeadlinePassed,
+  RefusalKind.Leaving,
+]);
+
+/** The HTTP status of a refusal. */
+export const statusOf = (refusal: Refusal): number => statusByKind[refusal.kind];
+
+/** The JSON body of a refusal. */
+export const errorBodyOf = (refusal: Refusal) => ({
+  error: {
+    type: 'shallotquay_error',
+    code: refusal.kind,
+    message: refusal.message,
+    not_run: refusal.notRun,
+  },
+});
+
+const retryHeadersOf = (refusal: Refusal): Record<string, string> =>
+  retryableKinds.has(refusal.kind) ? { 'retry-after': String(retryAfterSeconds) } : {};
+
+/** A refusal as a response. */
+export const errorResponse = (refusal: Refusal): Response =>
+  Response.json(errorBodyOf(refusal), {
+    status: statusOf(refusal),
+    headers: retryHeadersOf(refusal),
+  });
--- /dev/null
+++ b/src/daemon/front/node/httpFront.ts
@@ -0,0 +1,108 @@
+/**
+ * The HTTP front end: one listening socket with the routes of callers, trainers and upstreams, and typed
+ * errors for what never reaches a route.
+ */
+import type { IncomingMessage, Server } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { createAdaptorServer } from '@hono/node-server';
+import { Hono } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import type { Result } from 'neverthrow';
+import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import type { Limits } from '../../../platform/settings/common/deployment.js';
+import { listen, type ListenError } from '../../../platform/sockets/node/listen.js';
+import {
+  createRefusal,
+  RefusalKind,
+  type Refusal,
+} from '../../../service/traffic/common/refusal.js';
+import type { RouteEnvironment } from './decoding.js';
+import { errorBodyOf, errorResponse, statusOf } from './errorResponse.js';
+
+/** A listening front end. */
+export interface HttpFront extends AsyncDisposable {
+  /** `host:port` on which it listens. */
+  readonly address: string;
+  /** Refuses new connections, and resolves when the given answers have ended. */
+  readonly closeGracefully: () => Promise<void>;
+}
+
+/** Parse errors of the HTTP server that have a refusal of their own. */
+const refusalByParseError: Readonly<Record<string, RefusalKind>> = {
+  HPE_HEADER_OVERFLOW: RefusalKind.HeadersTooLarge,
+};
+
+const writeRefusal = (socket: Duplex, refusal: Refusal): void => {
+  const body = JSON.stringify(errorBodyOf(refusal));
+  socket.end(
+    `HTTP/1.1 ${statusOf(refusal)} Refused\r\nconnection: close\r\n` +
+      `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+};
+
+const onClientError = (error: NodeJS.ErrnoException, socket: Duplex): void => {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const kind = refusalByParseError[error.code ?? ''] ?? RefusalKind.BodyInvalid;
+  writeRefusal(socket, createRefusal(kind, true));
+};
+
+const createApplication = (
+  limits: Limits,
+  routes: readonly Hono<RouteEnvironment>[],
+  onDidFail: (error: Error) => void,
+): Hono<RouteEnvironment> => {
+  const application = new Hono<RouteEnvironment>();
+  application.use(
+    bodyLimit({
+      maxSize: limits.maximumBodyBytes,
+      onError: () => errorResponse(createRefusal(RefusalKind.BodyTooLarge, true)),
+    }),
+  );
+  application.onError((error) => {
+    onDidFail(error);
+    return errorResponse(createRefusal(RefusalKind.InternalFault, false));
+  });
+  routes.forEach((route) => application.route('/', route));
+  return application;
+};
+
+/** Opens the front end on `address` (`host:port`, port 0 for any). */
+export const openHttpFront = async (
+  address: string,
+  limits: Limits,
+  routes: readonly Hono<RouteEnvironment>[],
+  onDidFail: (error: Error) => void,
+): Promise<Result<HttpFront, ListenError>> => {
+  const application = createApplication(limits, routes, onDidFail);
+  const server = createAdaptorServer({
+    fetch: application.fetch,
+    serverOptions: { maxHeaderSize: limits.maximumHeaderBytes },
+  }) as Server;
+  server.on('clientError', onClientError);
+  server.on('request', (_: IncomingMessage, response) => {
+    if (!server.listening) response.setHeader('connection', 'close');
+  });
+  const listening = await listen(server, address);
+
+  const close = (): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+    });
+
+  return listening.map((bound) => ({
+    address: bound,
+    closeGracefully: () => {
+      const closed = close();
+      server.closeIdleConnections();
+      return closed;
+    },
+    dispose: () => {
+      const closed = close();
+      server.closeAllConnections();
+      return closed;
+    },
+  }));
+};
--- /dev/null
+++ b/src/daemon/front/node/upstreamRoutes.ts
@@ -0,0 +1,37 @@
+/**
+ * The route on which upstreams announce themselves.
+ */
+import { Hono } from 'hono';
+import {
+  announcementPath,
+  announcementSchema,
+} from '../../../service/protocol/common/upstreamProtocol.js';
+import { createRefusal, RefusalKind } from '../../../service/traffic/common/refusal.js';
+import type { World } from '../../../service/world/common/world.js';
+import { describeFaults, parseJson, type RouteEnvironment } from './decoding.js';
+import { errorResponse } from './errorResponse.js';
+
+const acceptedStatus = 204;
+
+/** Creates the routes of upstreams. */
+export const createUpstreamRoutes = (world: World, wake: () => void): Hono<RouteEnvironment> => {
+  const routes = new Hono<RouteEnvironment>();
+
+  const take = (value: unknown): Response => {
+    const parsed = announcementSchema.safeParse(value);
+    if (!parsed.success) {
+      const detail = describeFaults(parsed.error);
+      return errorResponse(createRefusal(RefusalKind.BodyInvalid, true, detail));
+    }
+    world.arrivedAnnouncements.append({ announcement: parsed.data, isDirect: true });
+    wake();
+    return new Response(null, { status: acceptedStatus });
+  };
+
+  routes.post(announcementPath, async (context) =>
+    parseJson(await context.req.text()).match(take, () =>
+      errorResponse(createRefusal(RefusalKind.BodyNotJson, true)),
+    ),
+  );
+  return routes;
+};
--- /dev/null
+++ b/src/daemon/main/node/daemon.ts
@@ -0,0 +1,166 @@
+/**
+ * A daemon: the core with its ports. Opening it listens on the addresses of the settings; closing it
+ * gracefully leaves the advice, refuses new connections, and waits for the given answers.
+ */
+import { resolve } from 'node:path';
+import { err, ok, type Result } from 'neverthrow';
+import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { createRandom } from '../../../base/common/random.js';
+import { monotonicClock, wallClock } from '../../../base/node/monotonicClock.js';
+import type { Log } from '../../../platform/log/node/log.js';
+import { silentMetrics } from '../../../platform/metrics/common/metrics.js';
+import { createStatsdMetrics } from '../../../platform/metrics/node/statsdMetrics.js';
+import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
+import type { ListenError } from '../../../platform/sockets/node/listen.js';
+import { createTickDriver, type TickDriver } from '../../../platform/tables/node/tickDriver.js';
+import { createHybridLogicalClock } from '../../../platform/timeline/common/hybridLogicalClock.js';
+import { createTimelineWriter } from '../../../platform/timeline/node/timelineFile.js';
+import type { Tree } from '../../../service/configuration/common/tree.js';
+import { createCore } from '../../../service/core/common/core.js';
+import { EventKind } from '../../../service/events/common/eventKind.js';
+import type { World } from '../../../service/world/common/world.js';
+import { createExchangeRegistry } from '../../exchange/node/exchange.js';
+import { createExchangePort } from '../../exchange/node/exchangePort.js';
+import { createCallerRoutes } from '../../front/node/callerRoutes.js';
+import { openHttpFront } from '../../front/node/httpFront.js';
+import { createSubmitter } from '../../front/node/submission.js';
+import { createTrainerRoutes } from '../../front/node/trainerRoutes.js';
+import { createUpstreamRoutes } from '../../front/node/upstreamRoutes.js';
+import { openPeerPort } from '../../peers/node/peerPort.js';
+import { createFetchPort } from '../../rollout/node/fetchPort.js';
+import { createSampleExchanges } from '../../rollout/node/sampleExchanges.js';
+import { createUpstreamPort } from '../../upstream/node/upstreamPort.js';
+import { createEventPort } from './eventPort.js';
+
+/** What a daemon is opened with. */
+export interface DaemonOptions {
+  readonly deployment: Deployment;
+  readonly tree: Tree;
+  /** Folder against which relative paths of the settings are resolved. */
+  readonly folder: string;
+  readonly name: string;
+  readonly log: Log;
+}
+
+/** A running daemon. */
+export interface Daemon extends AsyncDisposable {
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly world: World;
+  /** Leaves the advice, finishes the given answers or their deadline, and closes. */
+  readonly closeGracefully: () => Promise<void>;
+}
+
+export type DaemonError =
+  ListenError | { readonly kind: 'unknownDaemon'; readonly message: string };
+
+const findSettings = (options: DaemonOptions): Result<DaemonSettings, DaemonError> => {
+  const settings = options.deployment.daemons.find((daemon) => daemon.name === options.name);
+  if (settings !== undefined) return ok(settings);
+  const names = options.deployment.daemons.map((daemon) => daemon.name).join(', ');
+  const message = `No daemon is named ${options.name} in the settings; use one of ${names}.`;
+  return err({ kind: 'unknownDaemon', message });
+};
+
+const openMetrics = ({ deployment, name }: DaemonOptions) =>
+  deployment.metricsAddress === undefined
+    ? { ...silentMetrics, dispose: () => Promise.resolve() }
+    : createStatsdMetrics(deployment.metricsAddress, name);
+
+const openEventWriter = ({ deployment, folder, name }: DaemonOptions) =>
+  deployment.eventFolder === undefined
+    ? { write: () => {}, dispose: () => Promise.resolve() }
+    : createTimelineWriter(resolve(folder, deployment.eventFolder), name);
+
+const delay = (milliseconds: number): Promise<void> =>
+  new Promise((done) => {
+    setTimeout(done, milliseconds);
+  });
+
+const seedBound = 2 ** 31;
+
+const openWithSettings = async (
+  options: DaemonOptions,
+  self: DaemonSettings,
+): Promise<Result<Daemon, DaemonError>> => {
+  const { deployment, tree, log } = options;
+  const incarnation = wallClock();
+  const metrics = openMetrics(options);
+  const writer = openEventWriter(options);
+  const stamps = createHybridLogicalClock(wallClock);
+  const random = createRandom(incarnation % seedBound);
+  const { world, ticker } = createCore(
+    { deployment, self, tree, incarnation, random, metrics },
+    monotonicClock(),
+  );
+  world.events.append({ kind: EventKind.DaemonStarted, subject: { incarnation } });
+
+  let driver: TickDriver | undefined;
+  const wake = (): void => driver?.wake();
+  const registry = createExchangeRegistry();
+  const samples = createSampleExchanges(world);
+  const findExchange = (request: Parameters<typeof registry.get>[0]) =>
+    registry.get(request) ?? samples.find(request);
+  const upstreamPort = createUpstreamPort(world, findExchange, wake);
+  const exchangePort = createExchangePort(world, registry);
+  const fetchPort = createFetchPort(world, wake);
+  const eventPort = createEventPort(world, stamps, writer.write);
+  const submitter = createSubmitter(world, registry, monotonicClock, wake);
+
+  const peerPort = await openPeerPort(world, stamps, wake);
+  if (peerPort.isErr()) return err(peerPort.error);
+  const front = await openHttpFront(
+    self.callerAddress,
+    deployment.limits,
+    [
+      createUpstreamRoutes(world, wake),
+      createTrainerRoutes(world, samples, fetchPort, monotonicClock, wake),
+      createCallerRoutes(world, submitter),
+    ],
+    (error) => log.error({ message: error.message }, 'a route failed'),
+  );
+  if (front.isErr()) {
+    await peerPort.value.dispose();
+    return err(front.error);
+  }
+
+  const ports = [upstreamPort, exchangePort, fetchPort, peerPort.value, eventPort];
+  driver = createTickDriver(
+    ticker,
+    monotonicClock,
+    () => ports.forEach((port) => port.drain()),
+    (error) => log.error({ kind: error.kind }, error.message),
+  );
+  log.info({ callers: front.value.address, peers: peerPort.value.address }, 'listening');
+
+  const dispose = async (): Promise<void> => {
+    driver?.dispose();
+    await Promise.all([front.value.dispose(), peerPort.value.dispose(), upstreamPort.dispose()]);
+    await Promise.all([writer.dispose(), metrics.dispose()]);
+    log.info('closed');
+  };
+
+  const closeGracefully = async (): Promise<void> => {
+    world.setLeaving();
+    world.events.append({ kind: EventKind.DaemonLeaving, subject: {} });
+    wake();
+    log.info('leaving');
+    await delay(deployment.timing.adviceMilliseconds);
+    await Promise.race([front.value.closeGracefully(), delay(deployment.timing.drainMilliseconds)]);
+    await dispose();
+  };
+
+  return ok({
+    callerAddress: front.value.address,
+    peerAddress: peerPort.value.address,
+    world,
+    closeGracefully,
+    dispose,
+  });
+};
+
+/** Opens the daemon that the settings name; the error says which address or name is wrong. */
+export const openDaemon = async (options: DaemonOptions): Promise<Result<Daemon, DaemonError>> => {
+  const settings = findSettings(options);
+  return settings.isErr() ? err(settings.error) : openWithSettings(options, settings.value);
+};
--- /dev/null
+++ b/src/daemon/main/node/eventPort.ts
@@ -0,0 +1,25 @@
+/**
+ * Stamps the events that systems have recorded and writes them to the event file of the process.
+ */
+import type { HybridLogicalClock } from '../../../platform/timeline/common/hybridLogicalClock.js';
+import type { TimelineEvent } from '../../../platform/timeline/common/timelineEvent.js';
+import type { World } from '../../../service/world/common/world.js';
+
+/** The port; `drain` is run after each tick. */
+export interface EventPort {
+  readonly drain: () => void;
+}
+
+/** Creates the port; `write` gets each event once, in order. */
+export const createEventPort = (
+  world: World,
+  stamps: HybridLogicalClock,
+  write: (event: TimelineEvent) => void,
+): EventPort => ({
+  drain: () =>
+    world.events
+      .takeAll()
+      .forEach(({ kind, subject }) =>
+        write({ stamp: stamps.next(), process: world.self.name, kind, subject }),
+      ),
+});
--- /dev/null
+++ b/src/daemon/peers/node/peerPort.ts
@@ -0,0 +1,130 @@
+/**
+ * The port between daemons: one listening socket, and one connection to each daemon that messages are
+ * sent to. Connections are made when there is something to send, so heartbeats also renew them.
+ */
+import { createServer, connect, type Socket } from 'node:net';
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+import { asBrand } from '../../../base/common/brand.js';
+import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { splitAddress } from '../../../platform/settings/common/address.js';
+import { listen, type ListenError } from '../../../platform/sockets/node/listen.js';
+import type { HybridLogicalClock } from '../../../platform/timeline/common/hybridLogicalClock.js';
+import { stampSchema } from '../../../platform/timeline/common/timelineEvent.js';
+import { createFrameDecoder, encodeFrame } from '../../../platform/wire/node/frames.js';
+import { messageSchema, type OutgoingMessage } from '../../../service/membership/common/message.js';
+import type { DaemonId } from '../../../service/world/common/identifiers.js';
+import type { World } from '../../../service/world/common/world.js';
+
+/** The port; `drain` is run after each tick. */
+export interface PeerPort extends AsyncDisposable {
+  /** `host:port` on which it listens. */
+  readonly address: string;
+  readonly drain: () => void;
+  readonly sentBytes: () => number;
+  readonly receivedBytes: () => number;
+}
+
+/** What a frame between daemons holds. */
+const envelopeSchema = z.object({
+  from: z.string().min(1),
+  stamp: stampSchema,
+  message: messageSchema,
+});
+
+/** Bytes that may wait for one peer; messages beyond are dropped and counted. */
+const maximumWaitingBytes = 1024 * 1024;
+
+interface PeerConnection {
+  readonly send: (frame: Buffer) => void;
+  readonly dispose: () => void;
+}
+
+const openConnection = (address: string, onDidClose: () => void): PeerConnection => {
+  const { host, port } = splitAddress(address);
+  const socket = connect({ host, port, noDelay: true });
+  socket.on('error', () => {});
+  socket.on('close', onDidClose);
+  return {
+    send: (frame) => {
+      if (socket.writableLength <= maximumWaitingBytes) socket.write(frame);
+    },
+    dispose: () => socket.destroy(),
+  };
+};
+
+/** Opens the port on the address of the settings. */
+export const openPeerPort = async (
+  world: World,
+  stamps: HybridLogicalClock,
+  wake: () => void,
+): Promise<Result<PeerPort, ListenError>> => {
+  const connections = new Map<DaemonId, PeerConnection>();
+  const accepted = new Set<Socket>();
+  const addresses = new Map(
+    world.deployment.daemons.map((daemon) => [asBrand<DaemonId>(daemon.name), daemon.peerAddress]),
+  );
+  let sentBytes = 0;
+  let receivedBytes = 0;
+
+  const takeValue = (value: unknown): void => {
+    const envelope = envelopeSchema.safeParse(value);
+    if (!envelope.success) {
+      world.metrics.count('peers.invalidMessages');
+      return;
+    }
+    const { from, stamp, message } = envelope.data;
+    stamps.observe(stamp);
+    world.incomingMessages.append({ from: asBrand(from), message });
+    wake();
+  };
+
+  const accept = (socket: Socket): void => {
+    const decoder = createFrameDecoder();
+    accepted.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => accepted.delete(socket));
+    socket.on('data', (bytes: Buffer) => {
+      receivedBytes += bytes.length;
+      decoder.push(bytes).match(
+        (values) => values.forEach(takeValue),
+        () => {
+          world.metrics.count('peers.invalidFrames');
+          socket.destroy();
+        },
+      );
+    });
+  };
+
+  const connectionTo = (daemon: DaemonId): PeerConnection | undefined => {
+    const address = addresses.get(daemon);
+    if (address === undefined) return undefined;
+    const existing = connections.get(daemon);
+    if (existing !== undefined) return existing;
+    const created = openConnection(address, () => connections.delete(daemon));
+    connections.set(daemon, created);
+    return created;
+  };
+
+  const send = ({ to, message }: OutgoingMessage): void => {
+    const frame = encodeFrame({ from: world.self.name, stamp: stamps.next(), message });
+    sentBytes += frame.length;
+    connectionTo(to)?.send(frame);
+  };
+
+  const server = createServer(accept);
+  const bound = await listen(server, world.self.peerAddress);
+
+  return bound.map((address) => ({
+    address,
+    drain: () => world.outgoingMessages.takeAll().forEach(send),
+    sentBytes: () => sentBytes,
+    receivedBytes: () => receivedBytes,
+    dispose: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        accepted.forEach((socket) => socket.destroy());
+        connections.forEach((connection) => connection.dispose());
+      }),
+  }));
+};
--- /dev/null
+++ b/src/daemon/upstream/node/answerObserver.ts
@@ -0,0 +1,158 @@
+/**
+ * Reads facts from the bytes of an answer as they pass: tokens, weight versions, usage and whether the
+ * answer is whole. The bytes themselves go on unchanged.
+ */
+import { createParser } from 'eventsource-parser';
+import { Result } from 'neverthrow';
+import type { ValueOf } from '../../../base/common/handlers.js';
+import {
+  engineChunkSchema,
+  streamEndMarker,
+  type EngineChunk,
+} from '../../../service/protocol/common/engineProtocol.js';
+import type { AttemptFact } from '../../../service/traffic/common/attemptFact.js';
+import type { AttemptId } from '../../../service/world/common/identifiers.js';
+
+/** How an answer is written. */
+export const AnswerForm = {
+  /** Server-sent events of an engine. */
+  EventStream: 'eventStream',
+  /** One JSON body of an engine. */
+  JsonBody: 'jsonBody',
+  /** Anything else; only progress is seen. */
+  Opaque: 'opaque',
+} as const;
+export type AnswerForm = ValueOf<typeof AnswerForm>;
+
+/** Watches one answer. */
+export interface AnswerObserver {
+  readonly write: (chunk: Uint8Array) => void;
+  /** The upstream has closed the answer in good order; returns whether the answer is whole. */
+  readonly end: () => boolean;
+}
+
+type Report = (fact: AttemptFact) => void;
+
+interface TokenRun {
+  readonly weightVersion: number | null;
+  readonly incarnation: number;
+  readonly tokens: number;
+}
+
+const parseChunk = Result.fromThrowable(
+  (text: string): EngineChunk => engineChunkSchema.parse(JSON.parse(text)),
+  () => undefined,
+);
+
+const runOf = (chunk: EngineChunk): TokenRun => ({
+  weightVersion: chunk.weight_version ?? null,
+  incarnation: chunk.incarnation ?? 0,
+  tokens: chunk.tokens ?? 0,
+});
+
+const hasSameOrigin = (first: TokenRun, second: TokenRun): boolean =>
+  first.weightVersion === second.weightVersion && first.incarnation === second.incarnation;
+
+/** Joins the tokens of neighbouring chunks of one origin, so that one read gives few facts. */
+const createTokenCounter = (attempt: AttemptId, report: Report) => {
+  let run: TokenRun | undefined;
+
+  const flush = (): void => {
+    if (run !== undefined && run.tokens > 0) report({ kind: 'tokensCame', attempt, ...run });
+    run = undefined;
+  };
+
+  const add = (chunk: EngineChunk): void => {
+    const added = runOf(chunk);
+    if (run !== undefined && !hasSameOrigin(run, added)) flush();
+    run = { ...added, tokens: (run?.tokens ?? 0) + added.tokens };
+  };
+
+  return { add, flush };
+};
+
+const reportUsage = (chunk: EngineChunk, attempt: AttemptId, report: Report): void => {
+  if (chunk.usage === undefined || chunk.usage === null) return;
+  report({
+    kind: 'usageCame',
+    attempt,
+    promptTokens: chunk.usage.prompt_tokens,
+    completionTokens: chunk.usage.completion_tokens,
+  });
+};
+
+const observeEventStream = (attempt: AttemptId, report: Report): AnswerObserver => {
+  const decoder = new TextDecoder();
+  const counter = createTokenCounter(attempt, report);
+  let isWhole = false;
+
+  const takeEvent = (data: string): void => {
+    if (data === streamEndMarker) {
+      isWhole = true;
+      return;
+    }
+    parseChunk(data).map((chunk) => {
+      counter.add(chunk);
+      if (chunk.usage) counter.flush();
+      reportUsage(chunk, attempt, report);
+      return undefined;
+    });
+  };
+
+  const parser = createParser({ onEvent: (event) => takeEvent(event.data) });
+  return {
+    write: (bytes) => {
+      parser.feed(decoder.decode(bytes, { stream: true }));
+      counter.flush();
+      report({ kind: 'progress', attempt });
+    },
+    end: () => isWhole,
+  };
+};
+
+/** A JSON body over this size is passed on without being read for facts. */
+const maximumObservedBytes = 8 * 1024 * 1024;
+
+const observeJsonBody = (attempt: AttemptId, report: Report): AnswerObserver => {
+  const chunks: Uint8Array[] = [];
+  let length = 0;
+
+  const takeBody = (chunk: EngineChunk): void => {
+    const counter = createTokenCounter(attempt, report);
+    counter.add(chunk);
+    counter.flush();
+    reportUsage(chunk, attempt, report);
+  };
+
+  return {
+    write: (bytes) => {
+      length += bytes.length;
+      if (length <= maximumObservedBytes) chunks.push(bytes);
+      report({ kind: 'progress', attempt });
+    },
+    end: () => {
+      parseChunk(Buffer.concat(chunks).toString('utf8')).map(takeBody);
+      return true;
+    },
+  };
+};
+
+const observeOpaque = (attempt: AttemptId, report: Report): AnswerObserver => ({
+  write: () => report({ kind: 'progress', attempt }),
+  end: () => true,
+});
+
+const observers: Readonly<
+  Record<AnswerForm, (attempt: AttemptId, report: Report) => AnswerObserver>
+> = {
+  eventStream: observeEventStream,
+  jsonBody: observeJsonBody,
+  opaque: observeOpaque,
+};
+
+/** Creates the observer for an answer of this form. */
+export const createAnswerObserver = (
+  form: AnswerForm,
+  attempt: AttemptId,
+  report: Report,
+): AnswerObserver => observers[form](attempt, report);
--- /dev/null
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -0,0 +1,203 @@
+/**
+ * The port towards upstreams: begins to write when an attempt reaches the state `writing`, pipes the
+ * answer to its sink, reports facts, and cuts the connection when the attempt has been ended.
+ */
+import { Agent, type Dispatcher } from 'undici';
+import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import {
+  attemptHeader,
+  engineRefusalHeader,
+  engineRefusalStatus,
+} from '../../../service/protocol/common/engineProtocol.js';
+import { UpstreamKind } from '../../../service/protocol/common/upstreamProtocol.js';
+import type { AttemptFact } from '../../../service/traffic/common/attemptFact.js';
+import { AttemptState, type AttemptRow } from '../../../service/traffic/common/trafficTables.js';
+import type { AttemptId, RequestId } from '../../../service/world/common/identifiers.js';
+import type { World } from '../../../service/world/common/world.js';
+import type { AnswerSink, Exchange, RequestContent } from '../../exchange/node/exchange.js';
+import { AnswerForm, createAnswerObserver } from './answerObserver.js';
+
+/** The port; `drain` is run after each tick. */
+export interface UpstreamPort extends AsyncDisposable {
+  readonly drain: () => void;
+  readonly running: () => number;
+}
+
+/** Finds the bytes of a request. */
+export type FindExchange = (request: RequestId) => Exchange | undefined;
+
+const connectMilliseconds = 2_000;
+const noTimeout = 0;
+
+/** Answer headers that go on to the caller. */
+const allowedAnswerHeaders = [
+  'content-type',
+  'content-language',
+  'cache-control',
+  'etag',
+  'last-modified',
+  'location',
+  'retry-after',
+];
+
+/** Failures of a connection in which no byte of the request was written. */
+const failuresBeforeWriting = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const codeOf = (error: unknown): string =>
+  error instanceof Error && 'code' in error ? String(error.code) : 'unknown';
+
+const answerHeadersOf = (response: Dispatcher.ResponseData): Record<string, string> =>
+  Object.fromEntries(
+    allowedAnswerHeaders.flatMap((name) => {
+      const value = response.headers[name];
+      return value === undefined ? [] : [[name, String(value)]];
+    }),
+  );
+
+const formOf = (response: Dispatcher.ResponseData, kind: UpstreamKind): AnswerForm => {
+  if (kind === UpstreamKind.Plain) return AnswerForm.Opaque;
+  const contentType = String(response.headers['content-type'] ?? '');
+  if (contentType.startsWith('text/event-stream')) return AnswerForm.EventStream;
+  return contentType.startsWith('application/json') ? AnswerForm.JsonBody : AnswerForm.Opaque;
+};
+
+const lowestServerError = 500;
+
+const isRefusedBeforeRunning = (response: Dispatcher.ResponseData): boolean =>
+  response.statusCode === engineRefusalStatus &&
+  response.headers[engineRefusalHeader] !== undefined;
+
+const hasEngineFailed = (response: Dispatcher.ResponseData, kind: UpstreamKind): boolean =>
+  kind === UpstreamKind.Engine && response.statusCode >= lowestServerError;
+
+/** Creates the port. `wake` asks for a tick after facts were reported. */
+export const createUpstreamPort = (
+  world: World,
+  findExchange: FindExchange,
+  wake: () => void,
+): UpstreamPort => {
+  const agent = new Agent({
+    connect: { timeout: connectMilliseconds },
+    headersTimeout: noTimeout,
+    bodyTimeout: noTimeout,
+    pipelining: 1,
+  });
+  const changes = world.attempts.readChanges(RowReader.Port);
+  const controllers = new Map<AttemptId, AbortController>();
+
+  const report = (fact: AttemptFact): void => {
+    world.attemptFacts.append(fact);
+    wake();
+  };
+
+  const send = (
+    content: RequestContent,
+    attempt: AttemptRow,
+    address: string,
+    signal: AbortSignal,
+  ): Promise<Dispatcher.ResponseData> =>
+    agent.request({
+      origin: address,
+      path: content.path,
+      method: content.method,
+      headers: { ...content.headers, [attemptHeader]: attempt.id },
+      body: content.body,
+      signal,
+    });
+
+  const pipe = async (
+    response: Dispatcher.ResponseData,
+    attempt: AttemptRow,
+    kind: UpstreamKind,
+    sink: AnswerSink,
+  ): Promise<void> => {
+    const observer = createAnswerObserver(formOf(response, kind), attempt.id, report);
+    sink.begin(response.statusCode, answerHeadersOf(response));
+    report({ kind: 'answerStarted', attempt: attempt.id, status: response.statusCode });
+
+    for await (const chunk of response.body) {
+      observer.write(chunk as Uint8Array);
+      sink.write(chunk as Uint8Array);
+      await sink.onceDrained();
+    }
+    if (observer.end()) report({ kind: 'answerEnded', attempt: attempt.id });
+    else report({ kind: 'broken', attempt: attempt.id, reason: 'answer ended early' });
+  };
+
+  const takeResponse = async (
+    response: Dispatcher.ResponseData,
+    attempt: AttemptRow,
+    kind: UpstreamKind,
+    exchange: Exchange,
+  ): Promise<void> => {
+    if (isRefusedBeforeRunning(response)) {
+      await response.body.dump();
+      report({ kind: 'notRun', attempt: attempt.id, reason: 'refused by the upstream' });
+      return;
+    }
+    if (hasEngineFailed(response, kind)) {
+      await response.body.dump();
+      const reason = `status ${response.statusCode}`;
+      report({ kind: 'broken', attempt: attempt.id, reason });
+      return;
+    }
+    await pipe(response, attempt, kind, exchange.sinkFor(attempt.id));
+  };
+
+  const reportFailure = (attempt: AttemptRow, error: unknown): void => {
+    const reason = codeOf(error);
+    const kind = failuresBeforeWriting.has(reason) ? 'notRun' : 'broken';
+    report({ kind, attempt: attempt.id, reason });
+  };
+
+  const run = async (attempt: AttemptRow): Promise<void> => {
+    const upstream = world.upstreams.get(attempt.upstream);
+    const exchange = findExchange(attempt.request);
+    if (upstream === undefined || exchange === undefined) {
+      report({ kind: 'notRun', attempt: attempt.id, reason: 'request or upstream gone' });
+      return;
+    }
+    const controller = new AbortController();
+    controllers.set(attempt.id, controller);
+    try {
+      const { content } = exchange;
+      const response = await send(content, attempt, upstream.address, controller.signal);
+      await takeResponse(response, attempt, upstream.kind, exchange);
+    } catch (error) {
+      if (!controller.signal.aborted) reportFailure(attempt, error);
+    } finally {
+      controllers.delete(attempt.id);
+    }
+  };
+
+  /** What the port does when it sees an attempt in a state. */
+  const handlers: Readonly<Record<AttemptState, (attempt: AttemptRow) => void>> = {
+    queued: () => {},
+    writing: (attempt) => {
+      if (!controllers.has(attempt.id)) void run(attempt);
+    },
+    answering: () => {},
+    ended: (attempt) => controllers.get(attempt.id)?.abort(),
+  };
+
+  return {
+    drain: () =>
+      changes.take().forEach((id) => {
+        const attempt = world.attempts.get(id);
+        if (attempt !== undefined) handlers[attempt.state](attempt);
+      }),
+    running: () => controllers.size,
+    dispose: async () => {
+      changes.dispose();
+      controllers.forEach((controller) => controller.abort());
+      await agent.destroy();
+    },
+  };
+};
--- a/src/platform/tables/common/table.ts
+++ b/src/platform/tables/common/table.ts
@@ -7,6 +7,7 @@
 import { createDisposable } from '../../../base/common/disposable.js';
 import { pickOne, type Random } from '../../../base/common/random.js';
 import { never, type Instant } from '../../../base/common/time.js';
+import { RowReader } from './rowReader.js';
 import {
   createDeadlineIndex,
   createDrawIndex,
@@ -53,7 +54,7 @@
   readonly size: () => number;
   /** The earliest deadline of any row, or `never`. */
   readonly earliestDeadline: () => Instant;
-  /** Whether a change reader has rows that it has not taken. */
+  /** Whether a system has rows that it has not taken. */
   readonly hasUnreadChanges: () => boolean;
 }
 
@@ -86,7 +87,8 @@
   readonly drawable: (index: DrawName, value: string) => Row[];
   /** Takes the rows whose deadline has passed; a deadline is reported once. */
   readonly takeDue: (deadline: DeadlineName, now: Instant) => Row[];
-  readonly readChanges: () => ChangeReader<IdOf<Row>>;
+  /** Begins to collect changes; a tick does not wait for readers that are ports. */
+  readonly readChanges: (reader?: RowReader) => ChangeReader<IdOf<Row>>;
 }
 
 const mapColumns = <Name extends string, Column, Index>(
@@ -108,6 +110,7 @@
 ): Table<Row, IndexName, DeadlineName, DrawName> => {
   const rows = new Map<IdOf<Row>, Row>();
   const readers = new Set<Set<IdOf<Row>>>();
+  const systemReaders = new Set<Set<IdOf<Row>>>();
   const valueIndices = mapColumns(definition.indices, (column): ValueIndex<Row> =>
     createValueIndex(column),
   );
@@ -146,7 +149,7 @@
     size: () => rows.size,
     earliestDeadline: () =>
       deadlineList.reduce((earliest, index) => Math.min(earliest, index.earliest()), never),
-    hasUnreadChanges: () => [...readers].some((changed) => changed.size > 0),
+    hasUnreadChanges: () => [...systemReaders].some((changed) => changed.size > 0),
     get: (id) => rows.get(id),
     has: (id) => rows.has(id),
     rows: () => rows.values(),
@@ -172,10 +175,14 @@
     drawCount: (index, value) => drawIndices[index].identifiers(value).length,
     drawable: (index, value) => rowsOf(drawIndices[index].identifiers(value)),
     takeDue: (deadline, now) => rowsOf(deadlineIndices[deadline].takeDue(now)),
-    readChanges: () => {
+    readChanges: (reader = RowReader.System) => {
       const changed = new Set<IdOf<Row>>();
       readers.add(changed);
-      const { dispose } = createDisposable(() => readers.delete(changed));
+      if (reader === RowReader.System) systemReaders.add(changed);
+      const { dispose } = createDisposable(() => {
+        readers.delete(changed);
+        systemReaders.delete(changed);
+      });
       return {
         isEmpty: () => changed.size === 0,
         take: () => {
--- a/src/platform/tables/node/tickDriver.ts
+++ b/src/platform/tables/node/tickDriver.ts
@@ -17,10 +17,11 @@
 
 const longestTimerMilliseconds = 60_000;
 
-/** Creates a driver. `onDidFail` is told when the systems do not settle. */
+/** Creates a driver. `onDidTick` lets ports read after a tick; `onDidFail` is told of a cycle. */
 export const createTickDriver = (
   ticker: Ticker,
   clock: Clock,
+  onDidTick: () => void,
   onDidFail: (error: TickNotSettled) => void,
 ): TickDriver => {
   let tickCount = 0;
@@ -33,6 +34,7 @@
     if (disposed) return;
     tickCount += 1;
     ticker.tick(clock()).mapErr(onDidFail);
+    onDidTick();
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two call each other
     sleepUntilDeadline();
   };
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -8,6 +8,7 @@
 import { applyTree } from '../../configuration/common/configurationTables.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
 import { createDeadlineSystem } from '../../dispatch/common/deadlineSystem.js';
+import { createDepartureSystem } from '../../dispatch/common/departureSystem.js';
 import { createDispatchSystem } from '../../dispatch/common/dispatchSystem.js';
 import { createAnnouncementSystem } from '../../membership/common/announcementSystem.js';
 import { createDaemonSystem, insertDaemons } from '../../membership/common/daemonSystem.js';
@@ -27,6 +28,7 @@
   createPlanSystem,
   createAdmissionSystem,
   createAttemptFactSystem,
+  createDepartureSystem,
   createDeadlineSystem,
   createRoutingSystem,
   createDispatchSystem,
--- a/src/service/dispatch/common/attemptFactSystem.ts
+++ b/src/service/dispatch/common/attemptFactSystem.ts
@@ -7,8 +7,8 @@
 import type { System } from '../../../platform/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { AttemptFact } from '../../traffic/common/attemptFact.js';
-import { answerRequest, cancelRequest } from '../../traffic/common/endRequest.js';
-import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
+import { answerRequest } from '../../traffic/common/endRequest.js';
+import { RefusalKind } from '../../traffic/common/refusal.js';
 import {
   AttemptState,
   type AttemptRow,
@@ -16,7 +16,7 @@
 } from '../../traffic/common/trafficTables.js';
 import { addUsage } from '../../usage/common/usageTables.js';
 import type { World } from '../../world/common/world.js';
-import { endAttempt, retryOrEnd } from './endAttempt.js';
+import { countWaste, endAttempt, retryOrEnd } from './endAttempt.js';
 import { addToSpans } from './versionSpans.js';
 
 /** Progress moves the stored deadline only in steps of this size, so that chunks stay cheap. */
@@ -43,17 +43,6 @@
   });
 };
 
-/** Counts the tokens of an attempt whose answer nobody gets. */
-export const countWaste = (world: World, attempt: AttemptRow, request: RequestRow): void => {
-  if (request.workspace === null) return;
-  addUsage(world, request.workspace, {
-    promptTokens: 0,
-    completionTokens: 0,
-    requests: 0,
-    wastedTokens: attempt.completionTokens,
-  });
-};
-
 const handlers: HandlerTable<AttemptFact, void, [World, AttemptRow, RequestRow, Instant]> = {
   notRun: (fact, world, attempt, request, now) => {
     endAttempt(world, attempt, fact.kind);
@@ -94,11 +83,6 @@
     const detail = `The connection to the upstream broke (${fact.reason}).`;
     retryOrEnd(world, request, { kind: RefusalKind.UpstreamFailed, detail, mayHaveRun: true }, now);
   },
-  callerGone: (fact, world, attempt, request, now) => {
-    endAttempt(world, attempt, fact.kind);
-    countWaste(world, attempt, request);
-    cancelRequest(world, request, createRefusal(RefusalKind.CallerGone, false), now);
-  },
 };
 
 const recordLateFact = (world: World, fact: AttemptFact): void => {
--- a/src/service/dispatch/common/deadlineSystem.ts
+++ b/src/service/dispatch/common/deadlineSystem.ts
@@ -12,8 +12,7 @@
   type RequestRow,
 } from '../../traffic/common/trafficTables.js';
 import type { World } from '../../world/common/world.js';
-import { countWaste } from './attemptFactSystem.js';
-import { endAttempt, retryOrEnd } from './endAttempt.js';
+import { countWaste, endAttempt, endRunningAttempts, retryOrEnd } from './endAttempt.js';
 
 const endByDeadline = (
   world: World,
@@ -27,14 +26,7 @@
 };
 
 const passRequestDeadline = (world: World, request: RequestRow, now: Instant): void => {
-  const running = world.attempts
-    .where('request', request.id)
-    .filter((attempt) => attempt.state !== AttemptState.Ended);
-  running.forEach((attempt) => {
-    endAttempt(world, attempt, RefusalKind.RequestDeadlinePassed);
-    countWaste(world, attempt, request);
-  });
-  const wrote = running.some((attempt) => attempt.state !== AttemptState.Queued);
+  const wrote = endRunningAttempts(world, request, RefusalKind.RequestDeadlinePassed);
   const mayHaveRun = request.mayHaveRun || wrote;
   const changed = world.requests.change(request.id, { mayHaveRun })!;
   endByDeadline(world, changed, RefusalKind.RequestDeadlinePassed, now);
--- /dev/null
+++ b/src/service/dispatch/common/departureSystem.ts
@@ -0,0 +1,24 @@
+/**
+ * Requests whose caller has gone: what runs for them is ended, and what it made is counted as waste.
+ */
+import type { Instant } from '../../../base/common/time.js';
+import type { System } from '../../../platform/tables/common/tick.js';
+import { cancelRequest, hasEnded } from '../../traffic/common/endRequest.js';
+import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
+import type { RequestId } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+import { endRunningAttempts } from './endAttempt.js';
+
+const takeDeparture = (world: World, id: RequestId, now: Instant): void => {
+  const request = world.requests.get(id);
+  if (request === undefined || hasEnded(request)) return;
+  const wrote = endRunningAttempts(world, request, RefusalKind.CallerGone);
+  const notRun = !request.mayHaveRun && !wrote;
+  cancelRequest(world, request, createRefusal(RefusalKind.CallerGone, notRun), now);
+};
+
+/** Creates the system of departures. */
+export const createDepartureSystem = (world: World): System => ({
+  name: 'departure',
+  run: (now) => world.departures.takeAll().forEach((id) => takeDeparture(world, id, now)),
+});
--- a/src/service/dispatch/common/endAttempt.ts
+++ b/src/service/dispatch/common/endAttempt.ts
@@ -12,6 +12,7 @@
   type AttemptRow,
   type RequestRow,
 } from '../../traffic/common/trafficTables.js';
+import { addUsage } from '../../usage/common/usageTables.js';
 import type { World } from '../../world/common/world.js';
 
 const releaseUpstream = (world: World, attempt: AttemptRow): void => {
@@ -40,6 +41,29 @@
   });
 };
 
+/** Counts the tokens of an attempt whose answer nobody gets. */
+export const countWaste = (world: World, attempt: AttemptRow, request: RequestRow): void => {
+  if (request.workspace === null) return;
+  addUsage(world, request.workspace, {
+    promptTokens: 0,
+    completionTokens: 0,
+    requests: 0,
+    wastedTokens: attempt.completionTokens,
+  });
+};
+
+/** Ends the attempts of a request that still run; returns whether any of them was writing. */
+export const endRunningAttempts = (world: World, request: RequestRow, outcome: string): boolean => {
+  const running = world.attempts
+    .where('request', request.id)
+    .filter((attempt) => attempt.state !== AttemptState.Ended);
+  running.forEach((attempt) => {
+    endAttempt(world, attempt, outcome);
+    countWaste(world, attempt, request);
+  });
+  return running.some((attempt) => attempt.state !== AttemptState.Queued);
+};
+
 /** Why an attempt ended without a whole answer. */
 export interface AttemptFailure {
   readonly kind: RefusalKind;
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -3,7 +3,8 @@
  */
 import type { ValueOf } from '../../../base/common/handlers.js';
 import type { EventSubject } from '../../../platform/timeline/common/timelineEvent.js';
-import { createRowQueue, QueueReader } from '../../../platform/tables/common/rowQueue.js';
+import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
 
 export const EventKind = {
   DaemonStarted: 'daemonStarted',
@@ -38,5 +39,5 @@
 
 /** Creates the queue of recorded events, which a port stamps and writes. */
 export const createEventTables = () => ({
-  events: createRowQueue<RecordedEvent>('events', QueueReader.Port),
+  events: createRowQueue<RecordedEvent>('events', RowReader.Port),
 });
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -4,7 +4,8 @@
 import type { ValueOf } from '../../../base/common/handlers.js';
 import { never, type Instant } from '../../../base/common/time.js';
 import { createTable } from '../../../platform/tables/common/table.js';
-import { createRowQueue, QueueReader } from '../../../platform/tables/common/rowQueue.js';
+import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
 import type { Announcement } from '../../protocol/common/upstreamProtocol.js';
 import type { DaemonId, UpstreamId } from '../../world/common/identifiers.js';
 import type { IncomingMessage, OutgoingMessage } from './message.js';
@@ -77,9 +78,9 @@
   }),
   arrivedAnnouncements: createRowQueue<ArrivedAnnouncement>(
     'arrivedAnnouncements',
-    QueueReader.System,
+    RowReader.System,
   ),
-  incomingMessages: createRowQueue<IncomingMessage>('incomingMessages', QueueReader.System),
-  outgoingMessages: createRowQueue<OutgoingMessage>('outgoingMessages', QueueReader.Port),
+  incomingMessages: createRowQueue<IncomingMessage>('incomingMessages', RowReader.System),
+  outgoingMessages: createRowQueue<OutgoingMessage>('outgoingMessages', RowReader.Port),
 });
 export type MembershipTables = ReturnType<typeof createMembershipTables>;
--- a/src/service/rollout/common/fetchSystem.ts
+++ b/src/service/rollout/common/fetchSystem.ts
@@ -40,11 +40,11 @@
     .filter((batch) => batch.cursor < cursor && !batch.acknowledged)
     .forEach((batch) => acknowledge(world, batch));
 
-const discardStale = (world: World, lot: LotRow): void =>
+const discardStale = (world: World, lot: LotRow, now: Instant): void =>
   world.samples
     .where('lot', lot.id)
     .filter((sample) => sample.state === SampleState.Complete && isStale(sample.spans, lot))
-    .forEach((sample) => replanSample(world, sample, 'stale'));
+    .forEach((sample) => replanSample(world, sample, 'stale', now));
 
 const isWhole = (world: World, lot: LotRow, group: GroupRow): boolean =>
   world.samples.count('groupState', `${group.id}/${SampleState.Complete}`) === lot.groupSize;
@@ -86,11 +86,16 @@
   return batch;
 };
 
-const findOrAssignBatch = (world: World, lot: LotRow, cursor: number): BatchRow | undefined => {
+const findOrAssignBatch = (
+  world: World,
+  lot: LotRow,
+  cursor: number,
+  now: Instant,
+): BatchRow | undefined => {
   const existing = world.batches.get(batchIdOf(lot.id, cursor));
   if (existing !== undefined) return existing;
   if (cursor !== lot.nextCursor) return undefined;
-  discardStale(world, lot);
+  discardStale(world, lot, now);
   const samples = deliverableSamples(world, lot);
   return samples.length === 0 ? undefined : assignBatch(world, lot, cursor, samples);
 };
@@ -104,7 +109,7 @@
   const trainerVersion = Math.max(lot.trainerVersion, fetch.trainerVersion ?? 0);
   const current = world.lots.change(lot.id, { trainerVersion })!;
   acknowledgeBefore(world, current, fetch.cursor);
-  const batch = findOrAssignBatch(world, current, fetch.cursor);
+  const batch = findOrAssignBatch(world, current, fetch.cursor, now);
   if (batch !== undefined) {
     world.fetches.change(fetch.id, { state: FetchState.Ready, batch: batch.id });
     return;
--- a/src/service/rollout/common/openLot.ts
+++ b/src/service/rollout/common/openLot.ts
@@ -1,8 +1,7 @@
 /**
  * Opens a lot: plans its groups and samples as rows. The prompts stay with the port that decoded them.
  */
-import type { Instant } from '../../../base/common/time.js';
-import { deadlineAfter, type Milliseconds } from '../../../base/common/time.js';
+import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type {
   GroupId,
@@ -28,7 +27,13 @@
   readonly remaining: Milliseconds;
 }
 
-const planGroup = (world: World, lot: LotId, position: number, size: number): GroupId => {
+const planGroup = (
+  world: World,
+  lot: LotId,
+  position: number,
+  size: number,
+  now: Instant,
+): GroupId => {
   const group = world.identifiers.next<GroupId>('group');
   world.groups.put({ id: group, lot, position });
   Array.from({ length: size }, () =>
@@ -37,6 +42,7 @@
       lot,
       group,
       state: SampleState.Planned,
+      planDeadline: now,
       request: null,
       attempt: null,
       spans: [],
@@ -69,7 +75,7 @@
     nextCursor: 0,
   });
   const groups = Array.from({ length: wish.groupCount }, (_, position) =>
-    planGroup(world, lot, position, wish.groupSize),
+    planGroup(world, lot, position, wish.groupSize, now),
   );
   world.events.append({
     kind: EventKind.LotOpened,
--- a/src/service/rollout/common/planSystem.ts
+++ b/src/service/rollout/common/planSystem.ts
@@ -41,14 +41,7 @@
 };
 
 /** Creates the planner. */
-export const createPlanSystem = (world: World): System => {
-  const changes = world.samples.readChanges();
-  return {
-    name: 'plan',
-    run: (now) =>
-      changes.take().forEach((id) => {
-        const sample = world.samples.get(id);
-        if (sample?.state === SampleState.Planned) plan(world, sample, now);
-      }),
-  };
-};
+export const createPlanSystem = (world: World): System => ({
+  name: 'plan',
+  run: (now) => world.samples.takeDue('plan', now).forEach((sample) => plan(world, sample, now)),
+});
--- a/src/service/rollout/common/rolloutTables.ts
+++ b/src/service/rollout/common/rolloutTables.ts
@@ -62,6 +62,8 @@
   readonly lot: LotId;
   readonly group: GroupId;
   readonly state: SampleState;
+  /** When the planner makes a request for it, while it is planned. */
+  readonly planDeadline: Instant;
   /** The request that runs for it now, or null. */
   readonly request: RequestId | null;
   /** The attempt whose text it has, or null until it is complete. */
@@ -113,14 +115,16 @@
     indices: { lot: (row) => row.lot },
     deadlines: {},
   }),
-  samples: createTable<SampleRow, 'lot' | 'group' | 'groupState'>({
+  samples: createTable<SampleRow, 'lot' | 'group' | 'groupState', 'plan'>({
     name: 'samples',
     indices: {
       lot: (row) => row.lot,
       group: (row) => row.group,
       groupState: (row) => `${row.group}/${row.state}`,
     },
-    deadlines: {},
+    deadlines: {
+      plan: (row) => (row.state === SampleState.Planned ? row.planDeadline : never),
+    },
   }),
   batches: createTable<BatchRow, 'lot'>({
     name: 'batches',
--- a/src/service/rollout/common/sampleSystem.ts
+++ b/src/service/rollout/common/sampleSystem.ts
@@ -2,6 +2,7 @@
  * Completes samples whose request was answered, and plans again those whose request failed, whose engine
  * named no weight version, or that are older than the bound.
  */
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
 import { oldestVersion } from '../../dispatch/common/versionSpans.js';
 import { EventKind } from '../../events/common/eventKind.js';
@@ -21,10 +22,19 @@
   return oldest === undefined || oldest < lot.trainerVersion - lot.stalenessBound;
 };
 
+/** Time before a sample is run again, so that a lasting fault costs little. */
+const replanMilliseconds = 200;
+
 /** Drops what a sample has and lets the planner run it again. */
-export const replanSample = (world: World, sample: SampleRow, reason: string): void => {
+export const replanSample = (
+  world: World,
+  sample: SampleRow,
+  reason: string,
+  now: Instant,
+): void => {
   world.samples.change(sample.id, {
     state: SampleState.Planned,
+    planDeadline: deadlineAfter(now, replanMilliseconds),
     request: null,
     attempt: null,
     spans: [],
@@ -56,20 +66,20 @@
   });
 };
 
-const takeAnswer = (world: World, sample: SampleRow, request: RequestRow): void => {
+const takeAnswer = (world: World, sample: SampleRow, request: RequestRow, now: Instant): void => {
   const attempt = completingAttempt(world, request);
   const lot = world.lots.get(sample.lot);
   if (attempt === undefined || lot === undefined) return;
   const reason = whyUnusable(attempt, lot);
   if (reason === undefined) complete(world, sample, attempt);
-  else replanSample(world, sample, reason);
+  else replanSample(world, sample, reason, now);
 };
 
-const takeEnd = (world: World, request: RequestRow): void => {
+const takeEnd = (world: World, request: RequestRow, now: Instant): void => {
   const sample = world.samples.get(request.sample!);
   if (sample?.request !== request.id || sample.state !== SampleState.Running) return;
-  if (request.state === RequestState.Answered) takeAnswer(world, sample, request);
-  else replanSample(world, sample, request.refusal?.kind ?? request.state);
+  if (request.state === RequestState.Answered) takeAnswer(world, sample, request, now);
+  else replanSample(world, sample, request.refusal?.kind ?? request.state, now);
 };
 
 /** Creates the system that follows the requests of samples. */
@@ -77,11 +87,11 @@
   const changes = world.requests.readChanges();
   return {
     name: 'sample',
-    run: () =>
+    run: (now) =>
       changes.take().forEach((id) => {
         const request = world.requests.get(id);
         if (request !== undefined && request.sample !== null && hasEnded(request)) {
-          takeEnd(world, request);
+          takeEnd(world, request, now);
         }
       }),
   };
--- a/src/service/traffic/common/attemptFact.ts
+++ b/src/service/traffic/common/attemptFact.ts
@@ -18,8 +18,6 @@
   AnswerEnded: 'answerEnded',
   /** The connection broke after the first byte was written; it may have run. */
   Broken: 'broken',
-  /** The caller of the request has gone. */
-  CallerGone: 'callerGone',
 } as const;
 
 export type AttemptFact =
@@ -41,5 +39,4 @@
       readonly completionTokens: number;
     }
   | { readonly kind: 'answerEnded'; readonly attempt: AttemptId }
-  | { readonly kind: 'broken'; readonly attempt: AttemptId; readonly reason: string }
-  | { readonly kind: 'callerGone'; readonly attempt: AttemptId };
+  | { readonly kind: 'broken'; readonly attempt: AttemptId; readonly reason: string };
--- a/src/service/traffic/common/trafficTables.ts
+++ b/src/service/traffic/common/trafficTables.ts
@@ -3,7 +3,8 @@
  */
 import type { ValueOf } from '../../../base/common/handlers.js';
 import { never, type Instant } from '../../../base/common/time.js';
-import { createRowQueue, QueueReader } from '../../../platform/tables/common/rowQueue.js';
+import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
 import { createTable } from '../../../platform/tables/common/table.js';
 import type { Policy } from '../../configuration/common/tree.js';
 import type {
@@ -128,6 +129,8 @@
       progress: (row) => (row.state === AttemptState.Ended ? never : row.progressDeadline),
     },
   }),
-  attemptFacts: createRowQueue<AttemptFact>('attemptFacts', QueueReader.System),
+  /** Requests whose caller has closed the connection. */
+  departures: createRowQueue<RequestId>('departures', RowReader.System),
+  attemptFacts: createRowQueue<AttemptFact>('attemptFacts', RowReader.System),
 });
 export type TrafficTables = ReturnType<typeof createTrafficTables>;
