Check deployment files whole, with every fault by path and remedy

Cause: a schema alone reports in the library's words, and says nothing of what must hold between values, such as an odd number of control daemons.

--- a/src/platform/settings/common/deployment.ts
+++ b/src/platform/settings/common/deployment.ts
@@ -14,10 +14,20 @@
 } as const;
 export type Role = ValueOf<typeof Role>;
 
-const name = z.string().regex(/^[a-z0-9][a-z0-9-]*$/);
+const name = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9-]*$/,
+    'Write lower-case letters, digits and dashes, such as "gp-north".',
+  );
 
 /** An address as `host:port`; the host is an IP number. */
-const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/);
+const address = z
+  .string()
+  .regex(
+    /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
+    'Write an IP number, a colon and a port, such as "127.0.0.1:7101".',
+  );
 
 export const daemonSchema = z.strictObject({
   name,
--- /dev/null
+++ b/src/platform/settings/common/schemaFaults.ts
@@ -0,0 +1,104 @@
+/**
+ * Turns the issues that a schema finds into faults. A lookup table gives each code of an issue its handler.
+ */
+import type { z } from 'zod';
+import {
+  SettingsFaultKind,
+  wholeFile,
+  type SettingsFault,
+  type ValueFault,
+} from './settingsFault.js';
+import { childPath, formatPath } from './settingsPath.js';
+
+type Issue = z.core.$ZodIssue;
+type IssueOf<Code extends Issue['code']> = Extract<Issue, { readonly code: Code }>;
+type IssueHandlers = {
+  readonly [Code in Issue['code']]: (issue: IssueOf<Code>, path: string) => readonly ValueFault[];
+};
+
+const typeNames: Readonly<Record<string, string>> = {
+  int: 'a whole number',
+  number: 'a number',
+  string: 'a text in quotes',
+  boolean: 'true or false',
+  array: 'a list in square brackets',
+  object: 'a table',
+  record: 'a table',
+};
+
+const describeType = (expected: string): string => typeNames[expected] ?? `a value of ${expected}`;
+
+const quoteAll = (values: readonly unknown[]): string =>
+  values.map((value) => JSON.stringify(value)).join(', ');
+
+const fault = (kind: ValueFault['kind'], path: string, message: string): readonly ValueFault[] => [
+  { kind, path: path === '' ? wholeFile : path, message },
+];
+
+const missing = (path: string, expected: string): readonly ValueFault[] =>
+  fault(SettingsFaultKind.Missing, path, `This value is needed; add ${expected}.`);
+
+/** What the bounds of a value count, by the type of the value. */
+const countedUnits: Readonly<Record<string, string>> = {
+  string: ' characters',
+  array: ' entries',
+};
+
+/** The words for an inclusive bound and for one that is itself too far. */
+const lowerBound = { inclusive: 'at least', exclusive: 'more than' } as const;
+const upperBound = { inclusive: 'at most', exclusive: 'less than' } as const;
+type BoundWords = typeof lowerBound | typeof upperBound;
+
+const describeBound = (
+  words: BoundWords,
+  bound: number | bigint,
+  { origin, inclusive }: IssueOf<'too_small' | 'too_big'>,
+): string =>
+  `${inclusive === false ? words.exclusive : words.inclusive} ${bound}${countedUnits[origin] ?? ''}`;
+
+const outOfRange = (path: string, remedy: string): readonly ValueFault[] =>
+  fault(SettingsFaultKind.OutOfRange, path, `The value is out of range; give ${remedy}.`);
+
+const handlers: IssueHandlers = {
+  invalid_type: (issue, path) =>
+    issue.input === undefined
+      ? missing(path, describeType(issue.expected))
+      : fault(SettingsFaultKind.WrongType, path, `Write ${describeType(issue.expected)} here.`),
+  invalid_value: (issue, path) =>
+    issue.input === undefined
+      ? missing(path, `one of ${quoteAll(issue.values)}`)
+      : fault(SettingsFaultKind.NotAllowed, path, `Write one of ${quoteAll(issue.values)}.`),
+  too_small: (issue, path) => outOfRange(path, describeBound(lowerBound, issue.minimum, issue)),
+  too_big: (issue, path) => outOfRange(path, describeBound(upperBound, issue.maximum, issue)),
+  invalid_format: ({ message }, path) =>
+    fault(SettingsFaultKind.BadForm, path, `The form is wrong. ${message}`),
+  not_multiple_of: ({ divisor }, path) => outOfRange(path, `a multiple of ${divisor}`),
+  unrecognized_keys: ({ keys }, path) =>
+    keys.flatMap((key) =>
+      fault(
+        SettingsFaultKind.UnknownKey,
+        childPath(path, key),
+        'This key is unknown; correct its spelling or remove it.',
+      ),
+    ),
+  invalid_key: ({ issues }, path) =>
+    issues.flatMap(({ message }) =>
+      fault(SettingsFaultKind.BadForm, path, `The name of this entry is wrong. ${message}`),
+    ),
+  invalid_element: ({ issues }, path) =>
+    issues.flatMap(({ message }) =>
+      fault(SettingsFaultKind.BadForm, path, `This entry is wrong. ${message}`),
+    ),
+  invalid_union: (issue, path) =>
+    fault(SettingsFaultKind.NotAllowed, path, `Write one of the forms allowed. ${issue.message}`),
+  custom: ({ message }, path) => fault(SettingsFaultKind.Conflict, path, message),
+};
+
+const faultsOfIssue = (issue: Issue): readonly SettingsFault[] => {
+  const handler = handlers[issue.code] as (one: Issue, path: string) => readonly SettingsFault[];
+  return handler(issue, formatPath(issue.path));
+};
+
+/** The faults of all issues, in their order. */
+export const faultsOfIssues = (issues: readonly Issue[]): readonly SettingsFault[] =>
+  issues.flatMap(faultsOfIssue);
--- /dev/null
+++ b/src/platform/settings/node/readSettings.ts
@@ -0,0 +1,64 @@
+/**
+ * Reads settings files. What the files may say is decided in `common`.
+ */
+import { readFileSync } from 'node:fs';
+import { dirname, resolve } from 'node:path';
+import { Result } from 'neverthrow';
+import { checkDeployment } from '../common/checkDeployment.js';
+import type { Deployment } from '../common/deployment.js';
+import { parseToml, type TomlDocument } from '../common/parseToml.js';
+import {
+  createSettingsError,
+  SettingsFaultKind,
+  wholeFile,
+  type SettingsError,
+  type SettingsFault,
+  type ValueFault,
+} from '../common/settingsFault.js';
+
+const notFound: ValueFault = {
+  kind: SettingsFaultKind.FileNotFound,
+  path: wholeFile,
+  message: 'The file does not exist; correct the name or create the file.',
+};
+
+const unreadable = (message: string): ValueFault => ({
+  kind: SettingsFaultKind.FileUnreadable,
+  path: wholeFile,
+  message,
+});
+
+const faultsBySystemCode: Readonly<Record<string, ValueFault>> = {
+  ENOENT: notFound,
+  ENOTDIR: notFound,
+  EACCES: unreadable('The file may not be read by this user; grant the right to read it.'),
+  EISDIR: unreadable('This is a folder; name the file in it.'),
+};
+
+const toFileFault = (error: unknown): ValueFault => {
+  const code = (error as NodeJS.ErrnoException).code ?? 'unknown';
+  const other = unreadable(`The file cannot be read (${code}); check the disk and the name.`);
+  return faultsBySystemCode[code] ?? other;
+};
+
+// eslint-disable-next-line n/no-sync -- settings are read before the process serves anything
+const readText = Result.fromThrowable((file: string) => readFileSync(file, 'utf8'), toFileFault);
+
+/** A file name, relative to the folder of another file that names it. */
+export const resolveBeside = (file: string, named: string): string =>
+  resolve(dirname(resolve(file)), named);
+
+/** Reads and decodes one file; its values are not checked yet. */
+export const readDocument = (file: string): Result<TomlDocument, readonly SettingsFault[]> =>
+  readText(file)
+    .andThen((text): Result<TomlDocument, SettingsFault> => parseToml(text))
+    .mapErr((fault) => [fault]);
+
+/** Reads and checks a deployment file without its tree. */
+export const readSettings = (
+  file: string,
+): Result<{ readonly deployment: Deployment }, SettingsError> =>
+  readDocument(file)
+    .andThen(checkDeployment)
+    .map((deployment) => ({ deployment }))
+    .mapErr((faults) => createSettingsError([{ file, faults }]));
