--- a/src/service/configuration/common/tree.ts
+++ b/src/service/configuration/common/tree.ts
@@ -55,7 +55,12 @@
   stalenessBound: 1,
 };
 
-const name = z.string().regex(/^[a-z0-9][a-z0-9-]*$/);
+const name = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9-]*$/,
+    'Write lower-case letters, digits and dashes, such as "planner-lm".',
+  );
 const policyOverrides = policySchema.partial().prefault({});
 
 export const serviceSchema = z.strictObject({
@@ -63,7 +68,10 @@
   /** Path prefix by which callers reach a plain service, such as `/depot`. */
   path: z
     .string()
-    .regex(/^\/[a-z0-9/-]+$/)
+    .regex(
+      /^\/[a-z0-9/-]+$/,
+      'Start with a slash and write lower-case letters, digits and dashes, such as "/depot".',
+    )
     .optional(),
   /** Models by which callers reach an engine service. */
   models: z.array(z.string().min(1)).default([]),
@@ -76,7 +84,12 @@
 
 export const keySchema = z.strictObject({
   /** SHA-256 of the key in hexadecimal; the key itself is stored nowhere. */
-  digest: z.string().regex(/^[0-9a-f]{64}$/),
+  digest: z
+    .string()
+    .regex(
+      /^[0-9a-f]{64}$/,
+      'Write 64 hexadecimal digits in lower case; `shallotquay key digest` prints them.',
+    ),
   withdrawn: z.boolean().default(false),
 });
 
--- /dev/null
+++ b/src/service/configuration/node/loadInstallation.ts
@@ -0,0 +1,64 @@
+/**
+ * Loads an installation: its deployment file and the settings tree that the file names. Both are checked,
+ * so that the faults of both come at once.
+ */
+import { dirname, resolve } from 'node:path';
+import { err, ok, type Result } from 'neverthrow';
+import { checkDeployment } from '../../../platform/settings/common/checkDeployment.js';
+import type { Deployment } from '../../../platform/settings/common/deployment.js';
+import type { TomlDocument } from '../../../platform/settings/common/parseToml.js';
+import {
+  createSettingsError,
+  type FaultyFile,
+  type SettingsError,
+  type SettingsFault,
+} from '../../../platform/settings/common/settingsFault.js';
+import { readDocument, resolveBeside } from '../../../platform/settings/node/readSettings.js';
+import { checkTree } from '../common/checkTree.js';
+import type { Tree } from '../common/tree.js';
+
+/** The checked settings of one installation. */
+export interface Installation {
+  readonly deployment: Deployment;
+  readonly tree: Tree;
+  /** The folder of the deployment file, to which the folders named in it are relative. */
+  readonly folder: string;
+}
+
+interface CheckedFile<Value> {
+  readonly file: string;
+  readonly result: Result<Value, readonly SettingsFault[]>;
+}
+
+const faultyFile = ({ file, result }: CheckedFile<unknown>): readonly FaultyFile[] =>
+  result.match(
+    () => [],
+    (faults) => [{ file, faults }],
+  );
+
+/** Reads the tree that a document names, even where other values of the document are faulty. */
+const checkNamedTree = (file: string, document: TomlDocument): CheckedFile<Tree> | undefined => {
+  if (typeof document.tree !== 'string' || document.tree === '') return undefined;
+  const treeFile = resolveBeside(file, document.tree);
+  return { file: treeFile, result: readDocument(treeFile).andThen(checkTree) };
+};
+
+const checkInstallation = (
+  file: string,
+  document: TomlDocument,
+): Result<Installation, SettingsError> => {
+  const deployment = { file, result: checkDeployment(document) };
+  const tree = checkNamedTree(file, document);
+  if (deployment.result.isOk() && tree?.result.isOk()) {
+    const folder = dirname(resolve(file));
+    return ok({ deployment: deployment.result.value, tree: tree.result.value, folder });
+  }
+  const treeFaults = tree === undefined ? [] : faultyFile(tree);
+  return err(createSettingsError([...faultyFile(deployment), ...treeFaults]));
+};
+
+/** Loads and checks an installation; the error lists every fault of both files. */
+export const loadInstallation = (file: string): Result<Installation, SettingsError> =>
+  readDocument(file)
+    .mapErr((faults) => createSettingsError([{ file, faults }]))
+    .andThen((document) => checkInstallation(file, document));
--- /dev/null
+++ b/src/service/configuration/test/node/loadInstallation.test.ts
@@ -0,0 +1,120 @@
+/** Installations: the examples load, and no mutation of a good file throws or goes unexplained. */
+import { createHash } from 'node:crypto';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import test from 'ava';
+import fc from 'fast-check';
+import type { Result } from 'neverthrow';
+import { checkDeployment } from '../../../../platform/settings/common/checkDeployment.js';
+import { parseToml } from '../../../../platform/settings/common/parseToml.js';
+import type { SettingsFault } from '../../../../platform/settings/common/settingsFault.js';
+import { readDocument, readSettings } from '../../../../platform/settings/node/readSettings.js';
+import { checkTree } from '../../common/checkTree.js';
+import { loadInstallation } from '../../node/loadInstallation.js';
+
+const examples = ['kestrelkloof', 'agency'];
+const exampleFile = (name: string): string => resolve('examples', name);
+
+examples.forEach((name) =>
+  test(`the example ${name} loads, with a key for each of its eight workspaces`, (t) => {
+    const { deployment, tree, folder } = loadInstallation(
+      exampleFile(`${name}.toml`),
+    )._unsafeUnwrap();
+    t.is(folder, resolve('examples'));
+    t.is(deployment.daemons.length, 7);
+    const workspaces = Object.entries(tree.workspaces);
+    t.is(workspaces.length, 8);
+    workspaces.forEach(([workspace, { keys }]) => {
+      const expected = createHash('sha256').update(`demo-key-${workspace}`).digest('hex');
+      t.deepEqual(
+        Object.values(keys).map(({ digest }) => digest),
+        [expected],
+      );
+    });
+  }),
+);
+
+test('the faults of a deployment and of its tree come in one error', async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), 'settings-'));
+  t.teardown(() => rm(folder, { recursive: true }));
+  const file = join(folder, 'yard.toml');
+  await writeFile(file, 'name = "yard"\ntree = "yard.tree.toml"\n');
+  await writeFile(join(folder, 'yard.tree.toml'), 'services = {}\n');
+  const { files, message } = loadInstallation(file)._unsafeUnwrapErr();
+  t.deepEqual(
+    files.flatMap(({ faults }) => faults.map(({ kind, path }) => `${kind} ${path}`)),
+    ['missing daemons', 'missing workspaces'],
+  );
+  t.regex(message, /^daemons: .*add a list/m);
+});
+
+test('a file that is absent and a folder are faults with a remedy', (t) => {
+  const faultOf = (file: string) => readSettings(file)._unsafeUnwrapErr().files[0]?.faults[0];
+  t.is(faultOf(exampleFile('absent.toml'))?.kind, 'fileNotFound');
+  t.is(faultOf(resolve('examples'))?.kind, 'fileUnreadable');
+});
+
+type Path = readonly (string | number)[];
+
+const isContainer = (value: unknown): value is object =>
+  typeof value === 'object' && value !== null;
+
+const pathsOf = (value: unknown, path: Path = []): readonly Path[] => {
+  if (!isContainer(value)) return [path];
+  const keys = Array.isArray(value) ? [...value.keys()] : Object.keys(value);
+  return [path, ...keys.flatMap((key) => pathsOf(Reflect.get(value, key), [...path, key]))];
+};
+
+/** The document with the value at a path replaced; `undefined` stands for an absent value. */
+const replaceAt = (value: unknown, path: Path, replacement: unknown): unknown => {
+  const [key, ...rest] = path;
+  if (key === undefined || !isContainer(value)) return replacement;
+  const changed = Array.isArray(value) ? [...value] : { ...value };
+  Reflect.set(changed, key, replaceAt(Reflect.get(value, key), rest, replacement));
+  return changed;
+};
+
+type Check = (document: unknown) => Result<unknown, readonly SettingsFault[]>;
+
+const isExplained = (result: Result<unknown, readonly SettingsFault[]>): boolean =>
+  result.match(
+    () => true,
+    (faults) => faults.length > 0 && faults.every(({ path, message }) => path && message),
+  );
+
+const checkMutations = (file: string, check: Check): { accepted: number; refused: number } => {
+  const document = readDocument(exampleFile(file))._unsafeUnwrap();
+  const counts = { accepted: 0, refused: 0 };
+  const mutation = fc.tuple(fc.constantFrom(...pathsOf(document)), fc.anything());
+  const mutations = fc.array(mutation, { minLength: 1, maxLength: 4 });
+  const property = fc.property(mutations, (list) => {
+    const mutated = list.reduce<unknown>(
+      (one, [path, value]) => replaceAt(one, path, value),
+      document,
+    );
+    const result = check(mutated);
+    counts[result.isOk() ? 'accepted' : 'refused'] += 1;
+    return isExplained(result);
+  });
+  fc.assert(property, { seed: 20_261_204, numRuns: 1_000 });
+  return counts;
+};
+
+test('mutations of a good deployment never throw, and each refusal is explained', (t) => {
+  t.true(checkMutations('kestrelkloof.toml', checkDeployment).refused > 0);
+});
+
+test('mutations of a good tree never throw, and each refusal is explained', (t) => {
+  t.true(checkMutations('kestrelkloof.tree.toml', checkTree).refused > 0);
+});
+
+test('mutations of the text of a good file never throw, and each refusal is explained', (t) => {
+  const text = 'name = "yard"\n[timing]\nheartbeatMilliseconds = 1_000\n[[daemons]]\nname = "a"\n';
+  const position = fc.nat({ max: text.length });
+  const property = fc.property(position, fc.string({ unit: 'binary' }), (at, inserted) => {
+    const parsed = parseToml(text.slice(0, at) + inserted + text.slice(at));
+    return parsed.isOk() || (parsed.error.line >= 1 && parsed.error.column >= 1);
+  });
+  t.notThrows(() => fc.assert(property, { seed: 20_261_204, numRuns: 1_000 }));
+});
