--- a/eslint.config.js
+++ b/eslint.config.js
@@ -79,6 +79,7 @@
       'no-void': ['error', { allowAsStatement: true }],
       '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
       'n/no-process-exit': 'off',
+      'n/hashbang': ['error', { convertPath: { 'src/**/*.ts': ['^(.+)\\.ts$', 'out/$1.js'] } }],
       'max-lines': ['error', { max: 300, skipBlankLines: false, skipComments: false }],
     },
   },
--- /dev/null
+++ b/src/command/check/node/checkCommand.ts
@@ -0,0 +1,42 @@
+/**
+ * `shallotquay check FILE`: checks a deployment file with its settings tree.
+ */
+import type { Installation } from '../../../service/configuration/node/loadInstallation.js';
+import { loadInstallation } from '../../../service/configuration/node/loadInstallation.js';
+import { ExitCode } from '../../main/common/exitCode.js';
+import type { RegisterSubcommand, SubcommandContext } from '../../main/node/subcommand.js';
+
+const exampleText = `
+Every fault of both files is printed to standard error as "path: message", under
+the name of its file, and the exit code is ${ExitCode.InvalidInput}.
+
+Example:
+  shallotquay check examples/kestrelkloof.toml`;
+
+const summarize = ({ deployment, tree }: Installation): string => {
+  const zones = new Set(deployment.daemons.map(({ zone }) => zone));
+  return [
+    `${deployment.name} is valid: ${deployment.daemons.length} daemons in ${zones.size} zones`,
+    `${Object.keys(tree.services).length} services`,
+    `${Object.keys(tree.workspaces).length} workspaces`,
+  ].join(', ');
+};
+
+const check = (file: string, context: SubcommandContext): void =>
+  loadInstallation(file).match(
+    (installation) => context.writeOutput(`${summarize(installation)}\n`),
+    (error) => {
+      context.writeError(`${error.message}\n`);
+      context.setExitCode(ExitCode.InvalidInput);
+    },
+  );
+
+/** Adds `check` to the program. */
+export const registerCheckCommand: RegisterSubcommand = (program, context) => {
+  program
+    .command('check')
+    .description('check a deployment file with its settings tree')
+    .argument('<file>', 'deployment file in TOML; the tree that it names is checked as well')
+    .addHelpText('after', exampleText)
+    .action((file: string) => check(file, context));
+};
