--- a/eslint.config.js
+++ b/eslint.config.js
@@ -95,6 +95,7 @@
       ],
       // Settings are read once at start, and a synced append must block what follows it.
       'n/no-sync': 'off',
+      'n/hashbang': ['error', { convertPath: { 'src/**/*.ts': ['^(.+)\\.ts$', 'out/$1.js'] } }],
       'max-lines': ['error', { max: 300, skipBlankLines: false, skipComments: false }],
     },
   },
