Add the model engine stand-in with scripted faults

Cause: tests, demo and bench need a model engine that can be told to fail, over real sockets. Ruled out: one handler a request with timers of its own, since its faults could not be scripted in one place; requests, orders, outputs and the condition are tables, and a fault is a plan in the row that admission and generation follow. Ruled out: a made-up weight version for an answer that is not streamed and was made by two versions; the member is left out there. Conclusion: a cut stream delivers exactly the tokens that its script names, and a resumed one continues the same text.

--- /dev/null
+++ b/standins/common/counters.ts
@@ -0,0 +1,21 @@
+/**
+ * Named counters of what a stand-in saw.
+ */
+
+/** Counters that only rise. */
+export interface Counters<Name extends string> {
+  readonly add: (name: Name, amount?: number) => void;
+  /** A copy of the present figures. */
+  readonly read: () => Readonly<Record<Name, number>>;
+}
+
+/** Creates counters that start at zero. */
+export const createCounters = <Name extends string>(names: readonly Name[]): Counters<Name> => {
+  const figures = Object.fromEntries(names.map((name) => [name, 0])) as Record<Name, number>;
+  return {
+    add: (name, amount = 1) => {
+      figures[name] += amount;
+    },
+    read: () => ({ ...figures }),
+  };
+};
--- /dev/null
+++ b/standins/engine/enginePort.ts
@@ -0,0 +1,101 @@
+/**
+ * The answering side of the model engine stand-in: drains the output table to the open responses.
+ */
+import type { ServerResponse } from 'node:http';
+import type { HandlerTable } from '../../src/base/common/handlers.js';
+import { dispatchByKind } from '../../src/base/common/handlers.js';
+import type { System } from '../../src/platform/tables/common/tick.js';
+import {
+  engineRefusalHeader,
+  engineRefusalStatus,
+  streamEndMarker,
+} from '../../src/service/protocol/common/engineProtocol.js';
+import { lastChunk, serverSentEvent, tokenChunk, wholeAnswer } from './engineEncoding.js';
+import type {
+  EngineOutputRow,
+  EngineRequestRow,
+  OutputTable,
+  RequestId,
+  RequestTable,
+} from './engineTables.js';
+
+/** The open responses, and the system that writes to them. */
+export interface EnginePort {
+  readonly system: System;
+  /** Takes the response of a request; it is forgotten once it has closed. */
+  readonly open: (request: RequestId, response: ServerResponse) => void;
+  /** Cuts every open response. */
+  readonly cutAll: () => void;
+}
+
+const streamHeaders = { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' };
+const jsonHeaders = { 'content-type': 'application/json' };
+
+/** Cuts a connection after everything that was written has left the process. */
+const cutAfterWrites = (response: ServerResponse): void => {
+  const cut = (): void => {
+    response.socket?.destroy();
+  };
+  if (response.writableLength === 0) cut();
+  else response.write(':\n\n', cut);
+};
+
+const refuse = (response: ServerResponse): void => {
+  response.writeHead(engineRefusalStatus, { ...jsonHeaders, [engineRefusalHeader]: 'true' });
+  const message = 'The engine has no free slot; send the request to another upstream.';
+  response.end(JSON.stringify({ error: { kind: 'notRun', message } }));
+};
+
+const outputHandlers: HandlerTable<EngineOutputRow, void, [EngineRequestRow, ServerResponse]> = {
+  token: (output, row, response) => {
+    if (!row.isStreamed) return;
+    if (!response.headersSent) response.writeHead(200, streamHeaders);
+    const chunk = tokenChunk(row, { ...output, tokens: 1 });
+    response.write(serverSentEvent(JSON.stringify(chunk)));
+  },
+  end: (output, row, response) => {
+    if (!row.isStreamed) {
+      response.writeHead(200, jsonHeaders);
+      response.end(JSON.stringify(wholeAnswer(row, output)));
+      return;
+    }
+    if (!response.headersSent) response.writeHead(200, streamHeaders);
+    const chunk = lastChunk(row, { ...output, text: '', tokens: 0 });
+    response.write(serverSentEvent(JSON.stringify(chunk)));
+    response.end(serverSentEvent(streamEndMarker));
+  },
+  cut: (_output, _row, response) => cutAfterWrites(response),
+  refusal: (_output, _row, response) => refuse(response),
+};
+
+/** Creates the port over the tables of an engine. */
+export const createEnginePort = (requests: RequestTable, outputs: OutputTable): EnginePort => {
+  const responses = new Map<RequestId, ServerResponse>();
+  const changes = outputs.readChanges();
+
+  const deliver = (output: EngineOutputRow): void => {
+    outputs.remove(output.id);
+    const row = requests.get(output.request);
+    const response = responses.get(output.request);
+    if (row !== undefined && response !== undefined) {
+      dispatchByKind(outputHandlers, output, row, response);
+    }
+  };
+
+  return {
+    system: {
+      name: 'engineOutput',
+      run: () =>
+        changes
+          .take()
+          .map((id) => outputs.get(id))
+          .filter((output) => output !== undefined)
+          .forEach(deliver),
+    },
+    open: (request, response) => {
+      responses.set(request, response);
+      response.once('close', () => responses.delete(request));
+    },
+    cutAll: () => responses.forEach((response) => response.socket?.destroy()),
+  };
+};
--- /dev/null
+++ b/standins/engine/engineSystems.ts
@@ -0,0 +1,176 @@
+/**
+ * The decisions of the model engine stand-in: which request gets a slot, and which token is made when.
+ */
+import { asBrand } from '../../src/base/common/brand.js';
+import { deadlineAfter, type Instant } from '../../src/base/common/time.js';
+import type { System } from '../../src/platform/tables/common/tick.js';
+import type { Counters } from '../common/counters.js';
+import type { EngineCounter, EngineSettings } from './engineSettings.js';
+import {
+  OutputKind,
+  RequestState,
+  runningStates,
+  type EngineCondition,
+  type EngineOutputRow,
+  type EngineRequestRow,
+  type OutputTable,
+  type RequestId,
+  type RequestTable,
+} from './engineTables.js';
+import { tokenAt } from './engineText.js';
+
+/** What the systems work on. */
+export interface EngineWorld {
+  readonly settings: EngineSettings;
+  readonly condition: EngineCondition;
+  readonly requests: RequestTable;
+  readonly outputs: OutputTable;
+  readonly counters: Counters<EngineCounter>;
+}
+
+type Output<Row = EngineOutputRow> = Row extends EngineOutputRow ? Omit<Row, 'id'> : never;
+
+const createOutputWriter = (outputs: OutputTable) => {
+  let lastOutput = 0;
+  return (output: Output): void => {
+    lastOutput += 1;
+    outputs.put({ ...output, id: asBrand(String(lastOutput)) });
+  };
+};
+
+/** How many requests hold a slot. */
+export const countRunning = (requests: RequestTable): number =>
+  runningStates.reduce((sum, state) => sum + requests.count('state', state), 0);
+
+/** Creates the system that gives free slots to queued requests and refuses what cannot wait. */
+export const createAdmission = (world: EngineWorld): System => {
+  const { settings, requests, counters } = world;
+  const write = createOutputWriter(world.outputs);
+  const changes = requests.readChanges();
+
+  const refuse = (row: EngineRequestRow): void => {
+    requests.change(row.id, { state: RequestState.Refused });
+    counters.add('refused');
+    write({ kind: OutputKind.Refusal, request: row.id });
+  };
+
+  const start = (row: EngineRequestRow, now: Instant): void => {
+    const delay = settings.tokenDelay + row.plan.lateness;
+    const nextTokenDeadline = deadlineAfter(now, delay);
+    requests.change(row.id, { state: RequestState.Generating, nextTokenDeadline });
+  };
+
+  const admit = (now: Instant): void => {
+    const queued = requests.where('state', RequestState.Queued);
+    queued.filter((row) => row.plan.refuses).forEach(refuse);
+    const waiting = queued
+      .filter((row) => !row.plan.refuses)
+      .sort((first, second) => first.priority - second.priority);
+    const free = Math.max(0, settings.slots - countRunning(requests));
+    waiting.slice(0, free).forEach((row) => start(row, now));
+    waiting.slice(free + settings.queueLimit).forEach(refuse);
+  };
+
+  return {
+    name: 'admission',
+    run: (now) => {
+      if (changes.take().length > 0) admit(now);
+    },
+  };
+};
+
+/** Creates the system that makes the tokens that are due. */
+export const createGeneration = (world: EngineWorld): System => {
+  const { settings, condition, requests, counters } = world;
+  const write = createOutputWriter(world.outputs);
+
+  const finish = (row: EngineRequestRow): void => {
+    requests.change(row.id, { state: RequestState.Finished });
+    counters.add('finished');
+    const isOneVersion = row.weightVersions.length === 1 && row.plan.namesWeightVersion;
+    const weightVersion = isOneVersion ? row.weightVersions[0] : undefined;
+    const { incarnation } = condition.read();
+    write({ kind: OutputKind.End, request: row.id, weightVersion, incarnation });
+  };
+
+  const cut = (row: EngineRequestRow): void => {
+    requests.change(row.id, { state: RequestState.Crashed });
+    counters.add('crashed');
+    write({ kind: OutputKind.Cut, request: row.id });
+  };
+
+  const withVersion = (versions: readonly number[], version: number): readonly number[] =>
+    versions.at(-1) === version ? versions : [...versions, version];
+
+  const makeToken = (row: EngineRequestRow): void => {
+    const { weightVersion, incarnation } = condition.read();
+    const text = tokenAt(row.prompt, row.firstToken + row.tokensSent);
+    requests.change(row.id, {
+      tokensSent: row.tokensSent + 1,
+      weightVersions: withVersion(row.weightVersions, weightVersion),
+      nextTokenDeadline: deadlineAfter(row.nextTokenDeadline, settings.tokenDelay),
+    });
+    counters.add('tokensMade');
+    const named = row.plan.namesWeightVersion ? weightVersion : undefined;
+    write({
+      kind: OutputKind.Token,
+      request: row.id,
+      text,
+      weightVersion: named,
+      incarnation,
+    });
+  };
+
+  const step = (row: EngineRequestRow): void => {
+    const { plan, tokensSent } = row;
+    if (tokensSent === plan.swapAfterTokens) {
+      condition.change({ weightVersion: plan.swapToWeightVersion });
+    }
+    if (tokensSent >= plan.cutAfterTokens) cut(row);
+    else if (tokensSent >= plan.silentAfterTokens)
+      requests.change(row.id, { state: RequestState.Silent });
+    else if (row.firstToken + tokensSent >= row.endToken) finish(row);
+    else makeToken(row);
+  };
+
+  const advance = (id: RequestId, now: Instant): void => {
+    let row = requests.get(id);
+    while (row?.state === RequestState.Generating && row.nextTokenDeadline <= now) {
+      step(row);
+      row = requests.get(id);
+    }
+  };
+
+  return {
+    name: 'generation',
+    run: (now) => requests.takeDue('nextToken', now).forEach((row) => advance(row.id, now)),
+  };
+};
+
+/** Creates the system that drops the oldest ended requests beyond the limit. */
+export const createRetention = ({ settings, requests }: EngineWorld): System => ({
+  name: 'retention',
+  run: () => {
+    const oldest = requests.rows();
+    while (requests.size() > settings.recordLimit) {
+      const row = oldest.next().value as EngineRequestRow;
+      const isOpen = row.state === RequestState.Queued || runningStates.includes(row.state);
+      if (isOpen) return;
+      requests.remove(row.id);
+    }
+  },
+});
+
+/** Creates the system that tells of every change of the engine's own condition. */
+export const createConditionWatch = (
+  { condition }: EngineWorld,
+  onDidChangeCondition: () => void,
+): System => {
+  const changes = condition.table.readChanges();
+  return {
+    name: 'conditionWatch',
+    run: () => {
+      if (changes.take().length > 0) onDidChangeCondition();
+    },
+  };
+};
--- /dev/null
+++ b/standins/engine/test/engine.test.ts
@@ -0,0 +1,133 @@
+/** The model engine stand-in: its text, records, slots, priorities and cancellation. */
+import test from 'ava';
+import { request } from 'undici';
+import {
+  chatCompletionsPath,
+  completionsPath,
+  engineChunkSchema,
+  engineRefusalHeader,
+  engineRefusalStatus,
+  priorityHeader,
+} from '../../../src/service/protocol/common/engineProtocol.js';
+import { until } from '../../common/test/waiting.js';
+import { FaultKind } from '../../faults/faults.js';
+import { startEngine } from '../engine.js';
+import { RequestState } from '../engineTables.js';
+import { textBetween, tokenCountOf } from '../engineText.js';
+import { post, streamCompletion } from './engineClient.js';
+
+test('a stream carries the whole text, one token a chunk, and the usage at its end', async (t) => {
+  const engine = await startEngine({ weightVersion: 7, incarnation: 3 });
+  t.teardown(engine.dispose);
+  const stream = await streamCompletion(engine.address, { prompt: 'two words' });
+  const count = tokenCountOf('two words');
+  t.true(stream.isWhole);
+  t.is(stream.text, textBetween('two words', 0, count));
+  t.is(stream.chunks.length, count + 1);
+  t.true(stream.chunks.every((chunk) => chunk.weight_version === 7 && chunk.incarnation === 3));
+  t.deepEqual(stream.chunks.at(-1)?.usage, { prompt_tokens: 2, completion_tokens: count });
+});
+
+test('a stream that resumes from an offset continues the same text', async (t) => {
+  const engine = await startEngine();
+  t.teardown(engine.dispose);
+  const messages = [{ role: 'user', content: 'resume me' }];
+  const whole = { messages, max_tokens: 9 };
+  const rest = { ...whole, resume_from_token: 4 };
+  const first = await streamCompletion(engine.address, whole, chatCompletionsPath);
+  const second = await streamCompletion(engine.address, rest, chatCompletionsPath);
+  const prefix = textBetween('user: resume me', 0, 4);
+  t.is(prefix + second.text, first.text);
+  t.is(second.chunks.at(-1)?.usage?.completion_tokens, 5);
+});
+
+test('an answer that is not streamed has the same text in one body', async (t) => {
+  const engine = await startEngine({ weightVersion: 2 });
+  t.teardown(engine.dispose);
+  const body = { model: 'm', max_tokens: 5, messages: [{ role: 'user', content: 'x' }] };
+  const answer = await post(`${engine.address}${chatCompletionsPath}`, body);
+  const chunk = engineChunkSchema.parse(await answer.body.json());
+  t.is(chunk.choices[0]?.message?.content, textBetween('user: x', 0, 5));
+  t.is(chunk.tokens, 5);
+  t.is(chunk.weight_version, 2);
+});
+
+test('the record keeps headers, path, body and what was sent', async (t) => {
+  const engine = await startEngine();
+  t.teardown(engine.dispose);
+  const body = { model: 'm', prompt: 'p', max_tokens: 3 };
+  const answer = await post(`${engine.address}${completionsPath}`, body, { 'x-seen': 'yes' });
+  await answer.body.dump();
+  const [row] = engine.requests();
+  t.is(row?.headers['x-seen'], 'yes');
+  t.is(row?.path, completionsPath);
+  t.is(row?.body, JSON.stringify(body));
+  t.is(row?.tokensSent, 3);
+  t.is(row?.state, RequestState.Finished);
+});
+
+test('a request beyond the slots is refused as not run', async (t) => {
+  const faults = [{ fault: { kind: FaultKind.NeverAnswer } }];
+  const engine = await startEngine({ slots: 1, faults });
+  t.teardown(engine.dispose);
+  const url = `${engine.address}${completionsPath}`;
+  const first = post(url, { model: 'm', prompt: 'first' }).catch(() => undefined);
+  await until(() => engine.counters().received === 1);
+  const second = await post(url, { model: 'm', prompt: 'second' });
+  await second.body.dump();
+  t.is(second.statusCode, engineRefusalStatus);
+  t.is(second.headers[engineRefusalHeader], 'true');
+  t.is(engine.requests()[1]?.tokensSent, 0);
+  await engine.dispose();
+  await first;
+});
+
+test('a free slot goes to the lowest priority number that waits', async (t) => {
+  const faults = [{ fault: { kind: FaultKind.SilentAfterTokens, tokens: 1 } }];
+  const engine = await startEngine({ slots: 1, queueLimit: 2, faults });
+  t.teardown(engine.dispose);
+  const url = `${engine.address}${completionsPath}`;
+  const holder = await post(url, { model: 'm', prompt: 'holder', stream: true });
+  const finished: string[] = [];
+  const send = async (prompt: string, priority: string) => {
+    const answer = await post(url, { model: 'm', prompt }, { [priorityHeader]: priority });
+    await answer.body.dump();
+    finished.push(prompt);
+  };
+  const bulk = send('bulk', '9');
+  await until(() => engine.counters().received === 2);
+  const prompt = send('prompt', '1');
+  await until(() => engine.counters().received === 3);
+  holder.body.on('error', () => undefined).destroy();
+  await Promise.all([bulk, prompt]);
+  t.deepEqual(finished, ['prompt', 'bulk']);
+});
+
+test('work of a closed connection is cancelled and counted', async (t) => {
+  const faults = [{ fault: { kind: FaultKind.SilentAfterTokens, tokens: 2 } }];
+  const engine = await startEngine({ faults });
+  t.teardown(engine.dispose);
+  const controller = new AbortController();
+  const answer = await request(`${engine.address}${completionsPath}`, {
+    method: 'POST',
+    body: JSON.stringify({ model: 'm', prompt: 'p', stream: true }),
+    signal: controller.signal,
+  });
+  answer.body.on('error', () => undefined);
+  controller.abort();
+  await until(() => engine.counters().cancelled === 1);
+  t.is(engine.requests()[0]?.state, RequestState.Cancelled);
+  t.is(engine.requests()[0]?.tokensSent, 2);
+});
+
+test('a body that is not JSON is refused and is not recorded as a request', async (t) => {
+  const engine = await startEngine();
+  t.teardown(engine.dispose);
+  const answer = await request(`${engine.address}${completionsPath}`, {
+    method: 'POST',
+    body: 'no json',
+  });
+  await answer.body.dump();
+  t.is(answer.statusCode, 400);
+  t.is(engine.counters().received, 0);
+});
--- /dev/null
+++ b/standins/engine/test/engineFaults.test.ts
@@ -0,0 +1,148 @@
+/** The model engine stand-in: scripted faults, orders and announcements. */
+import test from 'ava';
+import { Hono } from 'hono';
+import { request } from 'undici';
+import {
+  completionsPath,
+  engineStatePath,
+  engineStateSchema,
+} from '../../../src/service/protocol/common/engineProtocol.js';
+import {
+  announcementPath,
+  announcementSchema,
+  UpstreamState,
+  type Announcement,
+} from '../../../src/service/protocol/common/upstreamProtocol.js';
+import { listen, type StandInEnvironment } from '../../common/httpListener.js';
+import { until } from '../../common/test/waiting.js';
+import { FaultKind } from '../../faults/faults.js';
+import { startEngine } from '../engine.js';
+import { RequestState } from '../engineTables.js';
+import { orderWeights, post, streamCompletion } from './engineClient.js';
+
+const prompt = { prompt: 'p', max_tokens: 6 };
+
+test('a crash after some tokens delivers just these and no end', async (t) => {
+  const faults = [{ fault: { kind: FaultKind.CrashAfterTokens, tokens: 3 } }];
+  const engine = await startEngine({ faults });
+  t.teardown(engine.dispose);
+  const cut = await streamCompletion(engine.address, prompt);
+  t.false(cut.isWhole);
+  t.is(cut.chunks.length, 3);
+  t.is(engine.requests()[0]?.state, RequestState.Crashed);
+  t.true((await streamCompletion(engine.address, prompt)).isWhole);
+  t.is(engine.counters().cancelled, 0);
+});
+
+test('a crash before the first byte cuts the connection without an answer', async (t) => {
+  const fault = { kind: FaultKind.CrashBeforeFirstByte };
+  const engine = await startEngine({ faults: [{ fault, matching: 'poison' }] });
+  t.teardown(engine.dispose);
+  const url = `${engine.address}${completionsPath}`;
+  await t.throwsAsync(post(url, { model: 'm', prompt: 'poison' }));
+  t.is(engine.counters().crashed, 1);
+  t.is(engine.requests()[0]?.tokensSent, 0);
+});
+
+test('a refusal by script is marked as not run', async (t) => {
+  const engine = await startEngine({ faults: [{ fault: { kind: FaultKind.RefuseNotRun } }] });
+  t.teardown(engine.dispose);
+  const answer = await post(`${engine.address}${completionsPath}`, { model: 'm', prompt: 'p' });
+  await answer.body.dump();
+  t.is(answer.statusCode, 503);
+  t.is(engine.counters().tokensMade, 0);
+});
+
+test('a late answer is still whole', async (t) => {
+  const fault = { kind: FaultKind.AnswerLate, milliseconds: 5 };
+  const engine = await startEngine({ faults: [{ fault }] });
+  t.teardown(engine.dispose);
+  t.true((await streamCompletion(engine.address, prompt)).isWhole);
+});
+
+test('weights that are swapped in a stream show in its chunks', async (t) => {
+  const fault = { kind: FaultKind.SwapWeightsAfterTokens, tokens: 2, weightVersion: 5 };
+  const engine = await startEngine({ weightVersion: 4, faults: [{ fault }] });
+  t.teardown(engine.dispose);
+  const { chunks } = await streamCompletion(engine.address, prompt);
+  const versions = chunks.slice(0, -1).map((chunk) => chunk.weight_version);
+  t.deepEqual(versions, [4, 4, 5, 5, 5, 5]);
+  t.deepEqual(engine.requests()[0]?.weightVersions, [4, 5]);
+});
+
+test('a stream by script names no weight version', async (t) => {
+  const engine = await startEngine({ faults: [{ fault: { kind: FaultKind.NoWeightVersion } }] });
+  t.teardown(engine.dispose);
+  const { chunks } = await streamCompletion(engine.address, prompt);
+  t.is(chunks.length, 7);
+  t.true(chunks.every((chunk) => chunk.weight_version === undefined));
+});
+
+test('an order swaps the weights in the middle of a stream', async (t) => {
+  const engine = await startEngine({ tokenDelay: 1 });
+  t.teardown(engine.dispose);
+  const running = streamCompletion(engine.address, { prompt: 'p', max_tokens: 400 });
+  await until(() => engine.counters().tokensMade > 0);
+  t.is(await orderWeights(engine.address, 'swap', 1, 2), 200);
+  const { chunks, isWhole } = await running;
+  t.true(isWhole);
+  t.is(chunks[0]?.weight_version, 1);
+  t.is(chunks.at(-2)?.weight_version, 2);
+});
+
+test('an order runs once by id, and an older fencing number is refused', async (t) => {
+  const engine = await startEngine();
+  t.teardown(engine.dispose);
+  t.is(await orderWeights(engine.address, 'a', 5, 2), 200);
+  t.is(await orderWeights(engine.address, 'b', 4, 3), 409);
+  t.is(await orderWeights(engine.address, 'c', 6, 4), 200);
+  t.is(await orderWeights(engine.address, 'a', 5, 2), 200);
+  const answer = await request(`${engine.address}${engineStatePath}`);
+  const state = engineStateSchema.parse(await answer.body.json());
+  t.is(state.weightVersion, 4);
+  t.is(state.highestFencing, 6);
+  t.deepEqual(state.ordersDone, ['a', 'c']);
+  t.is(engine.counters().ordersRepeated, 1);
+});
+
+test('an engine that ignores fencing numbers takes older ones', async (t) => {
+  const engine = await startEngine({ checksFencing: false });
+  t.teardown(engine.dispose);
+  await orderWeights(engine.address, 'a', 5, 2);
+  t.is(await orderWeights(engine.address, 'b', 4, 3), 200);
+  t.is(engine.state().weightVersion, 3);
+  t.is(engine.state().highestFencing, null);
+});
+
+test('an order whose answer is lost was carried out', async (t) => {
+  const engine = await startEngine({ faults: [{ fault: { kind: FaultKind.LoseOrderAnswer } }] });
+  t.teardown(engine.dispose);
+  await t.throwsAsync(orderWeights(engine.address, 'a', 1, 9));
+  t.is(engine.state().weightVersion, 9);
+  t.deepEqual(engine.state().ordersDone, ['a']);
+});
+
+test('announcements come at once, again before they run out, and at every change', async (t) => {
+  const heard: Announcement[] = [];
+  const entry = new Hono<StandInEnvironment>();
+  entry.post(announcementPath, async (context) => {
+    heard.push(announcementSchema.parse(await context.req.json()));
+    return context.body(null, 204);
+  });
+  const listener = await listen(entry, 0);
+  t.teardown(listener.dispose);
+  const engine = await startEngine({ name: 'e', announcementLifetime: 30 });
+  t.teardown(engine.dispose);
+  engine.announceTo([listener.address]);
+  await until(() => heard.length >= 3);
+  t.true(heard.every(({ state }) => state === UpstreamState.Serving));
+  t.is(heard[0]?.address, engine.address);
+  engine.drain();
+  await until(() => heard.at(-1)?.state === UpstreamState.Draining);
+  engine.leave(60_000);
+  await until(() => heard.at(-1)?.state === UpstreamState.Leaving);
+  t.true(heard.at(-1)!.remaining > 30);
+  engine.restart();
+  await until(() => heard.at(-1)?.incarnation === 2);
+  t.is(heard.at(-1)?.state, UpstreamState.Serving);
+});
