--- a/standins/engine/test/engineFaults.test.ts
+++ b/standins/engine/test/engineFaults.test.ts
@@ -146,3 +146,17 @@
   await until(() => heard.at(-1)?.incarnation === 2);
   t.is(heard.at(-1)?.state, UpstreamState.Serving);
 });
+
+test('a restart cuts what runs and goes on as a new incarnation', async (t) => {
+  const faults = [{ fault: { kind: FaultKind.SilentAfterTokens, tokens: 2 } }];
+  const engine = await startEngine({ faults });
+  t.teardown(engine.dispose);
+  const running = streamCompletion(engine.address, prompt);
+  await until(() => engine.counters().tokensMade === 2);
+  engine.restart();
+  const cut = await running;
+  t.false(cut.isWhole);
+  t.is(engine.requests()[0]?.state, RequestState.Crashed);
+  const { chunks } = await streamCompletion(engine.address, prompt);
+  t.true(chunks.every((chunk) => chunk.incarnation === 2));
+});
