Add the weight store, ordering and usage stand-ins

Cause: the platform's three other interfaces have to be met in tests before the leader acts on them. Ruled out: comparing the fencing number with a report's figures, since a successor resends equal figures under its own number; windows are told apart by workspace and window id. Ruled out: a rate for each download; the store's one rate is shared.

--- /dev/null
+++ b/standins/ordering/ordering.ts
@@ -0,0 +1,159 @@
+/**
+ * A stand-in for the platform's ordering of upstreams by availability zone: records every order, checks
+ * fencing numbers, carries each out once by id, and can be told that a zone has none to give.
+ */
+import { Hono } from 'hono';
+import { asBrand, type Brand } from '../../src/base/common/brand.js';
+import { createTable } from '../../src/platform/tables/common/table.js';
+import {
+  upstreamOrderSchema,
+  upstreamOrdersPath,
+  type UpstreamOrder,
+} from '../../src/service/protocol/common/platformProtocol.js';
+import { createFencingCheck, olderFencing } from '../common/fencing.js';
+import { cutConnection, listen, type StandInEnvironment } from '../common/httpListener.js';
+import { parseJson } from '../common/json.js';
+import { createFaultScript, FaultScope, type FaultScriptEntry } from '../faults/faultScript.js';
+import { planOf } from '../faults/faults.js';
+
+/** Settings of an ordering stand-in. */
+export interface OrderingSettings {
+  /** Port to listen on; 0 takes any free one. */
+  readonly port: number;
+  readonly checksFencing: boolean;
+  readonly faults: readonly FaultScriptEntry[];
+}
+
+const defaultOrderingSettings: OrderingSettings = { port: 0, checksFencing: true, faults: [] };
+
+/** What became of an order. */
+export type UpstreamOrderOutcome =
+  | { readonly kind: 'done'; readonly order: string }
+  | { readonly kind: 'differentOrder'; readonly message: string }
+  | { readonly kind: 'zoneUnavailable'; readonly message: string }
+  | ReturnType<typeof olderFencing>;
+
+/** An order that was received, in the order of arrival. */
+export interface ReceivedOrderRow extends UpstreamOrder {
+  readonly id: Brand<'receivedOrder'>;
+  readonly outcome: UpstreamOrderOutcome['kind'];
+}
+
+/** How many upstreams of a service are wanted in a zone now. */
+export type WantedUpstreams = Pick<UpstreamOrder, 'zone' | 'service' | 'reclaimable' | 'count'>;
+
+/** A running ordering stand-in. */
+export interface OrderingStandIn {
+  /** Base address. */
+  readonly address: string;
+  readonly counters: () => Readonly<Record<UpstreamOrderOutcome['kind'], number>>;
+  /** Every order that came, repeats included. */
+  readonly received: () => readonly ReceivedOrderRow[];
+  /** The counts in force, by zone, service and kind. */
+  readonly wanted: () => readonly WantedUpstreams[];
+  /** Says whether a zone gives upstreams; zones do until told otherwise. */
+  readonly setZoneAvailable: (zone: string, isAvailable: boolean) => void;
+  readonly addFault: (entry: FaultScriptEntry) => void;
+  readonly dispose: () => Promise<void>;
+}
+
+interface DoneOrderRow extends UpstreamOrder {
+  readonly id: Brand<'doneOrder'>;
+}
+
+interface WantedRow extends WantedUpstreams {
+  readonly id: Brand<'wantedUpstreams'>;
+}
+
+const outcomeStatuses = {
+  done: 200,
+  differentOrder: 409,
+  olderFencing: 409,
+  zoneUnavailable: 503,
+} as const;
+
+const createTables = () => ({
+  received: createTable<ReceivedOrderRow, 'outcome'>({
+    name: 'receivedOrders',
+    indices: { outcome: (row) => row.outcome },
+    deadlines: {},
+  }),
+  done: createTable<DoneOrderRow>({ name: 'doneOrders', indices: {}, deadlines: {} }),
+  wanted: createTable<WantedRow>({ name: 'wantedUpstreams', indices: {}, deadlines: {} }),
+});
+
+const describeOrder = ({ zone, service, reclaimable, count }: UpstreamOrder): string =>
+  JSON.stringify([zone, service, reclaimable, count]);
+
+/** Starts an ordering stand-in. */
+export const startOrdering = async (
+  chosen: Partial<OrderingSettings> = {},
+): Promise<OrderingStandIn> => {
+  const settings: OrderingSettings = { ...defaultOrderingSettings, ...chosen };
+  const tables = createTables();
+  const fencing = createFencingCheck(settings.checksFencing);
+  const script = createFaultScript(settings.faults);
+  const unavailableZones = new Set<string>();
+
+  const repeat = (before: DoneOrderRow, order: UpstreamOrder): UpstreamOrderOutcome => {
+    if (describeOrder(before) === describeOrder(order)) return { kind: 'done', order: order.order };
+    const message = `Order ${order.order} was carried out with other content; use a new order id.`;
+    return { kind: 'differentOrder', message };
+  };
+
+  const carryOut = (order: UpstreamOrder): UpstreamOrderOutcome => {
+    const { zone, service, reclaimable, count } = order;
+    const wantedId = JSON.stringify([zone, service, reclaimable]);
+    tables.wanted.put({ id: asBrand(wantedId), zone, service, reclaimable, count });
+    tables.done.put({ ...order, id: asBrand(order.order) });
+    return { kind: 'done', order: order.order };
+  };
+
+  const decide = (order: UpstreamOrder): UpstreamOrderOutcome => {
+    const before = tables.done.get(asBrand(order.order));
+    if (before !== undefined) return repeat(before, order);
+    if (!fencing.admits(order.fencing)) return olderFencing(order.fencing, fencing.highest());
+    if (!unavailableZones.has(order.zone)) return carryOut(order);
+    const message = `Zone ${order.zone} has no upstreams to give; order in another zone.`;
+    return { kind: 'zoneUnavailable', message };
+  };
+
+  const application = new Hono<StandInEnvironment>();
+  application.post(upstreamOrdersPath, async (context) => {
+    const order = upstreamOrderSchema.safeParse(parseJson(await context.req.text()));
+    if (!order.success) {
+      return context.json({ kind: 'badRequest', message: `Mend: ${order.error.message}` }, 400);
+    }
+    const number = tables.received.size() + 1;
+    const fault = script.take(FaultScope.Order, number, order.data.order);
+    const outcome = decide(order.data);
+    tables.received.put({ ...order.data, id: asBrand(String(number)), outcome: outcome.kind });
+    if (planOf(fault).losesAnswer) return cutConnection(context.env);
+    return context.json(outcome, outcomeStatuses[outcome.kind]);
+  });
+  const listener = await listen(application, settings.port);
+
+  return {
+    address: listener.address,
+    counters: () => ({
+      done: tables.received.count('outcome', 'done'),
+      differentOrder: tables.received.count('outcome', 'differentOrder'),
+      olderFencing: tables.received.count('outcome', 'olderFencing'),
+      zoneUnavailable: tables.received.count('outcome', 'zoneUnavailable'),
+    }),
+    received: () => [...tables.received.rows()],
+    wanted: () =>
+      Array.from(tables.wanted.rows(), ({ zone, service, reclaimable, count }) => ({
+        zone,
+        service,
+        reclaimable,
+        count,
+      })),
+    setZoneAvailable: (zone, isAvailable) => {
+      if (isAvailable) unavailableZones.delete(zone);
+      else unavailableZones.add(zone);
+    },
+    addFault: script.add,
+    dispose: listener.dispose,
+  };
+};
--- /dev/null
+++ b/standins/usage/usage.ts
@@ -0,0 +1,139 @@
+/**
+ * A stand-in for the platform's interface for usage reports: records every report, refuses a second one
+ * of the same window with other figures, and refuses senders with an older fencing number.
+ */
+import { Hono } from 'hono';
+import { asBrand, type Brand } from '../../src/base/common/brand.js';
+import { createTable } from '../../src/platform/tables/common/table.js';
+import {
+  usageReportSchema,
+  usageReportsPath,
+  type UsageReport,
+} from '../../src/service/protocol/common/platformProtocol.js';
+import { createFencingCheck, olderFencing } from '../common/fencing.js';
+import { cutConnection, listen, type StandInEnvironment } from '../common/httpListener.js';
+import { parseJson } from '../common/json.js';
+import { createFaultScript, FaultScope, type FaultScriptEntry } from '../faults/faultScript.js';
+import { planOf } from '../faults/faults.js';
+
+/** Settings of a usage stand-in. */
+export interface UsageSettings {
+  /** Port to listen on; 0 takes any free one. */
+  readonly port: number;
+  readonly checksFencing: boolean;
+  readonly faults: readonly FaultScriptEntry[];
+}
+
+const defaultUsageSettings: UsageSettings = { port: 0, checksFencing: true, faults: [] };
+
+/** What became of a report. */
+export type UsageOutcome =
+  | { readonly kind: 'accepted' }
+  | { readonly kind: 'repeated' }
+  | { readonly kind: 'differentFigures'; readonly message: string }
+  | ReturnType<typeof olderFencing>;
+
+/** A report that was received, in the order of arrival. */
+export interface ReceivedReportRow extends UsageReport {
+  readonly id: Brand<'receivedReport'>;
+  readonly outcome: UsageOutcome['kind'];
+}
+
+/** A running usage stand-in. */
+export interface UsageStandIn {
+  /** Base address. */
+  readonly address: string;
+  readonly counters: () => Readonly<Record<UsageOutcome['kind'], number>>;
+  /** Every report that came, repeats and refused ones included. */
+  readonly received: () => readonly ReceivedReportRow[];
+  /** The reports in force: one for each window of a workspace. */
+  readonly accepted: () => readonly UsageReport[];
+  readonly addFault: (entry: FaultScriptEntry) => void;
+  readonly dispose: () => Promise<void>;
+}
+
+interface AcceptedReportRow extends UsageReport {
+  readonly id: Brand<'acceptedReport'>;
+}
+
+const outcomeStatuses = {
+  accepted: 200,
+  repeated: 200,
+  differentFigures: 409,
+  olderFencing: 409,
+} as const;
+
+const windowIdOf = ({ workspace, window }: UsageReport): AcceptedReportRow['id'] =>
+  asBrand(JSON.stringify([workspace, window]));
+
+/** The figures of a report; the sender's fencing number is none of them. */
+const figuresOf = (report: UsageReport): string =>
+  JSON.stringify([
+    report.promptTokens,
+    report.completionTokens,
+    report.requests,
+    report.adjustments.map((each) => [
+      each.window,
+      each.promptTokens,
+      each.completionTokens,
+      each.requests,
+    ]),
+  ]);
+
+/** Starts a usage stand-in. */
+export const startUsage = async (chosen: Partial<UsageSettings> = {}): Promise<UsageStandIn> => {
+  const settings: UsageSettings = { ...defaultUsageSettings, ...chosen };
+  const fencing = createFencingCheck(settings.checksFencing);
+  const script = createFaultScript(settings.faults);
+  const received = createTable<ReceivedReportRow, 'outcome'>({
+    name: 'receivedReports',
+    indices: { outcome: (row) => row.outcome },
+    deadlines: {},
+  });
+  const accepted = createTable<AcceptedReportRow>({
+    name: 'acceptedReports',
+    indices: {},
+    deadlines: {},
+  });
+
+  const decide = (report: UsageReport): UsageOutcome => {
+    if (!fencing.admits(report.fencing)) return olderFencing(report.fencing, fencing.highest());
+    const before = accepted.get(windowIdOf(report));
+    if (before === undefined) {
+      accepted.put({ ...report, id: windowIdOf(report) });
+      return { kind: 'accepted' };
+    }
+    if (figuresOf(before) === figuresOf(report)) return { kind: 'repeated' };
+    const message = `Window ${report.window} was reported with other figures; resend the first ones.`;
+    return { kind: 'differentFigures', message };
+  };
+
+  const application = new Hono<StandInEnvironment>();
+  application.post(usageReportsPath, async (context) => {
+    const report = usageReportSchema.safeParse(parseJson(await context.req.text()));
+    if (!report.success) {
+      return context.json({ kind: 'badRequest', message: `Mend: ${report.error.message}` }, 400);
+    }
+    const number = received.size() + 1;
+    const fault = script.take(FaultScope.Order, number, report.data.window);
+    const outcome = decide(report.data);
+    received.put({ ...report.data, id: asBrand(String(number)), outcome: outcome.kind });
+    if (planOf(fault).losesAnswer) return cutConnection(context.env);
+    return context.json(outcome, outcomeStatuses[outcome.kind]);
+  });
+  const listener = await listen(application, settings.port);
+
+  return {
+    address: listener.address,
+    counters: () => ({
+      accepted: received.count('outcome', 'accepted'),
+      repeated: received.count('outcome', 'repeated'),
+      differentFigures: received.count('outcome', 'differentFigures'),
+      olderFencing: received.count('outcome', 'olderFencing'),
+    }),
+    received: () => [...received.rows()],
+    accepted: () => [...accepted.rows()],
+    addFault: script.add,
+    dispose: listener.dispose,
+  };
+};
--- /dev/null
+++ b/standins/weightStore/weightStore.ts
@@ -0,0 +1,167 @@
+/**
+ * A weight store stand-in: gives the bytes of any service and version, at one rate that is shared by all
+ * downloads. In its fault scripts a token stands for one chunk.
+ */
+import { Hono } from 'hono';
+import { asBrand } from '../../src/base/common/brand.js';
+import { deadlineAfter, millisecondsPerSecond, type Instant } from '../../src/base/common/time.js';
+import { monotonicClock } from '../../src/base/node/monotonicClock.js';
+import type { System } from '../../src/platform/tables/common/tick.js';
+import { weightsPath } from '../../src/service/protocol/common/platformProtocol.js';
+import { answeredOnSocket, listen, type StandInEnvironment } from '../common/httpListener.js';
+import { startLoop } from '../common/nodeLoop.js';
+import { createFaultScript, FaultScope, type FaultScriptEntry } from '../faults/faultScript.js';
+import { planOf } from '../faults/faults.js';
+import {
+  createDownloadTable,
+  DownloadState,
+  type DownloadRow,
+  type DownloadTable,
+} from './weightStoreTables.js';
+
+/** Settings of a weight store stand-in. */
+export interface WeightStoreSettings {
+  /** Port to listen on; 0 takes any free one. */
+  readonly port: number;
+  /** Bytes of one weight version. */
+  readonly size: number;
+  /** Bytes sent at a time. */
+  readonly chunkSize: number;
+  /** Bytes a second, over all downloads. */
+  readonly rate: number;
+  readonly faults: readonly FaultScriptEntry[];
+}
+
+const defaultWeightStoreSettings: WeightStoreSettings = {
+  port: 0,
+  size: 65_536,
+  chunkSize: 16_384,
+  rate: 16_777_216,
+  faults: [],
+};
+
+/** A running weight store stand-in. */
+export interface WeightStoreStandIn {
+  /** Base address. */
+  readonly address: string;
+  readonly counters: () => Readonly<Record<DownloadState, number>> & { readonly bytesSent: number };
+  readonly downloads: () => readonly DownloadRow[];
+  readonly addFault: (entry: FaultScriptEntry) => void;
+  readonly dispose: () => Promise<void>;
+}
+
+const byteValues = 256;
+
+/** The bytes of a version from one offset up to another. */
+export const weightBytes = (version: string, from: number, to: number): Uint8Array =>
+  Uint8Array.from(
+    { length: to - from },
+    (_, index) => (from + index + version.length) % byteValues,
+  );
+
+type Outgoing = StandInEnvironment['Bindings']['outgoing'];
+
+/** Creates the system that sends the chunks that are due; they share one rate. */
+const createSending = (
+  settings: WeightStoreSettings,
+  downloads: DownloadTable,
+  responses: ReadonlyMap<DownloadRow['id'], Outgoing>,
+): System => {
+  let storeFreeInstant: Instant = 0;
+
+  const end = (row: DownloadRow, state: DownloadState): void => {
+    downloads.change(row.id, { state });
+  };
+
+  const sendChunk = (row: DownloadRow, now: Instant, outgoing: Outgoing): void => {
+    const bytesSent = Math.min(settings.size, row.bytesSent + settings.chunkSize);
+    const chunk = weightBytes(row.version, row.bytesSent, bytesSent);
+    const sendingTime = (chunk.length / settings.rate) * millisecondsPerSecond;
+    storeFreeInstant = Math.max(storeFreeInstant, now) + sendingTime;
+    outgoing.write(chunk);
+    const chunkDeadline = storeFreeInstant;
+    downloads.change(row.id, { bytesSent, chunksSent: row.chunksSent + 1, chunkDeadline });
+  };
+
+  const advance = (row: DownloadRow, now: Instant): void => {
+    const outgoing = responses.get(row.id);
+    if (outgoing === undefined) return;
+    if (row.chunksSent >= row.plan.cutAfterTokens) {
+      end(row, DownloadState.Crashed);
+      outgoing.socket?.destroy();
+    } else if (row.chunksSent >= row.plan.silentAfterTokens) {
+      end(row, DownloadState.Silent);
+    } else if (row.bytesSent >= settings.size) {
+      end(row, DownloadState.Finished);
+      outgoing.end();
+    } else {
+      sendChunk(row, now, outgoing);
+    }
+  };
+
+  return {
+    name: 'sending',
+    run: (now) => downloads.takeDue('chunk', now).forEach((row) => advance(row, now)),
+  };
+};
+
+/** Starts a weight store stand-in. */
+export const startWeightStore = async (
+  chosen: Partial<WeightStoreSettings> = {},
+): Promise<WeightStoreStandIn> => {
+  const settings: WeightStoreSettings = { ...defaultWeightStoreSettings, ...chosen };
+  const downloads = createDownloadTable();
+  const script = createFaultScript(settings.faults);
+  const responses = new Map<DownloadRow['id'], Outgoing>();
+  const loop = startLoop([downloads], [createSending(settings, downloads, responses)]);
+
+  const close = (id: DownloadRow['id']): void => {
+    responses.delete(id);
+    const isCancelled = downloads.get(id)?.state === DownloadState.Sending;
+    if (isCancelled) downloads.change(id, { state: DownloadState.Cancelled });
+  };
+
+  const application = new Hono<StandInEnvironment>();
+  application.get(`${weightsPath}/:service/:version`, (context) => {
+    const { service, version } = context.req.param();
+    const { outgoing } = context.env;
+    const number = downloads.size() + 1;
+    const id: DownloadRow['id'] = asBrand(String(number));
+    const plan = planOf(script.take(FaultScope.Request, number, context.req.path));
+    responses.set(id, outgoing);
+    outgoing.once('close', () => close(id));
+    downloads.put({
+      id,
+      service,
+      version,
+      plan,
+      state: DownloadState.Sending,
+      bytesSent: 0,
+      chunksSent: 0,
+      chunkDeadline: deadlineAfter(monotonicClock(), plan.lateness),
+    });
+    loop.wake();
+    return answeredOnSocket;
+  });
+  const listener = await listen(application, settings.port);
+
+  const count = (state: DownloadState): number => downloads.count('state', state);
+
+  return {
+    address: listener.address,
+    counters: () => ({
+      sending: count(DownloadState.Sending),
+      finished: count(DownloadState.Finished),
+      cancelled: count(DownloadState.Cancelled),
+      crashed: count(DownloadState.Crashed),
+      silent: count(DownloadState.Silent),
+      bytesSent: [...downloads.rows()].reduce((sum, row) => sum + row.bytesSent, 0),
+    }),
+    downloads: () => [...downloads.rows()],
+    addFault: script.add,
+    dispose: async () => {
+      loop.dispose();
+      await listener.dispose();
+    },
+  };
+};
