--- /dev/null
+++ b/standins/trainer/trainerPort.ts
@@ -0,0 +1,114 @@
+/**
+ * The HTTP side of the trainer stand-in: opens lots and asks for batches, and gives typed answers.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { Agent, request, type Dispatcher } from 'undici';
+import { parseJson } from '../common/json.js';
+import {
+  batchPathOf,
+  batchSchema,
+  batchStatus,
+  lotAnswerSchema,
+  lotOpenedStatus,
+  lotsPath,
+  notReadySchema,
+  notReadyStatus,
+  type Batch,
+  type LotRequest,
+} from './trainerProtocol.js';
+import type { TrainerError } from './trainerTables.js';
+
+/** What came of the question for a batch. */
+export type BatchAnswer =
+  | { readonly kind: 'delivered'; readonly batch: Batch }
+  | { readonly kind: 'notReady'; readonly retryAfter: number }
+  | { readonly kind: 'unreachable' }
+  | { readonly kind: 'refused'; readonly error: TrainerError };
+
+/** Talks to entries. */
+export interface TrainerPort {
+  readonly openLot: (entry: string, lot: LotRequest) => Promise<Result<string, TrainerError>>;
+  readonly askBatch: (entry: string, lot: string, cursor: string) => Promise<BatchAnswer>;
+  readonly dispose: () => Promise<void>;
+}
+
+interface HttpAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
+const firstServerErrorStatus = 500;
+
+const notUnderstood = (text: string): TrainerError => ({
+  kind: 'answerNotUnderstood',
+  message: `The entry answered ${text}; compare its version with the trainer's.`,
+});
+
+const refused = ({ status, text }: HttpAnswer): TrainerError => ({
+  kind: 'lotRefused',
+  status,
+  message: `The entry answered ${status} with ${text}; mend the lot or the key.`,
+});
+
+const readDelivered = ({ text }: HttpAnswer): BatchAnswer => {
+  const batch = batchSchema.safeParse(parseJson(text));
+  if (batch.success) return { kind: 'delivered', batch: batch.data };
+  return { kind: 'refused', error: notUnderstood(text) };
+};
+
+const readNotReady = ({ text }: HttpAnswer): BatchAnswer => {
+  const notReady = notReadySchema.safeParse(parseJson(text));
+  if (notReady.success) return { kind: 'notReady', retryAfter: notReady.data.retryAfter };
+  return { kind: 'refused', error: notUnderstood(text) };
+};
+
+const batchReaders: Readonly<Record<number, (answer: HttpAnswer) => BatchAnswer>> = {
+  [batchStatus]: readDelivered,
+  [notReadyStatus]: readNotReady,
+};
+
+const readOther = (answer: HttpAnswer): BatchAnswer =>
+  answer.status >= firstServerErrorStatus
+    ? { kind: 'unreachable' }
+    : { kind: 'refused', error: refused(answer) };
+
+/** Creates the port; `key` is sent with every request. */
+export const createTrainerPort = (key: string): TrainerPort => {
+  const agent = new Agent();
+  const headers = { authorization: `Bearer ${key}`, 'content-type': 'application/json' };
+
+  const send = async (
+    url: string,
+    method: Dispatcher.HttpMethod,
+    body: string | null,
+  ): Promise<Result<HttpAnswer, TrainerError>> => {
+    try {
+      const answer = await request(url, { dispatcher: agent, method, headers, body });
+      return ok({ status: answer.statusCode, text: await answer.body.text() });
+    } catch (error) {
+      const message = `${url} did not answer (${String(error)}); ask another entry.`;
+      return err({ kind: 'entryUnreachable', message });
+    }
+  };
+
+  const readLot = (answer: HttpAnswer): Result<string, TrainerError> => {
+    if (answer.status !== lotOpenedStatus) return err(refused(answer));
+    const opened = lotAnswerSchema.safeParse(parseJson(answer.text));
+    return opened.success ? ok(opened.data.lot) : err(notUnderstood(answer.text));
+  };
+
+  return {
+    openLot: async (entry, lot) => {
+      const answer = await send(`${entry}${lotsPath}`, 'POST', JSON.stringify(lot));
+      return answer.andThen(readLot);
+    },
+    askBatch: async (entry, lot, cursor) => {
+      const answer = await send(`${entry}${batchPathOf(lot, cursor)}`, 'GET', null);
+      return answer.match(
+        (given): BatchAnswer => (batchReaders[given.status] ?? readOther)(given),
+        (): BatchAnswer => ({ kind: 'unreachable' }),
+      );
+    },
+    dispose: () => agent.destroy(),
+  };
+};
