Run the whole path: run and timeline commands, the demo, the border of the replicated log

Cause: the parts were not joined. The demo took 11 s because a lost race left a 30 s timer that kept each daemon alive until it was killed; the timer is cleared now. Ruled out: idle connections, which closed in time. The border of the replicated log is set down as tables so that subjects can be built against it side by side.

--- /dev/null
+++ b/scripts/demo/processes.ts
@@ -0,0 +1,67 @@
+/**
+ * The processes of the demo: started by this launcher, which is a development script, and ended by it.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { fileURLToPath } from 'node:url';
+
+const programFile = fileURLToPath(new URL('../../src/command/main/node/main.js', import.meta.url));
+const standInsFile = fileURLToPath(new URL('./standInsProcess.js', import.meta.url));
+const endMilliseconds = 8_000;
+
+/** The processes that run. */
+export interface Processes {
+  readonly startDaemon: (deploymentFile: string, name: string) => void;
+  /** Starts the stand-ins; resolves with what they say once they are announced. */
+  readonly startStandIns: (entries: readonly string[]) => Promise<StandInAddresses>;
+  /** Asks all to stop gracefully, and kills what has not stopped in time. */
+  readonly endAll: () => Promise<void>;
+  /** Names of processes that have ended without being asked. */
+  readonly lost: () => readonly string[];
+}
+
+/** Where the stand-ins listen. */
+export interface StandInAddresses {
+  readonly engines: readonly string[];
+  readonly plain: string;
+}
+
+const hasEnded = (child: ChildProcess): boolean =>
+  child.exitCode !== null || child.signalCode !== null;
+
+const end = async (child: ChildProcess): Promise<void> => {
+  if (hasEnded(child)) return;
+  const ended = once(child, 'exit');
+  child.kill('SIGTERM');
+  const timer = setTimeout(() => child.kill('SIGKILL'), endMilliseconds);
+  await ended;
+  clearTimeout(timer);
+};
+
+/** Creates the launcher of the demo. */
+export const createProcesses = (): Processes => {
+  const children = new Map<string, ChildProcess>();
+
+  const start = (name: string, file: string, parameters: readonly string[]): ChildProcess => {
+    const child = spawn(process.execPath, [file, ...parameters], {
+      stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
+    });
+    children.set(name, child);
+    return child;
+  };
+
+  return {
+    startDaemon: (deploymentFile, name) => {
+      start(name, programFile, ['run', deploymentFile, name, '--log-level', 'warn']);
+    },
+    startStandIns: async (entries) => {
+      const child = start('stand-ins', standInsFile, entries);
+      const [addresses] = (await once(child, 'message')) as [StandInAddresses];
+      return addresses;
+    },
+    endAll: async () => {
+      await Promise.all([...children.values()].map(end));
+    },
+    lost: () => [...children].filter(([, child]) => hasEnded(child)).map(([name]) => name),
+  };
+};
--- a/src/command/main/node/program.ts
+++ b/src/command/main/node/program.ts
@@ -4,6 +4,8 @@
 import { Command, CommanderError } from 'commander';
 import { registerCheckCommand } from '../../check/node/checkCommand.js';
 import { registerKeyCommand } from '../../key/node/keyCommand.js';
+import { registerRunCommand } from '../../run/node/runCommand.js';
+import { registerTimelineCommand } from '../../timeline/node/timelineCommand.js';
 import { ExitCode } from '../common/exitCode.js';
 import type { ProgramStreams, RegisterSubcommand, SubcommandContext } from './subcommand.js';
 
@@ -11,6 +13,8 @@
 const subcommands: Readonly<Record<string, RegisterSubcommand>> = {
   check: registerCheckCommand,
   key: registerKeyCommand,
+  run: registerRunCommand,
+  timeline: registerTimelineCommand,
 };
 
 const exitCodesText = `
--- /dev/null
+++ b/src/command/run/node/runCommand.ts
@@ -0,0 +1,68 @@
+/**
+ * `shallotquay run FILE NAME`: runs one daemon of an installation until it is told to stop.
+ */
+import { createLog } from '../../../platform/log/node/log.js';
+import { loadInstallation } from '../../../service/configuration/node/loadInstallation.js';
+import { openDaemon, type Daemon } from '../../../daemon/main/node/daemon.js';
+import { ExitCode } from '../../main/common/exitCode.js';
+import type { RegisterSubcommand, SubcommandContext } from '../../main/node/subcommand.js';
+
+const exampleText = `
+SIGTERM and SIGINT stop the daemon gracefully: it leaves the advice, refuses new
+connections and finishes the given answers. A second signal stops it at once.
+
+Example:
+  shallotquay run examples/kestrelkloof.toml gp-north-1`;
+
+interface RunOptions {
+  readonly logLevel: string;
+}
+
+/** Resolves when the daemon has stopped. */
+const runUntilSignal = (daemon: Daemon): Promise<void> =>
+  new Promise((resolve) => {
+    let signals = 0;
+    const stop = (): void => {
+      signals += 1;
+      const closing = signals === 1 ? daemon.closeGracefully() : daemon.dispose();
+      void closing.then(resolve);
+    };
+    process.on('SIGTERM', stop);
+    process.on('SIGINT', stop);
+  });
+
+const run = async (
+  file: string,
+  name: string,
+  options: RunOptions,
+  context: SubcommandContext,
+): Promise<void> => {
+  const fail = (message: string): void => {
+    context.writeError(`${message}\n`);
+    context.setExitCode(ExitCode.InvalidInput);
+  };
+  const installation = loadInstallation(file);
+  if (installation.isErr()) {
+    fail(installation.error.message);
+    return;
+  }
+  const log = createLog(name, options.logLevel);
+  const daemon = await openDaemon({ ...installation.value, name, log });
+  if (daemon.isErr()) {
+    fail(daemon.error.message);
+    return;
+  }
+  await runUntilSignal(daemon.value);
+};
+
+/** Adds `run` to the program. */
+export const registerRunCommand: RegisterSubcommand = (program, context) => {
+  program
+    .command('run')
+    .description('run one daemon of an installation')
+    .argument('<file>', 'deployment file in TOML')
+    .argument('<name>', 'name of the daemon in the deployment file')
+    .option('--log-level <level>', 'lowest level of log lines: debug, info, warn or error', 'info')
+    .addHelpText('after', exampleText)
+    .action((file: string, name: string, options: RunOptions) => run(file, name, options, context));
+};
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import { createRandom } from '../../../base/common/random.js';
+import { delay, waitAtMost } from '../../../base/node/delay.js';
 import { monotonicClock, wallClock } from '../../../base/node/monotonicClock.js';
 import type { Log } from '../../../platform/log/node/log.js';
 import { silentMetrics } from '../../../platform/metrics/common/metrics.js';
@@ -72,11 +73,6 @@
     ? { write: () => {}, dispose: () => Promise.resolve() }
     : createTimelineWriter(resolve(folder, deployment.eventFolder), name);
 
-const delay = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 const seedBound = 2 ** 31;
 
 const openWithSettings = async (
@@ -146,7 +142,7 @@
     wake();
     log.info('leaving');
     await delay(deployment.timing.adviceMilliseconds);
-    await Promise.race([front.value.closeGracefully(), delay(deployment.timing.drainMilliseconds)]);
+    await waitAtMost(front.value.closeGracefully(), deployment.timing.drainMilliseconds);
     await dispose();
   };
 
--- a/src/daemon/peers/node/peerPort.ts
+++ b/src/daemon/peers/node/peerPort.ts
@@ -12,7 +12,7 @@
 import type { HybridLogicalClock } from '../../../platform/timeline/common/hybridLogicalClock.js';
 import { stampSchema } from '../../../platform/timeline/common/timelineEvent.js';
 import { createFrameDecoder, encodeFrame } from '../../../platform/wire/node/frames.js';
-import { messageSchema, type OutgoingMessage } from '../../../service/membership/common/message.js';
+import { messageSchema, type OutgoingMessage } from '../../../service/messages/common/message.js';
 import type { DaemonId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
 
--- /dev/null
+++ b/src/service/consensus/common/command.ts
@@ -0,0 +1,30 @@
+/**
+ * Commands of the replicated log: the union of what each subject proposes. A command is applied in log
+ * order by every daemon that follows its topic, and by nothing else is agreed state changed.
+ */
+import { z } from 'zod';
+import type { ValueOf } from '../../../base/common/handlers.js';
+
+/** Which daemons apply a command. */
+export const Topic = {
+  /** Every daemon: configuration and what routing depends on. */
+  Configuration: 'configuration',
+  /** Voters and the daemon that proposed it: orders, usage and the ledger of samples. */
+  Control: 'control',
+} as const;
+export type Topic = ValueOf<typeof Topic>;
+
+/** Put into the log by a new leader, so that entries of earlier terms can be committed. */
+export const leadershipTakenSchema = z.object({
+  kind: z.literal('leadershipTaken'),
+  leader: z.string(),
+});
+
+/** Every command; each subject adds its own schemas here. */
+export const commandSchema = z.discriminatedUnion('kind', [leadershipTakenSchema]);
+export type Command = z.infer<typeof commandSchema>;
+
+/** The topic of each kind of command. */
+export const topicOfCommand: Readonly<Record<Command['kind'], Topic>> = {
+  leadershipTaken: Topic.Configuration,
+};
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -6,12 +6,14 @@
 import { createTicker, type System, type Ticker } from '../../../platform/tables/common/tick.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
 import { applyTree } from '../../configuration/common/configurationTables.js';
+import { createApplySystem } from '../../consensus/common/applySystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
 import { createDeadlineSystem } from '../../dispatch/common/deadlineSystem.js';
 import { createDepartureSystem } from '../../dispatch/common/departureSystem.js';
 import { createDispatchSystem } from '../../dispatch/common/dispatchSystem.js';
 import { createAnnouncementSystem } from '../../membership/common/announcementSystem.js';
 import { createDaemonSystem, insertDaemons } from '../../membership/common/daemonSystem.js';
+import { createInboxSystem } from '../../messages/common/inboxSystem.js';
 import { createFetchSystem } from '../../rollout/common/fetchSystem.js';
 import { createPlanSystem } from '../../rollout/common/planSystem.js';
 import { createSampleSystem } from '../../rollout/common/sampleSystem.js';
@@ -23,6 +25,8 @@
 
 /** The systems in the order in which they run in each round of a tick. */
 const systemFactories: readonly SystemFactory[] = [
+  createInboxSystem,
+  createApplySystem,
   createDaemonSystem,
   createAnnouncementSystem,
   createPlanSystem,
--- a/src/service/membership/common/announcementSystem.ts
+++ b/src/service/membership/common/announcementSystem.ts
@@ -15,7 +15,6 @@
   type DaemonRow,
   type UpstreamRow,
 } from './membershipTables.js';
-import { MessageKind } from './message.js';
 
 const createUpstreamRow = (
   announcement: Announcement,
@@ -64,7 +63,7 @@
   [...world.daemons.rows()].filter(isReachable).forEach((daemon) =>
     world.outgoingMessages.append({
       to: daemon.id,
-      message: { kind: MessageKind.UpstreamAnnounced, announcement },
+      message: { kind: 'upstreamAnnounced', announcement },
     }),
   );
 };
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -2,7 +2,6 @@
  * Heartbeats between daemons, and suspicion of those that fall silent.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { DaemonSettings } from '../../../platform/settings/common/deployment.js';
 import type { System } from '../../../platform/tables/common/tick.js';
@@ -11,7 +10,6 @@
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { DaemonState, type DaemonRow } from './membershipTables.js';
-import { MessageKind, type Message } from './message.js';
 
 const createDaemonRow = (world: World, settings: DaemonSettings, now: Instant): DaemonRow => {
   const isSelf = settings.name === world.self.name;
@@ -50,7 +48,7 @@
   world.outgoingMessages.append({
     to: daemon.id,
     message: {
-      kind: MessageKind.Heartbeat,
+      kind: 'heartbeat',
       incarnation: world.incarnation,
       load: ownLoad(world),
       leaving: world.isLeaving(),
@@ -63,32 +61,10 @@
   world.events.append({ kind: EventKind.PeerSuspected, subject: { daemon: daemon.id } });
 };
 
-const handlers: HandlerTable<Message, void, [World, DaemonRow, Instant]> = {
-  heartbeat: (message, world, daemon, now) => {
-    if (message.incarnation < daemon.incarnation) return;
-    const state = message.leaving ? DaemonState.Leaving : DaemonState.Alive;
-    world.daemons.change(daemon.id, {
-      state,
-      incarnation: message.incarnation,
-      load: message.load,
-      suspicionDeadline: deadlineAfter(now, world.deployment.timing.suspicionMilliseconds),
-    });
-    if (daemon.state === state) return;
-    world.events.append({ kind: EventKind.PeerAlive, subject: { daemon: daemon.id, state } });
-  },
-  upstreamAnnounced: (message, world) => {
-    world.arrivedAnnouncements.append({ announcement: message.announcement, isDirect: false });
-  },
-};
-
-/** Creates the system of messages between daemons. */
+/** Creates the system of heartbeats and suspicion. */
 export const createDaemonSystem = (world: World): System => ({
   name: 'daemon',
   run: (now) => {
-    world.incomingMessages.takeAll().forEach(({ from, message }) => {
-      const daemon = world.daemons.get(from);
-      if (daemon !== undefined) dispatchByKind(handlers, message, world, daemon, now);
-    });
     world.daemons.takeDue('suspicion', now).forEach((daemon) => suspect(world, daemon));
     world.daemons.takeDue('heartbeat', now).forEach((daemon) => sendHeartbeat(world, daemon, now));
   },
--- /dev/null
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -0,0 +1,31 @@
+/**
+ * What a daemon does with the messages of membership.
+ */
+import type { HandlerTable } from '../../../base/common/handlers.js';
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { EventKind } from '../../events/common/eventKind.js';
+import type { World } from '../../world/common/world.js';
+import type { MembershipMessage } from './membershipMessages.js';
+import { DaemonState, type DaemonRow } from './membershipTables.js';
+
+export const membershipHandlers: HandlerTable<
+  MembershipMessage,
+  void,
+  [World, DaemonRow, Instant]
+> = {
+  heartbeat: (message, world, daemon, now) => {
+    if (message.incarnation < daemon.incarnation) return;
+    const state = message.leaving ? DaemonState.Leaving : DaemonState.Alive;
+    world.daemons.change(daemon.id, {
+      state,
+      incarnation: message.incarnation,
+      load: message.load,
+      suspicionDeadline: deadlineAfter(now, world.deployment.timing.suspicionMilliseconds),
+    });
+    if (daemon.state === state) return;
+    world.events.append({ kind: EventKind.PeerAlive, subject: { daemon: daemon.id, state } });
+  },
+  upstreamAnnounced: (message, world) => {
+    world.arrivedAnnouncements.append({ announcement: message.announcement, isDirect: false });
+  },
+};
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -8,7 +8,6 @@
 import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
 import type { Announcement } from '../../protocol/common/upstreamProtocol.js';
 import type { DaemonId, UpstreamId } from '../../world/common/identifiers.js';
-import type { IncomingMessage, OutgoingMessage } from './message.js';
 
 export const DaemonState = {
   /** Named in the settings and not heard from yet. */
@@ -80,7 +79,5 @@
     'arrivedAnnouncements',
     RowReader.System,
   ),
-  incomingMessages: createRowQueue<IncomingMessage>('incomingMessages', RowReader.System),
-  outgoingMessages: createRowQueue<OutgoingMessage>('outgoingMessages', RowReader.Port),
 });
 export type MembershipTables = ReturnType<typeof createMembershipTables>;
--- /dev/null
+++ b/src/service/messages/common/inboxSystem.ts
@@ -0,0 +1,29 @@
+/**
+ * Hands each message that has come to the handler of its kind. The table is put together from those of
+ * the subjects; the type checker proves that no kind is without a handler.
+ */
+import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
+import type { Instant } from '../../../base/common/time.js';
+import type { System } from '../../../platform/tables/common/tick.js';
+import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
+import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import type { World } from '../../world/common/world.js';
+import type { Message } from './message.js';
+
+/** What a handler is given besides the message: the world, the sender and the time. */
+export type MessageContext = [World, DaemonRow, Instant];
+
+const handlers: HandlerTable<Message, void, MessageContext> = {
+  ...membershipHandlers,
+};
+
+/** Creates the system of incoming messages. */
+export const createInboxSystem = (world: World): System => ({
+  name: 'inbox',
+  run: (now) =>
+    world.incomingMessages.takeAll().forEach(({ from, message }) => {
+      const sender = world.daemons.get(from);
+      if (sender === undefined) world.metrics.count('messages.unknownSender');
+      else dispatchByKind(handlers, message, world, sender, now);
+    }),
+});
--- /dev/null
+++ b/src/service/messages/common/message.ts
@@ -0,0 +1,29 @@
+/**
+ * Messages between daemons: the union of what each subject sends. Deadlines travel as remaining
+ * milliseconds. The schemas check what comes over the wire; encoding is the business of the port.
+ */
+import { z } from 'zod';
+import {
+  heartbeatSchema,
+  upstreamAnnouncedSchema,
+} from '../../membership/common/membershipMessages.js';
+import type { DaemonId } from '../../world/common/identifiers.js';
+
+/** Every message that one daemon sends to another. */
+export const messageSchema = z.discriminatedUnion('kind', [
+  heartbeatSchema,
+  upstreamAnnouncedSchema,
+]);
+export type Message = z.infer<typeof messageSchema>;
+
+/** A message that has come, with its sender as the connection names it. */
+export interface IncomingMessage {
+  readonly from: DaemonId;
+  readonly message: Message;
+}
+
+/** A message to be sent; it is dropped and counted where there is no connection. */
+export interface OutgoingMessage {
+  readonly to: DaemonId;
+  readonly message: Message;
+}
--- /dev/null
+++ b/src/service/messages/common/messageTables.ts
@@ -0,0 +1,11 @@
+/**
+ * The queues through which messages pass between systems and the port of the peers.
+ */
+import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
+import type { IncomingMessage, OutgoingMessage } from './message.js';
+
+export const createMessageTables = () => ({
+  incomingMessages: createRowQueue<IncomingMessage>('incomingMessages', RowReader.System),
+  outgoingMessages: createRowQueue<OutgoingMessage>('outgoingMessages', RowReader.Port),
+});
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -7,8 +7,10 @@
 import type { AnyTable } from '../../../platform/tables/common/table.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
+import { createConsensusTables } from '../../consensus/common/consensusTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
+import { createMessageTables } from '../../messages/common/messageTables.js';
 import { createRolloutTables } from '../../rollout/common/rolloutTables.js';
 import { createTrafficTables } from '../../traffic/common/trafficTables.js';
 import { createUsageTables } from '../../usage/common/usageTables.js';
@@ -16,8 +18,10 @@
 
 const createTables = () => ({
   ...createConfigurationTables(),
+  ...createConsensusTables(),
   ...createEventTables(),
   ...createMembershipTables(),
+  ...createMessageTables(),
   ...createRolloutTables(),
   ...createTrafficTables(),
   ...createUsageTables(),
--- a/standins/common/nodeLoop.ts
+++ b/standins/common/nodeLoop.ts
@@ -8,6 +8,11 @@
 
 /** Starts the loop; a stand-in whose systems do not settle is a fault of its code and throws. */
 export const startLoop = (tables: readonly AnyTable[], systems: readonly System[]): TickDriver =>
-  createTickDriver(createTicker(tables, systems), monotonicClock, (error) => {
-    throw new Error(error.message);
-  });
+  createTickDriver(
+    createTicker(tables, systems),
+    monotonicClock,
+    () => {},
+    (error) => {
+      throw new Error(error.message);
+    },
+  );
