Add virtual installations: real cores on virtual time with message rows between them

Cause: failure tests of all subjects need the same small network of message rows and a clock that stands still. Ruled out: real sockets with shortened timers, whose verdict depends on the machine.

--- /dev/null
+++ b/standins/virtual/test/virtualInstallation.test.ts
@@ -0,0 +1,55 @@
+/** Real cores on virtual time hear of each other, suspect a silent one, and hear of it again. */
+import test from 'ava';
+import { asBrand } from '../../../src/base/common/brand.js';
+import type { DaemonId } from '../../../src/service/world/common/identifiers.js';
+import { createTestDeployment, createTestTree } from '../testDeployment.js';
+import { createVirtualInstallation } from '../virtualInstallation.js';
+
+const create = () =>
+  createVirtualInstallation({
+    deployment: createTestDeployment(7, 3),
+    tree: createTestTree(),
+    seed: 1,
+  });
+
+const stateAt = (installation: ReturnType<typeof create>, at: string, of: string) =>
+  installation.daemon(at).core.world.daemons.get(asBrand<DaemonId>(of))?.state;
+
+test('daemons hear of each other by heartbeats', (t) => {
+  const installation = create();
+  installation.runFor(10);
+  t.is(stateAt(installation, 'd1', 'd7'), 'alive');
+});
+
+test('a daemon that is cut off is suspected, and alive again after the cut', (t) => {
+  const installation = create();
+  installation.runFor(10);
+  installation.cut('d1', 'd2');
+  installation.runFor(10_000);
+  t.is(stateAt(installation, 'd1', 'd2'), 'suspected');
+  t.is(stateAt(installation, 'd3', 'd2'), 'alive');
+  installation.heal('d1', 'd2');
+  installation.runFor(2_000);
+  t.is(stateAt(installation, 'd1', 'd2'), 'alive');
+});
+
+test('a frozen daemon is suspected and catches up when it is thawed', (t) => {
+  const installation = create();
+  installation.runFor(10);
+  installation.freeze('d2');
+  installation.runFor(10_000);
+  t.is(stateAt(installation, 'd1', 'd2'), 'suspected');
+  installation.thaw('d2');
+  installation.runFor(2_000);
+  t.is(stateAt(installation, 'd1', 'd2'), 'alive');
+});
+
+test('a daemon that is started again has a higher incarnation', (t) => {
+  const installation = create();
+  installation.runFor(10);
+  installation.stop('d2');
+  installation.start('d2');
+  installation.runFor(2_000);
+  const row = installation.daemon('d1').core.world.daemons.get(asBrand<DaemonId>('d2'));
+  t.is(row?.incarnation, 2);
+});
--- /dev/null
+++ b/standins/virtual/virtualInstallation.ts
@@ -0,0 +1,216 @@
+/**
+ * Real cores on virtual time: their outgoing message rows are handed to each other with a latency, and
+ * ports are replaced by fakes. Daemons can be frozen, stopped and started, and pairs of them cut off.
+ */
+import { asBrand } from '../../src/base/common/brand.js';
+import { createRandom } from '../../src/base/common/random.js';
+import { never, type Instant, type Milliseconds } from '../../src/base/common/time.js';
+import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
+import type { Deployment } from '../../src/platform/settings/common/deployment.js';
+import type { Tree } from '../../src/service/configuration/common/tree.js';
+import { createCore, type Core } from '../../src/service/core/common/core.js';
+import type { RecordedEvent } from '../../src/service/events/common/eventKind.js';
+import type { DaemonId } from '../../src/service/world/common/identifiers.js';
+import { createVirtualTime } from './virtualTime.js';
+
+/** A fake port of one daemon; `drain` is run after each of its ticks. */
+export interface VirtualPort {
+  readonly drain: () => void;
+}
+
+/** One start of one daemon. */
+export interface VirtualDaemon {
+  readonly name: string;
+  readonly core: Core;
+  readonly incarnation: number;
+}
+
+/** What a fake port may use. */
+export interface VirtualContext {
+  readonly daemon: VirtualDaemon;
+  readonly now: () => Instant;
+  /** Runs an action later, unless this start of the daemon has ended by then; then it ticks. */
+  readonly schedule: (delay: Milliseconds, action: () => void) => void;
+}
+
+export interface VirtualOptions {
+  readonly deployment: Deployment;
+  readonly tree: Tree;
+  readonly seed: number;
+  /** One-way latency between two daemons, by name. */
+  readonly latency?: (from: string, to: string) => Milliseconds;
+  /** Creates the fake ports of each start of a daemon. */
+  readonly ports?: readonly ((context: VirtualContext) => VirtualPort)[];
+}
+
+/** An event with its instant on virtual time and its process. */
+export interface VirtualEvent extends RecordedEvent {
+  readonly at: Instant;
+  readonly process: string;
+}
+
+export interface VirtualInstallation {
+  readonly now: () => Instant;
+  readonly daemon: (name: string) => VirtualDaemon;
+  readonly runningNames: () => readonly string[];
+  /** All events of all daemons so far, in order. */
+  readonly events: () => readonly VirtualEvent[];
+  readonly runFor: (duration: Milliseconds) => void;
+  /** Ticks a daemon after a test has changed its tables. */
+  readonly wake: (name: string) => void;
+  readonly schedule: (delay: Milliseconds, action: () => void) => void;
+  /** Ends a daemon as by a crash; its tables are lost. */
+  readonly stop: (name: string) => void;
+  /** Starts a stopped daemon anew with a higher incarnation. */
+  readonly start: (name: string) => void;
+  /** Stops the clock of a daemon; messages and deadlines wait until it is thawed. */
+  readonly freeze: (name: string) => void;
+  readonly thaw: (name: string) => void;
+  /** Drops messages between two daemons, both ways. */
+  readonly cut: (first: string, second: string) => void;
+  readonly heal: (first: string, second: string) => void;
+}
+
+const defaultLatency: Milliseconds = 1;
+const pairOf = (first: string, second: string): string => [first, second].sort().join('/');
+
+/** Starts every daemon of the deployment. */
+export const createVirtualInstallation = (options: VirtualOptions): VirtualInstallation => {
+  const time = createVirtualTime();
+  const daemons = new Map<string, VirtualDaemon>();
+  const ports = new Map<string, readonly VirtualPort[]>();
+  const frozen = new Set<string>();
+  const waiting = new Map<string, (() => void)[]>();
+  const cuts = new Set<string>();
+  const events: VirtualEvent[] = [];
+  const incarnations = new Map<string, number>();
+  const latency = options.latency ?? (() => defaultLatency);
+
+  const deliver = (from: string, to: string, message: unknown): void => {
+    const daemon = daemons.get(to);
+    if (daemon === undefined || cuts.has(pairOf(from, to))) return;
+    // Messages are copied, as an encoding would do.
+    const copy = structuredClone(message) as never;
+    daemon.core.world.incomingMessages.append({ from: asBrand<DaemonId>(from), message: copy });
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two call each other
+    tick(to);
+  };
+
+  const whenThawed = (name: string, action: () => void): void => {
+    if (frozen.has(name)) waiting.set(name, [...(waiting.get(name) ?? []), action]);
+    else action();
+  };
+
+  const sendMessages = (daemon: VirtualDaemon): void =>
+    daemon.core.world.outgoingMessages.takeAll().forEach(({ to, message }) => {
+      if (cuts.has(pairOf(daemon.name, to))) return;
+      time.schedule(latency(daemon.name, to), () =>
+        whenThawed(to, () => deliver(daemon.name, to, message)),
+      );
+    });
+
+  const takeEvents = (daemon: VirtualDaemon): void =>
+    daemon.core.world.events
+      .takeAll()
+      .forEach((event) => events.push({ ...event, at: time.now(), process: daemon.name }));
+
+  const tick = (name: string): void => {
+    const daemon = daemons.get(name);
+    if (daemon === undefined || frozen.has(name)) return;
+    const outcome = daemon.core.ticker.tick(time.now());
+    if (outcome.isErr()) throw new Error(`${name}: ${outcome.error.message}`);
+    ports.get(name)!.forEach((port) => port.drain());
+    sendMessages(daemon);
+    takeEvents(daemon);
+  };
+
+  const contextOf = (daemon: VirtualDaemon): VirtualContext => ({
+    daemon,
+    now: time.now,
+    schedule: (delay, action) =>
+      time.schedule(delay, () =>
+        whenThawed(daemon.name, () => {
+          if (daemons.get(daemon.name) !== daemon) return;
+          action();
+          tick(daemon.name);
+        }),
+      ),
+  });
+
+  const start = (name: string): void => {
+    const self = options.deployment.daemons.find((settings) => settings.name === name)!;
+    const incarnation = (incarnations.get(name) ?? 0) + 1;
+    incarnations.set(name, incarnation);
+    const { deployment, tree, seed } = options;
+    const random = createRandom(seed + incarnation * 1000 + deployment.daemons.indexOf(self));
+    const core = createCore(
+      { deployment, self, tree, incarnation, random, metrics: silentMetrics },
+      time.now(),
+    );
+    const daemon: VirtualDaemon = { name, core, incarnation };
+    daemons.set(name, daemon);
+    ports.set(
+      name,
+      (options.ports ?? []).map((create) => create(contextOf(daemon))),
+    );
+    tick(name);
+  };
+
+  const isAwake = (name: string): boolean => !frozen.has(name);
+
+  const nextDeadline = (): Instant =>
+    [...daemons.values()]
+      .filter((daemon) => isAwake(daemon.name))
+      .reduce((next, { core }) => Math.min(next, core.ticker.nextDeadline()), never);
+
+  const tickDue = (): void =>
+    [...daemons.values()]
+      .filter(({ name, core }) => isAwake(name) && core.ticker.nextDeadline() <= time.now())
+      .forEach(({ name }) => tick(name));
+
+  const runFor = (duration: Milliseconds): void => {
+    const end = time.now() + duration;
+    for (;;) {
+      const next = Math.min(time.nextInstant(), nextDeadline());
+      if (next > end) break;
+      time.advanceTo(next);
+      if (!time.runDue()) tickDue();
+    }
+    time.advanceTo(end);
+  };
+
+  options.deployment.daemons.forEach(({ name }) => start(name));
+
+  return {
+    now: time.now,
+    daemon: (name) => daemons.get(name)!,
+    runningNames: () => [...daemons.keys()],
+    events: () => events,
+    runFor,
+    wake: tick,
+    schedule: time.schedule,
+    stop: (name) => {
+      daemons.delete(name);
+      ports.delete(name);
+      frozen.delete(name);
+      waiting.delete(name);
+    },
+    start,
+    freeze: (name) => {
+      frozen.add(name);
+    },
+    thaw: (name) => {
+      frozen.delete(name);
+      const actions = waiting.get(name) ?? [];
+      waiting.delete(name);
+      actions.forEach((action) => action());
+      tick(name);
+    },
+    cut: (first, second) => {
+      cuts.add(pairOf(first, second));
+    },
+    heal: (first, second) => {
+      cuts.delete(pairOf(first, second));
+    },
+  };
+};
--- /dev/null
+++ b/standins/virtual/virtualTime.ts
@@ -0,0 +1,46 @@
+/**
+ * Virtual time: actions in the order of their instants, and among equals in the order of their scheduling.
+ */
+import { createHeap } from '../../src/base/common/heap.js';
+import { never, type Instant, type Milliseconds } from '../../src/base/common/time.js';
+
+/** A clock that stands still between actions. */
+export interface VirtualTime {
+  readonly now: () => Instant;
+  readonly schedule: (delay: Milliseconds, action: () => void) => void;
+  readonly nextInstant: () => Instant;
+  readonly advanceTo: (instant: Instant) => void;
+  /** Runs one action that is due now; returns whether there was one. */
+  readonly runDue: () => boolean;
+}
+
+/** Creates a clock at 0. */
+export const createVirtualTime = (): VirtualTime => {
+  const heap = createHeap<{ readonly order: number; readonly action: () => void }>();
+  let now: Instant = 0;
+  let sameInstant: { readonly order: number; readonly action: () => void }[] = [];
+  let order = 0;
+
+  const collectDue = (): void => {
+    while ((heap.peek()?.priority ?? never) <= now) sameInstant.push(heap.pop()!.value);
+    sameInstant = sameInstant.sort((first, second) => first.order - second.order);
+  };
+
+  return {
+    now: () => now,
+    schedule: (delay, action) => {
+      order += 1;
+      heap.push(now + delay, { order, action });
+    },
+    nextInstant: () => (sameInstant.length > 0 ? now : (heap.peek()?.priority ?? never)),
+    advanceTo: (instant) => {
+      now = Math.max(now, instant);
+    },
+    runDue: () => {
+      collectDue();
+      const next = sameInstant.shift();
+      next?.action();
+      return next !== undefined;
+    },
+  };
+};
