Let tests import the stand-ins

Cause: tests of ports stand beside their subject and need the stand-ins, which lint refused for all of src. Ruled out: moving such tests out of src. Before: refused; after: allowed in test folders only, and the layer order still holds there.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,14 +6,16 @@
 
 const aboveLayer = (layer) => layers.slice(layers.indexOf(layer) + 1);
 
-const layerPatterns = (layer) => [
-  ...aboveLayer(layer).map((above) => ({
+const layerPatterns = (layer) =>
+  aboveLayer(layer).map((above) => ({
     regex: `^(\\.\\./)+${above}/`,
     message: `Layer ${layer} may not import from layer ${above}; move the shared part down.`,
-  })),
+  }));
+
+const productPatterns = [
   {
-    regex: '/(standins|bench|scripts)/',
-    message: 'The product may not import its stand-ins, bench or scripts.',
+    regex: '/(standins|bench|scripts|proof)/',
+    message: 'The product may not import its stand-ins, bench, proof or scripts; its tests may.',
   },
 ];
 
@@ -28,8 +30,12 @@
 });
 
 const importsOnlyDownwards = layers.flatMap((layer) => [
-  restrictImports([`src/${layer}/**/*.ts`], layerPatterns(layer)),
-  restrictImports([`src/${layer}/**/common/**/*.ts`], [...layerPatterns(layer), ...purePatterns]),
+  restrictImports([`src/${layer}/**/*.ts`], [...layerPatterns(layer), ...productPatterns]),
+  restrictImports(
+    [`src/${layer}/**/common/**/*.ts`],
+    [...layerPatterns(layer), ...productPatterns, ...purePatterns],
+  ),
+  restrictImports([`src/${layer}/**/test/**/*.ts`], layerPatterns(layer)),
 ]);
 
 const houseStyle = [
