--- /dev/null
+++ b/src/daemon/main/test/node/border.test.ts
@@ -0,0 +1,196 @@
+/** The border of a daemon over real sockets: each bad input gets a typed error, and the daemon lives. */
+import test, { type ExecutionContext } from 'ava';
+import { request } from 'undici';
+import { startEngine, textBetween } from '../../../../../standins/index.js';
+import type { Daemon } from '../../node/daemon.js';
+import {
+  call,
+  errorOf,
+  openTestDaemon,
+  untilUpstreams,
+  type CallOptions,
+  type ReadResponse,
+} from './testDaemon.js';
+
+const chatPath = '/v1/chat/completions';
+const chat = (content: string): string =>
+  JSON.stringify({ model: 'model', messages: [{ role: 'user', content }], max_tokens: 4 });
+
+const assertLives = async (t: ExecutionContext, daemon: Daemon): Promise<void> => {
+  const advice = await call(daemon, '/v1/address', null, { method: 'GET' });
+  t.is(advice.status, 200);
+};
+
+interface BadInput {
+  readonly path?: string;
+  readonly body: string;
+  readonly options?: CallOptions;
+  readonly status: number;
+  readonly code: string;
+}
+
+const largeText = 'x'.repeat(3000);
+
+/** Each bad input with the status and code that it gets. */
+const badInputs: Readonly<Record<string, BadInput>> = {
+  'no key': { body: chat('a'), status: 401, code: 'missingKey' },
+  'an unknown key': {
+    body: chat('a'),
+    options: { key: 'wrong' },
+    status: 401,
+    code: 'unknownKey',
+  },
+  'an unknown model': {
+    body: JSON.stringify({ model: 'other', messages: [] }),
+    options: { key: 'key-one' },
+    status: 404,
+    code: 'unknownService',
+  },
+  'an unknown path': {
+    path: '/nothing',
+    body: '{}',
+    options: { key: 'key-one' },
+    status: 404,
+    code: 'unknownService',
+  },
+  'a service that the workspace may not use': {
+    path: '/depot/stock',
+    body: '{}',
+    options: { key: 'key-two' },
+    status: 403,
+    code: 'serviceNotAllowed',
+  },
+  'a body that is not JSON': {
+    body: '{"model":',
+    options: { key: 'key-one' },
+    status: 400,
+    code: 'bodyNotJson',
+  },
+  'a body without a model': {
+    body: '{"messages":[]}',
+    options: { key: 'key-one' },
+    status: 400,
+    code: 'bodyInvalid',
+  },
+  'a body over the limit': {
+    body: chat(largeText),
+    options: { key: 'key-one' },
+    status: 413,
+    code: 'bodyTooLarge',
+  },
+  'headers over the limit': {
+    body: chat('a'),
+    options: { key: 'key-one', headers: { 'x-large': largeText } },
+    status: 431,
+    code: 'headersTooLarge',
+  },
+  'an announcement with faults': {
+    path: '/upstream/v1/announcements',
+    body: '{"upstream":"u"}',
+    status: 400,
+    code: 'bodyInvalid',
+  },
+};
+
+Object.entries(badInputs).forEach(([name, input]) =>
+  test(`${name} is refused as ${input.code}`, async (t) => {
+    const daemon = await openTestDaemon({ maximumBodyBytes: 2000, maximumHeaderBytes: 2000 });
+    t.teardown(daemon.dispose);
+    const response = await call(daemon, input.path ?? chatPath, input.body, input.options);
+    t.is(response.status, input.status);
+    const error = errorOf(response);
+    t.is(error.code, input.code);
+    t.true(error.not_run);
+    t.regex(error.message, /\w/);
+    await assertLives(t, daemon);
+  }),
+);
+
+test('a body in chunks that goes over the limit is refused', async (t) => {
+  const daemon = await openTestDaemon({ maximumBodyBytes: 2000 });
+  t.teardown(daemon.dispose);
+  async function* chunks() {
+    yield Buffer.from(chat(largeText).slice(0, 1500));
+    yield Buffer.from(chat(largeText).slice(1500));
+  }
+  const response = await request(`http://${daemon.callerAddress}${chatPath}`, {
+    method: 'POST',
+    headers: { authorization: 'Bearer key-one', 'content-type': 'application/json' },
+    body: chunks() as never,
+  });
+  t.is(response.statusCode, 413);
+  t.regex(await response.body.text(), /bodyTooLarge/);
+  await assertLives(t, daemon);
+});
+
+test('an address that is in use is refused with the remedy', async (t) => {
+  const daemon = await openTestDaemon();
+  t.teardown(daemon.dispose);
+  const { listen } = await import('../../../../platform/sockets/node/listen.js');
+  const { createServer } = await import('node:net');
+  const outcome = await listen(createServer(), daemon.callerAddress);
+  t.is(outcome._unsafeUnwrapErr().kind, 'addressInUse');
+  t.regex(outcome._unsafeUnwrapErr().message, /change the settings/);
+});
+
+test('an upstream whose port is closed is told as not run', async (t) => {
+  const daemon = await openTestDaemon();
+  t.teardown(daemon.dispose);
+  const engine = await startEngine({ name: 'e1', service: 'model', models: ['model'] });
+  engine.announceTo([`http://${daemon.callerAddress}`]);
+  await untilUpstreams(daemon, 1);
+  await engine.dispose();
+  const response = await call(daemon, chatPath, chat('a'), { key: 'key-one' });
+  const error = errorOf(response);
+  t.is(response.status, 503);
+  t.true(error.not_run);
+  t.is(engine.counters().received, 0);
+  await assertLives(t, daemon);
+});
+
+test('a caller gets the whole answer, streamed or not, and the engine never sees the key', async (t) => {
+  const daemon = await openTestDaemon();
+  t.teardown(daemon.dispose);
+  const engine = await startEngine({ name: 'e1', service: 'model', models: ['model'] });
+  t.teardown(engine.dispose);
+  engine.announceTo([`http://${daemon.callerAddress}`]);
+  await untilUpstreams(daemon, 1);
+  const text = textBetween('user: hello', 0, 4);
+
+  const whole = await call(daemon, chatPath, chat('hello'), { key: 'key-one' });
+  t.is(whole.status, 200);
+  t.true(whole.text.includes(JSON.stringify(text).slice(1, -1)));
+
+  const body = JSON.stringify({ ...(JSON.parse(chat('hello')) as object), stream: true });
+  const streamed = await call(daemon, chatPath, body, { key: 'key-one' });
+  const events = streamed.text.split('\n\n').filter((event) => event.startsWith('data: {'));
+  const parts = events.map(
+    (event) =>
+      (JSON.parse(event.slice('data: '.length)) as { choices: [{ delta: { content?: string } }] })
+        .choices[0].delta.content ?? '',
+  );
+  t.is(parts.join(''), text);
+  t.true(streamed.text.trimEnd().endsWith('[DONE]'));
+
+  const seen = JSON.stringify(engine.requests());
+  t.is(engine.counters().received, 2);
+  t.false(seen.includes('key-one'));
+});
+
+test('usage is that of the engine, by workspace', async (t) => {
+  const daemon = await openTestDaemon();
+  t.teardown(daemon.dispose);
+  const engine = await startEngine({ name: 'e1', service: 'model', models: ['model'] });
+  t.teardown(engine.dispose);
+  engine.announceTo([`http://${daemon.callerAddress}`]);
+  await untilUpstreams(daemon, 1);
+  const answer: ReadResponse = await call(daemon, chatPath, chat('one two'), { key: 'key-one' });
+  const { usage } = JSON.parse(answer.text) as {
+    usage: { prompt_tokens: number; completion_tokens: number };
+  };
+  const rows = [...daemon.world.usage.rows()];
+  t.is(rows.length, 1);
+  t.is(rows[0]!.promptTokens, usage.prompt_tokens);
+  t.is(rows[0]!.completionTokens, usage.completion_tokens);
+  t.is(rows[0]!.requests, 1);
+});
--- /dev/null
+++ b/src/daemon/main/test/node/testDaemon.ts
@@ -0,0 +1,91 @@
+/**
+ * One daemon on ports of its own for tests over real sockets.
+ */
+import { request, type Dispatcher } from 'undici';
+import { createLog } from '../../../../platform/log/node/log.js';
+import type { Deployment, Limits } from '../../../../platform/settings/common/deployment.js';
+import {
+  createTestDeployment,
+  createTestTree,
+} from '../../../../../standins/virtual/testDeployment.js';
+import { openDaemon, type Daemon } from '../../node/daemon.js';
+
+const anyPort = '127.0.0.1:0';
+
+const createDeployment = (limits: Partial<Limits>): Deployment => {
+  const deployment = createTestDeployment(1, 0);
+  return {
+    ...deployment,
+    limits: { ...deployment.limits, ...limits },
+    timing: { ...deployment.timing, adviceMilliseconds: 1 },
+    daemons: deployment.daemons.map((daemon) => ({
+      ...daemon,
+      callerAddress: anyPort,
+      peerAddress: anyPort,
+    })),
+  };
+};
+
+/** Opens a daemon named `d1` with the tree of the tests. */
+export const openTestDaemon = async (limits: Partial<Limits> = {}): Promise<Daemon> => {
+  const options = {
+    deployment: createDeployment(limits),
+    tree: createTestTree(),
+    folder: '.',
+    name: 'd1',
+    log: createLog('d1', 'silent'),
+  };
+  const daemon = await openDaemon(options);
+  return daemon._unsafeUnwrap();
+};
+
+/** Resolves when the daemon has heard of so many upstreams. */
+export const untilUpstreams = async (daemon: Daemon, count: number): Promise<void> => {
+  while (daemon.world.upstreams.size() < count) {
+    await new Promise<void>((resolve) => {
+      setTimeout(resolve, 1);
+    });
+  }
+};
+
+/** A response that has been read. */
+export interface ReadResponse {
+  readonly status: number;
+  readonly text: string;
+  readonly headers: Dispatcher.ResponseData['headers'];
+}
+
+/** The members of an error body. */
+export interface ErrorBody {
+  readonly error: { readonly code: string; readonly message: string; readonly not_run: boolean };
+}
+
+export interface CallOptions {
+  readonly key?: string;
+  readonly method?: Dispatcher.HttpMethod;
+  readonly headers?: Record<string, string>;
+}
+
+/** Calls a path of the daemon. */
+export const call = async (
+  daemon: Daemon,
+  path: string,
+  body: string | null,
+  options: CallOptions = {},
+): Promise<ReadResponse> => {
+  const response = await request(`http://${daemon.callerAddress}${path}`, {
+    method: options.method ?? 'POST',
+    headers: {
+      'content-type': 'application/json',
+      ...(options.key === undefined ? {} : { authorization: `Bearer ${options.key}` }),
+      ...options.headers,
+    },
+    body,
+  });
+  const { statusCode: status, headers } = response;
+  return { status, headers, text: await response.body.text() };
+};
+
+/** The error body of a response. */
+export const errorOf = (response: ReadResponse): ErrorBody['error'] =>
+  (JSON.parse(response.text) as ErrorBody).error;
