Add benches of the tick and of the whole path

Cause: the cost of an entry and of idle rows must be measured, not guessed. Ruled out: engine, entry and caller in one process, where they share a core and the ratio says nothing.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,24 @@
+/**
+ * `npm run bench [-- NAME …]`: runs all benches, or those named, and prints their measurements.
+ */
+import { formatMeasurement, type Bench } from './measurement.js';
+import { runPathBench } from './path/pathBench.js';
+import { runTickBench } from './tick/tickBench.js';
+
+/** Every bench by its name. */
+const benches: Readonly<Record<string, Bench>> = {
+  tick: runTickBench,
+  path: runPathBench,
+};
+
+const chosen = process.argv.slice(2);
+const names = chosen.length === 0 ? Object.keys(benches) : chosen;
+const unknown = names.filter((name) => !Object.hasOwn(benches, name));
+if (unknown.length > 0) {
+  console.error(`no bench ${unknown.join(', ')}; use one of ${Object.keys(benches).join(', ')}`);
+  process.exit(2);
+}
+for (const name of names) {
+  const measurements = await benches[name]!();
+  measurements.forEach((measurement) => console.log(formatMeasurement(measurement)));
+}
--- /dev/null
+++ b/bench/path/pathBench.ts
@@ -0,0 +1,122 @@
+/**
+ * The whole path over real sockets: requests through one entry against the same requests sent directly to
+ * the same stand-in, in turns within one run. Entry, engine and caller are processes of their own.
+ */
+import { build, type Histogram } from 'hdr-histogram-js';
+import { Agent } from 'undici';
+import { chatCompletionsPath } from '../../src/service/protocol/common/engineProtocol.js';
+import { writeDemoDeployment } from '../../scripts/demo/deployment.js';
+import { createProcesses } from '../../scripts/demo/processes.js';
+import type { Measurement } from '../measurement.js';
+
+const concurrency = 32;
+const requestsPerTurn = 2_000;
+const turns = 5;
+const readyMilliseconds = 10_000;
+const microsecondsPerMillisecond = 1000;
+const callerKey = 'demo-key-bay-plans';
+const body = JSON.stringify({
+  model: 'planner-lm',
+  messages: [{ role: 'user', content: 'Which bay is free?' }],
+  max_tokens: 8,
+});
+
+interface Target {
+  readonly origin: string;
+  readonly histogram: Histogram;
+  readonly rates: number[];
+}
+
+const createTarget = (origin: string): Target => ({ origin, histogram: build(), rates: [] });
+
+const send = async (agent: Agent, origin: string): Promise<number> => {
+  const answer = await agent.request({
+    origin,
+    path: chatCompletionsPath,
+    method: 'POST',
+    headers: { authorization: `Bearer ${callerKey}`, 'content-type': 'application/json' },
+    body,
+  });
+  await answer.body.dump();
+  return answer.statusCode;
+};
+
+const sendMany = async (agent: Agent, target: Target, count: number): Promise<void> => {
+  let left = count;
+  const worker = async (): Promise<void> => {
+    while (left > 0) {
+      left -= 1;
+      const start = performance.now();
+      const status = await send(agent, target.origin);
+      if (status !== 200) throw new Error(`${target.origin} answered ${status}`);
+      const microseconds = (performance.now() - start) * microsecondsPerMillisecond;
+      target.histogram.recordValue(Math.round(microseconds));
+    }
+  };
+  await Promise.all(Array.from({ length: concurrency }, worker));
+};
+
+const runTurn = async (agent: Agent, target: Target): Promise<void> => {
+  const start = performance.now();
+  await sendMany(agent, target, requestsPerTurn);
+  target.rates.push((requestsPerTurn * 1000) / (performance.now() - start));
+};
+
+const untilServing = async (agent: Agent, origin: string): Promise<void> => {
+  const deadline = performance.now() + readyMilliseconds;
+  while (performance.now() < deadline) {
+    const status = await send(agent, origin).catch(() => 0);
+    if (status === 200) return;
+  }
+  throw new Error(`${origin} did not serve in time`);
+};
+
+const medianOf = (values: readonly number[]): number =>
+  [...values].sort((first, second) => first - second)[Math.floor(values.length / 2)]!;
+
+const percentileOf = (target: Target): number =>
+  target.histogram.getValueAtPercentile(99) / microsecondsPerMillisecond;
+
+const measure = async (agent: Agent, entry: Target, direct: Target): Promise<Measurement[]> => {
+  await sendMany(agent, createTarget(entry.origin), requestsPerTurn);
+  await sendMany(agent, createTarget(direct.origin), requestsPerTurn);
+  for (let turn = 0; turn < turns; turn += 1) {
+    await runTurn(agent, direct);
+    await runTurn(agent, entry);
+  }
+  const entryRate = medianOf(entry.rates);
+  const directRate = medianOf(direct.rates);
+  return [
+    { name: 'entry_throughput', value: entryRate, unit: 'requests/s' },
+    { name: 'direct_throughput', value: directRate, unit: 'requests/s' },
+    { name: 'entry_throughput_ratio', value: entryRate / directRate, unit: 'ratio' },
+    { name: 'entry_latency_p99', value: percentileOf(entry), unit: 'ms' },
+    { name: 'direct_latency_p99', value: percentileOf(direct), unit: 'ms' },
+    {
+      name: 'entry_added_latency_p99',
+      value: percentileOf(entry) - percentileOf(direct),
+      unit: 'ms',
+    },
+  ];
+};
+
+/** Measures one entry against the engine behind it. */
+export const runPathBench = async (): Promise<readonly Measurement[]> => {
+  const processes = createProcesses();
+  const agent = new Agent({ connections: concurrency });
+  try {
+    const deployment = await writeDemoDeployment();
+    const entry = `http://${deployment.callerAddresses[0]!}`;
+    processes.startDaemon(deployment.file, deployment.names[0]!);
+    const engine = await processes.startChild<string>(
+      'engine',
+      new URL('./engineProcess.js', import.meta.url),
+      [entry],
+    );
+    await untilServing(agent, entry);
+    return await measure(agent, createTarget(entry), createTarget(engine));
+  } finally {
+    await agent.destroy();
+    await processes.endAll();
+  }
+};
--- a/scripts/demo/main.ts
+++ b/scripts/demo/main.ts
@@ -12,7 +12,7 @@
 } from '../../src/service/protocol/common/engineProtocol.js';
 import { startTrainer } from '../../standins/index.js';
 import { writeDemoDeployment, type DemoDeployment } from './deployment.js';
-import { createProcesses, type Processes, type StandInAddresses } from './processes.js';
+import { createProcesses, type Processes } from './processes.js';
 
 const readyMilliseconds = 10_000;
 const pollMilliseconds = 50;
@@ -21,6 +21,12 @@
 const callerKey = 'demo-key-bay-plans';
 const trainerKey = 'demo-key-stacking-planner';
 
+/** Where the stand-ins listen. */
+interface StandInAddresses {
+  readonly engines: readonly string[];
+  readonly plain: string;
+}
+
 const say = (text: string): void => console.log(text);
 
 const delay = (milliseconds: number): Promise<void> =>
@@ -135,7 +141,11 @@
     `${demo.names.length} daemons found each other; advice: ${advice.addresses[0]!.daemon} first`,
   );
   const entries = demo.callerAddresses.slice(0, 2).map((address) => `http://${address}`);
-  const addresses = await processes.startStandIns(entries);
+  const addresses = await processes.startChild<StandInAddresses>(
+    'stand-ins',
+    new URL('./standInsProcess.js', import.meta.url),
+    entries,
+  );
   const entry = advice.addresses[0]!.address;
   say(`prompt: ${(await sendPrompt(entry)).trim()}`);
   await deliverLot(entry, addresses);
--- a/scripts/demo/processes.ts
+++ b/scripts/demo/processes.ts
@@ -6,26 +6,23 @@
 import { fileURLToPath } from 'node:url';
 
 const programFile = fileURLToPath(new URL('../../src/command/main/node/main.js', import.meta.url));
-const standInsFile = fileURLToPath(new URL('./standInsProcess.js', import.meta.url));
 const endMilliseconds = 8_000;
 
 /** The processes that run. */
 export interface Processes {
   readonly startDaemon: (deploymentFile: string, name: string) => void;
-  /** Starts the stand-ins; resolves with what they say once they are announced. */
-  readonly startStandIns: (entries: readonly string[]) => Promise<StandInAddresses>;
+  /** Starts another process; resolves with the first message that it sends. */
+  readonly startChild: <Message>(
+    name: string,
+    file: URL,
+    parameters: readonly string[],
+  ) => Promise<Message>;
   /** Asks all to stop gracefully, and kills what has not stopped in time. */
   readonly endAll: () => Promise<void>;
   /** Names of processes that have ended without being asked. */
   readonly lost: () => readonly string[];
 }
 
-/** Where the stand-ins listen. */
-export interface StandInAddresses {
-  readonly engines: readonly string[];
-  readonly plain: string;
-}
-
 const hasEnded = (child: ChildProcess): boolean =>
   child.exitCode !== null || child.signalCode !== null;
 
@@ -54,10 +51,10 @@
     startDaemon: (deploymentFile, name) => {
       start(name, programFile, ['run', deploymentFile, name, '--log-level', 'warn']);
     },
-    startStandIns: async (entries) => {
-      const child = start('stand-ins', standInsFile, entries);
-      const [addresses] = (await once(child, 'message')) as [StandInAddresses];
-      return addresses;
+    startChild: async <Message>(name: string, file: URL, parameters: readonly string[]) => {
+      const child = start(name, fileURLToPath(file), parameters);
+      const [message] = (await once(child, 'message')) as [Message];
+      return message;
     },
     endAll: async () => {
       await Promise.all([...children.values()].map(end));
