Measure the latency that an entry adds at the rate it is designed for

Cause: the first figure was taken at saturation, where it shows the queue of the engine and not the entry. Ruled out: one request at a time, which no entry sees.

--- a/bench/path/pathBench.ts
+++ b/bench/path/pathBench.ts
@@ -4,6 +4,7 @@
  */
 import { build, type Histogram } from 'hdr-histogram-js';
 import { Agent } from 'undici';
+import { delay } from '../../src/base/node/delay.js';
 import { chatCompletionsPath } from '../../src/service/protocol/common/engineProtocol.js';
 import { writeDemoDeployment } from '../../scripts/demo/deployment.js';
 import { createProcesses } from '../../scripts/demo/processes.js';
@@ -12,6 +13,9 @@
 const concurrency = 32;
 const requestsPerTurn = 2_000;
 const turns = 5;
+/** The requests a second of one entry at the size to design for: 51,000 over 900 daemons. */
+const designRate = 57;
+const pacedRequests = 400;
 const readyMilliseconds = 10_000;
 const microsecondsPerMillisecond = 1000;
 const callerKey = 'demo-key-bay-plans';
@@ -41,21 +45,35 @@
   return answer.statusCode;
 };
 
+const recordOne = async (agent: Agent, target: Target): Promise<void> => {
+  const start = performance.now();
+  const status = await send(agent, target.origin);
+  if (status !== 200) throw new Error(`${target.origin} answered ${status}`);
+  const microseconds = (performance.now() - start) * microsecondsPerMillisecond;
+  target.histogram.recordValue(Math.round(microseconds));
+};
+
 const sendMany = async (agent: Agent, target: Target, count: number): Promise<void> => {
   let left = count;
   const worker = async (): Promise<void> => {
     while (left > 0) {
       left -= 1;
-      const start = performance.now();
-      const status = await send(agent, target.origin);
-      if (status !== 200) throw new Error(`${target.origin} answered ${status}`);
-      const microseconds = (performance.now() - start) * microsecondsPerMillisecond;
-      target.histogram.recordValue(Math.round(microseconds));
+      await recordOne(agent, target);
     }
   };
   await Promise.all(Array.from({ length: concurrency }, worker));
 };
 
+/** Sends at the rate of one entry at the size to design for, whatever the answers take. */
+const sendPaced = async (agent: Agent, target: Target): Promise<void> => {
+  const answers: Promise<void>[] = [];
+  for (let count = 0; count < pacedRequests; count += 1) {
+    answers.push(recordOne(agent, target));
+    await delay(1000 / designRate);
+  }
+  await Promise.all(answers);
+};
+
 const runTurn = async (agent: Agent, target: Target): Promise<void> => {
   const start = performance.now();
   await sendMany(agent, target, requestsPerTurn);
@@ -84,17 +102,20 @@
     await runTurn(agent, direct);
     await runTurn(agent, entry);
   }
+  const pacedEntry = createTarget(entry.origin);
+  const pacedDirect = createTarget(direct.origin);
+  await Promise.all([sendPaced(agent, pacedDirect), sendPaced(agent, pacedEntry)]);
   const entryRate = medianOf(entry.rates);
   const directRate = medianOf(direct.rates);
   return [
     { name: 'entry_throughput', value: entryRate, unit: 'requests/s' },
     { name: 'direct_throughput', value: directRate, unit: 'requests/s' },
     { name: 'entry_throughput_ratio', value: entryRate / directRate, unit: 'ratio' },
-    { name: 'entry_latency_p99', value: percentileOf(entry), unit: 'ms' },
-    { name: 'direct_latency_p99', value: percentileOf(direct), unit: 'ms' },
+    { name: 'entry_saturated_latency_p99', value: percentileOf(entry), unit: 'ms' },
+    { name: 'direct_saturated_latency_p99', value: percentileOf(direct), unit: 'ms' },
     {
       name: 'entry_added_latency_p99',
-      value: percentileOf(entry) - percentileOf(direct),
+      value: percentileOf(pacedEntry) - percentileOf(pacedDirect),
       unit: 'ms',
     },
   ];
--- a/scripts/demo/main.ts
+++ b/scripts/demo/main.ts
@@ -3,6 +3,7 @@
  * rollouts through a change of weights, and the end of the merged time line.
  */
 import { request } from 'undici';
+import { delay } from '../../src/base/node/delay.js';
 import { readMergedTimeline } from '../../src/command/timeline/node/timelineCommand.js';
 import { formatEvent } from '../../src/platform/timeline/common/timelineEvent.js';
 import type { Advice } from '../../src/service/advice/common/advice.js';
@@ -29,11 +30,6 @@
 
 const say = (text: string): void => console.log(text);
 
-const delay = (milliseconds: number): Promise<void> =>
-  new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-
 const askAdvice = async (address: string): Promise<Advice | undefined> => {
   try {
     const answer = await request(`http://${address}/v1/address?zone=gp-north`);
