Add fake upstreams, callers and trainers on virtual time

Cause: cores on virtual time had no one to talk to, so decisions about attempts, samples and failures could only be tested over real sockets.

Upstreams run attempts chunk by chunk and keep an execution for each: the truth with which checks can compare what the product said. Faults are a tagged union with a lookup table: crash, restart, silence of open or of all connections, lateness, refusal, draining, reclaim, a swap of weights and a poisonous request. Callers keep the outcome of every call, trainers every sample they were given.

Ruled out: facts driven from the clock of the daemon only. An upstream goes on when a daemon is frozen, and cancels what runs when that start of the daemon is gone, so its steps run on the time of the installation and only its facts wait for the daemon.

The row of an arrived request is exported from the front, so that it is built in one place.

--- a/src/daemon/front/node/submission.ts
+++ b/src/daemon/front/node/submission.ts
@@ -28,7 +28,8 @@
   readonly depart: (request: RequestId) => void;
 }
 
-const arrivedRow = (decoded: DecodedRequest, id: RequestId, now: number): RequestRow => ({
+/** The row of a request that a port has decoded and no system has seen. */
+export const arrivedRow = (decoded: DecodedRequest, id: RequestId, now: number): RequestRow => ({
   ...decoded,
   id,
   sample: null,
--- /dev/null
+++ b/standins/virtual/links.ts
@@ -0,0 +1,40 @@
+/**
+ * One-way latencies between the places of a deployment, for virtual time.
+ */
+import type { Milliseconds } from '../../src/base/common/time.js';
+import type { Deployment } from '../../src/platform/settings/common/deployment.js';
+
+/** One-way latencies by distance. */
+export interface LinkLatencies {
+  readonly withinZone: Milliseconds;
+  readonly betweenZones: Milliseconds;
+  readonly betweenRegions: Milliseconds;
+  readonly toClients: Milliseconds;
+}
+
+/** The latencies of one deployment. */
+export interface Links {
+  /** Between two daemons, by name. */
+  readonly betweenDaemons: (from: string, to: string) => Milliseconds;
+  /** Between a daemon and an upstream in an availability zone. */
+  readonly toZone: (daemon: string, zone: string) => Milliseconds;
+  readonly toClients: Milliseconds;
+}
+
+/** Creates the links of a deployment; a zone without a daemon counts as of another region. */
+export const createLinks = (deployment: Deployment, latencies: LinkLatencies): Links => {
+  const regions = new Map(deployment.daemons.map(({ zone, region }) => [zone, region]));
+  const zones = new Map(deployment.daemons.map(({ name, zone }) => [name, zone]));
+
+  const betweenZones = (first: string, second: string): Milliseconds => {
+    if (first === second) return latencies.withinZone;
+    const isSameRegion = regions.get(first) === regions.get(second);
+    return isSameRegion ? latencies.betweenZones : latencies.betweenRegions;
+  };
+
+  return {
+    betweenDaemons: (from, to) => betweenZones(zones.get(from)!, zones.get(to)!),
+    toZone: (daemon, zone) => betweenZones(zones.get(daemon)!, zone),
+    toClients: latencies.toClients,
+  };
+};
--- /dev/null
+++ b/standins/virtual/test/virtualUpstreams.test.ts
@@ -0,0 +1,146 @@
+/** Fake upstreams, callers and trainers drive real cores on virtual time. */
+import test from 'ava';
+import { asBrand } from '../../../src/base/common/brand.js';
+import {
+  UpstreamKind,
+  UpstreamState,
+} from '../../../src/service/protocol/common/upstreamProtocol.js';
+import { createLinks } from '../links.js';
+import { createTestDeployment, createTestTree, digestOf } from '../testDeployment.js';
+import { createVirtualCallers } from '../virtualCallers.js';
+import { createVirtualInstallation } from '../virtualInstallation.js';
+import { createVirtualTrainers } from '../virtualTrainers.js';
+import { ExecutionState, UpstreamFaultKind } from '../virtualUpstream.js';
+import { createVirtualUpstreams } from '../virtualUpstreams.js';
+
+const engine = (name: string, weightVersion: number | null = 1) => ({
+  name,
+  kind: UpstreamKind.Engine,
+  service: 'model',
+  zone: 'z1',
+  slots: 4,
+  tokensPerSecond: 100,
+  answerTokens: 50,
+  weightVersion,
+  reclaimable: false,
+});
+
+const create = (engines = [engine('e1'), engine('e2')]) => {
+  const deployment = createTestDeployment(3, 3);
+  const links = createLinks(deployment, {
+    withinZone: 0.1,
+    betweenZones: 1,
+    betweenRegions: 12,
+    toClients: 3,
+  });
+  const upstreams = createVirtualUpstreams(engines, links);
+  const callers = createVirtualCallers(links.toClients);
+  const trainers = createVirtualTrainers(links.toClients);
+  const installation = createVirtualInstallation({
+    deployment,
+    tree: createTestTree(),
+    seed: 1,
+    latency: links.betweenDaemons,
+    ports: [upstreams.port, callers.port, trainers.port],
+  });
+  upstreams.attach(installation);
+  installation.runFor(2_000);
+  return { installation, upstreams, callers, trainers };
+};
+
+const request = {
+  keyDigest: digestOf('key-one'),
+  service: asBrand<never>('model'),
+  estimatedTokens: 50,
+};
+
+test('a request is answered with the tokens that the engine made', (t) => {
+  const { installation, upstreams, callers } = create();
+  const call = callers.send('d1', request);
+  installation.runFor(2_000);
+  t.is(call.outcome, 'answered');
+  const [execution] = upstreams.executions();
+  t.is(execution?.state, ExecutionState.Ended);
+  t.deepEqual(execution?.spans, [{ weightVersion: 1, incarnation: 1, tokens: 50 }]);
+});
+
+test('an engine that swaps its weights names both versions', (t) => {
+  const { installation, upstreams, callers } = create([engine('e1')]);
+  callers.send('d1', request);
+  installation.runFor(300);
+  upstreams.inject('e1', { kind: UpstreamFaultKind.SwapWeights, weightVersion: 2 });
+  installation.runFor(2_000);
+  t.deepEqual(
+    upstreams.executions()[0]?.spans.map((span) => span.weightVersion),
+    [1, 2],
+  );
+});
+
+test('a crash breaks what runs, and the caller is told that it may have run', (t) => {
+  const { installation, upstreams, callers } = create();
+  const call = callers.send('d1', request);
+  installation.runFor(300);
+  const [first] = upstreams.executions();
+  upstreams.inject(first!.upstream, { kind: UpstreamFaultKind.Crash });
+  installation.runFor(3_000);
+  t.is(first?.state, ExecutionState.Crashed);
+  t.is(call.outcome, 'failed');
+  t.false(call.refusal?.notRun);
+});
+
+test('an engine that refuses runs nothing', (t) => {
+  const { installation, upstreams, callers } = create([engine('e1')]);
+  upstreams.inject('e1', { kind: UpstreamFaultKind.Refuse });
+  const call = callers.send('d1', request);
+  installation.runFor(30_000);
+  t.is(call.outcome, 'refused');
+  t.true(call.refusal?.notRun);
+  t.is(upstreams.executions().length, 0);
+});
+
+test('a silent engine makes the progress deadline pass', (t) => {
+  const { installation, upstreams, callers } = create([engine('e1')]);
+  upstreams.inject('e1', { kind: UpstreamFaultKind.Silence });
+  const call = callers.send('d1', request);
+  installation.runFor(130_000);
+  t.is(call.outcome, 'failed');
+  t.false(call.refusal?.notRun);
+});
+
+test('a reclaimed engine announces its leaving and is gone after the notice', (t) => {
+  const { installation, upstreams } = create();
+  upstreams.inject('e1', { kind: UpstreamFaultKind.Reclaim, notice: 2_500 });
+  installation.runFor(2_000);
+  const id = asBrand<never>('e1');
+  t.is(installation.daemon('d1').core.world.upstreams.get(id)?.state, UpstreamState.Leaving);
+  installation.runFor(3_000);
+  t.is(installation.daemon('d1').core.world.upstreams.get(id), undefined);
+});
+
+test('a trainer is given every sample of its lot', (t) => {
+  const { installation, trainers } = create();
+  const trainer = trainers.open('d2', {
+    workspace: asBrand('one'),
+    service: asBrand('model'),
+    model: 'model',
+    step: 1,
+    trainerVersion: 1,
+    stalenessBound: 1,
+    groupCount: 3,
+    groupSize: 4,
+    maximumTokens: 50,
+    remaining: 60_000,
+  });
+  installation.runFor(20_000);
+  t.not(trainer.finishedAt, null);
+  t.is(new Set(trainers.deliveries().map(({ sample }) => sample)).size, 12);
+});
+
+test('callers of a daemon that ends lose their connection', (t) => {
+  const { installation, callers } = create();
+  const call = callers.send('d1', request);
+  installation.runFor(100);
+  installation.stop('d1');
+  callers.lose('d1', installation.now());
+  t.is(call.outcome, 'connectionLost');
+});
--- /dev/null
+++ b/standins/virtual/virtualCallers.ts
@@ -0,0 +1,111 @@
+/**
+ * Fake callers on virtual time: they put request rows into the tables of a daemon, and keep what became
+ * of each call.
+ */
+import type { Instant, Milliseconds } from '../../src/base/common/time.js';
+import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { arrivedRow, type DecodedRequest } from '../../src/daemon/front/node/submission.js';
+import { hasEnded } from '../../src/service/traffic/common/endRequest.js';
+import type { Refusal } from '../../src/service/traffic/common/refusal.js';
+import { RequestState, type RequestRow } from '../../src/service/traffic/common/trafficTables.js';
+import type { RequestId } from '../../src/service/world/common/identifiers.js';
+import type { VirtualContext, VirtualPort } from './virtualInstallation.js';
+
+/** One call and what the caller knows of it. */
+export interface Call {
+  readonly number: number;
+  readonly daemon: string;
+  readonly decoded: DecodedRequest;
+  readonly sentAt: Instant;
+  request: RequestId | null;
+  /** The final state of the request, or `connectionLost` where its daemon ended first. */
+  outcome: RequestState | 'connectionLost' | null;
+  refusal: Refusal | null;
+  endedAt: Instant | null;
+}
+
+/** The fake callers of one installation. */
+export interface VirtualCallers {
+  /** Creates the caller port of one start of a daemon. */
+  readonly port: (context: VirtualContext) => VirtualPort;
+  /** Sends a request to a daemon; a daemon that does not run refuses the connection. */
+  readonly send: (daemon: string, decoded: DecodedRequest) => Call;
+  /** Closes the connection of a call. */
+  readonly depart: (call: Call) => void;
+  /** Tells the callers of a daemon that it has ended. */
+  readonly lose: (daemon: string, at: Instant) => void;
+  readonly calls: () => readonly Call[];
+}
+
+/** Creates callers that are `latency` away from every daemon. */
+export const createVirtualCallers = (latency: Milliseconds): VirtualCallers => {
+  const contexts = new Map<string, VirtualContext>();
+  const calls: Call[] = [];
+  const open = new Map<RequestId, Call>();
+
+  const end = (call: Call, columns: Partial<Call>): void => {
+    if (call.outcome !== null) return;
+    Object.assign(call, columns);
+    if (call.request !== null) open.delete(call.request);
+  };
+
+  const arrive = (context: VirtualContext, call: Call): void => {
+    const { world } = context.daemon.core;
+    const request = world.identifiers.next<RequestId>('request');
+    Object.assign(call, { request });
+    open.set(request, call);
+    world.requests.put(arrivedRow(call.decoded, request, context.now()));
+  };
+
+  const takeEnd = (context: VirtualContext, row: RequestRow): void => {
+    const call = open.get(row.id);
+    if (call === undefined || !hasEnded(row)) return;
+    end(call, { outcome: row.state, refusal: row.refusal, endedAt: context.now() + latency });
+  };
+
+  return {
+    port: (context) => {
+      contexts.set(context.daemon.name, context);
+      const { world } = context.daemon.core;
+      const changes = world.requests.readChanges(RowReader.Port);
+      return {
+        drain: () =>
+          changes.take().forEach((id) => {
+            const row = world.requests.get(id);
+            if (row !== undefined) takeEnd(context, row);
+          }),
+      };
+    },
+    send: (daemon, decoded) => {
+      const context = contexts.get(daemon);
+      const sentAt = context?.now() ?? 0;
+      const call: Call = {
+        number: calls.length,
+        daemon,
+        decoded,
+        sentAt,
+        request: null,
+        outcome: null,
+        refusal: null,
+        endedAt: null,
+      };
+      calls.push(call);
+      if (context === undefined) end(call, { outcome: 'connectionLost', endedAt: sentAt });
+      context?.schedule(latency, () => arrive(context, call));
+      return call;
+    },
+    depart: (call) => {
+      const context = contexts.get(call.daemon);
+      context?.schedule(latency, () => {
+        if (call.request !== null) context.daemon.core.world.departures.append(call.request);
+      });
+    },
+    lose: (daemon, at) => {
+      contexts.delete(daemon);
+      calls
+        .filter((call) => call.daemon === daemon)
+        .forEach((call) => end(call, { outcome: 'connectionLost', endedAt: at }));
+    },
+    calls: () => calls,
+  };
+};
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -53,6 +53,8 @@
   readonly now: () => Instant;
   readonly daemon: (name: string) => VirtualDaemon;
   readonly runningNames: () => readonly string[];
+  /** Whether this start of a daemon still runs. */
+  readonly isCurrent: (daemon: VirtualDaemon) => boolean;
   /** All events of all daemons so far, in order. */
   readonly events: () => readonly VirtualEvent[];
   readonly runFor: (duration: Milliseconds) => void;
@@ -185,6 +187,7 @@
     now: time.now,
     daemon: (name) => daemons.get(name)!,
     runningNames: () => [...daemons.keys()],
+    isCurrent: (daemon) => daemons.get(daemon.name) === daemon,
     events: () => events,
     runFor,
     wake: tick,
--- /dev/null
+++ b/standins/virtual/virtualUpstreams.ts
@@ -0,0 +1,169 @@
+/**
+ * Fake upstreams on virtual time. A port of each daemon hands them attempts in the state `writing`, and
+ * they report facts with the latency of the link. They announce themselves to two daemons in turn.
+ */
+import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
+import { never, type Instant } from '../../src/base/common/time.js';
+import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { UpstreamState } from '../../src/service/protocol/common/upstreamProtocol.js';
+import type { AttemptRow, AttemptState } from '../../src/service/traffic/common/trafficTables.js';
+import type { AttemptId } from '../../src/service/world/common/identifiers.js';
+import type { Links } from './links.js';
+import { createVirtualAnnouncer, type VirtualAnnouncer } from './virtualAnnouncer.js';
+import {
+  createVirtualExecutions,
+  type IsPoisonous,
+  type UpstreamTime,
+} from './virtualExecutions.js';
+import type { VirtualContext, VirtualInstallation, VirtualPort } from './virtualInstallation.js';
+import type {
+  Execution,
+  UpstreamFault,
+  VirtualUpstream,
+  VirtualUpstreamSettings,
+} from './virtualUpstream.js';
+
+/** The fake upstreams of one installation. */
+export interface VirtualUpstreams {
+  /** Creates the upstream port of one start of a daemon. */
+  readonly port: (context: VirtualContext) => VirtualPort;
+  /** Begins to announce to the daemons; called once, after the installation was created. */
+  readonly attach: (installation: VirtualInstallation) => void;
+  readonly inject: (name: string, fault: UpstreamFault) => void;
+  /** A request that crashes every upstream which runs it. */
+  readonly poison: (isPoisonous: IsPoisonous) => void;
+  /** All attempts that upstreams have begun to run, in order. */
+  readonly executions: () => readonly Execution[];
+  readonly names: () => readonly string[];
+  readonly get: (name: string) => VirtualUpstream;
+}
+
+const createUpstream = (settings: VirtualUpstreamSettings): VirtualUpstream => ({
+  settings,
+  incarnation: 1,
+  weightVersion: settings.weightVersion,
+  state: UpstreamState.Serving,
+  stateSince: 0,
+  goneDeadline: never,
+  isDown: false,
+  isSilent: false,
+  isRefusing: false,
+  delay: 0,
+});
+
+const changeState = (upstream: VirtualUpstream, state: UpstreamState, now: Instant): void => {
+  Object.assign(upstream, { state, stateSince: now });
+};
+
+/** Creates the upstreams; nothing happens before `attach`. */
+export const createVirtualUpstreams = (
+  settings: readonly VirtualUpstreamSettings[],
+  links: Links,
+): VirtualUpstreams => {
+  const upstreams = new Map(settings.map((each) => [each.name, createUpstream(each)]));
+  const contexts = new Map<string, VirtualContext>();
+  let installation: VirtualInstallation | undefined;
+  let announcer: VirtualAnnouncer | undefined;
+
+  const now = (): Instant => installation!.now();
+  const schedule: UpstreamTime['schedule'] = (delay, action) =>
+    installation!.schedule(delay, action);
+  const executions = createVirtualExecutions(links, { now, schedule }, (context) =>
+    installation!.isCurrent(context.daemon),
+  );
+
+  const faultHandlers: HandlerTable<UpstreamFault, void, [VirtualUpstream]> = {
+    crash: (_, upstream) => executions.crash(upstream),
+    restart: (_, upstream) => {
+      Object.assign(upstream, {
+        isDown: false,
+        incarnation: upstream.incarnation + 1,
+        goneDeadline: never,
+      });
+      changeState(upstream, UpstreamState.Serving, now());
+    },
+    silenceOpen: (_, upstream) =>
+      executions
+        .runningOf(upstream.settings.name)
+        .forEach(({ execution }) => Object.assign(execution, { isSilent: true })),
+    silence: (_, upstream) => {
+      Object.assign(upstream, { isSilent: true });
+      faultHandlers.silenceOpen({ kind: 'silenceOpen' }, upstream);
+    },
+    late: ({ delay }, upstream) => {
+      Object.assign(upstream, { delay });
+    },
+    refuse: (_, upstream) => {
+      Object.assign(upstream, { isRefusing: true });
+    },
+    drain: (_, upstream) => changeState(upstream, UpstreamState.Draining, now()),
+    reclaim: ({ notice }, upstream) => {
+      Object.assign(upstream, { goneDeadline: now() + notice });
+      changeState(upstream, UpstreamState.Leaving, now());
+      schedule(notice, () => executions.crash(upstream));
+    },
+    swapWeights: ({ weightVersion }, upstream) => {
+      Object.assign(upstream, { weightVersion });
+    },
+    recover: (_, upstream) => {
+      Object.assign(upstream, { isSilent: false, isRefusing: false, delay: 0 });
+      changeState(upstream, UpstreamState.Serving, now());
+    },
+  };
+
+  const port = (context: VirtualContext): VirtualPort => {
+    const { world } = context.daemon.core;
+    const changes = world.attempts.readChanges(RowReader.Port);
+    const sent = new Set<AttemptId>();
+    contexts.set(context.daemon.name, context);
+
+    const send = (attempt: AttemptRow): void => {
+      if (sent.has(attempt.id)) return;
+      sent.add(attempt.id);
+      const upstream = upstreams.get(attempt.upstream)!;
+      const latency = links.toZone(context.daemon.name, upstream.settings.zone);
+      schedule(latency, () => executions.arrive(context, upstream, attempt));
+    };
+
+    /** What the port does when it sees an attempt in a state. */
+    const handlers: Readonly<Record<AttemptState, (attempt: AttemptRow) => void>> = {
+      queued: () => {},
+      writing: send,
+      answering: () => {},
+      ended: ({ id, upstream }) => {
+        const latency = links.toZone(context.daemon.name, upstreams.get(upstream)!.settings.zone);
+        schedule(latency, () => executions.cancel(id));
+      },
+    };
+
+    return {
+      drain: () =>
+        changes.take().forEach((id) => {
+          const attempt = world.attempts.get(id);
+          if (attempt !== undefined) handlers[attempt.state](attempt);
+        }),
+    };
+  };
+
+  return {
+    port,
+    attach: (created) => {
+      installation = created;
+      announcer = createVirtualAnnouncer(created, {
+        links,
+        contextOf: (daemon) => contexts.get(daemon),
+        runningCount: (upstream) => executions.runningOf(upstream).length,
+      });
+      upstreams.forEach(announcer.announceForever);
+    },
+    inject: (name, fault) => {
+      const upstream = upstreams.get(name)!;
+      dispatchByKind(faultHandlers, fault, upstream);
+      announcer!.announce(upstream);
+    },
+    poison: executions.setPoison,
+    executions: executions.all,
+    names: () => [...upstreams.keys()],
+    get: (name) => upstreams.get(name)!,
+  };
+};
