--- /dev/null
+++ b/bench/capacity/rows.ts
@@ -0,0 +1,92 @@
+/**
+ * Cores filled with rows of one kind, for slopes of memory and processor time.
+ */
+import { asBrand } from '../../src/base/common/brand.js';
+import { createRandom } from '../../src/base/common/random.js';
+import { never } from '../../src/base/common/time.js';
+import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
+import type { Tree } from '../../src/service/configuration/common/tree.js';
+import { createCore, type Core } from '../../src/service/core/common/core.js';
+import type { Announcement } from '../../src/service/protocol/common/upstreamProtocol.js';
+import { RequestState } from '../../src/service/traffic/common/trafficTables.js';
+import type { RequestId, ServiceName } from '../../src/service/world/common/identifiers.js';
+import {
+  createTestDeployment,
+  createTestTree,
+  digestOf,
+} from '../../standins/virtual/testDeployment.js';
+
+const longMilliseconds = 1e9;
+const seed = 11;
+const keyDigest = digestOf('key-one');
+
+/** A core among `daemons` daemons, all of them entries. */
+export const createBenchCore = (daemons: number, tree: Tree = createTestTree()): Core => {
+  const deployment = createTestDeployment(daemons, 0);
+  return createCore(
+    {
+      deployment,
+      self: deployment.daemons[0]!,
+      tree,
+      incarnation: 1,
+      random: createRandom(seed),
+      metrics: silentMetrics,
+    },
+    0,
+  );
+};
+
+/** An announcement of a serving engine. */
+export const announcementOf = (index: number): Announcement => ({
+  upstream: `upstream-${index}`,
+  kind: 'engine',
+  service: 'model',
+  address: `http://127.0.0.1:${10_000 + index}`,
+  zone: `z${(index % 3) + 1}`,
+  incarnation: 1,
+  state: 'serving',
+  models: ['model'],
+  adapters: [],
+  weightVersion: 1,
+  reclaimable: false,
+  checksFencing: true,
+  resumesStreams: false,
+  slots: 8,
+  running: 0,
+  remaining: longMilliseconds,
+});
+
+/** Announces upstreams as another daemon would relay them. */
+export const addUpstreams = ({ world, ticker }: Core, count: number): void => {
+  for (let index = 0; index < count; index += 1) {
+    world.arrivedAnnouncements.append({ isDirect: false, announcement: announcementOf(index) });
+  }
+  ticker.tick(0);
+};
+
+/** Puts requests of a caller as a port would. */
+export const addRequests = ({ world, ticker }: Core, count: number, now: number): void => {
+  for (let index = 0; index < count; index += 1) {
+    world.requests.put({
+      id: world.identifiers.next<RequestId>('request'),
+      keyDigest,
+      service: asBrand<ServiceName>('model'),
+      estimatedTokens: 64,
+      sample: null,
+      madeFor: null,
+      state: RequestState.Arrived,
+      workspace: null,
+      policy: null,
+      arrivedAt: now,
+      queueDeadline: never,
+      requestDeadline: never,
+      retentionDeadline: never,
+      attemptCount: 0,
+      mayHaveRun: false,
+      answerStarted: false,
+      refusal: null,
+    });
+  }
+  ticker.tick(now);
+  world.events.takeAll();
+};
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
  * `npm run bench [-- NAME …]`: runs all benches, or those named, and prints their measurements.
  */
 import { formatMeasurement, type Bench } from './measurement.js';
+import { runCapacityBench } from './capacity/capacityBench.js';
 import { runPathBench } from './path/pathBench.js';
 import { runTickBench } from './tick/tickBench.js';
 
@@ -9,6 +10,7 @@
 const benches: Readonly<Record<string, Bench>> = {
   tick: runTickBench,
   path: runPathBench,
+  capacity: runCapacityBench,
 };
 
 const chosen = process.argv.slice(2);
