Agree on the settings tree: edits by revision, remembered answers, bounded history

Cause: settings came from each daemon's own file, so that two daemons could hold different trees and no operator could change one under traffic.

Edits are commands of the log (treeSet, keyIssue, keyWithdraw, keyRotate), applied in log order. An edit is accepted only where its revision is the one in force and the whole resulting tree passes checkTree; a rejection is typed and lists every fault. Answers are remembered by request identifier (4,096 of them) with a digest of the content, history is kept for 512 revisions. The first leader puts the tree of its file into the log as revision 1.

Ruled out: taking revision 1 from each daemon's own file, as a file that was edited later would give another state when the log is applied again; a time of withdrawal inside the tree, as agreed rows may not depend on a clock: the leader holds the deadline of a rotation and proposes the withdrawal. What is published is kept apart from the agreed row, so that a daemon that applies the log again goes on with the newest settings it served.

Tests run against a small fake of the log.

--- /dev/null
+++ b/src/service/configuration/common/applyConfiguration.ts
@@ -0,0 +1,202 @@
+/**
+ * Applies committed edits of the settings. The whole tree that would come of an edit is checked before
+ * it is accepted; a rejected edit changes nothing but the remembered answers.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { asBrand } from '../../../base/common/brand.js';
+import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
+import { formatPath } from '../../../platform/settings/common/settingsPath.js';
+import type { ApplyHandlers } from '../../consensus/common/applySystem.js';
+import { checkTree } from './checkTree.js';
+import type { ConfigurationCommand, EditCommand, TreeChange } from './configurationCommands.js';
+import {
+  createSettingsRejection,
+  SettingsRejectionKind,
+  type SettingsRejection,
+} from './settingsRejection.js';
+import {
+  maximumHistoryRows,
+  maximumRememberedAnswers,
+  putBounded,
+  settingsId,
+  settingsOf,
+  type RememberedAnswerRow,
+  type SettingsRow,
+  type SettingsTables,
+} from './settingsTables.js';
+import type { Tree } from './tree.js';
+import { putAt, removeAt } from './treePath.js';
+
+/** The one place that an edit changes, and what becomes of it. */
+interface Placement {
+  readonly path: string;
+  readonly change: TreeChange;
+}
+
+type Rejected = Result<never, SettingsRejection>;
+
+const reject = (...parts: Parameters<typeof createSettingsRejection>): Rejected =>
+  err(createSettingsRejection(...parts));
+
+const keyPath = (workspace: string, name: string): string =>
+  formatPath(['workspaces', workspace, 'keys', name]);
+
+const workspaceOf = (
+  tree: Tree,
+  name: string,
+): Result<Tree['workspaces'][string], SettingsRejection> =>
+  Object.hasOwn(tree.workspaces, name)
+    ? ok(tree.workspaces[name]!)
+    : reject(SettingsRejectionKind.UnknownWorkspace);
+
+const placeNewKey = (
+  tree: Tree,
+  workspace: string,
+  name: string,
+  digest: string,
+): Result<Placement, SettingsRejection> =>
+  workspaceOf(tree, workspace).andThen(({ keys }) =>
+    Object.hasOwn(keys, name)
+      ? reject(SettingsRejectionKind.KeyNameTaken)
+      : ok<Placement>({
+          path: keyPath(workspace, name),
+          change: { kind: 'put', value: { digest, withdrawn: false } },
+        }),
+  );
+
+const requireKey = (
+  tree: Tree,
+  workspace: string,
+  name: string,
+): Result<Tree['workspaces'][string], SettingsRejection> =>
+  workspaceOf(tree, workspace).andThen((settings) =>
+    Object.hasOwn(settings.keys, name)
+      ? ok(settings)
+      : reject(SettingsRejectionKind.UnknownKeyName),
+  );
+
+/** The place that each kind of edit changes. */
+const placements: HandlerTable<EditCommand, Result<Placement, SettingsRejection>, [SettingsRow]> = {
+  treeSet: ({ path, change, expectedRevision }, { revision }) =>
+    expectedRevision === revision
+      ? ok({ path, change })
+      : reject(
+          SettingsRejectionKind.RevisionMismatch,
+          `The edit was made from revision ${expectedRevision}, and ${revision} is in force.`,
+        ),
+  keyIssue: ({ workspace, name, digest }, { tree }) => placeNewKey(tree, workspace, name, digest),
+  keyWithdraw: ({ workspace, name }, { tree }) =>
+    requireKey(tree, workspace, name).map(() => ({
+      path: `${keyPath(workspace, name)}.withdrawn`,
+      change: { kind: 'put', value: true },
+    })),
+  keyRotate: ({ workspace, name, successor, digest }, { tree }) =>
+    requireKey(tree, workspace, name).andThen(() =>
+      placeNewKey(tree, workspace, successor, digest),
+    ),
+};
+
+/** The tree with one place changed, checked whole. */
+export const changeTree = (
+  tree: Tree,
+  { path, change }: Placement,
+): Result<Tree, SettingsRejection> => {
+  const changed = change.kind === 'put' ? putAt(tree, path, change.value) : removeAt(tree, path);
+  return changed
+    .mapErr(({ at }) =>
+      createSettingsRejection(SettingsRejectionKind.UnknownPath, `Nothing stands at \`${at}\`.`),
+    )
+    .andThen((document) =>
+      checkTree(document).mapErr((faults) => {
+        const listed = faults.map((fault) => `${fault.path}: ${fault.message}`).join(' ');
+        return createSettingsRejection(SettingsRejectionKind.InvalidTree, listed, faults);
+      }),
+    );
+};
+
+const rotationId = (workspace: string, name: string) => asBrand<never>(`${workspace}.${name}`);
+
+/** What an edit changes besides the tree. */
+const followUps: HandlerTable<EditCommand, void, [SettingsTables, number]> = {
+  treeSet: () => {},
+  keyIssue: () => {},
+  keyWithdraw: ({ workspace, name }, { keyRotations }) => {
+    keyRotations.remove(rotationId(workspace, name));
+  },
+  keyRotate: ({ workspace, name, overlapMilliseconds }, { keyRotations }, revision) => {
+    const id = rotationId(workspace, name);
+    keyRotations.put({ id, workspace, name, overlapMilliseconds, revision });
+  },
+};
+
+const accept = (
+  tables: SettingsTables,
+  command: EditCommand,
+  placement: Placement,
+  tree: Tree,
+): number => {
+  const revision = settingsOf(tables).revision + 1;
+  tables.settings.change(settingsId, { revision, tree });
+  const { operator, request } = command;
+  const id = asBrand<never>(String(revision));
+  const row = { id, revision, operator, request, ...placement };
+  putBounded(tables.settingsHistory, row, maximumHistoryRows);
+  dispatchByKind(followUps, command, tables, revision);
+  return revision;
+};
+
+const decide = (
+  tables: SettingsTables,
+  command: EditCommand,
+): Result<number, SettingsRejection> => {
+  const settings = settingsOf(tables);
+  if (!settings.isAgreed) return reject(SettingsRejectionKind.NotSeeded);
+  return dispatchByKind(placements, command, settings).andThen((placement) =>
+    changeTree(settings.tree, placement).map((tree) => accept(tables, command, placement, tree)),
+  );
+};
+
+const answerAgain = (
+  remembered: RememberedAnswerRow,
+  command: EditCommand,
+): Result<void, SettingsRejection> => {
+  if (remembered.content !== command.content) return reject(SettingsRejectionKind.RequestReused);
+  return remembered.rejection === null ? ok(undefined) : err(remembered.rejection);
+};
+
+/** Applies one edit, or gives its first answer again where it was applied before. */
+const applyEdit = (
+  tables: SettingsTables,
+  command: EditCommand,
+): Result<void, SettingsRejection> => {
+  const id = asBrand<RememberedAnswerRow['id']>(command.request);
+  const remembered = tables.rememberedAnswers.get(id);
+  if (remembered !== undefined) return answerAgain(remembered, command);
+  const decided = decide(tables, command);
+  const row: RememberedAnswerRow = {
+    id,
+    content: command.content,
+    revision: decided.unwrapOr(null),
+    rejection: decided.isErr() ? decided.error : null,
+  };
+  putBounded(tables.rememberedAnswers, row, maximumRememberedAnswers);
+  return decided.map(() => undefined);
+};
+
+/** The first tree that is committed is that of the installation; later ones are passed over. */
+const applySeed = (tables: SettingsTables, document: unknown): Result<void, SettingsRejection> => {
+  if (settingsOf(tables).isAgreed) return ok(undefined);
+  return checkTree(document)
+    .mapErr((faults) => createSettingsRejection(SettingsRejectionKind.InvalidTree, '', faults))
+    .map((tree) => tables.settings.put({ id: settingsId, revision: 1, tree, isAgreed: true }))
+    .map(() => undefined);
+};
+
+/** The handlers of committed commands. */
+export const configurationApplyHandlers: ApplyHandlers<ConfigurationCommand> = {
+  treeSeeded: ({ tree }, world) => applySeed(world, tree),
+  treeSet: (command, world) => applyEdit(world, command),
+  keyIssue: (command, world) => applyEdit(world, command),
+  keyWithdraw: (command, world) => applyEdit(world, command),
+  keyRotate: (command, world) => applyEdit(world, command),
+};
--- a/src/service/configuration/common/configurationTables.ts
+++ b/src/service/configuration/common/configurationTables.ts
@@ -46,11 +46,16 @@
   );
 
 interface RowsById<Row extends { readonly id: string }> {
+  readonly get: (id: Row['id']) => Row | undefined;
   readonly rows: () => IterableIterator<Row>;
   readonly remove: (id: Row['id']) => Row | undefined;
   readonly put: (row: Row) => Row;
 }
 
+/** Rows come from checked trees, whose schemas give the columns of equal rows the same order. */
+const isEqual = (first: unknown, second: unknown): boolean =>
+  JSON.stringify(first) === JSON.stringify(second);
+
 const replaceRows = <Row extends { readonly id: string }>(
   table: RowsById<Row>,
   rows: readonly Row[],
@@ -58,10 +63,11 @@
   const kept = new Set<string>(rows.map((row) => row.id));
   const obsolete = [...table.rows()].filter((row) => !kept.has(row.id));
   obsolete.forEach((row) => table.remove(row.id));
-  rows.forEach((row) => table.put(row));
+  const changed = rows.filter((row) => !isEqual(table.get(row.id), row));
+  changed.forEach((row) => table.put(row));
 };
 
-/** Makes the tables equal to a checked tree. */
+/** Makes the tables equal to a checked tree; rows that are equal already are left alone. */
 export const applyTree = (tables: ConfigurationTables, tree: Tree): void => {
   replaceRows(
     tables.services,
--- a/src/service/consensus/common/applySystem.ts
+++ b/src/service/consensus/common/applySystem.ts
@@ -6,6 +6,7 @@
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
+import { configurationApplyHandlers } from '../../configuration/common/applyConfiguration.js';
 import type { World } from '../../world/common/world.js';
 import type { Command } from './command.js';
 import {
@@ -27,6 +28,7 @@
 
 const handlers: ApplyHandlers<Command> = {
   leadershipTaken: () => ok(undefined),
+  ...configurationApplyHandlers,
 };
 
 const outcomeOf = (applied: Result<void, Rejection>, index: number): ProposalOutcome =>
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -4,6 +4,13 @@
  */
 import { z } from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
+import {
+  keyIssueSchema,
+  keyRotateSchema,
+  keyWithdrawSchema,
+  treeSeededSchema,
+  treeSetSchema,
+} from '../../configuration/common/configurationCommands.js';
 
 /** Which daemons apply a command. */
 export const Topic = {
@@ -21,10 +28,22 @@
 });
 
 /** Every command; each subject adds its own schemas here. */
-export const commandSchema = z.discriminatedUnion('kind', [leadershipTakenSchema]);
+export const commandSchema = z.discriminatedUnion('kind', [
+  leadershipTakenSchema,
+  treeSeededSchema,
+  treeSetSchema,
+  keyIssueSchema,
+  keyWithdrawSchema,
+  keyRotateSchema,
+]);
 export type Command = z.infer<typeof commandSchema>;
 
 /** The topic of each kind of command. */
 export const topicOfCommand: Readonly<Record<Command['kind'], Topic>> = {
   leadershipTaken: Topic.Configuration,
+  treeSeeded: Topic.Configuration,
+  treeSet: Topic.Configuration,
+  keyIssue: Topic.Configuration,
+  keyWithdraw: Topic.Configuration,
+  keyRotate: Topic.Configuration,
 };
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -5,7 +5,11 @@
 import type { Instant } from '../../../base/common/time.js';
 import { createTicker, type System, type Ticker } from '../../../platform/tables/common/tick.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
-import { applyTree } from '../../configuration/common/configurationTables.js';
+import {
+  createPublicationSystem,
+  insertSettings,
+} from '../../configuration/common/publicationSystem.js';
+import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
 import { createDeadlineSystem } from '../../dispatch/common/deadlineSystem.js';
@@ -27,6 +31,8 @@
 const systemFactories: readonly SystemFactory[] = [
   createInboxSystem,
   createApplySystem,
+  createPublicationSystem,
+  createRotationSystem,
   createDaemonSystem,
   createAnnouncementSystem,
   createPlanSystem,
@@ -49,7 +55,7 @@
 /** Creates a core whose tables hold the settings and nothing else. */
 export const createCore = (options: WorldOptions, now: Instant): Core => {
   const world = createWorld(options);
-  applyTree(world, options.tree);
+  insertSettings(world, options.restored);
   insertDaemons(world, now);
   const systems = systemFactories.map((create) => create(world));
   return { world, ticker: createTicker(world.allTables, systems) };
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -11,6 +11,7 @@
   DaemonLeaving: 'daemonLeaving',
   PeerAlive: 'peerAlive',
   PeerSuspected: 'peerSuspected',
+  SettingsPublished: 'settingsPublished',
   UpstreamAnnounced: 'upstreamAnnounced',
   UpstreamChanged: 'upstreamChanged',
   UpstreamGone: 'upstreamGone',
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -6,6 +6,8 @@
 import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
 import type { AnyTable } from '../../../platform/tables/common/table.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
+import { createServedTables, type ServedRow } from '../../configuration/common/servedTables.js';
+import { createSettingsTables } from '../../configuration/common/settingsTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
@@ -23,6 +25,8 @@
   ...createMembershipTables(),
   ...createMessageTables(),
   ...createRolloutTables(),
+  ...createServedTables(),
+  ...createSettingsTables(),
   ...createTrafficTables(),
   ...createUsageTables(),
 });
@@ -33,6 +37,8 @@
   readonly deployment: Deployment;
   readonly self: DaemonSettings;
   readonly tree: Tree;
+  /** The settings that this daemon served last before it was started, where it kept them. */
+  readonly restored?: Omit<ServedRow, 'id'> | undefined;
   /** A number that rises with every start of this daemon. */
   readonly incarnation: number;
   readonly random: Random;
--- /dev/null
+++ b/standins/virtual/settingsEdits.ts
@@ -0,0 +1,52 @@
+/**
+ * Edits of the settings for tests on virtual time, proposed as an entry would.
+ */
+import { asBrand } from '../../src/base/common/brand.js';
+import { deadlineAfter } from '../../src/base/common/time.js';
+import type { EditCommand } from '../../src/service/configuration/common/configurationCommands.js';
+import type { JsonValue } from '../../src/service/configuration/common/treePath.js';
+import type { VirtualInstallation } from './virtualInstallation.js';
+
+const proposalMilliseconds = 5_000;
+let proposals = 0;
+
+/** A put of a value at a path. */
+export const putEdit = (
+  request: string,
+  expectedRevision: number,
+  path: string,
+  value: JsonValue,
+): EditCommand => ({
+  kind: 'treeSet',
+  request,
+  operator: 'tester',
+  content: JSON.stringify([path, value, expectedRevision]),
+  path,
+  change: { kind: 'put', value: value as never },
+  expectedRevision,
+});
+
+/** Withdraws a key. */
+export const withdrawEdit = (request: string, workspace: string, name: string): EditCommand => ({
+  kind: 'keyWithdraw',
+  request,
+  operator: 'tester',
+  content: JSON.stringify([workspace, name]),
+  workspace,
+  name,
+});
+
+/** Proposes an edit on a daemon, each time as a new proposal, and ticks the daemon. */
+export const propose = (
+  installation: VirtualInstallation,
+  daemon: string,
+  command: EditCommand,
+): void => {
+  proposals += 1;
+  installation.daemon(daemon).core.world.proposals.append({
+    id: asBrand(`test-${proposals}`),
+    command,
+    proposalDeadline: deadlineAfter(installation.now(), proposalMilliseconds),
+  });
+  installation.wake(daemon);
+};
