Close a daemon once, however often it is told to

Cause: a second signal disposed of the ports while the graceful close was still to do so. Ruled out: ignoring the second signal, by which operators end a drain early.

--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -129,13 +129,20 @@
   );
   log.info({ callers: front.value.address, peers: peerPort.value.address }, 'listening');
 
-  const dispose = async (): Promise<void> => {
+  const disposeAll = async (): Promise<void> => {
     driver?.dispose();
     await Promise.all([front.value.dispose(), peerPort.value.dispose(), upstreamPort.dispose()]);
     await Promise.all([writer.dispose(), metrics.dispose()]);
     log.info('closed');
   };
 
+  // A second signal may come while the first is still being obeyed.
+  let disposal: Promise<void> | undefined;
+  const dispose = (): Promise<void> => {
+    disposal ??= disposeAll();
+    return disposal;
+  };
+
   const closeGracefully = async (): Promise<void> => {
     world.setLeaving();
     world.events.append({ kind: EventKind.DaemonLeaving, subject: {} });
--- a/src/daemon/main/test/node/border.test.ts
+++ b/src/daemon/main/test/node/border.test.ts
@@ -194,3 +194,10 @@
   t.is(rows[0]!.completionTokens, usage.completion_tokens);
   t.is(rows[0]!.requests, 1);
 });
+
+test('a daemon that is closed twice closes once', async (t) => {
+  const daemon = await openTestDaemon();
+  await Promise.all([daemon.closeGracefully(), daemon.dispose()]);
+  await daemon.dispose();
+  await t.throwsAsync(call(daemon, '/v1/address', null, { method: 'GET' }));
+});
