Agree on a replicated log: election, replication, lease, proposals and learners

Cause: subjects append proposals and wait for outcomes, and nothing put them into an agreed order.

The replica of a daemon is a row, its entries, voters and learners are tables, and one system runs over them each tick; messages have handlers by kind. Voters ask for pre-votes first, refuse votes while they have heard of a leader, and a leader steps down when no quorum answers. Writes are numbered requests to storage; every answer that rests on a write is held until storage reports it synced. Learners follow a daemon near them and give it the instant of their request, which comes back with the age of what they get, so freshness needs no clocks that agree. Proposals are kept where they were made, sent again under their identifier, and applied once by the outcomes remembered in the agreed state.

Ruled out: a vote by wall clock or by heartbeats of all to all, as the budget of 3 KB/s for control forbids the second and clocks that disagree the first; telling learners the time, for the same reason.

A row of leadership now begins without freshness, as a daemon that has just started does not know whether its configuration is out of date.

--- /dev/null
+++ b/src/platform/storage/node/recordCodec.ts
@@ -0,0 +1,67 @@
+/**
+ * Records in a file: a header of 16 bytes, which are the length of the body (4 bytes, big endian), the
+ * checksum of the body (8) and the checksum of the header so far (4), then the body in CBOR. The header
+ * has its own checksum, as a wrong length would else hide every record after it.
+ */
+import { decode, encode } from 'cbor-x';
+import { err, ok, type Result } from 'neverthrow';
+import xxhash from 'xxhash-wasm';
+import { createStorageError, StorageErrorKind, type StorageError } from '../common/storageError.js';
+
+const { h32Raw, h64Raw } = await xxhash();
+
+const bodyChecksumOffset = 4;
+const headerChecksumOffset = 12;
+const headerBytes = 16;
+
+/** Encodes one value as a record. */
+export const encodeRecord = (value: unknown): Buffer => {
+  const body = encode(value);
+  const record = Buffer.alloc(headerBytes + body.length);
+  record.writeUInt32BE(body.length, 0);
+  record.writeBigUInt64BE(h64Raw(body), bodyChecksumOffset);
+  record.writeUInt32BE(h32Raw(record.subarray(0, headerChecksumOffset)), headerChecksumOffset);
+  body.copy(record, headerBytes);
+  return record;
+};
+
+/** The records of a file as far as they are whole. */
+export interface DecodedRecords {
+  readonly values: readonly unknown[];
+  /** Where the whole records end; bytes after it are the torn rest of a write that was never synced. */
+  readonly wholeBytes: number;
+}
+
+const isAllZero = (bytes: Buffer): boolean => bytes.every((byte) => byte === 0);
+
+const corrupt = (offset: number): StorageError =>
+  createStorageError(StorageErrorKind.Corrupt, `The record at byte ${offset} is damaged.`);
+
+type DecodedRecord = { readonly value: unknown; readonly end: number } | 'torn';
+
+const decodeRecord = (bytes: Buffer, start: number): Result<DecodedRecord, StorageError> => {
+  if (bytes.length - start < headerBytes) return ok('torn');
+  const header = bytes.subarray(start, start + headerChecksumOffset);
+  if (h32Raw(header) !== bytes.readUInt32BE(start + headerChecksumOffset)) {
+    return isAllZero(bytes.subarray(start)) ? ok('torn') : err(corrupt(start));
+  }
+  const end = start + headerBytes + header.readUInt32BE(0);
+  if (end > bytes.length) return ok('torn');
+  const body = bytes.subarray(start + headerBytes, end);
+  if (h64Raw(body) !== header.readBigUInt64BE(bodyChecksumOffset)) return err(corrupt(start));
+  return ok({ value: decode(body) as unknown, end });
+};
+
+/** Decodes records up to the end or to a torn rest; anything else that is not whole is an error. */
+export const decodeRecords = (bytes: Buffer): Result<DecodedRecords, StorageError> => {
+  const values: unknown[] = [];
+  let offset = 0;
+  while (offset < bytes.length) {
+    const record = decodeRecord(bytes, offset);
+    if (record.isErr()) return err(record.error);
+    if (record.value === 'torn') break;
+    values.push(record.value.value);
+    offset = record.value.end;
+  }
+  return ok({ values, wholeBytes: offset });
+};
--- a/src/service/consensus/common/applySystem.ts
+++ b/src/service/consensus/common/applySystem.ts
@@ -35,7 +35,25 @@
     (rejection) => ({ kind: 'rejected', rejection }),
   );
 
-const apply = (world: World, entry: CommittedEntry, now: Instant): void => {
+/** Outcomes are remembered for this many entries, so that a resend within them is not applied again. */
+const outcomeRetentionEntries = 8_192;
+
+function* takeWhileOld(world: World, oldest: number): Generator<CommittedEntry['proposal']> {
+  for (const row of world.rememberedOutcomes.rows()) {
+    if (row.index > oldest) return;
+    yield row.id;
+  }
+}
+
+const remember = (world: World, entry: CommittedEntry, outcome: ProposalOutcome): void => {
+  world.rememberedOutcomes.put({ id: entry.proposal, index: entry.index, outcome });
+  // Rows stand in the order of their entries, so only the first ones can be too old.
+  [...takeWhileOld(world, entry.index - outcomeRetentionEntries)].forEach((id) =>
+    world.rememberedOutcomes.remove(id),
+  );
+};
+
+const carryOut = (world: World, entry: CommittedEntry, now: Instant): ProposalOutcome => {
   const applied = dispatchByKind<Command, Result<void, Rejection>, ApplyContext>(
     handlers,
     entry.command,
@@ -43,7 +61,15 @@
     entry,
     now,
   );
-  recordOutcome(world, entry.proposal, outcomeOf(applied, entry.index), now);
+  return outcomeOf(applied, entry.index);
+};
+
+const apply = (world: World, entry: CommittedEntry, now: Instant): void => {
+  const remembered = world.rememberedOutcomes.get(entry.proposal)?.outcome;
+  const outcome = remembered ?? carryOut(world, entry, now);
+  if (remembered === undefined) remember(world, entry, outcome);
+  recordOutcome(world, entry.proposal, outcome, now);
+  world.pendingProposals.remove(entry.proposal);
 };
 
 /** Creates the system that applies committed entries. */
--- /dev/null
+++ b/src/service/consensus/common/consensusHandlers.ts
@@ -0,0 +1,20 @@
+/**
+ * What a daemon does with the messages of the replicated log.
+ */
+import type { HandlerTable } from '../../../base/common/handlers.js';
+import type { Instant } from '../../../base/common/time.js';
+import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import type { World } from '../../world/common/world.js';
+import type { ConsensusMessage } from './consensusMessages.js';
+import { electionHandlers } from './election.js';
+import { followHandlers } from './following.js';
+import { proposalHandlers } from './proposals.js';
+import { replicationHandlers } from './replication.js';
+
+export const consensusHandlers: HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]> =
+  {
+    ...electionHandlers,
+    ...replicationHandlers,
+    ...proposalHandlers,
+    ...followHandlers,
+  };
--- a/src/service/consensus/common/consensusTables.ts
+++ b/src/service/consensus/common/consensusTables.ts
@@ -3,7 +3,7 @@
  * outcomes and committed entries; how entries are agreed and stored is behind these tables.
  */
 import type { Brand } from '../../../base/common/brand.js';
-import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import { RowReader } from '../../../platform/tables/common/rowReader.js';
 import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
 import { createTable } from '../../../platform/tables/common/table.js';
@@ -86,7 +86,7 @@
   leaseDeadline: Number.NEGATIVE_INFINITY,
   fencing: 0,
   appliedIndex: 0,
-  freshnessDeadline: never,
+  freshnessDeadline: Number.NEGATIVE_INFINITY,
 };
 
 export const createConsensusTables = () => ({
@@ -103,13 +103,15 @@
 
 const outcomeRetentionMilliseconds = 30_000;
 
-/** Records what became of a proposal; its proposer reads the changes of the table. */
+/** Records what became of a proposal, once; its proposer reads the changes of the table. */
 export const recordOutcome = (
   { proposalOutcomes }: ConsensusTables,
   proposal: ProposalId,
   outcome: ProposalOutcome,
   now: Instant,
 ): void => {
+  const known = proposalOutcomes.get(proposal)?.outcome;
+  if (known !== undefined && known.kind !== 'unknown') return;
   const retentionDeadline = deadlineAfter(now, outcomeRetentionMilliseconds);
   proposalOutcomes.put({ id: proposal, outcome, retentionDeadline });
 };
--- /dev/null
+++ b/src/service/consensus/common/consensusTiming.ts
@@ -0,0 +1,45 @@
+/**
+ * The times of the replicated log. They belong together: a voter that has heard of a leader refuses to
+ * vote for `electionMinimumMilliseconds`, so a lease that is shorter by the error of the clocks has run
+ * out before another leader can be elected.
+ */
+
+/** How far apart the rates of two monotonic clocks may be, as a share of one. */
+export const clockRateError = 0.01;
+
+/** How often the leader renews its lease with each voter. */
+export const renewalMilliseconds = 400;
+
+/** How long a voter refuses to vote after it has heard of a leader, by its own clock. */
+export const electionMinimumMilliseconds = 2_000;
+
+/** Voters wait up to this much longer before they ask for votes, each for another time. */
+export const electionSpreadMilliseconds = 1_500;
+
+/** How long the leader may act after it has sent the renewals that a quorum has answered. */
+export const leaseMilliseconds = 1_900;
+
+/** The longest time between the check of the lease and the arrival of the order at an upstream. */
+export const orderFlightMilliseconds = 1_000;
+
+/** How long a new leader waits before its first order. */
+export const orderWaitMilliseconds =
+  leaseMilliseconds * (1 + clockRateError) + orderFlightMilliseconds;
+
+/** How long configuration counts as not out of date after the instant for which that was known. */
+export const freshnessMilliseconds = 4_000;
+
+/** How often a learner asks the daemon that it follows. */
+export const followMilliseconds = 1_000;
+
+/** After this silence a learner follows another daemon, and a relay forgets a learner. */
+export const followSilenceMilliseconds = 3_000;
+
+/** How often a proposal without an outcome is sent again. */
+export const proposalResendMilliseconds = 500;
+
+/** The most entries in one message. */
+export const maximumEntriesInMessage = 256;
+
+/** The most voters; further daemons with the role `control` follow them and relay. */
+export const maximumVoters = 5;
--- /dev/null
+++ b/src/service/consensus/common/election.ts
@@ -0,0 +1,222 @@
+/**
+ * Elections. A voter that has heard of no leader first asks whether it would be elected, which changes
+ * nothing; only when a quorum says yes does it begin a term. A voter that has heard of a leader, and a
+ * leader whose lease holds, refuse both, so that leases rest on a quorum that keeps to them.
+ */
+import { asBrand } from '../../../base/common/brand.js';
+import type { HandlerTable, Member } from '../../../base/common/handlers.js';
+import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
+import { EventKind } from '../../events/common/eventKind.js';
+import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import type { DaemonId } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+import type { ConsensusMessage } from './consensusMessages.js';
+import { electionMinimumMilliseconds, orderWaitMilliseconds } from './consensusTiming.js';
+import {
+  appendEntry,
+  changeReplica,
+  electionDeadlineAfter,
+  isSynced,
+  moveToTerm,
+  replicaOf,
+  sendOnceSynced,
+  withoutLeadership,
+} from './replicaLog.js';
+import { ReplicaState, type MemberRow } from './replicaTables.js';
+
+/** The other voters. */
+export const otherMembers = (world: World): MemberRow[] =>
+  [...world.members.rows()].filter((member) => !member.isSelf);
+
+/** How many voters make a quorum: more than half. */
+export const quorumSize = (world: World): number => Math.floor(world.members.size() / 2) + 1;
+
+/** Whether a state takes part in elections. */
+const isVoting: Readonly<Record<ReplicaState, boolean>> = {
+  recovering: false,
+  learner: false,
+  follower: true,
+  preCandidate: true,
+  candidate: true,
+  leader: true,
+  failed: false,
+};
+
+/** Whether this daemon takes part in elections now. */
+export const takesPart = (world: World): boolean => isVoting[replicaOf(world).state];
+
+const ownId = (world: World): DaemonId => asBrand<DaemonId>(world.self.name);
+
+const clearVotes = (world: World): void =>
+  [...world.members.rows()].forEach(({ id, isSelf }) =>
+    world.members.change(id, { hasGrantedVote: isSelf }),
+  );
+
+const askForVotes = (world: World, term: number, isPreVote: boolean): void => {
+  const { lastIndex, lastTerm } = replicaOf(world);
+  otherMembers(world).forEach(({ id }) =>
+    sendOnceSynced(world, id, { kind: 'voteRequested', term, isPreVote, lastIndex, lastTerm }),
+  );
+};
+
+/** Ceases to lead or to ask for votes. */
+export const becomeFollower = (world: World, now: Instant): void => {
+  const { state, term } = replicaOf(world);
+  if (state === ReplicaState.Leader) {
+    world.events.append({ kind: EventKind.LeadershipLost, subject: { term } });
+  }
+  changeReplica(world, {
+    ...withoutLeadership,
+    state: ReplicaState.Follower,
+    leader: null,
+    electionDeadline: electionDeadlineAfter(world, now),
+  });
+};
+
+/** Takes over a higher term that another voter has named. */
+export const followHigherTerm = (world: World, term: number, now: Instant): void => {
+  if (term <= replicaOf(world).term) return;
+  becomeFollower(world, now);
+  moveToTerm(world, term, null);
+};
+
+const startPreVote = (world: World, now: Instant): void => {
+  clearVotes(world);
+  changeReplica(world, {
+    state: ReplicaState.PreCandidate,
+    leader: null,
+    electionDeadline: electionDeadlineAfter(world, now),
+  });
+  askForVotes(world, replicaOf(world).term + 1, true);
+};
+
+const startElection = (world: World, now: Instant): void => {
+  clearVotes(world);
+  changeReplica(world, {
+    state: ReplicaState.Candidate,
+    electionDeadline: electionDeadlineAfter(world, now),
+  });
+  const term = replicaOf(world).term + 1;
+  moveToTerm(world, term, ownId(world));
+  askForVotes(world, term, false);
+};
+
+const startLeadership = (world: World, now: Instant): void => {
+  const { term, lastIndex } = replicaOf(world);
+  [...world.members.rows()].forEach(({ id }) =>
+    world.members.change(id, {
+      nextIndex: lastIndex + 1,
+      matchIndex: 0,
+      renewedAt: Number.NEGATIVE_INFINITY,
+      answeredAt: Number.NEGATIVE_INFINITY,
+      renewalDeadline: now,
+      toldCommitIndex: 0,
+    }),
+  );
+  const leader = ownId(world);
+  const leadershipIndex = appendEntry(world, {
+    proposal: `leadership-${term}-${leader}`,
+    origin: leader,
+    command: { kind: 'leadershipTaken', leader },
+  });
+  changeReplica(world, {
+    state: ReplicaState.Leader,
+    leader,
+    leadershipIndex,
+    orderDeadline: deadlineAfter(now, orderWaitMilliseconds),
+    electionDeadline: deadlineAfter(now, electionMinimumMilliseconds),
+  });
+  world.events.append({ kind: EventKind.LeadershipTaken, subject: { term } });
+};
+
+const hasQuorumOfVotes = (world: World): boolean => {
+  const granted = [...world.members.rows()].filter((member) => member.hasGrantedVote);
+  return granted.length >= quorumSize(world);
+};
+
+/** Goes on where a quorum has granted its votes; the own vote counts once it is synced. */
+export const countVotes = (world: World, now: Instant): void => {
+  if (!isSynced(world) || !hasQuorumOfVotes(world)) return;
+  const { state } = replicaOf(world);
+  if (state === ReplicaState.PreCandidate) startElection(world, now);
+  else if (state === ReplicaState.Candidate) startLeadership(world, now);
+};
+
+const onElectionDeadline: Readonly<Record<ReplicaState, (world: World, now: Instant) => void>> = {
+  recovering: () => {},
+  learner: () => {},
+  follower: startPreVote,
+  preCandidate: startPreVote,
+  candidate: startPreVote,
+  /** A leader whose renewals no quorum has answered for so long steps down. */
+  leader: becomeFollower,
+  failed: () => {},
+};
+
+/** Acts on an election deadline that has passed. */
+export const takeElectionDeadline = (world: World, now: Instant): void =>
+  world.replica.takeDue('election', now).forEach(({ state }) => {
+    changeReplica(world, { electionDeadline: never });
+    onElectionDeadline[state](world, now);
+  });
+
+type VoteRequest = Member<ConsensusMessage, 'voteRequested'>;
+
+const isUpToDate = (world: World, request: VoteRequest): boolean => {
+  const { lastIndex, lastTerm } = replicaOf(world);
+  if (request.lastTerm !== lastTerm) return request.lastTerm > lastTerm;
+  return request.lastIndex >= lastIndex;
+};
+
+const keepsToLeader = (world: World, now: Instant): boolean => {
+  const { state, voteRefusalDeadline, leaseDeadline } = replicaOf(world);
+  const holdsLease = state === ReplicaState.Leader && now < leaseDeadline;
+  return holdsLease || now < voteRefusalDeadline;
+};
+
+const grantsPreVote = (world: World, request: VoteRequest): boolean =>
+  request.term > replicaOf(world).term && isUpToDate(world, request);
+
+const grantsVote = (
+  world: World,
+  request: VoteRequest,
+  candidate: DaemonRow,
+  now: Instant,
+): boolean => {
+  followHigherTerm(world, request.term, now);
+  const { term, votedFor, state } = replicaOf(world);
+  if (request.term < term || state !== ReplicaState.Follower) return false;
+  if (votedFor !== null && votedFor !== candidate.id) return false;
+  if (!isUpToDate(world, request)) return false;
+  if (votedFor === null) moveToTerm(world, term, candidate.id);
+  changeReplica(world, { electionDeadline: electionDeadlineAfter(world, now) });
+  return true;
+};
+
+/** What a voter does with the messages of elections. */
+export const electionHandlers: Pick<
+  HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]>,
+  'voteRequested' | 'voteAnswered'
+> = {
+  voteRequested: (request, world, candidate, now) => {
+    if (!takesPart(world) || !world.members.has(candidate.id)) return;
+    const { isPreVote } = request;
+    const grants = (): boolean =>
+      isPreVote ? grantsPreVote(world, request) : grantsVote(world, request, candidate, now);
+    const granted = !keepsToLeader(world, now) && grants();
+    const term = granted ? request.term : replicaOf(world).term;
+    sendOnceSynced(world, candidate.id, { kind: 'voteAnswered', term, isPreVote, granted });
+  },
+  voteAnswered: (answer, world, voter, now) => {
+    if (!takesPart(world)) return;
+    if (!answer.granted) {
+      followHigherTerm(world, answer.term, now);
+      return;
+    }
+    const { state, term } = replicaOf(world);
+    const isOfPreVote =
+      answer.isPreVote && state === ReplicaState.PreCandidate && answer.term === term + 1;
+    const isOfVote = !answer.isPreVote && state === ReplicaState.Candidate && answer.term === term;
+    if (isOfPreVote || isOfVote) world.members.change(voter.id, { hasGrantedVote: true });
+  },
+};
--- /dev/null
+++ b/src/service/consensus/common/lease.ts
@@ -0,0 +1,50 @@
+/**
+ * Whether this daemon may act towards the platform. The check is made again right before each write.
+ */
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import type { World } from '../../world/common/world.js';
+import { leadershipId, noLeadership, type LeadershipRow } from './consensusTables.js';
+import { freshnessMilliseconds } from './consensusTiming.js';
+import { replicaOf } from './replicaLog.js';
+import { isCurrentLeader, ReplicaState, type ReplicaRow } from './replicaTables.js';
+
+/** Who leads, as this daemon knows it. */
+export const leadershipOf = (world: World): LeadershipRow =>
+  world.leadership.get(leadershipId) ?? noLeadership;
+
+/** Whether this daemon leads, its lease holds, and it has waited out the orders of earlier leaders. */
+export const mayActAsLeader = (world: World, now: Instant): boolean => {
+  const { isSelf, leaseDeadline, fencing } = leadershipOf(world);
+  return isSelf && fencing > 0 && now < leaseDeadline;
+};
+
+/** The fencing number that orders carry, or 0 where this daemon may give none. */
+const fencingOf = (replica: ReplicaRow, now: Instant): number => {
+  const { orderDeadline, leadershipIndex, deliveredIndex } = replica;
+  return now >= orderDeadline && deliveredIndex >= leadershipIndex ? leadershipIndex : 0;
+};
+
+const freshnessOf = (replica: ReplicaRow, now: Instant): Instant =>
+  isCurrentLeader(replica, now)
+    ? replica.leaseDeadline
+    : deadlineAfter(replica.currentAsOf, freshnessMilliseconds);
+
+const sameColumns = (first: LeadershipRow, second: LeadershipRow): boolean =>
+  (Object.keys(first) as (keyof LeadershipRow)[]).every((name) => first[name] === second[name]);
+
+/** Makes the row of leadership agree with the replica. */
+export const updateLeadership = (world: World, now: Instant): void => {
+  const replica = replicaOf(world);
+  const before = leadershipOf(world);
+  const after: LeadershipRow = {
+    id: leadershipId,
+    term: replica.term,
+    leader: replica.leader,
+    isSelf: replica.state === ReplicaState.Leader,
+    leaseDeadline: replica.leaseDeadline,
+    fencing: fencingOf(replica, now),
+    appliedIndex: replica.deliveredIndex,
+    freshnessDeadline: Math.max(freshnessOf(replica, now), before.freshnessDeadline),
+  };
+  if (!sameColumns(before, after)) world.leadership.put(after);
+};
--- /dev/null
+++ b/src/service/consensus/common/storageFacts.ts
@@ -0,0 +1,60 @@
+/**
+ * What storage reports: the state that was read at the start, which writes are synced, and failures.
+ */
+import { asBrand } from '../../../base/common/brand.js';
+import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { EventKind } from '../../events/common/eventKind.js';
+import type { DaemonId } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+import { electionMinimumMilliseconds } from './consensusTiming.js';
+import {
+  changeReplica,
+  electionDeadlineAfter,
+  replicaOf,
+  withoutLeadership,
+} from './replicaLog.js';
+import { entryIdOf, ReplicaState, type StorageFact } from './replicaTables.js';
+
+const releaseMessages = (world: World, sequence: number): void =>
+  [...world.heldMessages.rows()]
+    .filter((held) => held.sequence <= sequence)
+    .forEach(({ id, to, message }) => {
+      world.heldMessages.remove(id);
+      world.outgoingMessages.append({ to, message });
+    });
+
+const handlers: HandlerTable<StorageFact, void, [World, Instant]> = {
+  recovered: ({ state }, world, now) => {
+    if (replicaOf(world).state !== ReplicaState.Recovering) return;
+    state.entries.forEach((entry) =>
+      world.logEntries.put({ ...entry, id: entryIdOf(entry.index) }),
+    );
+    changeReplica(world, {
+      state: ReplicaState.Follower,
+      term: state.term,
+      votedFor: state.votedFor === null ? null : asBrand<DaemonId>(state.votedFor),
+      lastIndex: state.entries.at(-1)?.index ?? 0,
+      lastTerm: state.entries.at(-1)?.term ?? 0,
+      electionDeadline: electionDeadlineAfter(world, now),
+      // It may have answered a renewal right before it was ended.
+      voteRefusalDeadline: deadlineAfter(now, electionMinimumMilliseconds),
+    });
+  },
+  synced: ({ sequence }, world) => {
+    changeReplica(world, { syncedSequence: sequence });
+    [...world.pendingWrites.rows()]
+      .filter((write) => write.sequence <= sequence)
+      .forEach(({ id }) => world.pendingWrites.remove(id));
+    releaseMessages(world, sequence);
+  },
+  failed: ({ failure }, world) => {
+    changeReplica(world, { ...withoutLeadership, state: ReplicaState.Failed, leader: null });
+    world.events.append({ kind: EventKind.StorageFailed, subject: { failure: failure.kind } });
+    world.metrics.count('consensus.storageFailures');
+  },
+};
+
+/** Takes what storage has reported. */
+export const takeStorageFacts = (world: World, now: Instant): void =>
+  world.storageFacts.takeAll().forEach((fact) => dispatchByKind(handlers, fact, world, now));
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -7,6 +7,7 @@
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
 import { applyTree } from '../../configuration/common/configurationTables.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
+import { createReplicaSystem, insertReplica } from '../../consensus/common/replicaSystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
 import { createDeadlineSystem } from '../../dispatch/common/deadlineSystem.js';
 import { createDepartureSystem } from '../../dispatch/common/departureSystem.js';
@@ -26,6 +27,7 @@
 /** The systems in the order in which they run in each round of a tick. */
 const systemFactories: readonly SystemFactory[] = [
   createInboxSystem,
+  createReplicaSystem,
   createApplySystem,
   createDaemonSystem,
   createAnnouncementSystem,
@@ -51,6 +53,7 @@
   const world = createWorld(options);
   applyTree(world, options.tree);
   insertDaemons(world, now);
+  insertReplica(world, now);
   const systems = systemFactories.map((create) => create(world));
   return { world, ticker: createTicker(world.allTables, systems) };
 };
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -28,6 +28,9 @@
   SampleDiscarded: 'sampleDiscarded',
   BatchAssigned: 'batchAssigned',
   BatchAcknowledged: 'batchAcknowledged',
+  LeadershipTaken: 'leadershipTaken',
+  LeadershipLost: 'leadershipLost',
+  StorageFailed: 'storageFailed',
 } as const;
 export type EventKind = ValueOf<typeof EventKind>;
 
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -7,12 +7,30 @@
   heartbeatSchema,
   upstreamAnnouncedSchema,
 } from '../../membership/common/membershipMessages.js';
+import {
+  appendAnsweredSchema,
+  entriesAppendedSchema,
+  entriesFollowedSchema,
+  followRequestedSchema,
+  proposalAnsweredSchema,
+  proposalForwardedSchema,
+  voteAnsweredSchema,
+  voteRequestedSchema,
+} from '../../consensus/common/consensusMessages.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 
 /** Every message that one daemon sends to another. */
 export const messageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
   upstreamAnnouncedSchema,
+  voteRequestedSchema,
+  voteAnsweredSchema,
+  entriesAppendedSchema,
+  appendAnsweredSchema,
+  proposalForwardedSchema,
+  proposalAnsweredSchema,
+  followRequestedSchema,
+  entriesFollowedSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -8,6 +8,7 @@
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
+import { createReplicaTables } from '../../consensus/common/replicaTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
@@ -19,6 +20,7 @@
 const createTables = () => ({
   ...createConfigurationTables(),
   ...createConsensusTables(),
+  ...createReplicaTables(),
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
--- /dev/null
+++ b/standins/virtual/test/replicatedLog.test.ts
@@ -0,0 +1,109 @@
+/** The replicated log on virtual time: election, acceptance, following, and what survives. */
+import test from 'ava';
+import { asBrand } from '../../../src/base/common/brand.js';
+import type { ProposalId } from '../../../src/service/consensus/common/consensusTables.js';
+import { leadershipOf, mayActAsLeader } from '../../../src/service/consensus/common/lease.js';
+import { createTestDeployment, createTestTree } from '../testDeployment.js';
+import { createVirtualInstallation } from '../virtualInstallation.js';
+
+const create = (daemons = 7, voters = 3) =>
+  createVirtualInstallation({
+    deployment: createTestDeployment(daemons, voters),
+    tree: createTestTree(),
+    seed: 1,
+  });
+
+type Installation = ReturnType<typeof create>;
+
+const worldOf = (installation: Installation, name: string) => installation.daemon(name).core.world;
+
+const leaders = (installation: Installation): string[] =>
+  installation
+    .runningNames()
+    .filter((name) => mayActAsLeader(worldOf(installation, name), installation.now()));
+
+const propose = (installation: Installation, name: string, id: string): ProposalId => {
+  const proposal = asBrand<ProposalId>(id);
+  worldOf(installation, name).proposals.append({
+    id: proposal,
+    command: { kind: 'leadershipTaken', leader: 'nobody' },
+    proposalDeadline: installation.now() + 10_000,
+  });
+  installation.wake(name);
+  return proposal;
+};
+
+const outcomeAt = (installation: Installation, name: string, proposal: ProposalId) =>
+  worldOf(installation, name).proposalOutcomes.get(proposal)?.outcome;
+
+const settleMilliseconds = 10_000;
+
+test('one voter is elected and may act once earlier leases are waited out', (t) => {
+  const installation = create();
+  installation.runFor(settleMilliseconds);
+  t.is(leaders(installation).length, 1);
+});
+
+test('a single voter leads alone', (t) => {
+  const installation = create(2, 1);
+  installation.runFor(settleMilliseconds);
+  t.deepEqual(leaders(installation), ['d1']);
+});
+
+test('a proposal of a learner is applied everywhere, and configuration is fresh there', (t) => {
+  const installation = create();
+  installation.runFor(settleMilliseconds);
+  const proposal = propose(installation, 'd7', 'p1');
+  installation.runFor(1_000);
+  const names = [...installation.runningNames()];
+  const kinds = names.map((name) => outcomeAt(installation, name, proposal)?.kind);
+  t.deepEqual(
+    kinds,
+    names.map(() => 'applied'),
+  );
+  const isFresh = (name: string): boolean =>
+    leadershipOf(worldOf(installation, name)).freshnessDeadline > installation.now();
+  t.deepEqual(names.filter(isFresh), names);
+});
+
+test('a proposal that comes again under its identifier gets its first outcome', (t) => {
+  const installation = create();
+  installation.runFor(settleMilliseconds);
+  const proposal = propose(installation, 'd6', 'p1');
+  installation.runFor(1_000);
+  const first = outcomeAt(installation, 'd6', proposal);
+  propose(installation, 'd7', 'p1');
+  installation.runFor(40_000);
+  propose(installation, 'd6', 'p1');
+  installation.runFor(1_000);
+  t.is(first?.kind, 'applied');
+  t.deepEqual(outcomeAt(installation, 'd6', proposal), first);
+});
+
+test('without a quorum a proposal is refused as not run or unknown, and freshness ends', (t) => {
+  const installation = create();
+  installation.runFor(settleMilliseconds);
+  installation.stop('d1');
+  installation.stop('d2');
+  installation.runFor(settleMilliseconds);
+  t.true(leadershipOf(worldOf(installation, 'd7')).freshnessDeadline < installation.now());
+  t.deepEqual(leaders(installation), []);
+});
+
+test('all voters end at once and every accepted entry is there after the restart', (t) => {
+  const installation = create();
+  installation.runFor(settleMilliseconds);
+  const proposals = Array.from({ length: 300 }, (_, index) =>
+    propose(installation, 'd7', `p${index}`),
+  );
+  installation.runFor(2_000);
+  const voters = ['d1', 'd2', 'd3'];
+  voters.forEach((name) => installation.stop(name));
+  voters.forEach((name) => installation.start(name));
+  installation.runFor(settleMilliseconds);
+  const remembered = worldOf(installation, 'd1').rememberedOutcomes;
+  t.deepEqual(
+    proposals.filter((proposal) => !remembered.has(proposal)),
+    [],
+  );
+});
--- /dev/null
+++ b/standins/virtual/virtualDisk.ts
@@ -0,0 +1,113 @@
+/**
+ * Disks in memory: what is synced survives the end of a daemon, of the rest a part may. Bytes have the
+ * form of the real files, so that torn writes and flipped bits meet the same checks.
+ */
+import type { Random } from '../../src/base/common/random.js';
+import type { Milliseconds } from '../../src/base/common/time.js';
+import { replayRecords } from '../../src/daemon/consensus/node/replayRecords.js';
+import {
+  createStorageError,
+  StorageErrorKind,
+} from '../../src/platform/storage/common/storageError.js';
+import { decodeRecords, encodeRecord } from '../../src/platform/storage/node/recordCodec.js';
+import type { StorageFact } from '../../src/service/consensus/common/replicaTables.js';
+import type { VirtualContext, VirtualPort } from './virtualInstallation.js';
+
+/** What a disk does wrong. */
+export interface DiskFaults {
+  /** Further writes are refused. */
+  isFull?: boolean;
+  /** Says that it has synced what it has not. */
+  liesAboutSync?: boolean;
+}
+
+/** The disk of one daemon. */
+export interface VirtualDisk {
+  readonly faults: DiskFaults;
+  readonly write: (bytes: Buffer) => void;
+  /** Syncs what was written up to now. */
+  readonly sync: () => void;
+  readonly read: () => Buffer;
+  /** The VM has ended: of what was not synced, a random number of bytes is left. */
+  readonly crash: (random: Random) => void;
+  /** Flips one bit of what is synced. */
+  readonly flipBit: (byte: number) => void;
+  /** Forgets everything, as a new disk. */
+  readonly clear: () => void;
+}
+
+/** Creates an empty disk. */
+export const createVirtualDisk = (): VirtualDisk => {
+  let synced: Buffer = Buffer.alloc(0);
+  let unsynced: Buffer = Buffer.alloc(0);
+  const faults: DiskFaults = {};
+  return {
+    faults,
+    write: (bytes) => {
+      unsynced = Buffer.concat([unsynced, bytes]);
+    },
+    sync: () => {
+      if (faults.liesAboutSync === true) return;
+      synced = Buffer.concat([synced, unsynced]);
+      unsynced = Buffer.alloc(0);
+    },
+    read: () => Buffer.concat([synced, unsynced]),
+    crash: (random) => {
+      const left = unsynced.subarray(0, random.below(unsynced.length + 1));
+      synced = Buffer.concat([synced, left]);
+      unsynced = Buffer.alloc(0);
+    },
+    flipBit: (byte) => {
+      synced = Buffer.from(synced);
+      synced[byte] = synced[byte]! ^ 1; // eslint-disable-line no-bitwise -- flips one bit
+    },
+    clear: () => {
+      synced = Buffer.alloc(0);
+      unsynced = Buffer.alloc(0);
+    },
+  };
+};
+
+const recover = (disk: VirtualDisk): StorageFact => {
+  const bytes = disk.read();
+  return decodeRecords(bytes)
+    .andThen(({ values, wholeBytes }) => {
+      disk.clear();
+      disk.write(Buffer.from(bytes.subarray(0, wholeBytes)));
+      disk.sync();
+      return replayRecords(values);
+    })
+    .match<StorageFact>(
+      (state) => ({ kind: 'recovered', state }),
+      (failure) => ({ kind: 'failed', failure }),
+    );
+};
+
+/** Creates the storage port of one start of a daemon over its disk. */
+export const createVirtualStoragePort = (
+  { daemon, schedule }: VirtualContext,
+  disk: VirtualDisk,
+  syncDelay: Milliseconds,
+): VirtualPort => {
+  const { storageRequests, storageFacts } = daemon.core.world;
+  storageFacts.append(recover(disk));
+
+  const finish = (sequence: number): void => {
+    disk.sync();
+    storageFacts.append({ kind: 'synced', sequence });
+  };
+
+  return {
+    drain: () => {
+      const requests = storageRequests.takeAll();
+      if (requests.length === 0) return;
+      if (disk.faults.isFull === true) {
+        const failure = createStorageError(StorageErrorKind.DiskFull, 'The disk is full.');
+        schedule(syncDelay, () => storageFacts.append({ kind: 'failed', failure }));
+        return;
+      }
+      requests.forEach(({ write }) => disk.write(encodeRecord(write)));
+      schedule(syncDelay, () => finish(requests.at(-1)!.sequence));
+    },
+  };
+};
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -11,6 +11,7 @@
 import { createCore, type Core } from '../../src/service/core/common/core.js';
 import type { RecordedEvent } from '../../src/service/events/common/eventKind.js';
 import type { DaemonId } from '../../src/service/world/common/identifiers.js';
+import { createVirtualDisk, createVirtualStoragePort, type VirtualDisk } from './virtualDisk.js';
 import { createVirtualTime } from './virtualTime.js';
 
 /** A fake port of one daemon; `drain` is run after each of its ticks. */
@@ -39,6 +40,8 @@
   readonly seed: number;
   /** One-way latency between two daemons, by name. */
   readonly latency?: (from: string, to: string) => Milliseconds;
+  /** How long a disk takes to sync. */
+  readonly syncDelay?: Milliseconds;
   /** Creates the fake ports of each start of a daemon. */
   readonly ports?: readonly ((context: VirtualContext) => VirtualPort)[];
 }
@@ -52,6 +55,8 @@
 export interface VirtualInstallation {
   readonly now: () => Instant;
   readonly daemon: (name: string) => VirtualDaemon;
+  /** The disk of a daemon, which outlives its starts. */
+  readonly disk: (name: string) => VirtualDisk;
   readonly runningNames: () => readonly string[];
   /** All events of all daemons so far, in order. */
   readonly events: () => readonly VirtualEvent[];
@@ -72,6 +77,7 @@
 }
 
 const defaultLatency: Milliseconds = 1;
+const defaultSyncDelay: Milliseconds = 1;
 const pairOf = (first: string, second: string): string => [first, second].sort().join('/');
 
 /** Starts every daemon of the deployment. */
@@ -79,11 +85,14 @@
   const time = createVirtualTime();
   const daemons = new Map<string, VirtualDaemon>();
   const ports = new Map<string, readonly VirtualPort[]>();
+  const disks = new Map(options.deployment.daemons.map(({ name }) => [name, createVirtualDisk()]));
+  const diskRandom = createRandom(options.seed);
   const frozen = new Set<string>();
   const waiting = new Map<string, (() => void)[]>();
   const cuts = new Set<string>();
   const events: VirtualEvent[] = [];
   const incarnations = new Map<string, number>();
+  const syncDelay = options.syncDelay ?? defaultSyncDelay;
   const latency = options.latency ?? (() => defaultLatency);
 
   const deliver = (from: string, to: string, message: unknown): void => {
@@ -149,10 +158,9 @@
     );
     const daemon: VirtualDaemon = { name, core, incarnation };
     daemons.set(name, daemon);
-    ports.set(
-      name,
-      (options.ports ?? []).map((create) => create(contextOf(daemon))),
-    );
+    const context = contextOf(daemon);
+    const storagePort = createVirtualStoragePort(context, disks.get(name)!, syncDelay);
+    ports.set(name, [storagePort, ...(options.ports ?? []).map((create) => create(context))]);
     tick(name);
   };
 
@@ -184,6 +192,7 @@
   return {
     now: time.now,
     daemon: (name) => daemons.get(name)!,
+    disk: (name) => disks.get(name)!,
     runningNames: () => [...daemons.keys()],
     events: () => events,
     runFor,
@@ -191,6 +200,7 @@
     schedule: time.schedule,
     stop: (name) => {
       daemons.delete(name);
+      disks.get(name)!.crash(diskRandom);
       ports.delete(name);
       frozen.delete(name);
       waiting.delete(name);
