Keep the replicated log in segment files under the data folder

Cause: voters had no storage outside tests, so no real daemon could take part.

Opening syncs before anything is reported as durable: after a crash of the process alone the bytes may be read back from memory that was never written. The lock names process, start and boot, and is made by link, so that a lock left by a killed process is taken over and a reused process number is not mistaken for its owner.

Ruled out: cutting a last record that is whole in length and fails its checksum. It may be a torn write, and may be a synced record that was damaged; only an error is safe for both.

Conclusion: a real daemon keeps its votes and entries.

--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -13,6 +13,7 @@
 import { createStatsdMetrics } from '../../../platform/metrics/node/statsdMetrics.js';
 import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
 import type { ListenError } from '../../../platform/sockets/node/listen.js';
+import type { StorageError } from '../../../platform/storage/common/storageError.js';
 import { createTickDriver, type TickDriver } from '../../../platform/tables/node/tickDriver.js';
 import { createHybridLogicalClock } from '../../../platform/timeline/common/hybridLogicalClock.js';
 import { createTimelineWriter } from '../../../platform/timeline/node/timelineFile.js';
@@ -20,6 +21,7 @@
 import { createCore } from '../../../service/core/common/core.js';
 import { EventKind } from '../../../service/events/common/eventKind.js';
 import type { World } from '../../../service/world/common/world.js';
+import { noStorage, openStoragePort } from '../../consensus/node/storagePort.js';
 import { createExchangeRegistry } from '../../exchange/node/exchange.js';
 import { createExchangePort } from '../../exchange/node/exchangePort.js';
 import { createCallerRoutes } from '../../front/node/callerRoutes.js';
@@ -53,7 +55,7 @@
 }
 
 export type DaemonError =
-  ListenError | { readonly kind: 'unknownDaemon'; readonly message: string };
+  ListenError | StorageError | { readonly kind: 'unknownDaemon'; readonly message: string };
 
 const findSettings = (options: DaemonOptions): Result<DaemonSettings, DaemonError> => {
   const settings = options.deployment.daemons.find((daemon) => daemon.name === options.name);
@@ -103,8 +105,17 @@
   const eventPort = createEventPort(world, stamps, writer.write);
   const submitter = createSubmitter(world, registry, monotonicClock, wake);
 
+  const openStorage = () =>
+    openStoragePort(world, resolve(options.folder, self.dataFolder!), wake, (error) =>
+      log.error({ kind: error.kind }, error.message),
+    );
+  const storagePort = self.dataFolder === undefined ? ok(noStorage) : await openStorage();
+  if (storagePort.isErr()) return err(storagePort.error);
   const peerPort = await openPeerPort(world, stamps, wake);
-  if (peerPort.isErr()) return err(peerPort.error);
+  if (peerPort.isErr()) {
+    await storagePort.value.dispose();
+    return err(peerPort.error);
+  }
   const front = await openHttpFront(
     self.callerAddress,
     deployment.limits,
@@ -116,11 +127,18 @@
     (error) => log.error({ message: error.message }, 'a route failed'),
   );
   if (front.isErr()) {
-    await peerPort.value.dispose();
+    await Promise.all([peerPort.value.dispose(), storagePort.value.dispose()]);
     return err(front.error);
   }
 
-  const ports = [upstreamPort, exchangePort, fetchPort, peerPort.value, eventPort];
+  const ports = [
+    storagePort.value,
+    upstreamPort,
+    exchangePort,
+    fetchPort,
+    peerPort.value,
+    eventPort,
+  ];
   driver = createTickDriver(
     ticker,
     monotonicClock,
@@ -132,6 +150,7 @@
   const dispose = async (): Promise<void> => {
     driver?.dispose();
     await Promise.all([front.value.dispose(), peerPort.value.dispose(), upstreamPort.dispose()]);
+    await storagePort.value.dispose();
     await Promise.all([writer.dispose(), metrics.dispose()]);
     log.info('closed');
   };
--- /dev/null
+++ b/src/platform/storage/node/folderLock.ts
@@ -0,0 +1,68 @@
+/**
+ * The lock of a data folder against a second process: a file that names its owner by process, start and
+ * boot. A lock whose owner has ended, also by a crash of the VM, is taken over.
+ */
+import { linkSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { err, Result } from 'neverthrow';
+import { createDisposable, type Disposable } from '../../../base/common/disposable.js';
+import { createStorageError, StorageErrorKind, type StorageError } from '../common/storageError.js';
+
+const lockName = 'lock';
+const startTimeField = 19; // fields of /proc/PID/stat after the name of the program
+
+const readText = Result.fromThrowable(
+  (file: string) => readFileSync(file, 'utf8'),
+  () => 'unreadable' as const,
+);
+
+/** Names one start of one process on one boot of the VM, or undefined where there is none. */
+const ownerOf = (processId: number): string | undefined => {
+  const boot = readText('/proc/sys/kernel/random/boot_id').unwrapOr('');
+  return readText(`/proc/${processId}/stat`)
+    .map((stat) => stat.slice(stat.lastIndexOf(')') + 2).split(' ')[startTimeField])
+    .map((startTime) => `${processId} ${startTime} ${boot.trim()}`)
+    .unwrapOr(undefined);
+};
+
+const isAlive = (owner: string): boolean => ownerOf(Number.parseInt(owner, 10)) === owner;
+
+const tryLink = Result.fromThrowable(
+  (from: string, to: string) => linkSync(from, to),
+  () => 'exists' as const,
+);
+
+const tryRename = Result.fromThrowable(
+  (from: string, to: string) => renameSync(from, to),
+  () => 'gone' as const,
+);
+
+/** Moves away the lock of an owner that has ended; puts it back where it is already another's. */
+const removeObsolete = (lockFile: string, ownFile: string, obsolete: string): void => {
+  const movedFile = `${ownFile}.obsolete`;
+  if (tryRename(lockFile, movedFile).isErr()) return;
+  if (readText(movedFile).unwrapOr('') !== obsolete) tryLink(movedFile, lockFile);
+  rmSync(movedFile, { force: true });
+};
+
+const locked = (folder: string, owner: string): StorageError =>
+  createStorageError(
+    StorageErrorKind.Locked,
+    `The data folder ${folder} is used by process ${owner.split(' ', 1)[0]}.`,
+  );
+
+/** Locks a folder, which must exist, until the result is disposed of or the process ends. */
+export const lockFolder = (folder: string): Result<Disposable, StorageError> => {
+  const lockFile = join(folder, lockName);
+  const ownFile = `${lockFile}.${process.pid}`;
+  const self = ownerOf(process.pid) ?? String(process.pid);
+  const holder = readText(lockFile).unwrapOr('');
+  if (holder !== '' && isAlive(holder)) return err(locked(folder, holder));
+  if (holder !== '') removeObsolete(lockFile, ownFile, holder);
+  writeFileSync(ownFile, self);
+  const linked = tryLink(ownFile, lockFile);
+  rmSync(ownFile, { force: true });
+  return linked
+    .map(() => createDisposable(() => rmSync(lockFile, { force: true })))
+    .mapErr(() => locked(folder, readText(lockFile).unwrapOr('')));
+};
--- /dev/null
+++ b/src/platform/storage/node/segmentStore.ts
@@ -0,0 +1,154 @@
+/**
+ * Records in numbered segment files of one folder. Records are appended to the last segment and are
+ * durable once `append` resolves. Opening reads every record, cuts the torn rest of a write that was
+ * never synced, and refuses files that are damaged or missing.
+ */
+import { mkdirSync, readdirSync, readFileSync } from 'node:fs';
+import { open, type FileHandle } from 'node:fs/promises';
+import { join } from 'node:path';
+import { err, ok, Result, ResultAsync } from 'neverthrow';
+import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { createStorageError, StorageErrorKind, type StorageError } from '../common/storageError.js';
+import { lockFolder } from './folderLock.js';
+import { decodeRecords } from './recordCodec.js';
+
+/** A segment that has reached this size is followed by another. */
+const segmentBytes = 8 * 1024 * 1024;
+const segmentPattern = /^log-(\d{8})\.segment$/;
+const numberDigits = 8;
+
+const segmentName = (number: number): string =>
+  `log-${String(number).padStart(numberDigits, '0')}.segment`;
+
+/** An open folder. */
+export interface SegmentStore extends AsyncDisposable {
+  /** The records that were there at the opening, in order. */
+  readonly values: readonly unknown[];
+  /** Writes records and syncs them. After an error nothing more may be written. */
+  readonly append: (records: readonly Buffer[]) => ResultAsync<void, StorageError>;
+}
+
+const kindByCode: Readonly<Record<string, StorageErrorKind>> = {
+  ENOSPC: StorageErrorKind.DiskFull,
+  EDQUOT: StorageErrorKind.DiskFull,
+};
+
+const toStorageError = (error: unknown): StorageError => {
+  const { code = '', message } = error as NodeJS.ErrnoException;
+  const kind = kindByCode[code] ?? StorageErrorKind.Failed;
+  return createStorageError(kind, `Storage met an error (${message}).`);
+};
+
+const findSegments = (folder: string): Result<number[], StorageError> => {
+  const numbers = readdirSync(folder)
+    .map((name) => segmentPattern.exec(name)?.[1])
+    .filter((digits) => digits !== undefined)
+    .map(Number)
+    .sort((first, second) => first - second);
+  const missing = numbers.findIndex((number, position) => number !== position + 1);
+  if (missing < 0) return ok(numbers);
+  const detail = `The file ${segmentName(missing + 1)} is not in ${folder}.`;
+  return err(createStorageError(StorageErrorKind.SegmentMissing, detail));
+};
+
+interface ReadSegment {
+  readonly values: readonly unknown[];
+  readonly wholeBytes: number;
+}
+
+const readSegment = (
+  folder: string,
+  number: number,
+  isLast: boolean,
+): Result<ReadSegment, StorageError> => {
+  const file = join(folder, segmentName(number));
+  const bytes = readFileSync(file);
+  return decodeRecords(bytes)
+    .mapErr((error) => ({ ...error, message: `${file}: ${error.message}` }))
+    .andThen((read) => {
+      if (isLast || read.wholeBytes === bytes.length) return ok(read);
+      const detail = `The file ${file} ends inside a record, and another follows it.`;
+      return err(createStorageError(StorageErrorKind.Corrupt, detail));
+    });
+};
+
+const syncFolder = async (folder: string): Promise<void> => {
+  const handle = await open(folder, 'r');
+  await handle.sync();
+  await handle.close();
+};
+
+/** Opens a segment for appending after `length` bytes, with all that is before them synced. */
+const openSegment = async (folder: string, number: number, length: number): Promise<FileHandle> => {
+  const handle = await open(join(folder, segmentName(number)), 'a');
+  await handle.truncate(length);
+  await handle.sync();
+  await syncFolder(folder);
+  return handle;
+};
+
+const createAppender = async (folder: string, lastNumber: number, lastBytes: number) => {
+  let number = lastNumber;
+  let bytes = lastBytes;
+  let handle = await openSegment(folder, number, bytes);
+
+  const startNextSegment = async (): Promise<void> => {
+    await handle.close();
+    number += 1;
+    bytes = 0;
+    handle = await openSegment(folder, number, bytes);
+  };
+
+  return {
+    append: async (records: readonly Buffer[]): Promise<void> => {
+      if (bytes >= segmentBytes) await startNextSegment();
+      const batch = Buffer.concat(records);
+      await handle.appendFile(batch);
+      await handle.datasync();
+      bytes += batch.length;
+    },
+    dispose: () => handle.close(),
+  };
+};
+
+const readFolder = (folder: string): Result<ReadSegment[], StorageError> =>
+  findSegments(folder).andThen((numbers) =>
+    Result.combine(numbers.map((number) => readSegment(folder, number, number === numbers.length))),
+  );
+
+const openUnlocked = async (folder: string): Promise<Result<SegmentStore, StorageError>> => {
+  const segments = readFolder(folder);
+  if (segments.isErr()) return err(segments.error);
+  const lastNumber = Math.max(1, segments.value.length);
+  const lastBytes = segments.value.at(-1)?.wholeBytes ?? 0;
+  const appender = await createAppender(folder, lastNumber, lastBytes);
+  return ok({
+    values: segments.value.flatMap(({ values }) => values),
+    append: (records) => ResultAsync.fromPromise(appender.append(records), toStorageError),
+    dispose: appender.dispose,
+  });
+};
+
+const openLocked = async (folder: string): Promise<Result<SegmentStore, StorageError>> => {
+  mkdirSync(folder, { recursive: true });
+  const lock = lockFolder(folder);
+  if (lock.isErr()) return err(lock.error);
+  const opened = await ResultAsync.fromPromise(openUnlocked(folder), toStorageError);
+  const store = opened.andThen((result) => result);
+  if (store.isErr()) lock.value.dispose();
+  return store.map((unlocked) => ({
+    ...unlocked,
+    dispose: async () => {
+      await unlocked.dispose();
+      lock.value.dispose();
+    },
+  }));
+};
+
+/** Opens a folder, which is made where it does not exist, and locks it. */
+export const openSegmentStore = async (
+  folder: string,
+): Promise<Result<SegmentStore, StorageError>> => {
+  const opened = await ResultAsync.fromPromise(openLocked(folder), toStorageError);
+  return opened.andThen((result) => result);
+};
