--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -5,7 +5,11 @@
 import type { Instant } from '../../../base/common/time.js';
 import { createTicker, type System, type Ticker } from '../../../platform/tables/common/tick.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
-import { applyTree } from '../../configuration/common/configurationTables.js';
+import {
+  createPublicationSystem,
+  insertSettings,
+} from '../../configuration/common/publicationSystem.js';
+import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
 import { createReplicaSystem, insertReplica } from '../../consensus/common/replicaSystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
@@ -29,6 +33,8 @@
   createInboxSystem,
   createReplicaSystem,
   createApplySystem,
+  createPublicationSystem,
+  createRotationSystem,
   createDaemonSystem,
   createAnnouncementSystem,
   createPlanSystem,
@@ -51,7 +57,7 @@
 /** Creates a core whose tables hold the settings and nothing else. */
 export const createCore = (options: WorldOptions, now: Instant): Core => {
   const world = createWorld(options);
-  applyTree(world, options.tree);
+  insertSettings(world, options.restored);
   insertDaemons(world, now);
   insertReplica(world, now);
   const systems = systemFactories.map((create) => create(world));
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -58,6 +58,8 @@
   /** The disk of a daemon, which outlives its starts. */
   readonly disk: (name: string) => VirtualDisk;
   readonly runningNames: () => readonly string[];
+  /** Whether this start of a daemon still runs. */
+  readonly isCurrent: (daemon: VirtualDaemon) => boolean;
   /** All events of all daemons so far, in order. */
   readonly events: () => readonly VirtualEvent[];
   readonly runFor: (duration: Milliseconds) => void;
@@ -194,6 +196,7 @@
     daemon: (name) => daemons.get(name)!,
     disk: (name) => disks.get(name)!,
     runningNames: () => [...daemons.keys()],
+    isCurrent: (daemon) => daemons.get(daemon.name) === daemon,
     events: () => events,
     runFor,
     wake: tick,
