Queue requests fairly by workspace and class, and share limits between entries

Cause: routing sorted every waiting request in each tick, in the order of arrival, so that a workspace that floods held up all others, and the limits of the tree were not kept.

Waiting requests now stand in flows (pool, class, workspace) with virtual starts in weighted tokens; an order index gives the next flow and its oldest request, so the cost follows what is dispatched. Bulk work leaves one slot in eight of each upstream free. Limits of workspaces are shared by reported demand; a refusal says when to come again, from the pace of the queue. Pools are a service and a model, so a draw needs no filter by model. Upstreams that other entries fill are seen by the difference of their report to our own peak since the last one.

Ruled out: sorting in the tick (cost by what waits); strict priority of prompt work (bulk stands still); keeping slots free by counting free ones (a test showed bulk work never served under prompt overload, as each freed slot was taken at once; the limit counts running bulk attempts instead).

Deadline indices use the same heap of live keys, so entries of ended requests no longer pile up below a far deadline.

--- /dev/null
+++ b/src/base/test/common/liveHeap.test.ts
@@ -0,0 +1,27 @@
+/** The live heap gives the lowest live key, follows moves, and holds few obsolete entries. */
+import test from 'ava';
+import { createLiveHeap } from '../../common/liveHeap.js';
+
+test('a moved key comes out at its new priority and a removed one not at all', (t) => {
+  const heap = createLiveHeap();
+  heap.set('a', 1);
+  heap.set('b', 2);
+  heap.set('c', 3);
+  heap.set('a', 4);
+  heap.remove('b');
+  t.is(heap.first(), 'c');
+  heap.remove('c');
+  t.is(heap.first(), 'a');
+  t.is(heap.lowestPriority(), 4);
+});
+
+test('obsolete entries below the first are dropped when they outnumber the live ones', (t) => {
+  const heap = createLiveHeap();
+  heap.set('lowest', 0);
+  Array.from({ length: 10_000 }, (_, index) => `key-${index}`).forEach((key, index) => {
+    heap.set(key, index + 1);
+    heap.remove(key);
+  });
+  t.is(heap.first(), 'lowest');
+  t.true(heap.heldEntries() <= 2 * heap.size() + 32);
+});
--- a/src/daemon/front/node/callerRoutes.ts
+++ b/src/daemon/front/node/callerRoutes.ts
@@ -106,6 +106,7 @@
     const decoded: DecodedRequest = {
       keyDigest: readKeyDigest(context.req.raw.headers),
       service: findModelService(world, body.value.model),
+      model: body.value.model,
       estimatedTokens:
         Math.ceil(bytes.length / bytesPerToken) + (body.value.max_tokens ?? defaultAnswerTokens),
     };
@@ -118,6 +119,7 @@
     const decoded: DecodedRequest = {
       keyDigest: readKeyDigest(context.req.raw.headers),
       service: findPlainService(world, pathname),
+      model: null,
       estimatedTokens: Math.ceil(bytes.length / bytesPerToken),
     };
     return submitAndWatch(
--- a/src/daemon/front/node/errorResponse.ts
+++ b/src/daemon/front/node/errorResponse.ts
@@ -1,6 +1,7 @@
 /**
  * Refusals as HTTP responses, in the form that clients of model engines already read.
  */
+import { millisecondsPerSecond } from '../../../base/common/time.js';
 import { RefusalKind, type Refusal } from '../../../service/traffic/common/refusal.js';
 
 const statusByKind: Readonly<Record<RefusalKind, number>> = {
@@ -25,7 +26,7 @@
   internalFault: 500,
 };
 
-const retryAfterSeconds = 1;
+const defaultRetryAfterMilliseconds = 1_000;
 const retryableKinds: ReadonlySet<RefusalKind> = new Set([
   RefusalKind.QueueFull,
   RefusalKind.QueueDeadlinePassed,
@@ -45,8 +46,12 @@
   },
 });
 
-const retryHeadersOf = (refusal: Refusal): Record<string, string> =>
-  retryableKinds.has(refusal.kind) ? { 'retry-after': String(retryAfterSeconds) } : {};
+/** The delay in whole seconds, rounded up. */
+const retryHeadersOf = (refusal: Refusal): Record<string, string> => {
+  if (!retryableKinds.has(refusal.kind)) return {};
+  const milliseconds = refusal.retryAfterMilliseconds ?? defaultRetryAfterMilliseconds;
+  return { 'retry-after': String(Math.ceil(milliseconds / millisecondsPerSecond)) };
+};
 
 /** A refusal as a response. */
 export const errorResponse = (refusal: Refusal): Response =>
--- a/src/daemon/front/node/submission.ts
+++ b/src/daemon/front/node/submission.ts
@@ -1,12 +1,9 @@
 /**
  * Submits a decoded request to the tables and gives the response when its row has decided.
  */
-import { never, type Clock } from '../../../base/common/time.js';
-import {
-  RequestState,
-  type ArrivedRequest,
-  type RequestRow,
-} from '../../../service/traffic/common/trafficTables.js';
+import type { Clock } from '../../../base/common/time.js';
+import { createArrivedRow } from '../../../service/traffic/common/arrivedRequest.js';
+import type { ArrivedRequest } from '../../../service/traffic/common/trafficTables.js';
 import type { RequestId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
 import type { ExchangeRegistry, RequestContent } from '../../exchange/node/exchange.js';
@@ -28,24 +25,6 @@
   readonly depart: (request: RequestId) => void;
 }
 
-const arrivedRow = (decoded: DecodedRequest, id: RequestId, now: number): RequestRow => ({
-  ...decoded,
-  id,
-  sample: null,
-  madeFor: null,
-  state: RequestState.Arrived,
-  workspace: null,
-  policy: null,
-  arrivedAt: now,
-  queueDeadline: never,
-  requestDeadline: never,
-  retentionDeadline: never,
-  attemptCount: 0,
-  mayHaveRun: false,
-  answerStarted: false,
-  refusal: null,
-});
-
 /** Creates the submitter of a daemon. */
 export const createSubmitter = (
   world: World,
@@ -57,7 +36,7 @@
     const id = world.identifiers.next<RequestId>('request');
     const { exchange, response } = createCallerExchange(content);
     registry.add(id, exchange);
-    world.requests.put(arrivedRow(decoded, id, clock()));
+    world.requests.put(createArrivedRow({ ...decoded, id, sample: null, madeFor: null }, clock()));
     wake();
     return { request: id, response };
   },
--- a/src/platform/tables/common/table.ts
+++ b/src/platform/tables/common/table.ts
@@ -7,16 +7,16 @@
 import { createDisposable } from '../../../base/common/disposable.js';
 import { pickOne, type Random } from '../../../base/common/random.js';
 import { never, type Instant } from '../../../base/common/time.js';
+import { createDrawIndex, type DrawColumn, type DrawIndex } from './drawIndex.js';
 import { RowReader } from './rowReader.js';
 import {
   createDeadlineIndex,
-  createDrawIndex,
   createValueIndex,
   type DeadlineIndex,
-  type DrawIndex,
   type IndexMaintenance,
   type ValueIndex,
 } from './indices.js';
+import { createOrderIndex, type OrderColumns, type OrderIndex } from './orderIndex.js';
 
 /** What every row has: its identifier in the table. */
 export interface Entity<Id extends Brand<string> = Brand<string>> {
@@ -39,13 +39,16 @@
   IndexName extends string,
   DeadlineName extends string,
   DrawName extends string,
+  OrderName extends string,
 > {
   /** Name of the table, for messages of errors. */
   readonly name: string;
   readonly indices: Readonly<Record<IndexName, (row: Row) => string | undefined>>;
   readonly deadlines: Readonly<Record<DeadlineName, (row: Row) => Instant>>;
   /** Columns by which a row is drawn at random at constant cost. */
-  readonly draws?: Readonly<Record<DrawName, (row: Row) => string | undefined>>;
+  readonly draws?: Readonly<Record<DrawName, DrawColumn<Row>>>;
+  /** Orders in which the first row of a group is looked up. */
+  readonly orders?: Readonly<Record<OrderName, OrderColumns<Row>>>;
 }
 
 /** What is common to all tables, whatever their rows. */
@@ -64,6 +67,7 @@
   IndexName extends string = never,
   DeadlineName extends string = never,
   DrawName extends string = never,
+  OrderName extends string = never,
 > extends AnyTable {
   readonly get: (id: IdOf<Row>) => Row | undefined;
   readonly has: (id: IdOf<Row>) => boolean;
@@ -85,6 +89,8 @@
   readonly drawCount: (index: DrawName, value: string) => number;
   /** All rows that can be drawn for this value, in no order. */
   readonly drawable: (index: DrawName, value: string) => Row[];
+  /** The row with the lowest rank in this group of an order. */
+  readonly first: (order: OrderName, group: string) => Row | undefined;
   /** Takes the rows whose deadline has passed; a deadline is reported once. */
   readonly takeDue: (deadline: DeadlineName, now: Instant) => Row[];
   /** Begins to collect changes; a tick does not wait for readers that are ports. */
@@ -105,9 +111,10 @@
   IndexName extends string = never,
   DeadlineName extends string = never,
   DrawName extends string = never,
+  OrderName extends string = never,
 >(
-  definition: TableDefinition<Row, IndexName, DeadlineName, DrawName>,
-): Table<Row, IndexName, DeadlineName, DrawName> => {
+  definition: TableDefinition<Row, IndexName, DeadlineName, DrawName, OrderName>,
+): Table<Row, IndexName, DeadlineName, DrawName, OrderName> => {
   const rows = new Map<IdOf<Row>, Row>();
   const readers = new Set<Set<IdOf<Row>>>();
   const systemReaders = new Set<Set<IdOf<Row>>>();
@@ -118,13 +125,18 @@
     createDeadlineIndex(column),
   );
   const drawIndices = mapColumns(
-    definition.draws ?? ({} as Record<DrawName, (row: Row) => string | undefined>),
+    definition.draws ?? ({} as Record<DrawName, DrawColumn<Row>>),
     (column): DrawIndex<Row> => createDrawIndex(column),
   );
+  const orderIndices = mapColumns(
+    definition.orders ?? ({} as Record<OrderName, OrderColumns<Row>>),
+    (columns): OrderIndex<Row> => createOrderIndex(columns),
+  );
   const deadlineList = Object.values<DeadlineIndex<Row>>(deadlineIndices);
   const allIndices: IndexMaintenance<Row>[] = [
     ...Object.values<ValueIndex<Row>>(valueIndices),
     ...Object.values<DrawIndex<Row>>(drawIndices),
+    ...Object.values<OrderIndex<Row>>(orderIndices),
     ...deadlineList,
   ];
 
@@ -174,6 +186,10 @@
     },
     drawCount: (index, value) => drawIndices[index].identifiers(value).length,
     drawable: (index, value) => rowsOf(drawIndices[index].identifiers(value)),
+    first: (order, group) => {
+      const id = orderIndices[order].first(group);
+      return id === undefined ? undefined : rows.get(id as IdOf<Row>);
+    },
     takeDue: (deadline, now) => rowsOf(deadlineIndices[deadline].takeDue(now)),
     readChanges: (reader = RowReader.System) => {
       const changed = new Set<IdOf<Row>>();
--- a/src/service/admission/common/admissionSystem.ts
+++ b/src/service/admission/common/admissionSystem.ts
@@ -4,13 +4,19 @@
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
-import { effectivePolicy, type Policy } from '../../configuration/common/tree.js';
+import { effectivePolicy, WorkClass, type Policy } from '../../configuration/common/tree.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { refuseRequest } from '../../traffic/common/endRequest.js';
+import { flowOf, laneOf } from '../../traffic/common/flowTables.js';
 import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
-import { RequestState, type RequestRow } from '../../traffic/common/trafficTables.js';
+import {
+  poolOfRequest,
+  RequestState,
+  type RequestRow,
+} from '../../traffic/common/trafficTables.js';
 import type { WorkspaceName } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { makeRoom, queueFullRefusal } from './waitingLimit.js';
 
 const isOpen = (world: World, request: RequestRow): boolean =>
   request.service !== null && world.services.get(request.service)?.settings.open === true;
@@ -60,6 +66,10 @@
   return effectivePolicy(world.tree(), service, settings);
 };
 
+/** Samples are bulk work, whatever the class of their workspace. */
+const workClassOf = (request: RequestRow, policy: Policy): WorkClass =>
+  request.sample === null ? policy.workClass : WorkClass.Bulk;
+
 const admit = (
   world: World,
   request: RequestRow,
@@ -67,10 +77,18 @@
   now: Instant,
 ): void => {
   const policy = policyFor(world, request, workspace);
+  const workClass = workClassOf(request, policy);
+  const flow = flowOf(laneOf(poolOfRequest(request), workClass), workspace);
+  if (request.sample === null && !makeRoom(world, { workspace, workClass, policy }, now)) {
+    refuseRequest(world, request, queueFullRefusal(world, flow, policy), now);
+    return;
+  }
   world.requests.change(request.id, {
     state: RequestState.Waiting,
     workspace,
     policy,
+    workClass,
+    flow,
     queueDeadline: deadlineAfter(now, policy.queueMilliseconds),
     requestDeadline: deadlineAfter(now, policy.requestMilliseconds),
   });
--- /dev/null
+++ b/src/service/admission/common/demandMessages.ts
@@ -0,0 +1,49 @@
+/**
+ * What an entry tells the others of its workspaces, and what they do with it.
+ */
+import { z } from 'zod';
+import { asBrand, type Brand } from '../../../base/common/brand.js';
+import type { HandlerTable } from '../../../base/common/handlers.js';
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import type { DaemonId, WorkspaceName } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+
+export const workspaceDemandSchema = z.object({
+  kind: z.literal('workspaceDemand'),
+  /** Every workspace of which the sender has requests that wait or run. */
+  demands: z.array(
+    z.object({ workspace: z.string().min(1), requests: z.number().int().positive() }),
+  ),
+});
+
+/** The messages of demand. */
+export type DemandMessage = z.infer<typeof workspaceDemandSchema>;
+
+/** A report counts for this many heartbeat intervals. */
+const reportLifetimeIntervals = 3;
+
+const demandId = (daemon: DaemonId, workspace: string): Brand<'demand'> =>
+  asBrand(`${daemon}/${workspace}`);
+
+const dropUnnamed = (world: World, daemon: DaemonId, named: ReadonlySet<string>): void =>
+  world.demands
+    .where('daemon', daemon)
+    .filter((row) => !named.has(row.workspace))
+    .forEach((row) => world.demands.remove(row.id));
+
+export const demandHandlers: HandlerTable<DemandMessage, void, [World, DaemonRow, Instant]> = {
+  workspaceDemand: ({ demands }, world, { id: daemon }, now) => {
+    const lifetime = reportLifetimeIntervals * world.deployment.timing.heartbeatMilliseconds;
+    dropUnnamed(world, daemon, new Set(demands.map((demand) => demand.workspace)));
+    demands.forEach(({ workspace, requests }) =>
+      world.demands.put({
+        id: demandId(daemon, workspace),
+        daemon,
+        workspace: asBrand<WorkspaceName>(workspace),
+        requests,
+        expiryDeadline: deadlineAfter(now, lifetime),
+      }),
+    );
+  },
+};
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '../../../base/common/time.js';
 import { createTicker, type System, type Ticker } from '../../../platform/tables/common/tick.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
+import { createDemandSystem } from '../../admission/common/demandSystem.js';
 import { applyTree } from '../../configuration/common/configurationTables.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
@@ -17,6 +18,7 @@
 import { createFetchSystem } from '../../rollout/common/fetchSystem.js';
 import { createPlanSystem } from '../../rollout/common/planSystem.js';
 import { createSampleSystem } from '../../rollout/common/sampleSystem.js';
+import { createFlowSystem } from '../../routing/common/flowSystem.js';
 import { createRoutingSystem } from '../../routing/common/routingSystem.js';
 import { createWorld, type World, type WorldOptions } from '../../world/common/world.js';
 
@@ -34,6 +36,8 @@
   createAttemptFactSystem,
   createDepartureSystem,
   createDeadlineSystem,
+  createDemandSystem,
+  createFlowSystem,
   createRoutingSystem,
   createDispatchSystem,
   createSampleSystem,
--- a/src/service/dispatch/common/endAttempt.ts
+++ b/src/service/dispatch/common/endAttempt.ts
@@ -8,6 +8,7 @@
 import { createRefusal, type RefusalKind } from '../../traffic/common/refusal.js';
 import {
   AttemptState,
+  countOfBulk,
   RequestState,
   type AttemptRow,
   type RequestRow,
@@ -20,6 +21,7 @@
   if (upstream === undefined) return;
   world.upstreams.change(upstream.id, {
     ownRunning: Math.max(0, upstream.ownRunning - 1),
+    ownBulk: Math.max(0, upstream.ownBulk - countOfBulk[attempt.workClass]),
     ownTokens: Math.max(0, upstream.ownTokens - attempt.estimatedTokens),
   });
 };
--- a/src/service/membership/common/announcementSystem.ts
+++ b/src/service/membership/common/announcementSystem.ts
@@ -7,7 +7,7 @@
 import type { System } from '../../../platform/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { Announcement } from '../../protocol/common/upstreamProtocol.js';
-import type { UpstreamId } from '../../world/common/identifiers.js';
+import type { ServiceName, UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import {
   DaemonState,
@@ -25,9 +25,13 @@
   return {
     ...facts,
     id: asBrand<UpstreamId>(upstream),
+    service: asBrand<ServiceName>(announcement.service),
     announcementDeadline: deadlineAfter(now, remaining),
     ownRunning: before?.ownRunning ?? 0,
     ownTokens: before?.ownTokens ?? 0,
+    ownBulk: before?.ownBulk ?? 0,
+    ownPeak: before?.ownRunning ?? 0,
+    othersRunning: Math.max(0, announcement.running - (before?.ownPeak ?? 0)),
   };
 };
 
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -6,8 +6,14 @@
 import { createTable } from '../../../platform/tables/common/table.js';
 import { RowReader } from '../../../platform/tables/common/rowReader.js';
 import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
-import type { Announcement } from '../../protocol/common/upstreamProtocol.js';
-import type { DaemonId, UpstreamId } from '../../world/common/identifiers.js';
+import type { WorkClass } from '../../configuration/common/tree.js';
+import {
+  UpstreamKind,
+  UpstreamState,
+  type Announcement,
+} from '../../protocol/common/upstreamProtocol.js';
+import { poolOf } from '../../traffic/common/flowTables.js';
+import type { DaemonId, ServiceName, UpstreamId } from '../../world/common/identifiers.js';
 
 export const DaemonState = {
   /** Named in the settings and not heard from yet. */
@@ -38,19 +44,48 @@
 }
 
 /** What an upstream says of itself, with its remaining time turned into a deadline. */
-export interface UpstreamRow extends Omit<Announcement, 'upstream' | 'remaining'> {
+export interface UpstreamRow extends Omit<Announcement, 'upstream' | 'remaining' | 'service'> {
   readonly id: UpstreamId;
+  readonly service: ServiceName;
   /** When the announcement runs out. */
   readonly announcementDeadline: Instant;
   /** Attempts of this daemon that it runs now. */
   readonly ownRunning: number;
   /** Tokens of those attempts, by estimate. */
   readonly ownTokens: number;
+  /** Bulk attempts among `ownRunning`. */
+  readonly ownBulk: number;
+  /** The most attempts of this daemon that it ran at once since its last report. */
+  readonly ownPeak: number;
+  /** Requests of other daemons that it ran at its last report: those reported beyond `ownPeak`. */
+  readonly othersRunning: number;
 }
 
-/** Whether an upstream takes one more request. */
-export const hasFreeSlot = (row: UpstreamRow): boolean =>
-  row.state === 'serving' && row.ownRunning < row.slots;
+/** One slot in so many is kept free of bulk work, so that a prompt request seldom waits for one. */
+const slotsForOneReserved = 8;
+
+const reservedSlots = (row: UpstreamRow): number =>
+  row.slots < 2 ? 0 : Math.ceil(row.slots / slotsForOneReserved);
+
+const freeSlots = (row: UpstreamRow): number =>
+  row.state === UpstreamState.Serving ? row.slots - row.ownRunning - row.othersRunning : 0;
+
+/** Whether an upstream takes one more prompt request. */
+export const hasFreeSlot = (row: UpstreamRow): boolean => freeSlots(row) > 0;
+
+/** Bulk requests of this daemon that may run there; at least one, so that bulk work never stands still. */
+const bulkSlots = (row: UpstreamRow): number =>
+  Math.max(1, row.slots - reservedSlots(row) - row.othersRunning);
+
+/** Whether an upstream takes one more bulk request. */
+export const hasFreeBulkSlot = (row: UpstreamRow): boolean =>
+  hasFreeSlot(row) && row.ownBulk < bulkSlots(row);
+
+/** The pools in which an upstream stands: one for each model and adapter, or the one of its service. */
+const poolsOfUpstream = (row: UpstreamRow): readonly string[] =>
+  row.kind === UpstreamKind.Plain
+    ? [poolOf(row.service, null)]
+    : [...new Set([...row.models, ...row.adapters])].map((model) => poolOf(row.service, model));
 
 /** An announcement as a port has decoded it, with the instant at which it came. */
 export interface ArrivedAnnouncement {
@@ -69,11 +104,14 @@
       heartbeat: (row) => (row.isSelf ? never : row.heartbeatDeadline),
     },
   }),
-  upstreams: createTable<UpstreamRow, 'service', 'announcement', 'free'>({
+  upstreams: createTable<UpstreamRow, 'service', 'announcement', WorkClass>({
     name: 'upstreams',
     indices: { service: (row) => row.service },
     deadlines: { announcement: (row) => row.announcementDeadline },
-    draws: { free: (row) => (hasFreeSlot(row) ? row.service : undefined) },
+    draws: {
+      prompt: (row) => (hasFreeSlot(row) ? poolsOfUpstream(row) : undefined),
+      bulk: (row) => (hasFreeBulkSlot(row) ? poolsOfUpstream(row) : undefined),
+    },
   }),
   arrivedAnnouncements: createRowQueue<ArrivedAnnouncement>(
     'arrivedAnnouncements',
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -5,6 +5,7 @@
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
+import { demandHandlers } from '../../admission/common/demandMessages.js';
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
@@ -15,6 +16,7 @@
 
 const handlers: HandlerTable<Message, void, MessageContext> = {
   ...membershipHandlers,
+  ...demandHandlers,
 };
 
 /** Creates the system of incoming messages. */
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -3,6 +3,7 @@
  * milliseconds. The schemas check what comes over the wire; encoding is the business of the port.
  */
 import { z } from 'zod';
+import { workspaceDemandSchema } from '../../admission/common/demandMessages.js';
 import {
   heartbeatSchema,
   upstreamAnnouncedSchema,
@@ -13,6 +14,7 @@
 export const messageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
   upstreamAnnouncedSchema,
+  workspaceDemandSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/rollout/common/planSystem.ts
+++ b/src/service/rollout/common/planSystem.ts
@@ -2,34 +2,25 @@
  * The planner: makes a request for each planned sample. Requests of samples wait in the same queue as
  * those of callers, and go after them.
  */
-import { never, type Instant } from '../../../base/common/time.js';
+import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
-import { RequestState } from '../../traffic/common/trafficTables.js';
+import { createArrivedRow } from '../../traffic/common/arrivedRequest.js';
 import type { RequestId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { LotState, SampleState, type LotRow, type SampleRow } from './rolloutTables.js';
 
 const putRequest = (world: World, sample: SampleRow, lot: LotRow, now: Instant): RequestId => {
   const id = world.identifiers.next<RequestId>('request');
-  world.requests.put({
+  const arrived = {
     id,
     keyDigest: null,
     service: lot.service,
+    model: lot.model,
     estimatedTokens: lot.maximumTokens,
     sample: sample.id,
     madeFor: lot.workspace,
-    state: RequestState.Arrived,
-    workspace: null,
-    policy: null,
-    arrivedAt: now,
-    queueDeadline: never,
-    requestDeadline: never,
-    retentionDeadline: never,
-    attemptCount: 0,
-    mayHaveRun: false,
-    answerStarted: false,
-    refusal: null,
-  });
+  };
+  world.requests.put(createArrivedRow(arrived, now));
   return id;
 };
 
--- /dev/null
+++ b/src/service/routing/common/flowSystem.ts
@@ -0,0 +1,41 @@
+/**
+ * Follows requests into the backlog of their flows, and lets flows go on whose workspace was at its limit
+ * when one of its requests ends or its share of the limit changes.
+ */
+import type { System } from '../../../platform/tables/common/tick.js';
+import { hasEnded } from '../../traffic/common/endRequest.js';
+import {
+  poolOfRequest,
+  RequestState,
+  type RequestRow,
+} from '../../traffic/common/trafficTables.js';
+import type { WorkspaceName } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+import { startFlow } from './fairQueue.js';
+
+const unblock = (world: World, workspace: WorkspaceName): void =>
+  world.flows
+    .where('blocked', workspace)
+    .forEach((flow) => world.flows.change(flow.id, { isBlocked: false }));
+
+const follow = (world: World, request: RequestRow): void => {
+  if (request.state === RequestState.Waiting) startFlow(world, request, poolOfRequest(request));
+  const hasLeftRunning = request.state === RequestState.Waiting || hasEnded(request);
+  if (hasLeftRunning && request.workspace !== null) unblock(world, request.workspace);
+};
+
+/** Creates the system of flows. */
+export const createFlowSystem = (world: World): System => {
+  const requestChanges = world.requests.readChanges();
+  const shareChanges = world.otherDemands.readChanges();
+  return {
+    name: 'flow',
+    run: () => {
+      requestChanges.take().forEach((id) => {
+        const request = world.requests.get(id);
+        if (request !== undefined) follow(world, request);
+      });
+      shareChanges.take().forEach((workspace) => unblock(world, workspace));
+    },
+  };
+};
--- a/src/service/routing/common/routingSystem.ts
+++ b/src/service/routing/common/routingSystem.ts
@@ -1,16 +1,25 @@
 /**
- * Routing: gives waiting requests to upstreams with free slots. Two upstreams are drawn at random and the
+ * Routing: gives waiting requests to upstreams with free slots, in the order of fair queueing. Two upstreams are drawn at random and the
  * one with fewer outstanding tokens of this daemon is taken, so that the cost of a decision does not grow
  * with the number of upstreams, and several entries do not all choose the same one.
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
+import { ownShareOf, runningOf } from '../../admission/common/limitShares.js';
+import type { WorkClass } from '../../configuration/common/tree.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { UpstreamRow } from '../../membership/common/membershipTables.js';
-import { AttemptState, RequestState, type RequestRow } from '../../traffic/common/trafficTables.js';
-import type { AttemptId, ServiceName } from '../../world/common/identifiers.js';
+import type { PoolId } from '../../traffic/common/flowTables.js';
+import {
+  AttemptState,
+  countOfBulk,
+  RequestState,
+  type RequestRow,
+} from '../../traffic/common/trafficTables.js';
+import type { AttemptId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { charge, nextOfPool } from './fairQueue.js';
 
 const lessLoaded = (
   first: UpstreamRow | undefined,
@@ -21,10 +30,14 @@
 };
 
 /** Draws an upstream with a free slot, or undefined where none has one. */
-export const drawUpstream = (world: World, service: ServiceName): UpstreamRow | undefined =>
+export const drawUpstream = (
+  world: World,
+  pool: PoolId,
+  workClass: WorkClass,
+): UpstreamRow | undefined =>
   lessLoaded(
-    world.upstreams.draw('free', service, world.random),
-    world.upstreams.draw('free', service, world.random),
+    world.upstreams.draw(workClass, pool, world.random),
+    world.upstreams.draw(workClass, pool, world.random),
   );
 
 const startAttempt = (
@@ -39,6 +52,7 @@
     request: request.id,
     upstream: upstream.id,
     service: request.service!,
+    workClass: request.workClass,
     state: AttemptState.Queued,
     progressDeadline: deadlineAfter(now, request.policy!.progressMilliseconds),
     estimatedTokens: request.estimatedTokens,
@@ -49,6 +63,8 @@
   });
   world.upstreams.change(upstream.id, {
     ownRunning: upstream.ownRunning + 1,
+    ownBulk: upstream.ownBulk + countOfBulk[request.workClass],
+    ownPeak: Math.max(upstream.ownPeak, upstream.ownRunning + 1),
     ownTokens: upstream.ownTokens + request.estimatedTokens,
   });
   world.requests.change(request.id, {
@@ -61,25 +77,37 @@
   });
 };
 
-const byUrgency = (first: RequestRow, second: RequestRow): number =>
-  Number(first.sample !== null) - Number(second.sample !== null) ||
-  first.arrivedAt - second.arrivedAt;
+const isAtRunningLimit = (world: World, { workspace, policy, sample }: RequestRow): boolean => {
+  if (workspace === null || sample !== null) return false;
+  return runningOf(world, workspace) >= ownShareOf(world, workspace, policy!.maximumRunning);
+};
 
-const routeService = (world: World, service: ServiceName, now: Instant): void => {
-  if (world.upstreams.drawCount('free', service) === 0) return;
-  const waiting = world.requests.where('waitingFor', service).sort(byUrgency);
-  waiting.every((request) => {
-    const upstream = drawUpstream(world, service);
-    if (upstream !== undefined) startAttempt(world, request, upstream, now);
-    return upstream !== undefined;
-  });
+/** Serves one request of the pool; returns whether there may be another. */
+const serveOne = (world: World, pool: PoolId, now: Instant): boolean => {
+  const canServe = (workClass: WorkClass): boolean =>
+    world.upstreams.drawCount(workClass, pool) > 0;
+  const next = nextOfPool(world, pool, canServe);
+  if (next === undefined) return false;
+  if (isAtRunningLimit(world, next.request)) {
+    world.flows.change(next.flow.id, { isBlocked: true });
+    return true;
+  }
+  const upstream = drawUpstream(world, pool, next.request.workClass);
+  if (upstream === undefined) return false;
+  charge(world, next, now);
+  startAttempt(world, next.request, upstream, now);
+  return true;
+};
+
+const routePool = (world: World, pool: PoolId, now: Instant): void => {
+  while (serveOne(world, pool, now));
 };
 
 /** Creates the system of routing. */
 export const createRoutingSystem = (world: World): System => ({
   name: 'routing',
   run: (now) =>
-    [...world.requests.values('waitingFor')].forEach((service) =>
-      routeService(world, asBrand<ServiceName>(service), now),
+    [...world.requests.values('waitingFor')].forEach((pool) =>
+      routePool(world, asBrand<PoolId>(pool), now),
     ),
 });
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -33,6 +33,8 @@
   readonly message: string;
   /** True only where no byte of any attempt was written or every upstream refused before running. */
   readonly notRun: boolean;
+  /** After how long the caller should send again; absent where the front end's default holds. */
+  readonly retryAfterMilliseconds?: number;
 }
 
 const remedies: Readonly<Record<RefusalKind, string>> = {
--- a/src/service/traffic/common/trafficTables.ts
+++ b/src/service/traffic/common/trafficTables.ts
@@ -6,7 +6,7 @@
 import { RowReader } from '../../../platform/tables/common/rowReader.js';
 import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
 import { createTable } from '../../../platform/tables/common/table.js';
-import type { Policy } from '../../configuration/common/tree.js';
+import { WorkClass, type Policy } from '../../configuration/common/tree.js';
 import type {
   AttemptId,
   KeyDigest,
@@ -17,6 +17,7 @@
   WorkspaceName,
 } from '../../world/common/identifiers.js';
 import type { AttemptFact } from './attemptFact.js';
+import { createFlowTables, poolOf, type FlowId, type PoolId } from './flowTables.js';
 import type { Refusal } from './refusal.js';
 
 export const RequestState = {
@@ -40,6 +41,8 @@
   readonly keyDigest: KeyDigest | null;
   /** The service that the path or model names, or null where none has it. */
   readonly service: ServiceName | null;
+  /** The model or adapter that the request names, or null for plain services. */
+  readonly model: string | null;
   /** Tokens that the request will take by its own limits: prompt and answer. */
   readonly estimatedTokens: number;
   /** The sample for which the request runs, or null for a caller's request. */
@@ -53,6 +56,9 @@
   readonly workspace: WorkspaceName | null;
   /** The policy in force at admission, which holds for the whole request. */
   readonly policy: Policy | null;
+  readonly workClass: WorkClass;
+  /** The flow in which it waits, from admission on. */
+  readonly flow: FlowId | null;
   readonly arrivedAt: Instant;
   /** Until when the request may wait for an upstream. */
   readonly queueDeadline: Instant;
@@ -86,11 +92,15 @@
   readonly tokens: number;
 }
 
+/** What an attempt of a work class adds to the bulk attempts of an upstream. */
+export const countOfBulk: Readonly<Record<WorkClass, number>> = { prompt: 0, bulk: 1 };
+
 export interface AttemptRow {
   readonly id: AttemptId;
   readonly request: RequestId;
   readonly upstream: UpstreamId;
   readonly service: ServiceName;
+  readonly workClass: WorkClass;
   readonly state: AttemptState;
   /** Until when the upstream must show progress. */
   readonly progressDeadline: Instant;
@@ -102,13 +112,52 @@
   readonly unnamedTokens: number;
 }
 
-export const createTrafficTables = () => ({
-  requests: createTable<RequestRow, 'waitingFor' | 'state', 'queue' | 'request' | 'retention'>({
+/** The pool whose upstreams can run an admitted request. */
+export const poolOfRequest = (row: RequestRow): PoolId => poolOf(row.service!, row.model);
+
+/** The only group of the orders over all workspaces. */
+export const allWorkspaces = 'all';
+
+const isWaitingCaller = (row: RequestRow): boolean =>
+  row.state === RequestState.Waiting && row.sample === null;
+
+const isWaitingBulk = (row: RequestRow): boolean =>
+  isWaitingCaller(row) && row.workClass === WorkClass.Bulk;
+
+const workspaceStateOf = (row: RequestRow): string | undefined => {
+  if (row.workspace === null || row.sample !== null) return undefined;
+  return `${row.state}|${row.workspace}`;
+};
+
+const createRequestTable = () =>
+  createTable<
+    RequestRow,
+    'waitingFor' | 'state' | 'workspaceState' | 'callerWaiting' | 'flow',
+    'queue' | 'request' | 'retention',
+    never,
+    'flow' | 'newestBulk' | 'newestBulkOfAll'
+  >({
     name: 'requests',
     indices: {
-      waitingFor: (row) =>
-        row.state === RequestState.Waiting ? (row.service ?? undefined) : undefined,
+      waitingFor: (row) => (row.state === RequestState.Waiting ? poolOfRequest(row) : undefined),
       state: (row) => row.state,
+      workspaceState: workspaceStateOf,
+      callerWaiting: (row) => (isWaitingCaller(row) ? allWorkspaces : undefined),
+      flow: (row) => (row.state === RequestState.Waiting ? row.flow! : undefined),
+    },
+    orders: {
+      flow: {
+        group: (row) => (row.state === RequestState.Waiting ? row.flow! : undefined),
+        rank: (row) => row.arrivedAt,
+      },
+      newestBulk: {
+        group: (row) => (isWaitingBulk(row) ? (row.workspace ?? undefined) : undefined),
+        rank: (row) => -row.arrivedAt,
+      },
+      newestBulkOfAll: {
+        group: (row) => (isWaitingBulk(row) ? allWorkspaces : undefined),
+        rank: (row) => -row.arrivedAt,
+      },
     },
     deadlines: {
       queue: (row) => (row.state === RequestState.Waiting ? row.queueDeadline : never),
@@ -118,7 +167,11 @@
           : never,
       retention: (row) => row.retentionDeadline,
     },
-  }),
+  });
+
+export const createTrafficTables = () => ({
+  ...createFlowTables(),
+  requests: createRequestTable(),
   attempts: createTable<AttemptRow, 'request' | 'upstream', 'progress'>({
     name: 'attempts',
     indices: {
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '../../../platform/metrics/common/metrics.js';
 import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
 import type { AnyTable } from '../../../platform/tables/common/table.js';
+import { createDemandTables } from '../../admission/common/demandTables.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
@@ -19,6 +20,7 @@
 const createTables = () => ({
   ...createConfigurationTables(),
   ...createConsensusTables(),
+  ...createDemandTables(),
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
--- /dev/null
+++ b/standins/virtual/virtualUpstreams.ts
@@ -0,0 +1,171 @@
+/**
+ * Upstreams on virtual time: a fake of the port towards upstreams that answers attempts after the time
+ * that their tokens take. All daemons of an installation share them, so that slots fill up as for real.
+ */
+import type { Milliseconds } from '../../src/base/common/time.js';
+import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import {
+  UpstreamKind,
+  UpstreamState,
+  type Announcement,
+} from '../../src/service/protocol/common/upstreamProtocol.js';
+import type { AttemptFact } from '../../src/service/traffic/common/attemptFact.js';
+import { AttemptState, type AttemptRow } from '../../src/service/traffic/common/trafficTables.js';
+import type { AttemptId, RequestId } from '../../src/service/world/common/identifiers.js';
+import type { VirtualContext, VirtualPort } from './virtualInstallation.js';
+
+/** What an attempt meets at an upstream. */
+export const VirtualOutcome = {
+  Answer: 'answer',
+  /** The upstream crashes halfway: the connection breaks. */
+  Crash: 'crash',
+  /** The upstream takes the request and never answers. */
+  Silence: 'silence',
+} as const;
+export type VirtualOutcome = (typeof VirtualOutcome)[keyof typeof VirtualOutcome];
+
+/** One upstream. */
+export interface VirtualUpstreamSettings {
+  readonly name: string;
+  readonly service: string;
+  readonly kind?: UpstreamKind;
+  readonly models: readonly string[];
+  readonly zone: string;
+  readonly slots: number;
+  readonly reclaimable?: boolean;
+  readonly millisecondsPerToken: Milliseconds;
+}
+
+/** One run of one attempt, as the upstream saw it. */
+export interface VirtualRun {
+  readonly upstream: string;
+  readonly request: RequestId;
+  readonly attempt: AttemptId;
+  readonly startedAt: number;
+}
+
+export interface VirtualUpstreams {
+  readonly createPort: (context: VirtualContext) => VirtualPort;
+  /** Every run so far. */
+  readonly runs: () => readonly VirtualRun[];
+  /** Decides what later attempts meet; all are answered by default. */
+  readonly setOutcome: (decide: (attempt: AttemptRow, upstream: string) => VirtualOutcome) => void;
+  /** Sets what an upstream announces of itself from its next announcement on. */
+  readonly setState: (upstream: string, state: UpstreamState) => void;
+}
+
+const announcementInterval: Milliseconds = 1_000;
+const announcementLifetime: Milliseconds = 3_000;
+const networkDelay: Milliseconds = 1;
+
+/** Creates upstreams that all daemons of an installation share. */
+export const createVirtualUpstreams = (
+  settings: readonly VirtualUpstreamSettings[],
+): VirtualUpstreams => {
+  const running = new Map<string, Set<AttemptId>>(settings.map(({ name }) => [name, new Set()]));
+  const states = new Map<string, UpstreamState>();
+  const runs: VirtualRun[] = [];
+  let decide: (attempt: AttemptRow, upstream: string) => VirtualOutcome = () =>
+    VirtualOutcome.Answer;
+
+  const announcementOf = (upstream: VirtualUpstreamSettings): Announcement => ({
+    upstream: upstream.name,
+    kind: upstream.kind ?? UpstreamKind.Engine,
+    service: upstream.service,
+    address: 'http://127.0.0.1:9',
+    zone: upstream.zone,
+    incarnation: 1,
+    state: states.get(upstream.name) ?? UpstreamState.Serving,
+    models: [...upstream.models],
+    adapters: [],
+    weightVersion: 1,
+    reclaimable: upstream.reclaimable ?? false,
+    checksFencing: true,
+    resumesStreams: false,
+    slots: upstream.slots,
+    running: running.get(upstream.name)!.size,
+    remaining: announcementLifetime,
+  });
+
+  const createPort = ({ daemon, now, schedule }: VirtualContext): VirtualPort => {
+    const { world } = daemon.core;
+    const changes = world.attempts.readChanges(RowReader.Port);
+    const begun = new Set<AttemptId>();
+    const report = (fact: AttemptFact): void => world.attemptFacts.append(fact);
+
+    const announce = (): void => {
+      settings.forEach((upstream) =>
+        world.arrivedAnnouncements.append({
+          announcement: announcementOf(upstream),
+          isDirect: false,
+        }),
+      );
+      schedule(announcementInterval, announce);
+    };
+
+    const finish = ({ id, estimatedTokens }: AttemptRow, slots: Set<AttemptId>): void => {
+      if (!slots.delete(id)) return;
+      const origin = { weightVersion: 1, incarnation: 1 };
+      report({ kind: 'tokensCame', attempt: id, tokens: estimatedTokens, ...origin });
+      report({ kind: 'answerEnded', attempt: id });
+    };
+
+    const crash = ({ id }: AttemptRow, slots: Set<AttemptId>): void => {
+      if (slots.delete(id)) report({ kind: 'broken', attempt: id, reason: 'crash' });
+    };
+
+    const endings: Readonly<
+      Record<VirtualOutcome, (attempt: AttemptRow, slots: Set<AttemptId>) => void>
+    > = { answer: finish, crash, silence: () => {} };
+
+    const begin = (attempt: AttemptRow): void => {
+      const upstream = settings.find(({ name }) => name === attempt.upstream)!;
+      const slots = running.get(upstream.name)!;
+      if (slots.size >= upstream.slots) {
+        const reason = 'refused by the upstream';
+        schedule(networkDelay, () => report({ kind: 'notRun', attempt: attempt.id, reason }));
+        return;
+      }
+      slots.add(attempt.id);
+      const { id, request } = attempt;
+      runs.push({ upstream: upstream.name, request, attempt: id, startedAt: now() });
+      const duration = upstream.millisecondsPerToken * attempt.estimatedTokens;
+      const outcome = decide(attempt, upstream.name);
+      schedule(duration, () => endings[outcome](attempt, slots));
+    };
+
+    const handlers: Readonly<Record<AttemptState, (attempt: AttemptRow) => void>> = {
+      queued: () => {},
+      writing: (attempt) => {
+        if (begun.has(attempt.id)) return;
+        begun.add(attempt.id);
+        begin(attempt);
+      },
+      answering: () => {},
+      ended: ({ id, upstream }) => {
+        begun.delete(id);
+        running.get(upstream)?.delete(id);
+      },
+    };
+
+    schedule(0, announce);
+    return {
+      drain: () =>
+        changes.take().forEach((id) => {
+          const attempt = world.attempts.get(id);
+          if (attempt !== undefined) handlers[attempt.state](attempt);
+        }),
+    };
+  };
+
+  return {
+    createPort,
+    runs: () => runs,
+    setOutcome: (chosen) => {
+      decide = chosen;
+    },
+    setState: (upstream, state) => {
+      states.set(upstream, state);
+    },
+  };
+};
