--- a/src/daemon/front/node/submission.ts
+++ b/src/daemon/front/node/submission.ts
@@ -1,9 +1,9 @@
 /**
  * Submits a decoded request to the tables and gives the response when its row has decided.
  */
-import type { Clock } from '../../../base/common/time.js';
+import type { Clock, Instant } from '../../../base/common/time.js';
 import { createArrivedRow } from '../../../service/traffic/common/arrivedRequest.js';
-import type { ArrivedRequest } from '../../../service/traffic/common/trafficTables.js';
+import type { ArrivedRequest, RequestRow } from '../../../service/traffic/common/trafficTables.js';
 import type { RequestId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
 import type { ExchangeRegistry, RequestContent } from '../../exchange/node/exchange.js';
@@ -25,6 +25,10 @@
   readonly depart: (request: RequestId) => void;
 }
 
+/** The row of a request that a port has decoded and no system has seen. */
+export const arrivedRow = (decoded: DecodedRequest, id: RequestId, now: Instant): RequestRow =>
+  createArrivedRow({ ...decoded, id, sample: null, madeFor: null }, now);
+
 /** Creates the submitter of a daemon. */
 export const createSubmitter = (
   world: World,
--- a/src/service/admission/test/common/waitingLimit.test.ts
+++ b/src/service/admission/test/common/waitingLimit.test.ts
@@ -7,13 +7,13 @@
 } from '../../../../../standins/virtual/testDeployment.js';
 import { requestOn, sendRequest } from '../../../../../standins/virtual/trafficFixture.js';
 import { createVirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
-import { createVirtualUpstreams } from '../../../../../standins/virtual/virtualUpstreams.js';
+import { createDirectUpstreams } from '../../../../../standins/virtual/directUpstreams.js';
 import { treeSchema, type Policy, type WorkClass } from '../../../configuration/common/tree.js';
 import type { WorkspaceName } from '../../../world/common/identifiers.js';
 import { runningOf, shareOf } from '../../common/limitShares.js';
 
 const open = (policy: Partial<Policy>, daemons = 1, slots = 2) => {
-  const upstreams = createVirtualUpstreams([
+  const upstreams = createDirectUpstreams([
     { name: 'u', service: 'model', models: ['model'], zone: 'z1', slots, millisecondsPerToken: 50 },
   ]);
   const tree = createTestTree();
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -7,11 +7,7 @@
 import { RowReader } from '../../../platform/tables/common/rowReader.js';
 import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
 import type { WorkClass } from '../../configuration/common/tree.js';
-import {
-  UpstreamKind,
-  UpstreamState,
-  type Announcement,
-} from '../../protocol/common/upstreamProtocol.js';
+import { UpstreamState, type Announcement } from '../../protocol/common/upstreamProtocol.js';
 import { poolOf } from '../../traffic/common/flowTables.js';
 import type { DaemonId, ServiceName, UpstreamId } from '../../world/common/identifiers.js';
 
@@ -81,11 +77,11 @@
 export const hasFreeBulkSlot = (row: UpstreamRow): boolean =>
   hasFreeSlot(row) && row.ownBulk < bulkSlots(row);
 
-/** The pools in which an upstream stands: one for each model and adapter, or the one of its service. */
-const poolsOfUpstream = (row: UpstreamRow): readonly string[] =>
-  row.kind === UpstreamKind.Plain
-    ? [poolOf(row.service, null)]
-    : [...new Set([...row.models, ...row.adapters])].map((model) => poolOf(row.service, model));
+/** The pools in which an upstream stands: that of its service, and one for each model and adapter. */
+const poolsOfUpstream = (row: UpstreamRow): readonly string[] => [
+  poolOf(row.service, null),
+  ...[...row.models, ...row.adapters].map((model) => poolOf(row.service, model)),
+];
 
 /** An announcement as a port has decoded it, with the instant at which it came. */
 export interface ArrivedAnnouncement {
--- a/src/service/routing/test/common/fairQueue.test.ts
+++ b/src/service/routing/test/common/fairQueue.test.ts
@@ -4,7 +4,7 @@
 import { createTestDeployment, digestOf } from '../../../../../standins/virtual/testDeployment.js';
 import { sendRequest, startOf } from '../../../../../standins/virtual/trafficFixture.js';
 import { createVirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
-import { createVirtualUpstreams } from '../../../../../standins/virtual/virtualUpstreams.js';
+import { createDirectUpstreams } from '../../../../../standins/virtual/directUpstreams.js';
 
 const createTree = (policies: Readonly<Record<string, Partial<Policy>>>): Tree =>
   treeSchema.parse({
@@ -22,7 +22,7 @@
 const requestMilliseconds = 1_000;
 
 const open = (policies: Readonly<Record<string, Partial<Policy>>>) => {
-  const upstreams = createVirtualUpstreams([
+  const upstreams = createDirectUpstreams([
     { name: 'u', service: 'model', models: ['model'], zone: 'z1', slots, millisecondsPerToken: 10 },
   ]);
   const installation = createVirtualInstallation({
--- a/src/service/traffic/common/trafficTables.ts
+++ b/src/service/traffic/common/trafficTables.ts
@@ -41,8 +41,8 @@
   readonly keyDigest: KeyDigest | null;
   /** The service that the path or model names, or null where none has it. */
   readonly service: ServiceName | null;
-  /** The model or adapter that the request names, or null for plain services. */
-  readonly model: string | null;
+  /** The model or adapter that the request names; none where every upstream of the service will do. */
+  readonly model?: string | null;
   /** Tokens that the request will take by its own limits: prompt and answer. */
   readonly estimatedTokens: number;
   /** The sample for which the request runs, or null for a caller's request. */
@@ -113,7 +113,7 @@
 }
 
 /** The pool whose upstreams can run an admitted request. */
-export const poolOfRequest = (row: RequestRow): PoolId => poolOf(row.service!, row.model);
+export const poolOfRequest = (row: RequestRow): PoolId => poolOf(row.service!, row.model ?? null);
 
 /** The only group of the orders over all workspaces. */
 export const allWorkspaces = 'all';
--- a/standins/virtual/virtualUpstreams.ts
+++ b/standins/virtual/virtualUpstreams.ts
@@ -1,154 +1,141 @@
 /**
- * Upstreams on virtual time: a fake of the port towards upstreams that answers attempts after the time
- * that their tokens take. All daemons of an installation share them, so that slots fill up as for real.
+ * Fake upstreams on virtual time. A port of each daemon hands them attempts in the state `writing`, and
+ * they report facts with the latency of the link. They announce themselves to two daemons in turn.
  */
-import type { Milliseconds } from '../../src/base/common/time.js';
+import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
+import { never, type Instant } from '../../src/base/common/time.js';
 import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { UpstreamState } from '../../src/service/protocol/common/upstreamProtocol.js';
+import type { AttemptRow, AttemptState } from '../../src/service/traffic/common/trafficTables.js';
+import type { AttemptId } from '../../src/service/world/common/identifiers.js';
+import type { Links } from './links.js';
+import { createVirtualAnnouncer, type VirtualAnnouncer } from './virtualAnnouncer.js';
 import {
-  UpstreamKind,
-  UpstreamState,
-  type Announcement,
-} from '../../src/service/protocol/common/upstreamProtocol.js';
-import type { AttemptFact } from '../../src/service/traffic/common/attemptFact.js';
-import { AttemptState, type AttemptRow } from '../../src/service/traffic/common/trafficTables.js';
-import type { AttemptId, RequestId } from '../../src/service/world/common/identifiers.js';
-import type { VirtualContext, VirtualPort } from './virtualInstallation.js';
-
-/** What an attempt meets at an upstream. */
-export const VirtualOutcome = {
-  Answer: 'answer',
-  /** The upstream crashes halfway: the connection breaks. */
-  Crash: 'crash',
-  /** The upstream takes the request and never answers. */
-  Silence: 'silence',
-} as const;
-export type VirtualOutcome = (typeof VirtualOutcome)[keyof typeof VirtualOutcome];
-
-/** One upstream. */
-export interface VirtualUpstreamSettings {
-  readonly name: string;
-  readonly service: string;
-  readonly kind?: UpstreamKind;
-  readonly models: readonly string[];
-  readonly zone: string;
-  readonly slots: number;
-  readonly reclaimable?: boolean;
-  readonly millisecondsPerToken: Milliseconds;
-}
-
-/** One run of one attempt, as the upstream saw it. */
-export interface VirtualRun {
-  readonly upstream: string;
-  readonly request: RequestId;
-  readonly attempt: AttemptId;
-  readonly startedAt: number;
-}
-
+  createVirtualExecutions,
+  type IsPoisonous,
+  type UpstreamTime,
+} from './virtualExecutions.js';
+import type { VirtualContext, VirtualInstallation, VirtualPort } from './virtualInstallation.js';
+import type {
+  Execution,
+  UpstreamFault,
+  VirtualUpstream,
+  VirtualUpstreamSettings,
+} from './virtualUpstream.js';
+
+/** The fake upstreams of one installation. */
 export interface VirtualUpstreams {
-  readonly createPort: (context: VirtualContext) => VirtualPort;
-  /** Every run so far. */
-  readonly runs: () => readonly VirtualRun[];
-  /** Decides what later attempts meet; all are answered by default. */
-  readonly setOutcome: (decide: (attempt: AttemptRow, upstream: string) => VirtualOutcome) => void;
-  /** Sets what an upstream announces of itself from its next announcement on. */
-  readonly setState: (upstream: string, state: UpstreamState) => void;
+  /** Creates the upstream port of one start of a daemon. */
+  readonly port: (context: VirtualContext) => VirtualPort;
+  /** Begins to announce to the daemons; called once, after the installation was created. */
+  readonly attach: (installation: VirtualInstallation) => void;
+  readonly inject: (name: string, fault: UpstreamFault) => void;
+  /** A request that crashes every upstream which runs it. */
+  readonly poison: (isPoisonous: IsPoisonous) => void;
+  /** All attempts that upstreams have begun to run, in order. */
+  readonly executions: () => readonly Execution[];
+  readonly names: () => readonly string[];
+  readonly get: (name: string) => VirtualUpstream;
 }
 
-const announcementInterval: Milliseconds = 1_000;
-const announcementLifetime: Milliseconds = 3_000;
-const networkDelay: Milliseconds = 1;
+const createUpstream = (settings: VirtualUpstreamSettings): VirtualUpstream => ({
+  settings,
+  incarnation: 1,
+  weightVersion: settings.weightVersion,
+  state: UpstreamState.Serving,
+  stateSince: 0,
+  goneDeadline: never,
+  isDown: false,
+  isSilent: false,
+  isRefusing: false,
+  delay: 0,
+});
+
+const changeState = (upstream: VirtualUpstream, state: UpstreamState, now: Instant): void => {
+  Object.assign(upstream, { state, stateSince: now });
+};
 
-/** Creates upstreams that all daemons of an installation share. */
+/** Creates the upstreams; nothing happens before `attach`. */
 export const createVirtualUpstreams = (
   settings: readonly VirtualUpstreamSettings[],
+  links: Links,
 ): VirtualUpstreams => {
-  const running = new Map<string, Set<AttemptId>>(settings.map(({ name }) => [name, new Set()]));
-  const states = new Map<string, UpstreamState>();
-  const runs: VirtualRun[] = [];
-  let decide: (attempt: AttemptRow, upstream: string) => VirtualOutcome = () =>
-    VirtualOutcome.Answer;
-
-  const announcementOf = (upstream: VirtualUpstreamSettings): Announcement => ({
-    upstream: upstream.name,
-    kind: upstream.kind ?? UpstreamKind.Engine,
-    service: upstream.service,
-    address: 'http://127.0.0.1:9',
-    zone: upstream.zone,
-    incarnation: 1,
-    state: states.get(upstream.name) ?? UpstreamState.Serving,
-    models: [...upstream.models],
-    adapters: [],
-    weightVersion: 1,
-    reclaimable: upstream.reclaimable ?? false,
-    checksFencing: true,
-    resumesStreams: false,
-    slots: upstream.slots,
-    running: running.get(upstream.name)!.size,
-    remaining: announcementLifetime,
-  });
+  const upstreams = new Map(settings.map((each) => [each.name, createUpstream(each)]));
+  const contexts = new Map<string, VirtualContext>();
+  let installation: VirtualInstallation | undefined;
+  let announcer: VirtualAnnouncer | undefined;
+
+  const now = (): Instant => installation!.now();
+  const schedule: UpstreamTime['schedule'] = (delay, action) =>
+    installation!.schedule(delay, action);
+  const executions = createVirtualExecutions(links, { now, schedule }, (context) =>
+    installation!.isCurrent(context.daemon),
+  );
+
+  const faultHandlers: HandlerTable<UpstreamFault, void, [VirtualUpstream]> = {
+    crash: (_, upstream) => executions.crash(upstream),
+    restart: (_, upstream) => {
+      Object.assign(upstream, {
+        isDown: false,
+        incarnation: upstream.incarnation + 1,
+        goneDeadline: never,
+      });
+      changeState(upstream, UpstreamState.Serving, now());
+    },
+    silenceOpen: (_, upstream) =>
+      executions
+        .runningOf(upstream.settings.name)
+        .forEach(({ execution }) => Object.assign(execution, { isSilent: true })),
+    silence: (_, upstream) => {
+      Object.assign(upstream, { isSilent: true });
+      faultHandlers.silenceOpen({ kind: 'silenceOpen' }, upstream);
+    },
+    late: ({ delay }, upstream) => {
+      Object.assign(upstream, { delay });
+    },
+    refuse: (_, upstream) => {
+      Object.assign(upstream, { isRefusing: true });
+    },
+    drain: (_, upstream) => changeState(upstream, UpstreamState.Draining, now()),
+    reclaim: ({ notice }, upstream) => {
+      Object.assign(upstream, { goneDeadline: now() + notice });
+      changeState(upstream, UpstreamState.Leaving, now());
+      schedule(notice, () => executions.crash(upstream));
+    },
+    swapWeights: ({ weightVersion }, upstream) => {
+      Object.assign(upstream, { weightVersion });
+    },
+    recover: (_, upstream) => {
+      Object.assign(upstream, { isSilent: false, isRefusing: false, delay: 0 });
+      changeState(upstream, UpstreamState.Serving, now());
+    },
+  };
 
-  const createPort = ({ daemon, now, schedule }: VirtualContext): VirtualPort => {
-    const { world } = daemon.core;
+  const port = (context: VirtualContext): VirtualPort => {
+    const { world } = context.daemon.core;
     const changes = world.attempts.readChanges(RowReader.Port);
-    const begun = new Set<AttemptId>();
-    const report = (fact: AttemptFact): void => world.attemptFacts.append(fact);
-
-    const announce = (): void => {
-      settings.forEach((upstream) =>
-        world.arrivedAnnouncements.append({
-          announcement: announcementOf(upstream),
-          isDirect: false,
-        }),
-      );
-      schedule(announcementInterval, announce);
-    };
-
-    const finish = ({ id, estimatedTokens }: AttemptRow, slots: Set<AttemptId>): void => {
-      if (!slots.delete(id)) return;
-      const origin = { weightVersion: 1, incarnation: 1 };
-      report({ kind: 'tokensCame', attempt: id, tokens: estimatedTokens, ...origin });
-      report({ kind: 'answerEnded', attempt: id });
-    };
-
-    const crash = ({ id }: AttemptRow, slots: Set<AttemptId>): void => {
-      if (slots.delete(id)) report({ kind: 'broken', attempt: id, reason: 'crash' });
-    };
-
-    const endings: Readonly<
-      Record<VirtualOutcome, (attempt: AttemptRow, slots: Set<AttemptId>) => void>
-    > = { answer: finish, crash, silence: () => {} };
-
-    const begin = (attempt: AttemptRow): void => {
-      const upstream = settings.find(({ name }) => name === attempt.upstream)!;
-      const slots = running.get(upstream.name)!;
-      if (slots.size >= upstream.slots) {
-        const reason = 'refused by the upstream';
-        schedule(networkDelay, () => report({ kind: 'notRun', attempt: attempt.id, reason }));
-        return;
-      }
-      slots.add(attempt.id);
-      const { id, request } = attempt;
-      runs.push({ upstream: upstream.name, request, attempt: id, startedAt: now() });
-      const duration = upstream.millisecondsPerToken * attempt.estimatedTokens;
-      const outcome = decide(attempt, upstream.name);
-      schedule(duration, () => endings[outcome](attempt, slots));
+    const sent = new Set<AttemptId>();
+    contexts.set(context.daemon.name, context);
+
+    const send = (attempt: AttemptRow): void => {
+      if (sent.has(attempt.id)) return;
+      sent.add(attempt.id);
+      const upstream = upstreams.get(attempt.upstream)!;
+      const latency = links.toZone(context.daemon.name, upstream.settings.zone);
+      schedule(latency, () => executions.arrive(context, upstream, attempt));
     };
 
+    /** What the port does when it sees an attempt in a state. */
     const handlers: Readonly<Record<AttemptState, (attempt: AttemptRow) => void>> = {
       queued: () => {},
-      writing: (attempt) => {
-        if (begun.has(attempt.id)) return;
-        begun.add(attempt.id);
-        begin(attempt);
-      },
+      writing: send,
       answering: () => {},
       ended: ({ id, upstream }) => {
-        begun.delete(id);
-        running.get(upstream)?.delete(id);
+        const latency = links.toZone(context.daemon.name, upstreams.get(upstream)!.settings.zone);
+        schedule(latency, () => executions.cancel(id));
       },
     };
 
-    schedule(0, announce);
     return {
       drain: () =>
         changes.take().forEach((id) => {
@@ -159,13 +146,24 @@
   };
 
   return {
-    createPort,
-    runs: () => runs,
-    setOutcome: (chosen) => {
-      decide = chosen;
+    port,
+    attach: (created) => {
+      installation = created;
+      announcer = createVirtualAnnouncer(created, {
+        links,
+        contextOf: (daemon) => contexts.get(daemon),
+        runningCount: (upstream) => executions.runningOf(upstream).length,
+      });
+      upstreams.forEach(announcer.announceForever);
     },
-    setState: (upstream, state) => {
-      states.set(upstream, state);
+    inject: (name, fault) => {
+      const upstream = upstreams.get(name)!;
+      dispatchByKind(faultHandlers, fault, upstream);
+      announcer!.announce(upstream);
     },
+    poison: executions.setPoison,
+    executions: executions.all,
+    names: () => [...upstreams.keys()],
+    get: (name) => upstreams.get(name)!,
   };
 };
