--- a/bench/capacity/rows.ts
+++ b/bench/capacity/rows.ts
@@ -3,12 +3,11 @@
  */
 import { asBrand } from '../../src/base/common/brand.js';
 import { createRandom } from '../../src/base/common/random.js';
-import { never } from '../../src/base/common/time.js';
 import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
 import type { Tree } from '../../src/service/configuration/common/tree.js';
 import { createCore, type Core } from '../../src/service/core/common/core.js';
 import type { Announcement } from '../../src/service/protocol/common/upstreamProtocol.js';
-import { RequestState } from '../../src/service/traffic/common/trafficTables.js';
+import { createArrivedRow } from '../../src/service/traffic/common/arrivedRequest.js';
 import type { RequestId, ServiceName } from '../../src/service/world/common/identifiers.js';
 import {
   createTestDeployment,
@@ -67,25 +66,15 @@
 /** Puts requests of a caller as a port would. */
 export const addRequests = ({ world, ticker }: Core, count: number, now: number): void => {
   for (let index = 0; index < count; index += 1) {
-    world.requests.put({
+    const arrived = {
       id: world.identifiers.next<RequestId>('request'),
       keyDigest,
       service: asBrand<ServiceName>('model'),
       estimatedTokens: 64,
       sample: null,
       madeFor: null,
-      state: RequestState.Arrived,
-      workspace: null,
-      policy: null,
-      arrivedAt: now,
-      queueDeadline: never,
-      requestDeadline: never,
-      retentionDeadline: never,
-      attemptCount: 0,
-      mayHaveRun: false,
-      answerStarted: false,
-      refusal: null,
-    });
+    };
+    world.requests.put(createArrivedRow(arrived, now));
   }
   ticker.tick(now);
   world.events.takeAll();
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '../../../platform/metrics/common/metrics.js';
 import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
 import type { AnyTable } from '../../../platform/tables/common/table.js';
+import { createDemandTables } from '../../admission/common/demandTables.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
 import { createServedTables, type ServedRow } from '../../configuration/common/servedTables.js';
 import { createSettingsTables } from '../../configuration/common/settingsTables.js';
@@ -23,6 +24,7 @@
   ...createConfigurationTables(),
   ...createConsensusTables(),
   ...createReplicaTables(),
+  ...createDemandTables(),
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
