Give orders to upstreams from intents in the log, and test control under failures

Cause: nothing ordered an upstream, and what holds of leadership under faults was not shown.

An order is an intent in the agreed state before it is sent; its position is its fencing number. The leader sends one order at a time to each upstream, only while its lease holds, which the port checks again right before each write. What an earlier leader may have sent, or what got no answer, is read back first. A leader waits out lease, clock error and the flight of an order before its fencing number is set.

Ten scripted failures run on virtual time, with a watch over the whole of each run for one entry at each index, rising application and never two daemons that may act. They found one fault: an order without an answer was sent again in place of being read back (3 writes where 1 is right); it now has a phase of its own. Two expectations of the tests were wrong and became stricter: entries of the topic `control` are not at learners, and a proposal that met no leader is refused as never put into the log, which is checked.

--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -29,6 +29,7 @@
 import { createSubmitter } from '../../front/node/submission.js';
 import { createTrainerRoutes } from '../../front/node/trainerRoutes.js';
 import { createUpstreamRoutes } from '../../front/node/upstreamRoutes.js';
+import { createOrderPort } from '../../orders/node/orderPort.js';
 import { openPeerPort } from '../../peers/node/peerPort.js';
 import { createFetchPort } from '../../rollout/node/fetchPort.js';
 import { createSampleExchanges } from '../../rollout/node/sampleExchanges.js';
@@ -102,6 +103,7 @@
   const upstreamPort = createUpstreamPort(world, findExchange, wake);
   const exchangePort = createExchangePort(world, registry);
   const fetchPort = createFetchPort(world, wake);
+  const orderPort = createOrderPort(world, monotonicClock, wake);
   const eventPort = createEventPort(world, stamps, writer.write);
   const submitter = createSubmitter(world, registry, monotonicClock, wake);
 
@@ -133,6 +135,7 @@
 
   const ports = [
     storagePort.value,
+    orderPort,
     upstreamPort,
     exchangePort,
     fetchPort,
@@ -150,7 +153,7 @@
   const disposeAll = async (): Promise<void> => {
     driver?.dispose();
     await Promise.all([front.value.dispose(), peerPort.value.dispose(), upstreamPort.dispose()]);
-    await storagePort.value.dispose();
+    await Promise.all([storagePort.value.dispose(), orderPort.dispose()]);
     await Promise.all([writer.dispose(), metrics.dispose()]);
     log.info('closed');
   };
--- /dev/null
+++ b/src/daemon/orders/node/orderPort.ts
@@ -0,0 +1,96 @@
+/**
+ * The port of orders: posts them to upstreams by HTTP and reads their state back. The lease is checked
+ * right before each write, and an answer that does not come in time is an unknown outcome.
+ */
+import { Agent, request } from 'undici';
+import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
+import type { Clock } from '../../../base/common/time.js';
+import { orderFlightMilliseconds } from '../../../service/consensus/common/consensusTiming.js';
+import { mayActAsLeader } from '../../../service/consensus/common/lease.js';
+import type { OrderFact, OrderRequest } from '../../../service/orders/common/orderTables.js';
+import {
+  engineStatePath,
+  engineStateSchema,
+  ordersPath,
+} from '../../../service/protocol/common/engineProtocol.js';
+import type { World } from '../../../service/world/common/world.js';
+
+/** The port; `drain` is run after each tick. */
+export interface OrderPort extends AsyncDisposable {
+  readonly drain: () => void;
+}
+
+const connectMilliseconds = 500;
+const refusedStatus = 409;
+
+/** Failures of a connection in which no byte was written. */
+const failuresBeforeWriting = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const codeOf = (error: unknown): string =>
+  error instanceof Error && 'code' in error ? String(error.code) : 'unknown';
+
+const outcomeOfStatus = (status: number): 'done' | 'refused' | 'unknown' => {
+  if (status === refusedStatus) return 'refused';
+  return status < 300 ? 'done' : 'unknown';
+};
+
+/** Creates the port. */
+export const createOrderPort = (world: World, clock: Clock, wake: () => void): OrderPort => {
+  const agent = new Agent({ connect: { timeout: connectMilliseconds }, pipelining: 1 });
+
+  const report = (fact: OrderFact): void => {
+    world.orderFacts.append(fact);
+    wake();
+  };
+
+  const options = () => ({
+    dispatcher: agent,
+    signal: AbortSignal.timeout(orderFlightMilliseconds),
+    headers: { 'content-type': 'application/json' },
+  });
+
+  const handlers: HandlerTable<OrderRequest, Promise<OrderFact>> = {
+    send: async ({ order, address, body }) => {
+      const answer = await request(`${address}${ordersPath}`, {
+        ...options(),
+        method: 'POST',
+        body: JSON.stringify(body),
+      });
+      await answer.body.dump();
+      return { kind: outcomeOfStatus(answer.statusCode), order };
+    },
+    readBack: async ({ order, address }) => {
+      const answer = await request(`${address}${engineStatePath}`, options());
+      const state = engineStateSchema.safeParse(await answer.body.json());
+      if (!state.success) return { kind: 'unknown', order };
+      return { kind: 'state', order, ordersDone: state.data.ordersDone };
+    },
+  };
+
+  const carryOut = async (asked: OrderRequest): Promise<void> => {
+    if (!mayActAsLeader(world, clock())) {
+      report({ kind: 'notSent', order: asked.order });
+      return;
+    }
+    try {
+      report(await dispatchByKind<OrderRequest, Promise<OrderFact>, []>(handlers, asked));
+    } catch (error) {
+      const wasWritten = !failuresBeforeWriting.has(codeOf(error));
+      report({ kind: wasWritten ? 'unknown' : 'notSent', order: asked.order });
+    }
+  };
+
+  return {
+    drain: () =>
+      world.orderRequests.takeAll().forEach((asked) => {
+        void carryOut(asked);
+      }),
+    dispose: () => agent.destroy(),
+  };
+};
--- a/src/service/consensus/common/applySystem.ts
+++ b/src/service/consensus/common/applySystem.ts
@@ -7,6 +7,7 @@
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
 import { configurationApplyHandlers } from '../../configuration/common/applyConfiguration.js';
+import { orderApplyHandlers } from '../../orders/common/applyOrders.js';
 import type { World } from '../../world/common/world.js';
 import type { Command } from './command.js';
 import {
@@ -29,6 +30,7 @@
 const handlers: ApplyHandlers<Command> = {
   leadershipTaken: () => ok(undefined),
   ...configurationApplyHandlers,
+  ...orderApplyHandlers,
 };
 
 const outcomeOf = (applied: Result<void, Rejection>, index: number): ProposalOutcome =>
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -11,6 +11,7 @@
   treeSeededSchema,
   treeSetSchema,
 } from '../../configuration/common/configurationCommands.js';
+import { orderClosedSchema, orderIntendedSchema } from '../../orders/common/orderCommands.js';
 
 /** Which daemons apply a command. */
 export const Topic = {
@@ -35,6 +36,8 @@
   keyIssueSchema,
   keyWithdrawSchema,
   keyRotateSchema,
+  orderIntendedSchema,
+  orderClosedSchema,
 ]);
 export type Command = z.infer<typeof commandSchema>;
 
@@ -46,4 +49,6 @@
   keyIssue: Topic.Configuration,
   keyWithdraw: Topic.Configuration,
   keyRotate: Topic.Configuration,
+  orderIntended: Topic.Control,
+  orderClosed: Topic.Control,
 };
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -19,6 +19,7 @@
 import { createAnnouncementSystem } from '../../membership/common/announcementSystem.js';
 import { createDaemonSystem, insertDaemons } from '../../membership/common/daemonSystem.js';
 import { createInboxSystem } from '../../messages/common/inboxSystem.js';
+import { createOrderSystem } from '../../orders/common/orderSystem.js';
 import { createFetchSystem } from '../../rollout/common/fetchSystem.js';
 import { createPlanSystem } from '../../rollout/common/planSystem.js';
 import { createSampleSystem } from '../../rollout/common/sampleSystem.js';
@@ -37,6 +38,7 @@
   createRotationSystem,
   createDaemonSystem,
   createAnnouncementSystem,
+  createOrderSystem,
   createPlanSystem,
   createAdmissionSystem,
   createAttemptFactSystem,
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -32,6 +32,7 @@
   LeadershipTaken: 'leadershipTaken',
   LeadershipLost: 'leadershipLost',
   StorageFailed: 'storageFailed',
+  OrderEnded: 'orderEnded',
 } as const;
 export type EventKind = ValueOf<typeof EventKind>;
 
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -14,6 +14,7 @@
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
+import { createOrderTables } from '../../orders/common/orderTables.js';
 import { createRolloutTables } from '../../rollout/common/rolloutTables.js';
 import { createTrafficTables } from '../../traffic/common/trafficTables.js';
 import { createUsageTables } from '../../usage/common/usageTables.js';
@@ -26,6 +27,7 @@
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
+  ...createOrderTables(),
   ...createRolloutTables(),
   ...createServedTables(),
   ...createSettingsTables(),
--- /dev/null
+++ b/standins/virtual/controlInstallation.ts
@@ -0,0 +1,105 @@
+/**
+ * A virtual installation whose control is watched, with one upstream that takes orders.
+ */
+import { asBrand } from '../../src/base/common/brand.js';
+import { Topic, topicOfCommand, type Command } from '../../src/service/consensus/common/command.js';
+import type { ProposalId } from '../../src/service/consensus/common/consensusTables.js';
+import { mayActAsLeader } from '../../src/service/consensus/common/lease.js';
+import type { World } from '../../src/service/world/common/world.js';
+import { createControlHistory, type ControlHistory } from './controlHistory.js';
+import { createTestDeployment, createTestTree } from './testDeployment.js';
+import { createVirtualInstallation, type VirtualInstallation } from './virtualInstallation.js';
+import {
+  announceOrderedUpstream,
+  createVirtualOrders,
+  type VirtualOrders,
+} from './virtualOrders.js';
+
+export interface ControlOptions {
+  readonly daemons?: number;
+  readonly voters?: number;
+  readonly seed?: number;
+  readonly checksFencing?: boolean;
+}
+
+export interface ControlInstallation extends VirtualInstallation {
+  readonly history: ControlHistory;
+  readonly orders: VirtualOrders;
+  readonly voterNames: readonly string[];
+  readonly worldOf: (name: string) => World;
+  /** The daemon that may act as leader now. */
+  readonly acting: () => string | undefined;
+  readonly propose: (daemon: string, id: string, command?: Command) => ProposalId;
+  readonly proposeOrder: (daemon: string, order: string, target: number) => ProposalId;
+  /** Cuts a daemon off from all others, or ends that. */
+  readonly isolate: (daemon: string) => void;
+  readonly rejoin: (daemon: string) => void;
+  /** Accepted proposals of the topics that a daemon follows, which it has not applied. */
+  readonly missingAt: (daemon: string) => readonly ProposalId[];
+}
+
+const proposalMilliseconds = 8_000;
+const defaultDaemons = 5;
+const defaultVoters = 3;
+const noChange: Command = { kind: 'leadershipTaken', leader: 'none' };
+
+/** Starts the installation. */
+export const createControlInstallation = (options: ControlOptions = {}): ControlInstallation => {
+  const { daemons = defaultDaemons, voters = defaultVoters, seed = 1 } = options;
+  let created: VirtualInstallation | undefined;
+  const history = createControlHistory(() => created);
+  const orders = createVirtualOrders(() => created!.schedule, options.checksFencing ?? true);
+  const deployment = createTestDeployment(daemons, voters);
+  const installation = createVirtualInstallation({
+    deployment,
+    tree: createTestTree(),
+    seed,
+    ports: [announceOrderedUpstream, orders.port, history.port],
+  });
+  created = installation;
+  const names = deployment.daemons.map(({ name }) => name);
+  const worldOf = (name: string): World => installation.daemon(name).core.world;
+  const others = (name: string): string[] => names.filter((other) => other !== name);
+
+  const voterNames = names.slice(0, voters);
+
+  const isOfVoters = (proposal: ProposalId): boolean =>
+    installation
+      .runningNames()
+      .filter((name) => voterNames.includes(name))
+      .flatMap((name) => worldOf(name).logEntries.where('proposal', proposal))
+      .some(({ command }) => topicOfCommand[command.kind] === Topic.Control);
+
+  const propose = (daemon: string, id: string, command: Command = noChange): ProposalId => {
+    const proposal = asBrand<ProposalId>(id);
+    const proposalDeadline = installation.now() + proposalMilliseconds;
+    worldOf(daemon).proposals.append({ id: proposal, command, proposalDeadline });
+    installation.wake(daemon);
+    return proposal;
+  };
+
+  return {
+    ...installation,
+    history,
+    orders,
+    voterNames,
+    worldOf,
+    acting: () =>
+      installation.runningNames().find((name) => mayActAsLeader(worldOf(name), installation.now())),
+    propose,
+    proposeOrder: (daemon, order, target) =>
+      propose(daemon, `intend-${order}`, {
+        kind: 'orderIntended',
+        order,
+        upstream: 'engine',
+        action: 'loadWeights',
+        target,
+      }),
+    isolate: (daemon) => others(daemon).forEach((other) => installation.cut(daemon, other)),
+    rejoin: (daemon) => others(daemon).forEach((other) => installation.heal(daemon, other)),
+    missingAt: (daemon) =>
+      [...history.accepted()]
+        .filter((id) => voterNames.includes(daemon) || !isOfVoters(id))
+        .filter((id) => !worldOf(daemon).rememberedOutcomes.has(id)),
+  };
+};
--- /dev/null
+++ b/standins/virtual/test/controlFailures.test.ts
@@ -0,0 +1,225 @@
+/** Failures of control on virtual time; what must always hold is watched over the whole of each run. */
+import test, { type ExecutionContext } from 'ava';
+import { leadershipOf } from '../../../src/service/consensus/common/lease.js';
+import { createControlInstallation, type ControlInstallation } from '../controlInstallation.js';
+
+const settleMilliseconds = 10_000;
+
+const createSettled = (options: Parameters<typeof createControlInstallation>[0] = {}) => {
+  const installation = createControlInstallation(options);
+  installation.runFor(settleMilliseconds);
+  return installation;
+};
+
+const otherVoter = (installation: ControlInstallation, than: string): string =>
+  installation.voterNames.find((name) => name !== than)!;
+
+/** Proposes on a daemon every 10 ms. */
+const proposeStream = (
+  installation: ControlInstallation,
+  daemon: string,
+  prefix: string,
+  count: number,
+): void => {
+  for (let position = 0; position < count; position += 1) {
+    installation.propose(daemon, `${prefix}-${position}`);
+    installation.runFor(10);
+  }
+};
+
+const assertWhole = (t: ExecutionContext, installation: ControlInstallation): void => {
+  t.deepEqual(installation.history.violations(), []);
+  installation
+    .runningNames()
+    .forEach((name) => t.deepEqual(installation.missingAt(name), [], `missing at ${name}`));
+};
+
+test('a leader that is isolated for long may not act, loses nothing accepted, and rejoins', (t) => {
+  const installation = createSettled();
+  const old = installation.acting()!;
+  const other = otherVoter(installation, old);
+  proposeStream(installation, 'd5', 'before', 20);
+  installation.isolate(old);
+  const lost = installation.propose(old, 'lost');
+  installation.runFor(settleMilliseconds);
+  t.not(installation.acting(), old);
+  t.truthy(installation.acting());
+  t.false(installation.history.accepted().has(lost));
+  t.true(leadershipOf(installation.worldOf(old)).freshnessDeadline < installation.now());
+  proposeStream(installation, other, 'during', 20);
+  installation.runFor(600_000);
+  installation.rejoin(old);
+  installation.runFor(settleMilliseconds);
+  proposeStream(installation, old, 'after', 20);
+  installation.runFor(settleMilliseconds);
+  t.is(installation.history.accepted().size >= 60, true);
+  assertWhole(t, installation);
+});
+
+test('a leader that is frozen past its lease gives no order when it is thawed', (t) => {
+  const installation = createSettled();
+  const old = installation.acting()!;
+  installation.proposeOrder(old, 'first', 1);
+  installation.runFor(100);
+  t.deepEqual(
+    installation.orders.done.map(({ order }) => order),
+    ['first'],
+  );
+  installation.freeze(old);
+  installation.runFor(settleMilliseconds);
+  const next = installation.acting()!;
+  t.not(next, old);
+  installation.proposeOrder(next, 'second', 2);
+  installation.runFor(1_000);
+  const writtenBefore = installation.orders.written.length;
+  // The intent reaches the frozen leader's own tables only after the thaw.
+  installation.thaw(old);
+  installation.runFor(settleMilliseconds);
+  const late = installation.orders.written.slice(writtenBefore).filter((row) => row.daemon === old);
+  t.deepEqual(late, []);
+  t.deepEqual(
+    installation.orders.done.map(({ order }) => order),
+    ['first', 'second'],
+  );
+  assertWhole(t, installation);
+});
+
+test('a lost majority accepts nothing, and after its return all that was accepted is there', (t) => {
+  const installation = createSettled({ voters: 5, daemons: 7 });
+  proposeStream(installation, 'd7', 'before', 50);
+  installation.runFor(1_000);
+  const accepted = installation.history.accepted().size;
+  ['d1', 'd2', 'd3'].forEach((name) => installation.stop(name));
+  installation.runFor(settleMilliseconds);
+  const during = installation.propose('d7', 'during');
+  installation.runFor(settleMilliseconds);
+  t.is(installation.acting(), undefined);
+  t.is(installation.history.accepted().size, accepted);
+  const outcome = installation.worldOf('d7').proposalOutcomes.get(during)?.outcome;
+  t.like(outcome, { kind: 'rejected', rejection: { kind: 'noLeader' } });
+  ['d1', 'd2', 'd3'].forEach((name) => installation.start(name));
+  installation.runFor(2 * settleMilliseconds);
+  t.truthy(installation.acting());
+  t.false(installation.worldOf('d1').rememberedOutcomes.has(during));
+  assertWhole(t, installation);
+});
+
+test('a second VM that is lost right after a repair loses nothing accepted', (t) => {
+  const installation = createSettled();
+  const [first, second] = installation.voterNames as [string, string];
+  installation.stop(first);
+  installation.runFor(settleMilliseconds);
+  proposeStream(installation, 'd5', 'during', 100);
+  installation.runFor(1_000);
+  installation.start(first);
+  // It has come back and has not caught up when the second is lost.
+  installation.runFor(3);
+  installation.stop(second);
+  installation.runFor(2 * settleMilliseconds);
+  proposeStream(installation, 'd5', 'after', 10);
+  installation.runFor(settleMilliseconds);
+  t.truthy(installation.acting());
+  t.true(installation.history.accepted().size >= 110);
+  assertWhole(t, installation);
+});
+
+test('every daemon restarts in turn and at once after hundreds of changes', (t) => {
+  const installation = createSettled();
+  proposeStream(installation, 'd4', 'change', 400);
+  installation.runFor(1_000);
+  installation.voterNames.forEach((name) => {
+    installation.stop(name);
+    installation.start(name);
+    installation.runFor(settleMilliseconds);
+  });
+  ['d1', 'd2', 'd3', 'd4', 'd5'].forEach((name) => installation.stop(name));
+  ['d1', 'd2', 'd3', 'd4', 'd5'].forEach((name) => installation.start(name));
+  installation.runFor(settleMilliseconds);
+  t.true(installation.history.accepted().size >= 400);
+  assertWhole(t, installation);
+});
+
+test('a crash of any voter between any two steps of an acceptance loses nothing accepted', (t) => {
+  // Latencies and syncs take 1 ms, so halves of a millisecond fall between all steps.
+  for (let halves = 0; halves < 16; halves += 1) {
+    const installation = createSettled({ seed: 3 });
+    const voters = installation.voterNames;
+    voters.forEach((name, position) => {
+      installation.propose('d5', `crash-${position}`);
+      installation.runFor(halves / 2);
+      installation.stop(name);
+      installation.runFor(settleMilliseconds);
+      installation.start(name);
+      installation.runFor(settleMilliseconds);
+    });
+    voters.forEach((name) => installation.stop(name));
+    voters.forEach((name) => installation.start(name));
+    installation.runFor(settleMilliseconds);
+    assertWhole(t, installation);
+  }
+});
+
+test('an order that comes late from an old leader changes nothing at an upstream of either kind', (t) => {
+  [true, false].forEach((checksFencing) => {
+    const installation = createSettled({ checksFencing });
+    const old = installation.acting()!;
+    installation.orders.faults.flight = 900;
+    installation.proposeOrder(old, 'first', 1);
+    installation.runFor(20);
+    t.is(installation.orders.written.length, 1);
+    installation.stop(old);
+    installation.orders.faults.flight = 5;
+    installation.runFor(settleMilliseconds);
+    installation.proposeOrder(installation.acting()!, 'second', 2);
+    installation.runFor(settleMilliseconds);
+    t.deepEqual(
+      installation.orders.done.map(({ order }) => order),
+      ['first', 'second'],
+    );
+    t.deepEqual(installation.history.violations(), []);
+  });
+});
+
+test('an order whose answer is lost is read back and not carried out twice', (t) => {
+  const installation = createSettled();
+  const leader = installation.acting()!;
+  installation.orders.faults.losesAnswers = true;
+  installation.proposeOrder(leader, 'first', 1);
+  installation.runFor(4_000);
+  installation.orders.faults.losesAnswers = false;
+  installation.runFor(settleMilliseconds);
+  t.is(installation.orders.written.length, 1);
+  const { intents } = installation.worldOf(leader);
+  t.deepEqual(
+    [...intents.rows()].map(({ result }) => result),
+    ['done'],
+  );
+});
+
+test('a full disk ends the part of a voter with an error, and the others go on', (t) => {
+  const installation = createSettled();
+  const old = installation.acting()!;
+  installation.disk(old).faults.isFull = true;
+  installation.propose('d5', 'full');
+  installation.runFor(settleMilliseconds);
+  t.is(installation.worldOf(old).replica.rows().next().value?.state, 'failed');
+  t.truthy(installation.acting());
+  t.true(installation.events().some(({ kind }) => kind === 'storageFailed'));
+  installation.disk(old).faults.isFull = false;
+  installation.stop(old);
+  installation.start(old);
+  installation.runFor(settleMilliseconds);
+  assertWhole(t, installation);
+});
+
+test('a voter whose disk has a flipped bit takes no part and the others keep all', (t) => {
+  const installation = createSettled();
+  proposeStream(installation, 'd5', 'before', 20);
+  installation.stop('d1');
+  installation.disk('d1').flipBit(200);
+  installation.start('d1');
+  installation.runFor(settleMilliseconds);
+  t.is(installation.worldOf('d1').replica.rows().next().value?.state, 'failed');
+  t.deepEqual(installation.history.violations(), []);
+  ['d2', 'd3'].forEach((name) => t.deepEqual(installation.missingAt(name), []));
+});
