Take requests while advice holds that names a leaving entry

Cause: an entry refused every new request from the moment it began to shut down, although callers keep its address for as long as the advice says. A shutdown scenario on virtual time showed ten of ten such calls refused with the reason `leaving`.

A leaving entry now only leaves the advice; it refuses new requests once the advice that it gave has run out, which is when the front closes as well. Ruled out: a deadline in the world that admission compares, since the daemon already waits for that very time and the fact is a change of state, not a deadline of a row.

--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -142,6 +142,7 @@
     wake();
     log.info('leaving');
     await delay(deployment.timing.adviceMilliseconds);
+    world.setRefusingNew();
     await waitAtMost(front.value.closeGracefully(), deployment.timing.drainMilliseconds);
     await dispose();
   };
--- a/src/service/admission/common/admissionSystem.ts
+++ b/src/service/admission/common/admissionSystem.ts
@@ -28,7 +28,7 @@
 ) => RefusalKind | undefined;
 
 const checkLeaving: Check = (world, request) =>
-  world.isLeaving() && request.sample === null ? RefusalKind.Leaving : undefined;
+  world.isRefusingNew() && request.sample === null ? RefusalKind.Leaving : undefined;
 
 const checkKey: Check = (world, request) => {
   if (request.madeFor !== null) return undefined;
--- /dev/null
+++ b/src/service/admission/test/common/leaving.test.ts
@@ -0,0 +1,46 @@
+/** An entry that leaves takes requests for as long as callers may hold advice that names it. */
+import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
+import type { ServiceName } from '../../../world/common/identifiers.js';
+import {
+  createTestDeployment,
+  createTestTree,
+  digestOf,
+} from '../../../../../standins/virtual/testDeployment.js';
+import { createVirtualCallers } from '../../../../../standins/virtual/virtualCallers.js';
+import { createVirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
+
+const request = {
+  keyDigest: digestOf('key-one'),
+  service: asBrand<ServiceName>('model'),
+  estimatedTokens: 1,
+};
+
+const create = () => {
+  const callers = createVirtualCallers(1);
+  const installation = createVirtualInstallation({
+    deployment: createTestDeployment(1, 1),
+    tree: createTestTree(),
+    seed: 1,
+    ports: [callers.port],
+  });
+  return { callers, installation, world: installation.daemon('d1').core.world };
+};
+
+test('a leaving entry takes requests while its advice holds', (t) => {
+  const { callers, installation, world } = create();
+  world.setLeaving();
+  const call = callers.send('d1', request);
+  installation.runFor(10);
+  t.is(call.outcome, null);
+});
+
+test('a leaving entry refuses requests after its advice has run out, and says that they did not run', (t) => {
+  const { callers, installation, world } = create();
+  world.setLeaving();
+  world.setRefusingNew();
+  const call = callers.send('d1', request);
+  installation.runFor(10);
+  t.is(call.refusal?.kind, 'leaving');
+  t.true(call.refusal?.notRun);
+});
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -50,9 +50,12 @@
   /** The settings tree in force. */
   readonly tree: () => Tree;
   readonly setTree: (tree: Tree) => void;
-  /** Whether this daemon is leaving and takes no new requests. */
+  /** Whether this daemon is leaving: it is not advised any more, and still takes requests. */
   readonly isLeaving: () => boolean;
   readonly setLeaving: () => void;
+  /** Whether the advice that was given before has run out, so that new requests are refused. */
+  readonly isRefusingNew: () => boolean;
+  readonly setRefusingNew: () => void;
   readonly allTables: readonly AnyTable[];
 }
 
@@ -61,6 +64,7 @@
   const tables = createTables();
   let { tree } = options;
   let leaving = false;
+  let refusingNew = false;
   return {
     ...tables,
     deployment: options.deployment,
@@ -77,6 +81,10 @@
     setLeaving: () => {
       leaving = true;
     },
+    isRefusingNew: () => refusingNew,
+    setRefusingNew: () => {
+      refusingNew = true;
+    },
     allTables: Object.values(tables),
   };
 };
