--- a/eslint.config.js
+++ b/eslint.config.js
@@ -113,7 +113,14 @@
   },
   ...importsOnlyDownwards,
   {
-    files: ['**/test/**/*.ts', 'bench/**/*.ts', 'scripts/**/*.ts', 'standins/**/*.ts', '*.js'],
+    files: [
+      '**/test/**/*.ts',
+      'bench/**/*.ts',
+      'scripts/**/*.ts',
+      'standins/**/*.ts',
+      'proof/**/*.ts',
+      '*.js',
+    ],
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       'no-console': 'off',
--- /dev/null
+++ b/proof/coverage/failures.ts
@@ -0,0 +1,21 @@
+/**
+ * What may fail, by short names; scenarios and rows of the fault matrix say which of them they bring about.
+ */
+import type { ValueOf } from '../../src/base/common/handlers.js';
+
+export const FailureName = {
+  EngineCrash: 'engineCrash',
+  DaemonCrash: 'daemonCrash',
+  WeightSwapFailure: 'weightSwapFailure',
+  KeyWithdrawal: 'keyWithdrawal',
+  Reclaim: 'reclaim',
+  ControlPartition: 'controlPartition',
+  RacingEdits: 'racingEdits',
+  ResentEdit: 'resentEdit',
+  SecondLoss: 'secondLoss',
+  LateRestart: 'lateRestart',
+  PoisonousRequest: 'poisonousRequest',
+  SilentConnection: 'silentConnection',
+  Combination: 'combination',
+} as const;
+export type FailureName = ValueOf<typeof FailureName>;
--- /dev/null
+++ b/proof/invariants/requests.ts
@@ -0,0 +1,98 @@
+/**
+ * Invariants of requests: whose work runs, whole answers, true refusals, and at most once.
+ */
+import { EventKind } from '../../src/service/events/common/eventKind.js';
+import type { Call } from '../../standins/virtual/virtualCallers.js';
+import { ExecutionState, type Execution } from '../../standins/virtual/virtualUpstream.js';
+import type { Recording } from '../system/recording.js';
+import { InvariantName, violationOf, type Invariant } from './invariant.js';
+
+const executionsOf = ({ executions }: Recording, call: Call): Execution[] =>
+  executions.filter(({ request }) => request === call.request);
+
+const foreign = violationOf(InvariantName.OwnWorkspace);
+
+const ownerOf = ({ tree }: Recording, digest: string | null): string | null => {
+  const owner = Object.entries(tree.workspaces).find(([, { keys }]) =>
+    Object.values(keys).some((key) => key.digest === digest),
+  );
+  return owner?.[0] ?? null;
+};
+
+const mayRun = (recording: Recording, { decoded }: Call): boolean => {
+  const service = recording.tree.services[decoded.service ?? ''];
+  if (decoded.keyDigest === null) return service?.open === true;
+  const owner = ownerOf(recording, decoded.keyDigest);
+  const workspace = owner === null ? undefined : recording.tree.workspaces[owner];
+  return workspace?.services.includes(decoded.service ?? '') === true;
+};
+
+const admittedFor = ({ events }: Recording, request: string | null) =>
+  events.find(
+    (event) => event.kind === EventKind.RequestAdmitted && event.subject.request === request,
+  )?.subject.workspace ?? null;
+
+/** What runs for a call runs for the workspace of its key, or on an open route without one. */
+export const checkOwnWorkspace: Invariant = (recording) =>
+  recording.calls.flatMap((call) => {
+    const { request } = call;
+    const ran = executionsOf(recording, call).length > 0;
+    if (ran && !mayRun(recording, call)) {
+      return [foreign(`${request} ran although its key does not allow it`, request)];
+    }
+    const workspace = admittedFor(recording, request);
+    const isOwn = workspace === null || workspace === ownerOf(recording, call.decoded.keyDigest);
+    return isOwn ? [] : [foreign(`${request} was admitted for ${workspace}`, request)];
+  });
+
+const notWhole = violationOf(InvariantName.WholeAnswer);
+
+const completingAttempt = ({ events }: Recording, request: string | null) =>
+  events.find(
+    ({ kind, subject }) =>
+      kind === EventKind.AttemptEnded &&
+      subject.request === request &&
+      subject.outcome === 'answerEnded',
+  )?.subject;
+
+const tokensOf = ({ spans }: Execution): number =>
+  spans.reduce((total, { tokens }) => total + tokens, 0);
+
+/** An answered call got what one execution for this very call made, to its end and every token. */
+export const checkWholeAnswer: Invariant = (recording) =>
+  recording.calls
+    .filter(({ outcome }) => outcome === 'answered')
+    .flatMap((call) => {
+      const end = completingAttempt(recording, call.request);
+      const execution = executionsOf(recording, call).find(
+        ({ attempt }) => attempt === end?.attempt,
+      );
+      const isWhole =
+        execution?.state === ExecutionState.Ended && tokensOf(execution) === end?.completionTokens;
+      const message = `${call.request} was answered, and no whole execution made the answer`;
+      return isWhole ? [] : [notWhole(message, call.request)];
+    });
+
+const untrue = violationOf(InvariantName.NotRunTrue);
+
+/** Where the caller is told that its request did not run, no upstream has begun to run it. */
+export const checkNotRunTrue: Invariant = (recording) =>
+  recording.calls
+    .filter(({ refusal }) => refusal?.notRun === true)
+    .flatMap((call) => {
+      const [execution] = executionsOf(recording, call);
+      const message = `${call.request} was called not run, and ${execution?.upstream} ran it`;
+      return execution === undefined ? [] : [untrue(message, call.request)];
+    });
+
+const twice = violationOf(InvariantName.AtMostOnce);
+
+/** A request to a service that is not idempotent has at most one execution. */
+export const checkAtMostOnce: Invariant = (recording) =>
+  recording.calls
+    .filter(({ decoded }) => recording.tree.services[decoded.service ?? '']?.idempotent === false)
+    .flatMap((call) => {
+      const count = executionsOf(recording, call).length;
+      const message = `${call.request} ran ${count} times`;
+      return count <= 1 ? [] : [twice(message, call.request)];
+    });
--- /dev/null
+++ b/proof/scenario/actions.ts
@@ -0,0 +1,125 @@
+/**
+ * What a step of a scenario does to the system: the schema of each action, and the table of handlers.
+ */
+import { z } from 'zod';
+import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
+import { UpstreamFaultKind } from '../../standins/virtual/virtualUpstream.js';
+import type { ScenarioRun } from './scenarioRun.js';
+
+const milliseconds = z.number().positive();
+
+export const ActionKind = {
+  /** Sends requests under one name: `count` of them, one every `every` milliseconds. */
+  Call: 'call',
+  /** Closes the connections of the calls of a name. */
+  Depart: 'depart',
+  /** Opens a lot for a trainer. */
+  Lot: 'lot',
+  /** Engines and trainers run a weight version. */
+  Weights: 'weights',
+  /** A fault of an upstream, or of every upstream of a zone. */
+  Upstream: 'upstream',
+  /** Every request of a name crashes the upstream that runs it. */
+  Poison: 'poison',
+  Stop: 'stop',
+  Start: 'start',
+  Freeze: 'freeze',
+  Thaw: 'thaw',
+  /** Cuts daemons off from all others. */
+  Isolate: 'isolate',
+  Rejoin: 'rejoin',
+  /** Shuts a daemon down gracefully. */
+  Shutdown: 'shutdown',
+} as const;
+
+const daemon = z.strictObject({ daemon: z.string() });
+const daemons = z.strictObject({ daemons: z.array(z.string()).min(1) });
+
+const upstreamFault = z.strictObject({
+  kind: z.literal(ActionKind.Upstream),
+  upstream: z.string().optional(),
+  zone: z.string().optional(),
+  /** The name of a call or lot: the upstream that runs it now. */
+  running: z.string().optional(),
+  fault: z.enum(UpstreamFaultKind),
+  delay: milliseconds.default(1_000),
+  notice: milliseconds.default(3_000),
+  weightVersion: z.number().int().default(1),
+});
+
+export const actionSchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal(ActionKind.Call),
+    name: z.string(),
+    workspace: z.string(),
+    service: z.string(),
+    daemon: z.string().optional(),
+    key: z.string().optional(),
+    count: z.number().int().positive().default(1),
+    every: milliseconds.default(100),
+  }),
+  z.strictObject({ kind: z.literal(ActionKind.Depart), name: z.string() }),
+  z.strictObject({
+    kind: z.literal(ActionKind.Lot),
+    name: z.string(),
+    workspace: z.string().optional(),
+    daemon: z.string().optional(),
+    groups: z.number().int().positive(),
+    groupSize: z.number().int().positive(),
+    trainerVersion: z.number().int().default(1),
+    stalenessBound: z.number().int().default(1),
+  }),
+  z.strictObject({ kind: z.literal(ActionKind.Weights), weightVersion: z.number().int() }),
+  upstreamFault,
+  z.strictObject({ kind: z.literal(ActionKind.Poison), name: z.string() }),
+  daemon.extend({ kind: z.literal(ActionKind.Stop) }),
+  daemon.extend({ kind: z.literal(ActionKind.Start) }),
+  daemon.extend({ kind: z.literal(ActionKind.Freeze) }),
+  daemon.extend({ kind: z.literal(ActionKind.Thaw) }),
+  daemons.extend({ kind: z.literal(ActionKind.Isolate) }),
+  daemons.extend({ kind: z.literal(ActionKind.Rejoin) }),
+  daemon.extend({ kind: z.literal(ActionKind.Shutdown) }),
+]);
+export type Action = z.infer<typeof actionSchema>;
+
+const targetsOf = (run: ScenarioRun, action: z.infer<typeof upstreamFault>): readonly string[] => {
+  const { upstream, zone, running } = action;
+  if (upstream !== undefined) return [upstream];
+  if (running !== undefined) return run.upstreamsRunning(running);
+  return run.system.site.upstreams
+    .filter((settings) => settings.zone === zone)
+    .map((settings) => settings.name);
+};
+
+const handlers: HandlerTable<Action, void, [ScenarioRun]> = {
+  call: ({ name, count, every, ...call }, run) =>
+    Array.from({ length: count }, (_, index) => index).forEach((index) =>
+      run.system.installation.schedule(index * every, () =>
+        run.addCall(name, run.system.call(call)),
+      ),
+    ),
+  depart: ({ name }, run) => run.callsOf(name).forEach(run.system.callers.depart),
+  lot: ({ name, ...lot }, run) => run.addTrainer(name, run.system.openLot(lot)),
+  weights: ({ weightVersion }, run) => run.system.releaseWeights(weightVersion),
+  upstream: (action, run) => {
+    const { fault, delay, notice, weightVersion } = action;
+    targetsOf(run, action).forEach((target) =>
+      run.system.upstreams.inject(target, { kind: fault, delay, notice, weightVersion }),
+    );
+  },
+  poison: ({ name }, run) =>
+    run.system.upstreams.poison((request) =>
+      run.callsOf(name).some((call) => call.request === request),
+    ),
+  stop: (action, run) => run.system.stop(action.daemon),
+  start: (action, run) => run.system.start(action.daemon),
+  freeze: (action, run) => run.system.freeze(action.daemon),
+  thaw: (action, run) => run.system.thaw(action.daemon),
+  isolate: (action, run) => run.system.isolate(action.daemons),
+  rejoin: (action, run) => run.system.rejoin(action.daemons),
+  shutdown: (action, run) => run.system.shutDown(action.daemon),
+};
+
+/** Carries an action out. */
+export const act = (action: Action, run: ScenarioRun): void =>
+  dispatchByKind(handlers, action, run);
--- /dev/null
+++ b/proof/scenario/conditions.ts
@@ -0,0 +1,112 @@
+/**
+ * What a step of a scenario waits for, expects or forbids: the schema of each condition, and the table of
+ * handlers.
+ */
+import { z } from 'zod';
+import { asBrand } from '../../src/base/common/brand.js';
+import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
+import { EventKind } from '../../src/service/events/common/eventKind.js';
+import { DaemonState } from '../../src/service/membership/common/membershipTables.js';
+import { UpstreamState } from '../../src/service/protocol/common/upstreamProtocol.js';
+import { RefusalKind } from '../../src/service/traffic/common/refusal.js';
+import { RequestState } from '../../src/service/traffic/common/trafficTables.js';
+import type { Call } from '../../standins/virtual/virtualCallers.js';
+import type { ScenarioRun } from './scenarioRun.js';
+
+export const ConditionKind = {
+  /** Calls of a name have ended in one of these ways. */
+  Ended: 'ended',
+  /** An upstream runs a call of the name, or a sample of the lot. */
+  Running: 'running',
+  /** Upstreams have run the calls of a name so often, all together. */
+  Executions: 'executions',
+  /** The trainer of a lot has all of its samples. */
+  LotFinished: 'lotFinished',
+  /** Events of a kind were recorded. */
+  Event: 'event',
+  /** A daemon holds another in a state. */
+  Peer: 'peer',
+  /** A daemon holds an upstream in a state. */
+  Upstream: 'upstream',
+} as const;
+
+const callOutcome = z.enum({ ...RequestState, ConnectionLost: 'connectionLost' });
+const minimum = z.number().int().positive();
+
+export const conditionSchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal(ConditionKind.Ended),
+    name: z.string(),
+    outcomes: z.array(callOutcome).optional(),
+    reason: z.enum(RefusalKind).optional(),
+    notRun: z.boolean().optional(),
+    /** Without it, every call of the name. */
+    atLeast: minimum.optional(),
+  }),
+  z.strictObject({ kind: z.literal(ConditionKind.Running), name: z.string() }),
+  z.strictObject({
+    kind: z.literal(ConditionKind.Executions),
+    name: z.string(),
+    atLeast: minimum,
+  }),
+  z.strictObject({ kind: z.literal(ConditionKind.LotFinished), name: z.string() }),
+  z.strictObject({
+    kind: z.literal(ConditionKind.Event),
+    event: z.enum(EventKind),
+    process: z.string().optional(),
+    subject: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])).default({}),
+    atLeast: minimum.default(1),
+  }),
+  z.strictObject({
+    kind: z.literal(ConditionKind.Peer),
+    at: z.string(),
+    daemon: z.string(),
+    state: z.enum(DaemonState),
+  }),
+  z.strictObject({
+    kind: z.literal(ConditionKind.Upstream),
+    at: z.string(),
+    upstream: z.string(),
+    state: z.enum({ ...UpstreamState, Gone: 'gone' }),
+  }),
+]);
+export type Condition = z.infer<typeof conditionSchema>;
+type EndedCondition = Extract<Condition, { kind: 'ended' }>;
+
+const matches = (call: Call, { outcomes, reason, notRun }: EndedCondition): boolean => {
+  if (call.outcome === null) return false;
+  if (outcomes !== undefined && !outcomes.includes(call.outcome)) return false;
+  if (reason !== undefined && call.refusal?.kind !== reason) return false;
+  return notRun === undefined || call.refusal?.notRun === notRun;
+};
+
+const handlers: HandlerTable<Condition, boolean, [ScenarioRun]> = {
+  ended: (condition, run) => {
+    const calls = run.callsOf(condition.name);
+    const count = calls.filter((call) => matches(call, condition)).length;
+    return count >= (condition.atLeast ?? Math.max(1, calls.length));
+  },
+  running: ({ name }, run) => run.upstreamsRunning(name).length > 0,
+  executions: ({ name, atLeast }, run) => run.executionsOf(name).length >= atLeast,
+  lotFinished: ({ name }, run) => run.trainerOf(name)?.finishedAt != null,
+  event: ({ event, process, subject, atLeast }, run) => {
+    const found = run.system.installation
+      .events()
+      .filter(({ kind }) => kind === event)
+      .filter((each) => process === undefined || each.process === process)
+      .filter((each) =>
+        Object.entries(subject).every(([name, value]) => each.subject[name] === value),
+      );
+    return found.length >= atLeast;
+  },
+  peer: ({ at, daemon, state }, run) =>
+    run.system.installation.daemon(at).core.world.daemons.get(asBrand(daemon))?.state === state,
+  upstream: ({ at, upstream, state }, run) => {
+    const { world } = run.system.installation.daemon(at).core;
+    return (world.upstreams.get(asBrand(upstream))?.state ?? 'gone') === state;
+  },
+};
+
+/** Whether a condition holds now. */
+export const holds = (condition: Condition, run: ScenarioRun): boolean =>
+  dispatchByKind(handlers, condition, run);
--- /dev/null
+++ b/proof/scenario/report.ts
@@ -0,0 +1,56 @@
+/**
+ * The report on a failed scenario: its step, the rows concerned in every daemon, and the merged time line.
+ */
+import type { AnyTable } from '../../src/platform/tables/common/table.js';
+import type { VirtualEvent } from '../../standins/virtual/virtualInstallation.js';
+import type { ScenarioFailure } from './runScenario.js';
+import type { ScenarioRun } from './scenarioRun.js';
+
+const longestTimeline = 60;
+
+const formatEvent = ({ at, process, kind, subject }: VirtualEvent): string => {
+  const fields = Object.entries(subject).map(([name, value]) => `${name}=${value}`);
+  return `  ${at.toFixed(1).padStart(9)} ${process} ${kind} ${fields.join(' ')}`;
+};
+
+const isConcerned = (value: unknown, subjects: readonly string[]): boolean => {
+  const text = JSON.stringify(value);
+  return subjects.some((subject) => text.includes(`"${subject}"`));
+};
+
+interface RowTable extends AnyTable {
+  readonly rows: () => Iterable<unknown>;
+}
+
+const hasRows = (table: AnyTable): table is RowTable => 'rows' in table;
+
+const rowsConcerned = ({ system }: ScenarioRun, subjects: readonly string[]): string[] =>
+  system.installation.runningNames().flatMap((name) =>
+    system.installation
+      .daemon(name)
+      .core.world.allTables.filter(hasRows)
+      .flatMap((table) =>
+        [...table.rows()]
+          .filter((row) => isConcerned(row, subjects))
+          .map((row) => `  ${name} ${table.name} ${JSON.stringify(row)}`),
+      ),
+  );
+
+const timelineOf = ({ system }: ScenarioRun, subjects: readonly string[]): string[] => {
+  const events = system.installation.events();
+  const concerned = events.filter(
+    (event) => subjects.length === 0 || isConcerned(event.subject, subjects),
+  );
+  return concerned.slice(-longestTimeline).map(formatEvent);
+};
+
+/** The report on one failure, as lines of text. */
+export const reportFailure = (failure: ScenarioFailure, run: ScenarioRun): string =>
+  [
+    failure.message,
+    `step: ${failure.step === null ? 'invariants at the end' : JSON.stringify(failure.step)}`,
+    'rows:',
+    ...rowsConcerned(run, failure.subjects),
+    'time line:',
+    ...timelineOf(run, failure.subjects),
+  ].join('\n');
--- /dev/null
+++ b/proof/scenario/scenario.ts
@@ -0,0 +1,84 @@
+/**
+ * The scenario language: a TOML file with a title, what it is about, and its steps in order.
+ */
+import { readdirSync } from 'node:fs';
+import { basename, join } from 'node:path';
+import { err, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { checkDocument } from '../../src/platform/settings/common/checkDocument.js';
+import {
+  createSettingsError,
+  type SettingsError,
+} from '../../src/platform/settings/common/settingsFault.js';
+import { readDocument } from '../../src/platform/settings/node/readSettings.js';
+import { FailureName } from '../coverage/failures.js';
+import { InvariantName } from '../invariants/invariant.js';
+import { Capability } from '../system/capabilities.js';
+import { InstallationName } from '../system/installations.js';
+import { actionSchema } from './actions.js';
+import { conditionSchema } from './conditions.js';
+
+const milliseconds = z.number().nonnegative();
+
+export const StepKind = {
+  /** Goes on to a time after the start of the scenario, then acts. */
+  At: 'at',
+  /** Waits until a condition holds, then acts; it must hold in time. */
+  When: 'when',
+  /** Waits until a condition holds; it must hold in time. */
+  Expect: 'expect',
+  /** From here to the end a condition may not hold. */
+  Never: 'never',
+} as const;
+
+export const stepSchema = z.discriminatedUnion('step', [
+  z.strictObject({ step: z.literal(StepKind.At), time: milliseconds, action: actionSchema }),
+  z.strictObject({
+    step: z.literal(StepKind.When),
+    within: milliseconds,
+    condition: conditionSchema,
+    action: actionSchema,
+  }),
+  z.strictObject({
+    step: z.literal(StepKind.Expect),
+    within: milliseconds,
+    condition: conditionSchema,
+  }),
+  z.strictObject({ step: z.literal(StepKind.Never), condition: conditionSchema }),
+]);
+export type Step = z.infer<typeof stepSchema>;
+
+export const scenarioSchema = z.strictObject({
+  title: z.string(),
+  installation: z.enum(InstallationName),
+  seed: z.number().int(),
+  /** How long the system runs, in virtual milliseconds. */
+  lasts: milliseconds,
+  /** The promises that it is about; all invariants are checked in any case. */
+  promises: z.array(z.enum(InvariantName)).min(1),
+  failures: z.array(z.enum(FailureName)).default([]),
+  /** The parts of the product without which it can't be run. */
+  needs: z.array(z.enum(Capability)).default([]),
+  steps: z.array(stepSchema).min(1),
+});
+export type Scenario = z.infer<typeof scenarioSchema>;
+
+/** A scenario and the name of its file. */
+export interface ScenarioFile {
+  readonly name: string;
+  readonly scenario: Scenario;
+}
+
+/** Reads one file; the error lists each fault by its path. */
+export const readScenario = (file: string): Result<ScenarioFile, SettingsError> =>
+  readDocument(file)
+    .andThen((document) => checkDocument(scenarioSchema, document, () => []))
+    .map((scenario) => ({ name: basename(file, '.toml'), scenario }))
+    .orElse((faults) => err(createSettingsError([{ file, faults }])));
+
+/** The scenario files in a folder, in order of name. */
+export const listScenarios = (folder: string): string[] =>
+  readdirSync(folder)
+    .filter((name) => name.endsWith('.toml'))
+    .sort()
+    .map((name) => join(folder, name));
--- /dev/null
+++ b/proof/scenario/scenarioRun.ts
@@ -0,0 +1,60 @@
+/**
+ * The state of one run of a scenario: the system, and the calls and lots by the names of the scenario.
+ */
+import type { RequestId } from '../../src/service/world/common/identifiers.js';
+import type { Call } from '../../standins/virtual/virtualCallers.js';
+import type { Trainer } from '../../standins/virtual/virtualTrainers.js';
+import { ExecutionState, type Execution } from '../../standins/virtual/virtualUpstream.js';
+import type { ProofSystem } from '../system/proofSystem.js';
+
+export interface ScenarioRun {
+  readonly system: ProofSystem;
+  readonly addCall: (name: string, call: Call) => void;
+  readonly addTrainer: (name: string, trainer: Trainer) => void;
+  readonly callsOf: (name: string) => readonly Call[];
+  readonly trainerOf: (name: string) => Trainer | undefined;
+  /** What upstreams have run for the calls or the lot of a name. */
+  readonly executionsOf: (name: string) => readonly Execution[];
+  readonly upstreamsRunning: (name: string) => readonly string[];
+}
+
+/** Creates a run without calls and lots. */
+export const createScenarioRun = (system: ProofSystem): ScenarioRun => {
+  const calls = new Map<string, Call[]>();
+  const trainers = new Map<string, Trainer>();
+
+  const requestsOfLot = (name: string): RequestId[] => {
+    const trainer = trainers.get(name);
+    if (trainer === undefined || trainer.lot === null) return [];
+    const { world } = system.installation.daemon(trainer.daemon).core;
+    return world.samples.where('lot', trainer.lot).flatMap(({ request }) => request ?? []);
+  };
+
+  const executionsOf = (name: string): Execution[] => {
+    const requests = new Set<string | null>([
+      ...(calls.get(name) ?? []).map(({ request }) => request),
+      ...requestsOfLot(name),
+    ]);
+    return system.upstreams.executions().filter(({ request }) => requests.has(request));
+  };
+
+  return {
+    system,
+    addCall: (name, call) => {
+      calls.set(name, [...(calls.get(name) ?? []), call]);
+    },
+    addTrainer: (name, trainer) => {
+      trainers.set(name, trainer);
+    },
+    callsOf: (name) => calls.get(name) ?? [],
+    trainerOf: (name) => trainers.get(name),
+    executionsOf,
+    upstreamsRunning: (name) => [
+      ...new Set(
+        executionsOf(name)
+          .filter(({ state }) => state === ExecutionState.Running)
+          .map(({ upstream }) => upstream),
+      ),
+    ],
+  };
+};
--- /dev/null
+++ b/proof/system/installations.ts
@@ -0,0 +1,116 @@
+/**
+ * The two installations that the proof runs on, with the sizes and latencies of their users.
+ */
+import type { ValueOf } from '../../src/base/common/handlers.js';
+import type { Deployment } from '../../src/platform/settings/common/deployment.js';
+import type { Tree } from '../../src/service/configuration/common/tree.js';
+import { loadInstallation } from '../../src/service/configuration/node/loadInstallation.js';
+import { UpstreamKind } from '../../src/service/protocol/common/upstreamProtocol.js';
+import type { LinkLatencies } from '../../standins/virtual/links.js';
+import type { VirtualUpstreamSettings } from '../../standins/virtual/virtualUpstream.js';
+
+export const InstallationName = { Kestrelkloof: 'kestrelkloof', Agency: 'agency' } as const;
+export type InstallationName = ValueOf<typeof InstallationName>;
+
+/** What the proof knows of an installation besides its settings. */
+interface Sizes {
+  readonly latencies: LinkLatencies;
+  readonly engineService: string;
+  readonly engineCount: number;
+  readonly plainService: string;
+  readonly plainCount: number;
+  /** A workspace that may use the engines, another one, and one that may use the plain service. */
+  readonly engineWorkspace: string;
+  readonly otherWorkspace: string;
+  readonly plainWorkspace: string;
+}
+
+/** An installation, ready to be run on virtual time. */
+export interface ProofInstallation extends Sizes {
+  readonly name: InstallationName;
+  readonly deployment: Deployment;
+  readonly tree: Tree;
+  readonly upstreams: readonly VirtualUpstreamSettings[];
+}
+
+const sizes: Readonly<Record<InstallationName, Sizes>> = {
+  kestrelkloof: {
+    latencies: { withinZone: 0.1, betweenZones: 0.5, betweenRegions: 12, toClients: 3 },
+    engineService: 'planner-lm',
+    engineCount: 6,
+    plainService: 'yard-app',
+    plainCount: 3,
+    engineWorkspace: 'stacking-planner',
+    otherWorkspace: 'bay-plans',
+    plainWorkspace: 'bay-booking',
+  },
+  agency: {
+    latencies: { withinZone: 0.1, betweenZones: 1.5, betweenRegions: 12, toClients: 1 },
+    engineService: 'taalbank',
+    engineCount: 6,
+    plainService: 'restbalie',
+    plainCount: 6,
+    engineWorkspace: 'offcuts',
+    otherWorkspace: 'room-matching',
+    plainWorkspace: 'counter',
+  },
+};
+
+const engineFacts = {
+  kind: UpstreamKind.Engine,
+  slots: 8,
+  tokensPerSecond: 100,
+  answerTokens: 100,
+  weightVersion: 1,
+};
+
+const plainFacts = {
+  kind: UpstreamKind.Plain,
+  slots: 8,
+  tokensPerSecond: 100,
+  answerTokens: 30,
+  weightVersion: null,
+};
+
+/** Every third engine may be reclaimed at short notice. */
+const reclaimableStep = 3;
+
+const upstreamsOf = (
+  { engineCount, engineService, plainCount, plainService }: Sizes,
+  zones: readonly string[],
+): VirtualUpstreamSettings[] => {
+  const zoneOf = (index: number): string => zones[index % zones.length]!;
+  const engines = Array.from({ length: engineCount }, (_, index) => ({
+    ...engineFacts,
+    name: `engine-${index + 1}`,
+    service: engineService,
+    zone: zoneOf(index),
+    reclaimable: index % reclaimableStep === reclaimableStep - 1,
+  }));
+  const plain = Array.from({ length: plainCount }, (_, index) => ({
+    ...plainFacts,
+    name: `plain-${index + 1}`,
+    service: plainService,
+    zone: zoneOf(index),
+    reclaimable: false,
+  }));
+  return [...engines, ...plain];
+};
+
+const load = (name: InstallationName): ProofInstallation => {
+  const loaded = loadInstallation(`examples/${name}.toml`);
+  if (loaded.isErr()) throw new Error(loaded.error.message);
+  const { deployment, tree } = loaded.value;
+  const zones = [...new Set(deployment.daemons.map(({ zone }) => zone))];
+  const upstreams = upstreamsOf(sizes[name], zones);
+  return { ...sizes[name], name, deployment, tree, upstreams };
+};
+
+const loaded = new Map<InstallationName, ProofInstallation>();
+
+/** Loads an installation from the examples; each is read once. */
+export const installationNamed = (name: InstallationName): ProofInstallation => {
+  const installation = loaded.get(name) ?? load(name);
+  loaded.set(name, installation);
+  return installation;
+};
--- /dev/null
+++ b/proof/system/proofSystem.ts
@@ -0,0 +1,223 @@
+/**
+ * A whole installation on virtual time with its fakes, and the operations that scenarios and the fault
+ * matrix do to it.
+ */
+import { asBrand } from '../../src/base/common/brand.js';
+import type { Milliseconds } from '../../src/base/common/time.js';
+import { adviseAddresses } from '../../src/service/advice/common/advice.js';
+import type { ServiceName } from '../../src/service/world/common/identifiers.js';
+import { digestOf } from '../../standins/virtual/testDeployment.js';
+import { createLinks } from '../../standins/virtual/links.js';
+import {
+  createVirtualCallers,
+  type Call,
+  type VirtualCallers,
+} from '../../standins/virtual/virtualCallers.js';
+import {
+  createVirtualInstallation,
+  type VirtualInstallation,
+} from '../../standins/virtual/virtualInstallation.js';
+import {
+  createVirtualTrainers,
+  type Trainer,
+  type VirtualTrainers,
+} from '../../standins/virtual/virtualTrainers.js';
+import { UpstreamFaultKind } from '../../standins/virtual/virtualUpstream.js';
+import {
+  createVirtualUpstreams,
+  type VirtualUpstreams,
+} from '../../standins/virtual/virtualUpstreams.js';
+import {
+  installationNamed,
+  type InstallationName,
+  type ProofInstallation,
+} from './installations.js';
+import { createReachabilityTracker } from './reachability.js';
+import type { Recording, Shutdown } from './recording.js';
+import { beginShutdown } from './shutdowns.js';
+
+/** A request as a scenario describes it; what is left out is chosen. */
+export interface CallOptions {
+  readonly workspace: string;
+  readonly service: string;
+  readonly daemon?: string | undefined;
+  /** The key that is sent in place of that of the workspace. */
+  readonly key?: string | undefined;
+}
+
+/** A lot as a scenario describes it. */
+export interface LotOptions {
+  readonly workspace?: string | undefined;
+  readonly daemon?: string | undefined;
+  readonly groups: number;
+  readonly groupSize: number;
+  readonly trainerVersion: number;
+  readonly stalenessBound: number;
+}
+
+export interface ProofSystem {
+  readonly site: ProofInstallation;
+  readonly installation: VirtualInstallation;
+  readonly upstreams: VirtualUpstreams;
+  readonly callers: VirtualCallers;
+  readonly trainers: VirtualTrainers;
+  /** The daemon that a new caller would be advised to use. */
+  readonly advisedDaemon: () => string;
+  readonly call: (options: CallOptions) => Call;
+  readonly openLot: (options: LotOptions) => Trainer;
+  /** All engines run a weight version, and all trainers with them. */
+  readonly releaseWeights: (version: number) => void;
+  readonly shutDown: (daemon: string) => void;
+  readonly stop: (daemon: string) => void;
+  readonly start: (daemon: string) => void;
+  readonly freeze: (daemon: string) => void;
+  readonly thaw: (daemon: string) => void;
+  /** Cuts a group of daemons off from all others. */
+  readonly isolate: (daemons: readonly string[]) => void;
+  readonly rejoin: (daemons: readonly string[]) => void;
+  readonly daemonNames: () => readonly string[];
+  readonly recording: () => Recording;
+}
+
+const lotMilliseconds: Milliseconds = 600_000;
+const settleMilliseconds: Milliseconds = 2_500;
+
+/** The example key of a workspace. */
+export const keyOf = (workspace: string): string => `demo-key-${workspace}`;
+
+const createFakes = (site: ProofInstallation) => {
+  const links = createLinks(site.deployment, site.latencies);
+  const upstreams = createVirtualUpstreams(site.upstreams, links);
+  const callers = createVirtualCallers(links.toClients);
+  const trainers = createVirtualTrainers(links.toClients);
+  return { links, upstreams, callers, trainers };
+};
+
+/** Starts an installation and lets its upstreams announce themselves. */
+export const createProofSystem = (name: InstallationName, seed: number): ProofSystem => {
+  const site = installationNamed(name);
+  const { links, upstreams, callers, trainers } = createFakes(site);
+  const reachability = createReachabilityTracker();
+  const shutdowns: Shutdown[] = [];
+  const installation = createVirtualInstallation({
+    deployment: site.deployment,
+    tree: site.tree,
+    seed,
+    latency: links.betweenDaemons,
+    ports: [upstreams.port, callers.port, trainers.port],
+  });
+  const names = site.deployment.daemons.map((daemon) => daemon.name);
+  const { now } = installation;
+
+  const stop = (daemon: string): void => {
+    installation.stop(daemon);
+    callers.lose(daemon, now());
+    trainers.lose(daemon);
+    reachability.end(daemon, now());
+  };
+
+  const advisedDaemon = (): string => {
+    const asked = installation.daemon(installation.runningNames()[0]!).core.world;
+    const [best] = adviseAddresses(asked, undefined).addresses;
+    return best?.daemon ?? asked.self.name;
+  };
+
+  const forEachBorder = (
+    daemons: readonly string[],
+    action: (inside: string, outside: string) => void,
+  ): void =>
+    daemons.forEach((inside) =>
+      names
+        .filter((outside) => !daemons.includes(outside))
+        .forEach((outside) => action(inside, outside)),
+    );
+
+  const openLot = ({ workspace, daemon, ...lot }: LotOptions): Trainer =>
+    trainers.open(daemon ?? advisedDaemon(), {
+      workspace: asBrand(workspace ?? site.engineWorkspace),
+      service: asBrand(site.engineService),
+      model: site.engineService,
+      step: trainers.trainers().length,
+      trainerVersion: lot.trainerVersion,
+      stalenessBound: lot.stalenessBound,
+      groupCount: lot.groups,
+      groupSize: lot.groupSize,
+      maximumTokens: 100,
+      remaining: lotMilliseconds,
+    });
+
+  const releaseWeights = (weightVersion: number): void => {
+    site.upstreams
+      .filter((upstream) => upstream.weightVersion !== null)
+      .forEach((upstream) =>
+        upstreams.inject(upstream.name, { kind: UpstreamFaultKind.SwapWeights, weightVersion }),
+      );
+    trainers.trainers().forEach((trainer) => {
+      Object.assign(trainer, { trainerVersion: weightVersion });
+    });
+  };
+
+  upstreams.attach(installation);
+  names.forEach((daemon) => reachability.begin(daemon, now()));
+  installation.runFor(settleMilliseconds);
+
+  return {
+    site,
+    installation,
+    upstreams,
+    callers,
+    trainers,
+    advisedDaemon,
+    call: ({ workspace, service, daemon, key }) =>
+      callers.send(daemon ?? advisedDaemon(), {
+        keyDigest: digestOf(key ?? keyOf(workspace)),
+        service: asBrand<ServiceName>(service),
+        estimatedTokens: 100,
+      }),
+    openLot,
+    releaseWeights,
+    shutDown: (daemon) => {
+      shutdowns.push(beginShutdown(installation, daemon, stop));
+    },
+    stop,
+    start: (daemon) => {
+      installation.start(daemon);
+      reachability.begin(daemon, now());
+    },
+    freeze: (daemon) => {
+      installation.freeze(daemon);
+      reachability.end(daemon, now());
+    },
+    thaw: (daemon) => {
+      installation.thaw(daemon);
+      reachability.begin(daemon, now());
+    },
+    isolate: (daemons) => {
+      forEachBorder(daemons, installation.cut);
+      daemons.forEach((daemon) => reachability.end(daemon, now()));
+    },
+    rejoin: (daemons) => {
+      forEachBorder(daemons, installation.heal);
+      daemons.forEach((daemon) => reachability.begin(daemon, now()));
+    },
+    daemonNames: () => names,
+    recording: () => ({
+      tree: site.tree,
+      upstreams: site.upstreams,
+      endedAt: now(),
+      events: installation.events(),
+      executions: upstreams.executions(),
+      calls: callers.calls(),
+      trainers: trainers.trainers(),
+      deliveries: trainers.deliveries(),
+      withdrawals: [],
+      shutdowns,
+      orders: [],
+      usageReports: [],
+      revisions: [],
+      acceptedEdits: [],
+      reachable: reachability.intervals(now()),
+      keys: Object.keys(site.tree.workspaces).map(keyOf),
+    }),
+  };
+};
--- /dev/null
+++ b/proof/test/scenarioFiles.ts
@@ -0,0 +1,34 @@
+/**
+ * Declares one test for each scenario file of an installation.
+ */
+import test from 'ava';
+import { reportFailure } from '../scenario/report.js';
+import { runScenario } from '../scenario/runScenario.js';
+import { listScenarios, readScenario, type ScenarioFile } from '../scenario/scenario.js';
+import type { InstallationName } from '../system/installations.js';
+
+/** Reads every scenario file. */
+export const readAllScenarios = (): ScenarioFile[] =>
+  listScenarios('scenarios').map((path) =>
+    readScenario(path).match(
+      (file) => file,
+      (error) => {
+        throw new Error(error.message);
+      },
+    ),
+  );
+
+const declare = ({ name, scenario }: ScenarioFile): void =>
+  test(`${name}: ${scenario.title}`, (t) => {
+    const verdict = runScenario(scenario);
+    if (verdict.kind === 'failed') {
+      verdict.failures.forEach((failure) => t.fail(reportFailure(failure, verdict.run)));
+    } else if (verdict.kind === 'notBuilt') t.log(`not built: ${verdict.missing.join(', ')}`);
+    t.pass();
+  });
+
+/** Declares the tests of the scenarios that run on an installation. */
+export const declareScenarios = (installation: InstallationName): void =>
+  readAllScenarios()
+    .filter(({ scenario }) => scenario.installation === installation)
+    .forEach(declare);
--- a/standins/virtual/virtualExecutions.ts
+++ b/standins/virtual/virtualExecutions.ts
@@ -157,6 +157,7 @@
       upstream: upstream.settings.name,
       daemon: context.daemon.name,
       startedAt: time.now(),
+      received: attempt,
       announcedState: upstream.state,
       announcedSince: upstream.stateSince,
       state: ExecutionState.Running,
--- a/standins/virtual/virtualTrainers.ts
+++ b/standins/virtual/virtualTrainers.ts
@@ -44,6 +44,8 @@
   /** Creates the trainer port of one start of a daemon. */
   readonly port: (context: VirtualContext) => VirtualPort;
   readonly open: (daemon: string, wish: LotWish) => Trainer;
+  /** Tells the trainers of a daemon that it has ended; their lot is lost with it. */
+  readonly lose: (daemon: string) => void;
   readonly trainers: () => readonly Trainer[];
   readonly deliveries: () => readonly Delivery[];
 }
@@ -147,6 +149,9 @@
       });
       return trainer;
     },
+    lose: (daemon) => {
+      contexts.delete(daemon);
+    },
     trainers: () => trainers,
     deliveries: () => deliveries,
   };
--- a/standins/virtual/virtualUpstream.ts
+++ b/standins/virtual/virtualUpstream.ts
@@ -79,6 +79,8 @@
   readonly upstream: string;
   readonly daemon: string;
   readonly startedAt: Instant;
+  /** All that the upstream was sent, as the daemon sent it. */
+  readonly received: unknown;
   /** What the upstream had announced when it began, and since when. */
   readonly announcedState: UpstreamState;
   readonly announcedSince: Instant;
