--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -11,6 +11,7 @@
   DaemonLeaving: 'daemonLeaving',
   PeerAlive: 'peerAlive',
   PeerSuspected: 'peerSuspected',
+  SettingsPublished: 'settingsPublished',
   UpstreamAnnounced: 'upstreamAnnounced',
   UpstreamChanged: 'upstreamChanged',
   UpstreamGone: 'upstreamGone',
@@ -28,6 +29,9 @@
   SampleDiscarded: 'sampleDiscarded',
   BatchAssigned: 'batchAssigned',
   BatchAcknowledged: 'batchAcknowledged',
+  LeadershipTaken: 'leadershipTaken',
+  LeadershipLost: 'leadershipLost',
+  StorageFailed: 'storageFailed',
 } as const;
 export type EventKind = ValueOf<typeof EventKind>;
 
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -6,8 +6,11 @@
 import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
 import type { AnyTable } from '../../../platform/tables/common/table.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
+import { createServedTables, type ServedRow } from '../../configuration/common/servedTables.js';
+import { createSettingsTables } from '../../configuration/common/settingsTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
+import { createReplicaTables } from '../../consensus/common/replicaTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
@@ -19,10 +22,13 @@
 const createTables = () => ({
   ...createConfigurationTables(),
   ...createConsensusTables(),
+  ...createReplicaTables(),
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
   ...createRolloutTables(),
+  ...createServedTables(),
+  ...createSettingsTables(),
   ...createTrafficTables(),
   ...createUsageTables(),
 });
@@ -33,6 +39,8 @@
   readonly deployment: Deployment;
   readonly self: DaemonSettings;
   readonly tree: Tree;
+  /** The settings that this daemon served last before it was started, where it kept them. */
+  readonly restored?: Omit<ServedRow, 'id'> | undefined;
   /** A number that rises with every start of this daemon. */
   readonly incarnation: number;
   readonly random: Random;
