--- a/proof/scenario/conditions.ts
+++ b/proof/scenario/conditions.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { asBrand } from '../../src/base/common/brand.js';
 import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
+import { servedId } from '../../src/service/configuration/common/servedTables.js';
 import { EventKind } from '../../src/service/events/common/eventKind.js';
 import { DaemonState } from '../../src/service/membership/common/membershipTables.js';
 import { UpstreamState } from '../../src/service/protocol/common/upstreamProtocol.js';
@@ -22,6 +23,12 @@
   Executions: 'executions',
   /** The trainer of a lot has all of its samples. */
   LotFinished: 'lotFinished',
+  /** Sendings of an edit have got this answer. */
+  Answered: 'answered',
+  /** All sendings of an edit, and this many, have got one and the same answer. */
+  SameAnswer: 'sameAnswer',
+  /** A daemon serves at least this revision of the settings. */
+  Revision: 'revision',
   /** Events of a kind were recorded. */
   Event: 'event',
   /** A daemon holds another in a state. */
@@ -50,6 +57,19 @@
     atLeast: minimum,
   }),
   z.strictObject({ kind: z.literal(ConditionKind.LotFinished), name: z.string() }),
+  z.strictObject({
+    kind: z.literal(ConditionKind.Answered),
+    name: z.string(),
+    /** `accepted`, or the kind of a rejection. */
+    answer: z.string(),
+    atLeast: minimum.default(1),
+  }),
+  z.strictObject({
+    kind: z.literal(ConditionKind.SameAnswer),
+    name: z.string(),
+    atLeast: minimum,
+  }),
+  z.strictObject({ kind: z.literal(ConditionKind.Revision), at: z.string(), revision: minimum }),
   z.strictObject({
     kind: z.literal(ConditionKind.Event),
     event: z.enum(EventKind),
@@ -89,6 +109,19 @@
   running: ({ name }, run) => run.upstreamsRunning(name).length > 0,
   executions: ({ name, atLeast }, run) => run.executionsOf(name).length >= atLeast,
   lotFinished: ({ name }, run) => run.trainerOf(name)?.finishedAt != null,
+  answered: ({ name, answer, atLeast }, run) =>
+    run.editsOf(name).filter((edit) => edit.answer === answer).length >= atLeast,
+  sameAnswer: ({ name, atLeast }, run) => {
+    const edits = run.editsOf(name);
+    const answers = new Set(edits.map(({ answer, revision }) => `${answer} ${revision}`));
+    const isAnswered = edits.every(({ answer }) => answer !== null);
+    return edits.length >= atLeast && isAnswered && answers.size === 1;
+  },
+  revision: ({ at, revision }, run) => {
+    const { world } = run.system.installation.daemon(at).core;
+    const served = world.served.get(servedId);
+    return served?.isAgreed === true && served.revision >= revision;
+  },
   event: ({ event, process, subject, atLeast }, run) => {
     const found = run.system.installation
       .events()
--- a/proof/scenario/scenarioRun.ts
+++ b/proof/scenario/scenarioRun.ts
@@ -5,12 +5,15 @@
 import type { Call } from '../../standins/virtual/virtualCallers.js';
 import type { Trainer } from '../../standins/virtual/virtualTrainers.js';
 import { ExecutionState, type Execution } from '../../standins/virtual/virtualUpstream.js';
+import type { SentEdit } from '../system/edits.js';
 import type { ProofSystem } from '../system/proofSystem.js';
 
 export interface ScenarioRun {
   readonly system: ProofSystem;
   readonly addCall: (name: string, call: Call) => void;
   readonly addTrainer: (name: string, trainer: Trainer) => void;
+  readonly addEdit: (name: string, edit: SentEdit) => void;
+  readonly editsOf: (name: string) => readonly SentEdit[];
   readonly callsOf: (name: string) => readonly Call[];
   readonly trainerOf: (name: string) => Trainer | undefined;
   /** What upstreams have run for the calls or the lot of a name. */
@@ -21,6 +24,7 @@
 /** Creates a run without calls and lots. */
 export const createScenarioRun = (system: ProofSystem): ScenarioRun => {
   const calls = new Map<string, Call[]>();
+  const edits = new Map<string, SentEdit[]>();
   const trainers = new Map<string, Trainer>();
 
   const requestsOfLot = (name: string): RequestId[] => {
@@ -46,6 +50,10 @@
     addTrainer: (name, trainer) => {
       trainers.set(name, trainer);
     },
+    addEdit: (name, edit) => {
+      edits.set(name, [...(edits.get(name) ?? []), edit]);
+    },
+    editsOf: (name) => edits.get(name) ?? [],
     callsOf: (name) => calls.get(name) ?? [],
     trainerOf: (name) => trainers.get(name),
     executionsOf,
--- a/proof/system/capabilities.ts
+++ b/proof/system/capabilities.ts
@@ -13,6 +13,10 @@
   Shutdown: 'shutdown',
   /** Edits of the settings tree by the replicated log, and the withdrawal of keys. */
   Edits: 'edits',
+  /** Refusal of keyed work where the configuration may be out of date. */
+  FreshKeys: 'freshKeys',
+  /** Quarantine of requests that crash the upstreams which run them. */
+  Quarantine: 'quarantine',
   /** Orders to the platform by an elected leader. */
   Orders: 'orders',
   /** Reports of usage windows. */
@@ -29,7 +33,9 @@
   traffic: true,
   rollout: true,
   shutdown: true,
-  edits: false,
+  edits: true,
+  freshKeys: false,
+  quarantine: false,
   orders: false,
   usageReports: false,
   weightReleases: false,
--- /dev/null
+++ b/proof/system/edits.ts
@@ -0,0 +1,118 @@
+/**
+ * Operators on virtual time: they send edits of the settings to a daemon, and keep the answers. What was
+ * accepted, and what each daemon serves, are facts of the recording.
+ */
+import { createHash } from 'node:crypto';
+import { asBrand } from '../../src/base/common/brand.js';
+import { deadlineAfter, type Milliseconds } from '../../src/base/common/time.js';
+import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import type { EditCommand } from '../../src/service/configuration/common/configurationCommands.js';
+import { servedId } from '../../src/service/configuration/common/servedTables.js';
+import type { ProposalId } from '../../src/service/consensus/common/consensusTables.js';
+import type { KeyDigest } from '../../src/service/world/common/identifiers.js';
+import type { VirtualContext, VirtualPort } from '../../standins/virtual/virtualInstallation.js';
+import type { AcceptedEdit, RevisionFact, Withdrawal } from './recording.js';
+
+/** One sending of an edit, and its answer. */
+export interface SentEdit {
+  readonly daemon: string;
+  readonly command: EditCommand;
+  readonly proposal: ProposalId;
+  /** The key that it withdraws, or null. */
+  readonly digest: KeyDigest | null;
+  /** `accepted`, the kind of its rejection, or null while there is no answer. */
+  answer: string | null;
+  revision: number | null;
+}
+
+/** The operators of one installation. */
+export interface Operators {
+  /** Creates the operator port of one start of a daemon. */
+  readonly port: (context: VirtualContext) => VirtualPort;
+  readonly send: (daemon: string, command: EditCommand, digest?: KeyDigest) => SentEdit;
+  readonly sent: () => readonly SentEdit[];
+  readonly acceptedEdits: () => readonly AcceptedEdit[];
+  readonly withdrawals: () => readonly Withdrawal[];
+  readonly revisions: () => readonly RevisionFact[];
+}
+
+const waitMilliseconds: Milliseconds = 5_000;
+
+const digestOfTree = (tree: unknown): string =>
+  createHash('sha256').update(JSON.stringify(tree)).digest('hex');
+
+/** Creates operators that are `latency` away from every daemon. */
+export const createOperators = (latency: Milliseconds): Operators => {
+  const contexts = new Map<string, VirtualContext>();
+  const sent: SentEdit[] = [];
+  const acceptedEdits: AcceptedEdit[] = [];
+  const withdrawals: Withdrawal[] = [];
+  const revisions: RevisionFact[] = [];
+
+  const accept = (edit: SentEdit, revision: number, at: number): void => {
+    Object.assign(edit, { answer: 'accepted', revision });
+    acceptedEdits.push({ at, revision });
+    if (edit.digest !== null) withdrawals.push({ digest: edit.digest, at });
+  };
+
+  const takeAnswer = (edit: SentEdit, { daemon, now }: VirtualContext): void => {
+    const { world } = daemon.core;
+    const outcome = world.proposalOutcomes.get(edit.proposal)?.outcome;
+    if (outcome === undefined) return;
+    if (outcome.kind === 'applied') {
+      const answer = world.rememberedAnswers.get(asBrand(edit.command.request));
+      accept(edit, answer?.revision ?? 0, now());
+    } else {
+      const rejection = outcome.kind === 'rejected' ? outcome.rejection.kind : outcome.kind;
+      Object.assign(edit, { answer: rejection });
+    }
+  };
+
+  const recordServed = ({ daemon, now }: VirtualContext): void => {
+    const served = daemon.core.world.served.get(servedId);
+    if (served?.isAgreed !== true) return;
+    const { revision, tree } = served;
+    const digest = digestOfTree(tree);
+    revisions.push({ at: now(), daemon: daemon.name, revision, digest });
+  };
+
+  return {
+    port: (context) => {
+      contexts.set(context.daemon.name, context);
+      const served = context.daemon.core.world.served.readChanges(RowReader.Port);
+      return {
+        drain: () => {
+          if (served.take().length > 0) recordServed(context);
+          sent
+            .filter(({ daemon, answer }) => daemon === context.daemon.name && answer === null)
+            .forEach((edit) => takeAnswer(edit, context));
+        },
+      };
+    },
+    send: (daemon, command, digest) => {
+      const proposal = asBrand<ProposalId>(`edit-${sent.length}`);
+      const edit: SentEdit = {
+        daemon,
+        command,
+        proposal,
+        digest: digest ?? null,
+        answer: null,
+        revision: null,
+      };
+      sent.push(edit);
+      const context = contexts.get(daemon);
+      context?.schedule(latency, () =>
+        context.daemon.core.world.proposals.append({
+          id: proposal,
+          command,
+          proposalDeadline: deadlineAfter(context.now(), waitMilliseconds),
+        }),
+      );
+      return edit;
+    },
+    sent: () => sent,
+    acceptedEdits: () => acceptedEdits,
+    withdrawals: () => withdrawals,
+    revisions: () => revisions,
+  };
+};
--- a/proof/system/proofSystem.ts
+++ b/proof/system/proofSystem.ts
@@ -32,6 +32,7 @@
   type InstallationName,
   type ProofInstallation,
 } from './installations.js';
+import { createOperators, type Operators } from './edits.js';
 import { createReachabilityTracker } from './reachability.js';
 import type { Recording, Shutdown } from './recording.js';
 import { beginShutdown } from './shutdowns.js';
@@ -61,6 +62,7 @@
   readonly upstreams: VirtualUpstreams;
   readonly callers: VirtualCallers;
   readonly trainers: VirtualTrainers;
+  readonly operators: Operators;
   /** The daemon that a new caller would be advised to use. */
   readonly advisedDaemon: () => string;
   readonly call: (options: CallOptions) => Call;
@@ -90,13 +92,14 @@
   const upstreams = createVirtualUpstreams(site.upstreams, links);
   const callers = createVirtualCallers(links.toClients);
   const trainers = createVirtualTrainers(links.toClients);
-  return { links, upstreams, callers, trainers };
+  const operators = createOperators(links.toClients);
+  return { links, upstreams, callers, trainers, operators };
 };
 
 /** Starts an installation and lets its upstreams announce themselves. */
 export const createProofSystem = (name: InstallationName, seed: number): ProofSystem => {
   const site = installationNamed(name);
-  const { links, upstreams, callers, trainers } = createFakes(site);
+  const { links, upstreams, callers, trainers, operators } = createFakes(site);
   const reachability = createReachabilityTracker();
   const shutdowns: Shutdown[] = [];
   const installation = createVirtualInstallation({
@@ -104,7 +107,7 @@
     tree: site.tree,
     seed,
     latency: links.betweenDaemons,
-    ports: [upstreams.port, callers.port, trainers.port],
+    ports: [upstreams.port, callers.port, trainers.port, operators.port],
   });
   const names = site.deployment.daemons.map((daemon) => daemon.name);
   const { now } = installation;
@@ -167,6 +170,7 @@
     upstreams,
     callers,
     trainers,
+    operators,
     advisedDaemon,
     call: ({ workspace, service, daemon, key }) =>
       callers.send(daemon ?? advisedDaemon(), {
@@ -210,12 +214,12 @@
       calls: callers.calls(),
       trainers: trainers.trainers(),
       deliveries: trainers.deliveries(),
-      withdrawals: [],
+      withdrawals: operators.withdrawals(),
       shutdowns,
       orders: [],
       usageReports: [],
-      revisions: [],
-      acceptedEdits: [],
+      revisions: operators.revisions(),
+      acceptedEdits: operators.acceptedEdits(),
       reachable: reachability.intervals(now()),
       keys: Object.keys(site.tree.workspaces).map(keyOf),
     }),
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -96,6 +96,8 @@
   const cuts = new Set<string>();
   const events: VirtualEvent[] = [];
   const incarnations = new Map<string, number>();
+  /** When each daemon ticks next; a tick and the begin of a run set it anew. */
+  const deadlines = new Map<string, Instant>();
   const syncDelay = options.syncDelay ?? defaultSyncDelay;
   const latency = options.latency ?? (() => defaultLatency);
 
@@ -135,6 +137,7 @@
     ports.get(name)!.forEach((port) => port.drain());
     sendMessages(daemon);
     takeEvents(daemon);
+    deadlines.set(name, daemon.core.ticker.nextDeadline());
   };
 
   const contextOf = (daemon: VirtualDaemon): VirtualContext => ({
@@ -171,18 +174,23 @@
 
   const isAwake = (name: string): boolean => !frozen.has(name);
 
+  const readDeadlines = (): void =>
+    daemons.forEach(({ name, core }) => deadlines.set(name, core.ticker.nextDeadline()));
+
+  const awakeDeadlines = (): [string, Instant][] =>
+    [...deadlines].filter(([name]) => isAwake(name));
+
   const nextDeadline = (): Instant =>
-    [...daemons.values()]
-      .filter((daemon) => isAwake(daemon.name))
-      .reduce((next, { core }) => Math.min(next, core.ticker.nextDeadline()), never);
+    awakeDeadlines().reduce((next, [, deadline]) => Math.min(next, deadline), never);
 
   const tickDue = (): void =>
-    [...daemons.values()]
-      .filter(({ name, core }) => isAwake(name) && core.ticker.nextDeadline() <= time.now())
-      .forEach(({ name }) => tick(name));
+    awakeDeadlines()
+      .filter(([, deadline]) => deadline <= time.now())
+      .forEach(([name]) => tick(name));
 
   const runFor = (duration: Milliseconds): void => {
     const end = time.now() + duration;
+    readDeadlines();
     for (;;) {
       const next = Math.min(time.nextInstant(), nextDeadline());
       if (next > end) break;
@@ -206,6 +214,7 @@
     schedule: time.schedule,
     stop: (name) => {
       daemons.delete(name);
+      deadlines.delete(name);
       disks.get(name)!.crash(diskRandom);
       ports.delete(name);
       frozen.delete(name);
