Bound retries by budgets, quarantine requests that crash upstreams, and add breakers

Attempts that did not run no longer count; the upstream counts as full until its next report, and the request waits for a drawn, doubling delay. A retry after an attempt that may have run is paid from the budget of its workspace, a tenth of a retry a fresh request. A crash is recorded under (workspace, digest) and told to all daemons; after two distinct upstreams the request is refused with its own kind. Suspects never run beside each other on one upstream, so requests that ran beside the cause are answered. Breakers open after three failures in a row.

Flows of both classes now share a pool directly. What is left: entries contend for full upstreams without knowing each other's queues, so a prompt request on one entry can wait to its queue deadline while others refill.

--- /dev/null
+++ b/bench/traffic/load.ts
@@ -0,0 +1,165 @@
+/**
+ * Seeded loads for the sizes of both deployments: workspaces with their classes, one of which floods for
+ * a while, and the upstreams that they share.
+ */
+import { asBrand } from '../../src/base/common/brand.js';
+import { createRandom, type Random } from '../../src/base/common/random.js';
+import type { Instant } from '../../src/base/common/time.js';
+import {
+  treeSchema,
+  WorkClass,
+  type Policy,
+  type Tree,
+} from '../../src/service/configuration/common/tree.js';
+import type { DirectUpstreamSettings } from '../../standins/virtual/directUpstreams.js';
+import { digestOf } from '../../standins/virtual/testDeployment.js';
+import type { ServiceName } from '../../src/service/world/common/identifiers.js';
+
+/** One workspace of a load. */
+export interface WorkspaceLoad {
+  readonly name: string;
+  readonly workClass: WorkClass;
+  /** Share of the capacity that it asks for outside the flood. */
+  readonly share: number;
+}
+
+/** One request of a load. */
+export interface LoadRequest {
+  readonly at: Instant;
+  readonly workspace: string;
+  readonly workClass: WorkClass;
+  readonly tokens: number;
+  /** Position of the entry to which the caller goes. */
+  readonly entry: number;
+}
+
+/** A deployment under load. */
+export interface LoadSettings {
+  readonly name: string;
+  readonly engines: number;
+  readonly reclaimableEngines: number;
+  readonly slots: number;
+  readonly millisecondsPerToken: number;
+  readonly workspaces: readonly WorkspaceLoad[];
+  /** The workspace that floods in the second third of the time, at this share of the capacity. */
+  readonly flooding: { readonly workspace: string; readonly share: number };
+  readonly seed: number;
+}
+
+export const entryCount = 7;
+export const loadMilliseconds = 60_000;
+const smallestTokens = 40;
+const tokenSpread = 120;
+const meanTokens = smallestTokens + tokenSpread / 2;
+const randomSteps = 1_000_000;
+
+const workspaces: readonly WorkspaceLoad[] = [
+  { name: 'large-prompt', workClass: WorkClass.Prompt, share: 0.2 },
+  { name: 'large-bulk', workClass: WorkClass.Bulk, share: 0.2 },
+  { name: 'large-batch', workClass: WorkClass.Bulk, share: 0.2 },
+  { name: 'desk-a', workClass: WorkClass.Prompt, share: 0.04 },
+  { name: 'desk-b', workClass: WorkClass.Prompt, share: 0.04 },
+  { name: 'desk-c', workClass: WorkClass.Prompt, share: 0.04 },
+  { name: 'sync', workClass: WorkClass.Bulk, share: 0.04 },
+  { name: 'thesis', workClass: WorkClass.Bulk, share: 0.04 },
+];
+const flooding = { workspace: 'large-prompt', share: 2.2 };
+
+/** The loads, each with the engines of one deployment of the brief. */
+export const loads: readonly LoadSettings[] = [
+  {
+    name: 'kestrelkloof',
+    engines: 6,
+    reclaimableEngines: 2,
+    slots: 8,
+    millisecondsPerToken: 10,
+    workspaces,
+    flooding,
+    seed: 21,
+  },
+  {
+    name: 'agency',
+    engines: 12,
+    reclaimableEngines: 4,
+    slots: 4,
+    millisecondsPerToken: 10,
+    workspaces,
+    flooding,
+    seed: 22,
+  },
+];
+
+/** Requests a second that the engines of a load can answer. */
+export const capacityOf = ({ engines, slots, millisecondsPerToken }: LoadSettings): number =>
+  (engines * slots * 1_000) / (meanTokens * millisecondsPerToken);
+
+/** A draw from the exponential distribution with this mean. */
+const exponential = (random: Random, mean: number): number =>
+  -mean * Math.log(1 - random.below(randomSteps) / randomSteps);
+
+const shareAt = (load: LoadSettings, workspace: WorkspaceLoad, at: Instant): number => {
+  const isFlood = at >= loadMilliseconds / 3 && at < (2 * loadMilliseconds) / 3;
+  return isFlood && workspace.name === load.flooding.workspace
+    ? load.flooding.share
+    : workspace.share;
+};
+
+const requestsOf = (load: LoadSettings, workspace: WorkspaceLoad, random: Random) => {
+  const requests: LoadRequest[] = [];
+  let at = 0;
+  for (;;) {
+    const share = shareAt(load, workspace, at);
+    at += exponential(random, 1_000 / (capacityOf(load) * share));
+    if (at >= loadMilliseconds) return requests;
+    requests.push({
+      at,
+      workspace: workspace.name,
+      workClass: workspace.workClass,
+      tokens: smallestTokens + random.below(tokenSpread),
+      entry: random.below(entryCount),
+    });
+  }
+};
+
+/** The requests of a load in the order of their instants; the same seed gives the same. */
+export const createRequests = (load: LoadSettings): readonly LoadRequest[] => {
+  const random = createRandom(load.seed);
+  return load.workspaces
+    .flatMap((workspace) => requestsOf(load, workspace, random))
+    .sort((first, second) => first.at - second.at);
+};
+
+/** The upstreams of a load; the last of them are reclaimable. */
+export const createUpstreamSettings = (load: LoadSettings): readonly DirectUpstreamSettings[] =>
+  Array.from({ length: load.engines }, (_, index) => ({
+    name: `engine-${index}`,
+    service: 'model',
+    models: ['model'],
+    zone: `z${(index % 3) + 1}`,
+    slots: load.slots,
+    reclaimable: index >= load.engines - load.reclaimableEngines,
+    millisecondsPerToken: load.millisecondsPerToken,
+  }));
+
+const policyOf = (workspace: WorkspaceLoad): Partial<Policy> => ({
+  workClass: workspace.workClass,
+});
+
+/** The settings tree of a load; the key of a workspace is its name. */
+export const createLoadTree = (load: LoadSettings, policy: Partial<Policy>): Tree =>
+  treeSchema.parse({
+    policy,
+    services: { model: { kind: 'engine', models: ['model'] } },
+    workspaces: Object.fromEntries(
+      load.workspaces.map((workspace) => [
+        workspace.name,
+        {
+          policy: policyOf(workspace),
+          services: ['model'],
+          keys: { main: { digest: digestOf(workspace.name) } },
+        },
+      ]),
+    ),
+  });
+
+export const modelService: ServiceName = asBrand('model');
--- /dev/null
+++ b/bench/traffic/overload.ts
@@ -0,0 +1,32 @@
+/**
+ * Overload at three times the capacity: how much is still answered, whether refusals are true, and how
+ * many rows an entry holds.
+ */
+import type { Measurement } from '../measurement.js';
+import { capacityOf, loadMilliseconds, type LoadSettings } from './load.js';
+import { runProduct } from './product.js';
+
+const overload = 3;
+
+/** Measures one load with the shares of all workspaces raised to three times the capacity. */
+export const measureOverload = (load: LoadSettings): readonly Measurement[] => {
+  const total = load.workspaces.reduce((sum, { share }) => sum + share, 0);
+  const workspaces = load.workspaces.map((workspace) => ({
+    ...workspace,
+    share: (overload * workspace.share) / total,
+  }));
+  const [first] = workspaces;
+  const flooding = { workspace: first!.name, share: first!.share };
+  const run = runProduct({ ...load, workspaces, flooding }, {});
+  const answered = run.outcomes.filter(
+    ({ isAnswered, endedAt }) => isAnswered && endedAt <= loadMilliseconds,
+  ).length;
+  const capacity = (capacityOf(load) * loadMilliseconds) / 1_000;
+  const prefix = `overload_${load.name}`;
+  return [
+    { name: `${prefix}_offered_of_capacity`, value: run.outcomes.length / capacity, unit: 'ratio' },
+    { name: `${prefix}_goodput_of_capacity`, value: answered / capacity, unit: 'ratio' },
+    { name: `${prefix}_refusals_that_ran`, value: run.refusalsThatRan, unit: 'requests' },
+    { name: `${prefix}_most_rows_on_an_entry`, value: run.mostRowsOnEntry, unit: 'rows' },
+  ];
+};
--- /dev/null
+++ b/bench/traffic/routeDecisions.ts
@@ -0,0 +1,46 @@
+/**
+ * The cost of routing decisions over different numbers of upstreams, on the clock of the machine.
+ */
+import { performance } from 'node:perf_hooks';
+import type { Measurement } from '../measurement.js';
+import { addRequests, addUpstreams, createBenchCore } from '../capacity/rows.js';
+
+const upstreamCounts = [8, 80, 800, 7_200];
+const requestsInATick = 48;
+const ticks = 200;
+const warmUpTicks = 40;
+
+/** Microseconds from arrival to dispatch for one request, in ticks of 48 requests. */
+const microsecondsOf = (upstreams: number): number => {
+  const core = createBenchCore(1);
+  addUpstreams(core, upstreams);
+  let elapsed = 0;
+  for (let tick = 0; tick < warmUpTicks + ticks; tick += 1) {
+    const now = tick * 10;
+    const startedAt = performance.now();
+    addRequests(core, requestsInATick, now);
+    if (tick >= warmUpTicks) elapsed += performance.now() - startedAt;
+    [...core.world.attempts.rows()].forEach(({ id }) =>
+      core.world.attemptFacts.append({ kind: 'answerEnded', attempt: id }),
+    );
+    core.ticker.tick(now);
+    core.ticker.tick(now + 5_000);
+    core.world.events.takeAll();
+    core.world.outgoingMessages.takeAll();
+  }
+  return (1_000 * elapsed) / (ticks * requestsInATick);
+};
+
+/** Measures admission, queueing, routing and dispatch of requests over each number of upstreams. */
+export const measureRouteDecisions = (): readonly Measurement[] =>
+  upstreamCounts.flatMap((count) => {
+    const microseconds = microsecondsOf(count);
+    return [
+      { name: `route_decision_cost_${count}_upstreams`, value: microseconds, unit: 'us' },
+      {
+        name: `route_decisions_per_second_${count}_upstreams`,
+        value: 1_000_000 / microseconds,
+        unit: '1/s',
+      },
+    ];
+  });
--- a/src/daemon/front/node/callerRoutes.ts
+++ b/src/daemon/front/node/callerRoutes.ts
@@ -2,6 +2,7 @@
  * The routes of callers: chat and completion routes of model engines, plain services by path, and the
  * advice which address to use.
  */
+import { createHash } from 'node:crypto';
 import { Hono, type Context } from 'hono';
 import { err, ok, Result } from 'neverthrow';
 import { z } from 'zod';
@@ -61,6 +62,10 @@
     (row) => row.settings.path !== undefined && isUnderPath(path, row.settings.path),
   )?.id ?? null;
 
+/** The digest by which a request is known that is sent again. */
+const digestContent = (method: string, path: string, body: Uint8Array): string =>
+  createHash('sha256').update(`${method} ${path}\n`).update(body).digest('base64url');
+
 const contentOf = (context: RouteContext, path: string, body: Uint8Array): RequestContent => ({
   method: context.req.method,
   path,
@@ -107,6 +112,7 @@
       keyDigest: readKeyDigest(context.req.raw.headers),
       service: findModelService(world, body.value.model),
       model: body.value.model,
+      digest: digestContent(context.req.method, context.req.path, bytes),
       estimatedTokens:
         Math.ceil(bytes.length / bytesPerToken) + (body.value.max_tokens ?? defaultAnswerTokens),
     };
@@ -120,6 +126,7 @@
       keyDigest: readKeyDigest(context.req.raw.headers),
       service: findPlainService(world, pathname),
       model: null,
+      digest: digestContent(context.req.method, `${pathname}${search}`, bytes),
       estimatedTokens: Math.ceil(bytes.length / bytesPerToken),
     };
     return submitAndWatch(
--- a/src/daemon/front/node/errorResponse.ts
+++ b/src/daemon/front/node/errorResponse.ts
@@ -15,6 +15,7 @@
   bodyTooLarge: 413,
   headersTooLarge: 431,
   queueFull: 429,
+  quarantined: 422,
   queueDeadlinePassed: 503,
   leaving: 503,
   upstreamFailed: 502,
--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -11,7 +11,7 @@
   engineRefusalStatus,
 } from '../../../service/protocol/common/engineProtocol.js';
 import { UpstreamKind } from '../../../service/protocol/common/upstreamProtocol.js';
-import type { AttemptFact } from '../../../service/traffic/common/attemptFact.js';
+import { NotRunReason, type AttemptFact } from '../../../service/traffic/common/attemptFact.js';
 import { AttemptState, type AttemptRow } from '../../../service/traffic/common/trafficTables.js';
 import type { AttemptId, RequestId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
@@ -139,7 +139,7 @@
   ): Promise<void> => {
     if (isRefusedBeforeRunning(response)) {
       await response.body.dump();
-      report({ kind: 'notRun', attempt: attempt.id, reason: 'refused by the upstream' });
+      report({ kind: 'notRun', attempt: attempt.id, reason: NotRunReason.Refused });
       return;
     }
     if (hasEngineFailed(response, kind)) {
--- a/src/service/admission/common/admissionSystem.ts
+++ b/src/service/admission/common/admissionSystem.ts
@@ -5,6 +5,8 @@
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
 import { effectivePolicy, WorkClass, type Policy } from '../../configuration/common/tree.js';
+import { earnRetry } from '../../dispatch/common/retryBudget.js';
+import { isQuarantined, suspectOf } from '../../dispatch/common/retryTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { refuseRequest } from '../../traffic/common/endRequest.js';
 import { flowOf, laneOf } from '../../traffic/common/flowTables.js';
@@ -57,8 +59,20 @@
   return allowed.includes(request.service!) ? undefined : RefusalKind.ServiceNotAllowed;
 };
 
+const checkQuarantine: Check = (world, request, workspace) => {
+  if (request.digest === undefined) return undefined;
+  const suspect = world.suspects.get(suspectOf(workspace, request.digest));
+  return isQuarantined(suspect) ? RefusalKind.Quarantined : undefined;
+};
+
 /** The checks in the order in which they are made; the first that refuses decides. */
-const checks: readonly Check[] = [checkLeaving, checkKey, checkService, checkAllowed];
+const checks: readonly Check[] = [
+  checkLeaving,
+  checkKey,
+  checkService,
+  checkAllowed,
+  checkQuarantine,
+];
 
 const policyFor = (world: World, request: RequestRow, workspace: WorkspaceName | null): Policy => {
   const service = world.services.get(request.service!)!.settings;
@@ -92,6 +106,7 @@
     queueDeadline: deadlineAfter(now, policy.queueMilliseconds),
     requestDeadline: deadlineAfter(now, policy.requestMilliseconds),
   });
+  earnRetry(world, workspace);
   world.metrics.count('requests.admitted');
   world.events.append({
     kind: EventKind.RequestAdmitted,
--- a/src/service/dispatch/common/attemptFactSystem.ts
+++ b/src/service/dispatch/common/attemptFactSystem.ts
@@ -6,7 +6,7 @@
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
-import type { AttemptFact } from '../../traffic/common/attemptFact.js';
+import { NotRunReason, type AttemptFact } from '../../traffic/common/attemptFact.js';
 import { answerRequest } from '../../traffic/common/endRequest.js';
 import { RefusalKind } from '../../traffic/common/refusal.js';
 import {
@@ -16,7 +16,9 @@
 } from '../../traffic/common/trafficTables.js';
 import { addUsage } from '../../usage/common/usageTables.js';
 import type { World } from '../../world/common/world.js';
+import { countFailure, countSuccess, markFull } from './breaker.js';
 import { countWaste, endAttempt, retryOrEnd } from './endAttempt.js';
+import { recordCrash } from './quarantine.js';
 import { addToSpans } from './versionSpans.js';
 
 /** Progress moves the stored deadline only in steps of this size, so that chunks stay cheap. */
@@ -48,6 +50,8 @@
     endAttempt(world, attempt, fact.kind);
     const detail = `The upstream did not take the request (${fact.reason}).`;
     const failure = { kind: RefusalKind.QueueDeadlinePassed, detail, mayHaveRun: false };
+    if (fact.reason === NotRunReason.Refused) markFull(world, attempt.upstream);
+    else countFailure(world, attempt.upstream, now);
     retryOrEnd(world, request, failure, now);
   },
   answerStarted: (_, world, attempt, request, now) => {
@@ -74,12 +78,15 @@
   },
   answerEnded: (fact, world, attempt, request, now) => {
     endAttempt(world, attempt, fact.kind);
+    countSuccess(world, attempt.upstream);
     countUsage(world, attempt, request);
     answerRequest(world, request, now);
   },
   broken: (fact, world, attempt, request, now) => {
     endAttempt(world, attempt, fact.kind);
     countWaste(world, attempt, request);
+    countFailure(world, attempt.upstream, now);
+    recordCrash(world, request, attempt.upstream, now);
     const detail = `The connection to the upstream broke (${fact.reason}).`;
     retryOrEnd(world, request, { kind: RefusalKind.UpstreamFailed, detail, mayHaveRun: true }, now);
   },
--- a/src/service/dispatch/common/deadlineSystem.ts
+++ b/src/service/dispatch/common/deadlineSystem.ts
@@ -2,7 +2,7 @@
  * What falls due in traffic: requests that waited too long, answers that took too long, upstreams that
  * fell silent, and rows that are no longer needed.
  */
-import type { Instant } from '../../../base/common/time.js';
+import { never, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
 import { failRequest, hasEnded, refuseRequest } from '../../traffic/common/endRequest.js';
 import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
@@ -12,7 +12,9 @@
   type RequestRow,
 } from '../../traffic/common/trafficTables.js';
 import type { World } from '../../world/common/world.js';
+import { closeDueBreakers, countFailure } from './breaker.js';
 import { countWaste, endAttempt, endRunningAttempts, retryOrEnd } from './endAttempt.js';
+import { expireSuspects } from './quarantine.js';
 
 const endByDeadline = (
   world: World,
@@ -37,6 +39,7 @@
   if (request === undefined || hasEnded(request)) return;
   endAttempt(world, attempt, RefusalKind.UpstreamSilent);
   countWaste(world, attempt, request);
+  countFailure(world, attempt.upstream, now);
   const mayHaveRun = attempt.state !== AttemptState.Queued;
   const detail = `${attempt.upstream} gave no sign of progress.`;
   retryOrEnd(world, request, { kind: RefusalKind.UpstreamSilent, detail, mayHaveRun }, now);
@@ -62,6 +65,11 @@
     world.attempts
       .takeDue('progress', now)
       .forEach((attempt) => passProgressDeadline(world, attempt, now));
+    world.requests
+      .takeDue('backoff', now)
+      .forEach(({ id }) => world.requests.change(id, { isDelayed: false, backoffDeadline: never }));
+    closeDueBreakers(world, now);
+    expireSuspects(world, now);
     world.requests.takeDue('retention', now).forEach((request) => dropRequest(world, request));
   },
 });
--- a/src/service/dispatch/common/endAttempt.ts
+++ b/src/service/dispatch/common/endAttempt.ts
@@ -2,10 +2,10 @@
  * The end of an attempt, and what follows for its request: another attempt, or a refusal or failure that
  * says truly whether the request may have run.
  */
-import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { failRequest, refuseRequest } from '../../traffic/common/endRequest.js';
-import { createRefusal, type RefusalKind } from '../../traffic/common/refusal.js';
+import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
 import {
   AttemptState,
   countOfBulk,
@@ -15,6 +15,9 @@
 } from '../../traffic/common/trafficTables.js';
 import { addUsage } from '../../usage/common/usageTables.js';
 import type { World } from '../../world/common/world.js';
+import { suspicionOf } from './quarantine.js';
+import { spendRetry } from './retryBudget.js';
+import { isQuarantined } from './retryTables.js';
 
 const releaseUpstream = (world: World, attempt: AttemptRow): void => {
   const upstream = world.upstreams.get(attempt.upstream);
@@ -77,12 +80,46 @@
 const isIdempotent = (world: World, request: RequestRow): boolean =>
   world.services.get(request.service!)?.settings.idempotent ?? false;
 
-const mayRetry = (world: World, request: RequestRow): boolean => {
-  if (request.attemptCount >= request.policy!.maximumAttempts) return false;
+const shortestBackoffMilliseconds = 20;
+const longestBackoffMilliseconds = 2_000;
+const jitterSteps = 1_024;
+
+/** Doubles with each attempt; half of it is drawn, so that requests that failed together spread out. */
+const backoffOf = (world: World, request: RequestRow): Milliseconds => {
+  const longest = shortestBackoffMilliseconds * 2 ** request.attemptCount;
+  const bounded = Math.min(longestBackoffMilliseconds, longest);
+  return (bounded / 2) * (1 + world.random.below(jitterSteps) / jitterSteps);
+};
+
+const mayRunAgain = (world: World, request: RequestRow): boolean => {
+  if (request.attemptCount - request.notRunCount >= request.policy!.maximumAttempts) return false;
   if (request.mayHaveRun && !isIdempotent(world, request)) return false;
+  if (isQuarantined(suspicionOf(world, request))) return false;
   return request.sample !== null || !request.answerStarted;
 };
 
+/** Whether another attempt is allowed; one after an attempt that may have run is paid from the budget. */
+const mayRetry = (world: World, request: RequestRow, failure: AttemptFailure): boolean =>
+  mayRunAgain(world, request) && (!failure.mayHaveRun || spendRetry(world, request.workspace));
+
+const waitAgain = (
+  world: World,
+  request: RequestRow,
+  failure: AttemptFailure,
+  now: Instant,
+): void => {
+  const { queueMilliseconds } = request.policy!;
+  world.metrics.count('requests.retried');
+  world.requests.change(request.id, {
+    state: RequestState.Waiting,
+    isDelayed: true,
+    backoffDeadline: deadlineAfter(now, backoffOf(world, request)),
+    queueDeadline: failure.mayHaveRun
+      ? deadlineAfter(now, queueMilliseconds)
+      : request.queueDeadline,
+  });
+};
+
 /** Lets a request wait for another upstream where that is allowed, and ends it where not. */
 export const retryOrEnd = (
   world: World,
@@ -91,16 +128,14 @@
   now: Instant,
 ): void => {
   const mayHaveRun = request.mayHaveRun || failure.mayHaveRun;
-  const changed = world.requests.change(request.id, { mayHaveRun })!;
-  if (mayRetry(world, changed)) {
-    world.metrics.count('requests.retried');
-    world.requests.change(request.id, {
-      state: RequestState.Waiting,
-      queueDeadline: deadlineAfter(now, request.policy!.queueMilliseconds),
-    });
+  const notRunCount = request.notRunCount + (failure.mayHaveRun ? 0 : 1);
+  const changed = world.requests.change(request.id, { mayHaveRun, notRunCount })!;
+  if (mayRetry(world, changed, failure)) {
+    waitAgain(world, changed, failure, now);
     return;
   }
-  const refusal = createRefusal(failure.kind, !mayHaveRun, failure.detail);
+  const kind = isQuarantined(suspicionOf(world, changed)) ? RefusalKind.Quarantined : failure.kind;
+  const refusal = createRefusal(kind, !mayHaveRun, failure.detail);
   if (mayHaveRun) failRequest(world, changed, refusal, now);
   else refuseRequest(world, changed, refusal, now);
 };
--- /dev/null
+++ b/src/service/dispatch/common/retryTables.ts
@@ -0,0 +1,45 @@
+/**
+ * What retries are bounded by: a budget for each workspace, and the fingerprints of requests while which
+ * upstreams have crashed.
+ */
+import { asBrand, type Brand } from '../../../base/common/brand.js';
+import type { Instant } from '../../../base/common/time.js';
+import { createTable } from '../../../platform/tables/common/table.js';
+import type { UpstreamId, WorkspaceName } from '../../world/common/identifiers.js';
+
+export type SuspectId = Brand<'suspect'>;
+
+/** The fingerprint of a request: its workspace and the digest of its bytes. */
+export const suspectOf = (workspace: WorkspaceName | null, digest: string): SuspectId =>
+  asBrand(`${workspace ?? ''}|${digest}`);
+
+/** Retries that a workspace may make now; it rises with each fresh request. */
+export interface RetryBudgetRow {
+  readonly id: WorkspaceName;
+  readonly credit: number;
+}
+
+/** A request while which at least one upstream has crashed. */
+export interface SuspectRow {
+  readonly id: SuspectId;
+  /** The distinct upstreams that crashed while they ran it. */
+  readonly upstreams: readonly UpstreamId[];
+  /** When the crashes are forgotten. */
+  readonly expiryDeadline: Instant;
+}
+
+/** After crashes of this many distinct upstreams a request is quarantined. */
+export const crashesForQuarantine = 2;
+
+export const isQuarantined = (row: SuspectRow | undefined): boolean =>
+  row !== undefined && row.upstreams.length >= crashesForQuarantine;
+
+export const createRetryTables = () => ({
+  retryBudgets: createTable<RetryBudgetRow>({ name: 'retryBudgets', indices: {}, deadlines: {} }),
+  suspects: createTable<SuspectRow, never, 'expiry'>({
+    name: 'suspects',
+    indices: {},
+    deadlines: { expiry: (row) => row.expiryDeadline },
+  }),
+});
+export type RetryTables = ReturnType<typeof createRetryTables>;
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -22,6 +22,8 @@
   RequestCancelled: 'requestCancelled',
   AttemptStarted: 'attemptStarted',
   AttemptEnded: 'attemptEnded',
+  RequestQuarantined: 'requestQuarantined',
+  BreakerOpened: 'breakerOpened',
   LateFact: 'lateFact',
   LotOpened: 'lotOpened',
   LotComplete: 'lotComplete',
--- a/src/service/membership/common/announcementSystem.ts
+++ b/src/service/membership/common/announcementSystem.ts
@@ -3,7 +3,7 @@
  * and removes upstreams whose announcement has run out.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { Announcement } from '../../protocol/common/upstreamProtocol.js';
@@ -29,6 +29,9 @@
     announcementDeadline: deadlineAfter(now, remaining),
     ownRunning: before?.ownRunning ?? 0,
     ownTokens: before?.ownTokens ?? 0,
+    failures: before?.failures ?? 0,
+    isBreakerOpen: before?.isBreakerOpen ?? false,
+    breakerDeadline: before?.breakerDeadline ?? never,
     ownBulk: before?.ownBulk ?? 0,
     ownPeak: before?.ownRunning ?? 0,
     othersRunning: Math.max(0, announcement.running - (before?.ownPeak ?? 0)),
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -49,6 +49,11 @@
   readonly ownRunning: number;
   /** Tokens of those attempts, by estimate. */
   readonly ownTokens: number;
+  /** Attempts that failed in a row. */
+  readonly failures: number;
+  /** Whether it gets no new attempts until `breakerDeadline`. */
+  readonly isBreakerOpen: boolean;
+  readonly breakerDeadline: Instant;
   /** Bulk attempts among `ownRunning`. */
   readonly ownBulk: number;
   /** The most attempts of this daemon that it ran at once since its last report. */
@@ -64,7 +69,9 @@
   row.slots < 2 ? 0 : Math.ceil(row.slots / slotsForOneReserved);
 
 const freeSlots = (row: UpstreamRow): number =>
-  row.state === UpstreamState.Serving ? row.slots - row.ownRunning - row.othersRunning : 0;
+  row.state === UpstreamState.Serving && !row.isBreakerOpen
+    ? row.slots - row.ownRunning - row.othersRunning
+    : 0;
 
 /** Whether an upstream takes one more prompt request. */
 export const hasFreeSlot = (row: UpstreamRow): boolean => freeSlots(row) > 0;
@@ -100,10 +107,13 @@
       heartbeat: (row) => (row.isSelf ? never : row.heartbeatDeadline),
     },
   }),
-  upstreams: createTable<UpstreamRow, 'service', 'announcement', WorkClass>({
+  upstreams: createTable<UpstreamRow, 'service', 'announcement' | 'breaker', WorkClass>({
     name: 'upstreams',
     indices: { service: (row) => row.service },
-    deadlines: { announcement: (row) => row.announcementDeadline },
+    deadlines: {
+      announcement: (row) => row.announcementDeadline,
+      breaker: (row) => row.breakerDeadline,
+    },
     draws: {
       prompt: (row) => (hasFreeSlot(row) ? poolsOfUpstream(row) : undefined),
       bulk: (row) => (hasFreeBulkSlot(row) ? poolsOfUpstream(row) : undefined),
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -6,6 +6,7 @@
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
+import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
@@ -17,6 +18,7 @@
 const handlers: HandlerTable<Message, void, MessageContext> = {
   ...membershipHandlers,
   ...demandHandlers,
+  ...quarantineHandlers,
 };
 
 /** Creates the system of incoming messages. */
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import { workspaceDemandSchema } from '../../admission/common/demandMessages.js';
+import { upstreamCrashedSchema } from '../../dispatch/common/quarantine.js';
 import {
   heartbeatSchema,
   upstreamAnnouncedSchema,
@@ -15,6 +16,7 @@
   heartbeatSchema,
   upstreamAnnouncedSchema,
   workspaceDemandSchema,
+  upstreamCrashedSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/routing/common/flowSystem.ts
+++ b/src/service/routing/common/flowSystem.ts
@@ -19,7 +19,8 @@
     .forEach((flow) => world.flows.change(flow.id, { isBlocked: false }));
 
 const follow = (world: World, request: RequestRow): void => {
-  if (request.state === RequestState.Waiting) startFlow(world, request, poolOfRequest(request));
+  if (request.state === RequestState.Waiting && !request.isDelayed)
+    startFlow(world, request, poolOfRequest(request));
   const hasLeftRunning = request.state === RequestState.Waiting || hasEnded(request);
   if (hasLeftRunning && request.workspace !== null) unblock(world, request.workspace);
 };
--- a/src/service/routing/common/routingSystem.ts
+++ b/src/service/routing/common/routingSystem.ts
@@ -8,6 +8,7 @@
 import type { System } from '../../../platform/tables/common/tick.js';
 import { ownShareOf, runningOf } from '../../admission/common/limitShares.js';
 import type { WorkClass } from '../../configuration/common/tree.js';
+import { suspicionOf } from '../../dispatch/common/quarantine.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { UpstreamRow } from '../../membership/common/membershipTables.js';
 import type { PoolId } from '../../traffic/common/flowTables.js';
@@ -40,6 +41,37 @@
     world.upstreams.draw(workClass, pool, world.random),
   );
 
+const drawsForSuspect = 8;
+
+/**
+ * The upstream for a request. One that is suspected of crashing upstreams goes where it has crashed none
+ * and no other suspect runs, so that the next crash tells which of them is the cause.
+ */
+const chooseUpstream = (
+  world: World,
+  pool: PoolId,
+  request: RequestRow,
+): UpstreamRow | undefined => {
+  const suspicion = suspicionOf(world, request);
+  if (suspicion === undefined) return drawUpstream(world, pool, request.workClass);
+  return Array.from({ length: drawsForSuspect }, () =>
+    world.upstreams.draw(request.workClass, pool, world.random),
+  ).find(
+    (row) =>
+      row !== undefined &&
+      !suspicion.upstreams.includes(row.id) &&
+      world.attempts.count('suspectOn', row.id) === 0,
+  );
+};
+
+const unplacedMilliseconds = 100;
+
+/** Takes a request out of its flow for a moment, so that it does not hold up those behind it. */
+const delay = (world: World, request: RequestRow, now: Instant): void => {
+  const backoffDeadline = deadlineAfter(now, unplacedMilliseconds);
+  world.requests.change(request.id, { isDelayed: true, backoffDeadline });
+};
+
 const startAttempt = (
   world: World,
   request: RequestRow,
@@ -53,6 +85,7 @@
     upstream: upstream.id,
     service: request.service!,
     workClass: request.workClass,
+    isSuspect: suspicionOf(world, request) !== undefined,
     state: AttemptState.Queued,
     progressDeadline: deadlineAfter(now, request.policy!.progressMilliseconds),
     estimatedTokens: request.estimatedTokens,
@@ -92,9 +125,12 @@
     world.flows.change(next.flow.id, { isBlocked: true });
     return true;
   }
-  const upstream = drawUpstream(world, pool, next.request.workClass);
-  if (upstream === undefined) return false;
-  charge(world, next, now);
+  const upstream = chooseUpstream(world, pool, next.request);
+  if (upstream === undefined) {
+    delay(world, next.request, now);
+    return true;
+  }
+  charge(world, pool, next, now);
   startAttempt(world, next.request, upstream, now);
   return true;
 };
--- a/src/service/traffic/common/attemptFact.ts
+++ b/src/service/traffic/common/attemptFact.ts
@@ -20,6 +20,12 @@
   Broken: 'broken',
 } as const;
 
+/** Reasons of `notRun` that a decision depends on; others are codes of failed connections. */
+export const NotRunReason = {
+  /** The upstream answered that it did not run the request. */
+  Refused: 'refused by the upstream',
+} as const;
+
 export type AttemptFact =
   | { readonly kind: 'notRun'; readonly attempt: AttemptId; readonly reason: string }
   | { readonly kind: 'answerStarted'; readonly attempt: AttemptId; readonly status: number }
--- a/src/service/traffic/common/flowTables.ts
+++ b/src/service/traffic/common/flowTables.ts
@@ -1,7 +1,7 @@
 /**
  * The rows of fair queueing. A pool is the set of upstreams of a service that have a model. In each pool
- * there is a lane for each work class, and in each lane a flow for each workspace. Lanes and flows carry
- * virtual starts in tokens divided by weight: the one that starts first is served next.
+ * there is a lane for each work class, and in each lane a flow for each workspace. Flows carry virtual
+ * starts in tokens divided by weight: the one that starts first is served next.
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import { createTable } from '../../../platform/tables/common/table.js';
@@ -23,14 +23,10 @@
 export const flowOf = (lane: LaneId, workspace: WorkspaceName | null): FlowId =>
   asBrand(`${lane}|${workspace ?? ''}`);
 
-/** The requests of one work class in one pool. */
-export interface LaneRow {
-  readonly id: LaneId;
-  readonly pool: PoolId;
-  readonly workClass: WorkClass;
-  /** Weighted tokens at which the lane is served next, compared with the other lanes of the pool. */
-  readonly virtualStart: number;
-  /** Virtual start of the flow that was served last in this lane. */
+/** How far a pool has got in virtual time. */
+export interface PoolRow {
+  readonly id: PoolId;
+  /** Virtual start of the flow that was served last. */
   readonly virtualTime: number;
 }
 
@@ -52,14 +48,12 @@
 }
 
 export const createFlowTables = () => ({
-  lanes: createTable<LaneRow, 'pool'>({
-    name: 'lanes',
-    indices: { pool: (row) => row.pool },
-    deadlines: {},
-  }),
+  pools: createTable<PoolRow>({ name: 'pools', indices: {}, deadlines: {} }),
   flows: createTable<FlowRow, 'blocked', never, never, 'backlogged'>({
     name: 'flows',
-    indices: { blocked: (row) => (row.isBlocked ? (row.workspace ?? undefined) : undefined) },
+    indices: {
+      blocked: (row) => (row.isBlocked ? (row.workspace ?? undefined) : undefined),
+    },
     deadlines: {},
     orders: {
       backlogged: {
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -15,6 +15,7 @@
   BodyTooLarge: 'bodyTooLarge',
   HeadersTooLarge: 'headersTooLarge',
   QueueFull: 'queueFull',
+  Quarantined: 'quarantined',
   QueueDeadlinePassed: 'queueDeadlinePassed',
   Leaving: 'leaving',
   UpstreamFailed: 'upstreamFailed',
@@ -48,6 +49,8 @@
   bodyTooLarge: 'The body is over the limit; send less or ask the operator to raise the limit.',
   headersTooLarge: 'The headers are over the limit; send fewer or shorter headers.',
   queueFull: 'Too many requests of the workspace wait; send again after the delay given.',
+  quarantined:
+    'Upstreams crashed while they ran this request; change it, or ask the operator to look at it.',
   queueDeadlinePassed: 'No upstream was free in time; send again after the delay given.',
   leaving: 'This entry is leaving; ask for another address and send again there.',
   upstreamFailed: 'The upstream failed while it ran the request; send again if it is idempotent.',
--- a/src/service/traffic/common/trafficTables.ts
+++ b/src/service/traffic/common/trafficTables.ts
@@ -43,6 +43,8 @@
   readonly service: ServiceName | null;
   /** The model or adapter that the request names; none where every upstream of the service will do. */
   readonly model?: string | null;
+  /** Digest of the method, path and body; none for requests that the system made itself. */
+  readonly digest?: string;
   /** Tokens that the request will take by its own limits: prompt and answer. */
   readonly estimatedTokens: number;
   /** The sample for which the request runs, or null for a caller's request. */
@@ -67,6 +69,11 @@
   /** When the row is dropped after its end. */
   readonly retentionDeadline: Instant;
   readonly attemptCount: number;
+  /** Attempts among them that certainly did not run. */
+  readonly notRunCount: number;
+  /** Whether it waits for `backoffDeadline` before it may be routed again. */
+  readonly isDelayed: boolean;
+  readonly backoffDeadline: Instant;
   /** Whether any attempt may have run. */
   readonly mayHaveRun: boolean;
   /** Whether bytes of an answer have gone to the caller. */
@@ -101,6 +108,8 @@
   readonly upstream: UpstreamId;
   readonly service: ServiceName;
   readonly workClass: WorkClass;
+  /** Whether an upstream has crashed before while it ran this request. */
+  readonly isSuspect: boolean;
   readonly state: AttemptState;
   /** Until when the upstream must show progress. */
   readonly progressDeadline: Instant;
@@ -118,6 +127,9 @@
 /** The only group of the orders over all workspaces. */
 export const allWorkspaces = 'all';
 
+const isRoutable = (row: RequestRow): boolean =>
+  row.state === RequestState.Waiting && !row.isDelayed;
+
 const isWaitingCaller = (row: RequestRow): boolean =>
   row.state === RequestState.Waiting && row.sample === null;
 
@@ -133,21 +145,21 @@
   createTable<
     RequestRow,
     'waitingFor' | 'state' | 'workspaceState' | 'callerWaiting' | 'flow',
-    'queue' | 'request' | 'retention',
+    'queue' | 'request' | 'retention' | 'backoff',
     never,
     'flow' | 'newestBulk' | 'newestBulkOfAll'
   >({
     name: 'requests',
     indices: {
-      waitingFor: (row) => (row.state === RequestState.Waiting ? poolOfRequest(row) : undefined),
+      waitingFor: (row) => (isRoutable(row) ? poolOfRequest(row) : undefined),
       state: (row) => row.state,
       workspaceState: workspaceStateOf,
       callerWaiting: (row) => (isWaitingCaller(row) ? allWorkspaces : undefined),
-      flow: (row) => (row.state === RequestState.Waiting ? row.flow! : undefined),
+      flow: (row) => (isRoutable(row) ? row.flow! : undefined),
     },
     orders: {
       flow: {
-        group: (row) => (row.state === RequestState.Waiting ? row.flow! : undefined),
+        group: (row) => (isRoutable(row) ? row.flow! : undefined),
         rank: (row) => row.arrivedAt,
       },
       newestBulk: {
@@ -166,17 +178,20 @@
           ? row.requestDeadline
           : never,
       retention: (row) => row.retentionDeadline,
+      backoff: (row) => (row.isDelayed ? row.backoffDeadline : never),
     },
   });
 
 export const createTrafficTables = () => ({
   ...createFlowTables(),
   requests: createRequestTable(),
-  attempts: createTable<AttemptRow, 'request' | 'upstream', 'progress'>({
+  attempts: createTable<AttemptRow, 'request' | 'upstream' | 'suspectOn', 'progress'>({
     name: 'attempts',
     indices: {
       request: (row) => row.request,
       upstream: (row) => row.upstream,
+      suspectOn: (row) =>
+        row.isSuspect && row.state !== AttemptState.Ended ? row.upstream : undefined,
     },
     deadlines: {
       progress: (row) => (row.state === AttemptState.Ended ? never : row.progressDeadline),
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -11,6 +11,7 @@
 import { createSettingsTables } from '../../configuration/common/settingsTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
+import { createRetryTables } from '../../dispatch/common/retryTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
@@ -23,6 +24,7 @@
   ...createConfigurationTables(),
   ...createConsensusTables(),
   ...createDemandTables(),
+  ...createRetryTables(),
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
