--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -12,6 +12,7 @@
 } from '../../configuration/common/publicationSystem.js';
 import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
+import { createReplicaSystem, insertReplica } from '../../consensus/common/replicaSystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
 import { createDeadlineSystem } from '../../dispatch/common/deadlineSystem.js';
 import { createDepartureSystem } from '../../dispatch/common/departureSystem.js';
@@ -32,6 +33,7 @@
 /** The systems in the order in which they run in each round of a tick. */
 const systemFactories: readonly SystemFactory[] = [
   createInboxSystem,
+  createReplicaSystem,
   createApplySystem,
   createPublicationSystem,
   createRotationSystem,
@@ -61,6 +63,7 @@
   const world = createWorld(options);
   insertSettings(world, options.restored);
   insertDaemons(world, now);
+  insertReplica(world, now);
   const systems = systemFactories.map((create) => create(world));
   return { world, ticker: createTicker(world.allTables, systems) };
 };
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -5,6 +5,7 @@
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
+import { consensusHandlers } from '../../consensus/common/consensusHandlers.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
 import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
@@ -17,6 +18,7 @@
 
 const handlers: HandlerTable<Message, void, MessageContext> = {
   ...membershipHandlers,
+  ...consensusHandlers,
   ...demandHandlers,
   ...quarantineHandlers,
 };
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -12,6 +12,7 @@
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
 import { createRetryTables } from '../../dispatch/common/retryTables.js';
+import { createReplicaTables } from '../../consensus/common/replicaTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
@@ -23,6 +24,7 @@
 const createTables = () => ({
   ...createConfigurationTables(),
   ...createConsensusTables(),
+  ...createReplicaTables(),
   ...createDemandTables(),
   ...createRetryTables(),
   ...createEventTables(),
