--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -11,6 +11,7 @@
 import { createSettingsTables } from '../../configuration/common/settingsTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
+import { createRetryTables } from '../../dispatch/common/retryTables.js';
 import { createReplicaTables } from '../../consensus/common/replicaTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
@@ -26,6 +27,7 @@
   ...createConsensusTables(),
   ...createReplicaTables(),
   ...createDemandTables(),
+  ...createRetryTables(),
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
--- a/standins/virtual/virtualOrders.ts
+++ b/standins/virtual/virtualOrders.ts
@@ -2,12 +2,10 @@
  * Upstreams that take orders, on virtual time: an order arrives after a flight, is carried out once by
  * its identifier, and answered. The history tells who wrote and what was carried out, over the whole run.
  */
-import { asBrand } from '../../src/base/common/brand.js';
 import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
-import { never, type Instant, type Milliseconds } from '../../src/base/common/time.js';
+import type { Instant, Milliseconds } from '../../src/base/common/time.js';
 import { mayActAsLeader } from '../../src/service/consensus/common/lease.js';
 import type { OrderFact, OrderRequest } from '../../src/service/orders/common/orderTables.js';
-import type { ServiceName, UpstreamId } from '../../src/service/world/common/identifiers.js';
 import { createFencingCheck } from '../common/fencing.js';
 import type { VirtualContext, VirtualInstallation, VirtualPort } from './virtualInstallation.js';
 
@@ -89,30 +87,28 @@
   return { port: createPort, written, done, faults };
 };
 
-/** Lets a daemon know of the upstream for ever. */
+/** Lets a daemon know of the upstream for as long as any test runs. */
 export const announceOrderedUpstream = ({ daemon }: VirtualContext): VirtualPort => {
-  daemon.core.world.upstreams.put({
-    id: asBrand<UpstreamId>('engine'),
-    kind: 'engine',
-    service: asBrand<ServiceName>('model'),
-    address: 'http://127.0.0.1:1',
-    zone: 'z1',
-    incarnation: 1,
-    state: 'serving',
-    models: [],
-    adapters: [],
-    weightVersion: null,
-    reclaimable: false,
-    checksFencing: true,
-    resumesStreams: false,
-    slots: 1,
-    running: 0,
-    announcementDeadline: never,
-    ownRunning: 0,
-    ownTokens: 0,
-    ownBulk: 0,
-    ownPeak: 0,
-    othersRunning: 0,
+  daemon.core.world.arrivedAnnouncements.append({
+    isDirect: false,
+    announcement: {
+      upstream: 'engine',
+      kind: 'engine',
+      service: 'model',
+      address: 'http://127.0.0.1:1',
+      zone: 'z1',
+      incarnation: 1,
+      state: 'serving',
+      models: [],
+      adapters: [],
+      weightVersion: null,
+      reclaimable: false,
+      checksFencing: true,
+      resumesStreams: false,
+      slots: 1,
+      running: 0,
+      remaining: Number.MAX_SAFE_INTEGER,
+    },
   });
   return { drain: () => {} };
 };
