Hold keys to the settings in force: revocation, freshness, operators in the tree

Cause: a withdrawn key stopped new requests only; what waited or ran for it went on, and a daemon that was cut off served withdrawn keys for ever.

A request with a key is admitted and dispatched only while the daemon knows that its settings are those in force (freshnessDeadline not passed, and after a restart the revision reached that it served last); else it is refused as staleConfiguration, with notRun true. When a key is withdrawn, requests that wait are refused at once; those that run finish or are cancelled by onWithdrawal of the tree in force now, so that an operator can first set "cancel" and then withdraw. The same happens when the settings become stale. Open routes go on. Operators stand in the tree by digest; a digest may stand in one place only. Ruled out: the policy frozen at admission, as it can't be hardened for what runs already.

--- a/src/daemon/front/node/errorResponse.ts
+++ b/src/daemon/front/node/errorResponse.ts
@@ -7,6 +7,7 @@
   missingKey: 401,
   unknownKey: 401,
   withdrawnKey: 401,
+  staleConfiguration: 503,
   unknownService: 404,
   serviceNotAllowed: 403,
   bodyNotJson: 400,
@@ -30,6 +31,7 @@
   RefusalKind.QueueFull,
   RefusalKind.QueueDeadlinePassed,
   RefusalKind.Leaving,
+  RefusalKind.StaleConfiguration,
 ]);
 
 /** The HTTP status of a refusal. */
--- a/src/daemon/front/node/trainerRoutes.ts
+++ b/src/daemon/front/node/trainerRoutes.ts
@@ -4,7 +4,8 @@
 import { Hono, type Context } from 'hono';
 import { err, ok, Result } from 'neverthrow';
 import { asBrand } from '../../../base/common/brand.js';
-import { deadlineAfter, type Clock } from '../../../base/common/time.js';
+import { deadlineAfter, type Clock, type Instant } from '../../../base/common/time.js';
+import { refusalOfKey } from '../../../service/configuration/common/keyInForce.js';
 import {
   lotRequestSchema,
   lotsPath,
@@ -40,12 +41,15 @@
 const refuse = (kind: RefusalKind, detail?: string): Response =>
   errorResponse(createRefusal(kind, true, detail));
 
-const authenticate = (world: World, headers: Headers): Result<WorkspaceName, Response> => {
+const authenticate = (
+  world: World,
+  headers: Headers,
+  now: Instant,
+): Result<WorkspaceName, Response> => {
   const digest = readKeyDigest(headers);
   if (digest === null) return err(refuse(RefusalKind.MissingKey));
-  const key = world.keys.get(digest);
-  if (key === undefined) return err(refuse(RefusalKind.UnknownKey));
-  return key.withdrawn ? err(refuse(RefusalKind.WithdrawnKey)) : ok(key.workspace);
+  const kind = refusalOfKey(world, digest, now);
+  return kind === undefined ? ok(world.keys.get(digest)!.workspace) : err(refuse(kind));
 };
 
 const decodeLot = (text: string): Result<LotRequest, Response> =>
@@ -136,7 +140,7 @@
   };
 
   routes.post(lotsPath, async (context) => {
-    const workspace = authenticate(world, context.req.raw.headers);
+    const workspace = authenticate(world, context.req.raw.headers, clock());
     if (workspace.isErr()) return workspace.error;
     const text = await context.req.text();
     return decodeLot(text)
@@ -148,7 +152,7 @@
   });
 
   routes.get(`${lotsPath}/:lot/batches/:cursor{[0-9]+}`, async (context) => {
-    const workspace = authenticate(world, context.req.raw.headers);
+    const workspace = authenticate(world, context.req.raw.headers, clock());
     if (workspace.isErr()) return workspace.error;
     const row = await fetchPort.fetch(fetchRow(context, workspace.value));
     return responses[row.state](row);
--- a/src/service/admission/common/admissionSystem.ts
+++ b/src/service/admission/common/admissionSystem.ts
@@ -4,6 +4,7 @@
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
+import { refusalOfKey } from '../../configuration/common/keyInForce.js';
 import { effectivePolicy, type Policy } from '../../configuration/common/tree.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { refuseRequest } from '../../traffic/common/endRequest.js';
@@ -25,19 +26,18 @@
   world: World,
   request: RequestRow,
   workspace: WorkspaceName | null,
+  now: Instant,
 ) => RefusalKind | undefined;
 
 const checkLeaving: Check = (world, request) =>
   world.isLeaving() && request.sample === null ? RefusalKind.Leaving : undefined;
 
-const checkKey: Check = (world, request) => {
+const checkKey: Check = (world, request, _workspace, now) => {
   if (request.madeFor !== null) return undefined;
   if (request.keyDigest === null) {
     return isOpen(world, request) ? undefined : RefusalKind.MissingKey;
   }
-  const key = world.keys.get(request.keyDigest);
-  if (key === undefined) return RefusalKind.UnknownKey;
-  return key.withdrawn ? RefusalKind.WithdrawnKey : undefined;
+  return refusalOfKey(world, request.keyDigest, now);
 };
 
 const checkService: Check = (world, request) =>
@@ -84,7 +84,7 @@
 const decide = (world: World, request: RequestRow, now: Instant): void => {
   const workspace = workspaceOf(world, request);
   const kind = checks
-    .map((check) => check(world, request, workspace))
+    .map((check) => check(world, request, workspace, now))
     .find((refusal) => refusal !== undefined);
   if (kind === undefined) admit(world, request, workspace, now);
   else refuseRequest(world, request, createRefusal(kind, true), now);
--- a/src/service/configuration/common/checkTree.ts
+++ b/src/service/configuration/common/checkTree.ts
@@ -97,17 +97,24 @@
     ),
   );
 
-const checkKeys: TreeCheck = ({ workspaces }) =>
-  findRepeated(
-    'key digest',
-    Object.entries(workspaces).flatMap(([workspace, { keys }]) =>
-      Object.entries(keys).map(([key, { digest }]) => ({
-        path: `workspaces.${workspace}.keys.${key}.digest`,
-        value: digest,
-      })),
-    ),
+const operatorKeysOf = ({ operators }: Tree): readonly Occurrence[] =>
+  Object.entries(operators).map(([name, { digest }]) => ({
+    path: `operators.${name}.digest`,
+    value: digest,
+  }));
+
+const workspaceKeysOf = ({ workspaces }: Tree): readonly Occurrence[] =>
+  Object.entries(workspaces).flatMap(([workspace, { keys }]) =>
+    Object.entries(keys).map(([key, { digest }]) => ({
+      path: `workspaces.${workspace}.keys.${key}.digest`,
+      value: digest,
+    })),
   );
 
+/** A key of an operator may not be that of a workspace, so that no caller can edit the settings. */
+const checkKeys: TreeCheck = (tree) =>
+  findRepeated('key digest', [...workspaceKeysOf(tree), ...operatorKeysOf(tree)]);
+
 const servicesNamedBy = ({ workspaces }: Tree): readonly Occurrence[] =>
   Object.entries(workspaces).flatMap(([name, { services }]) =>
     services.map((value, position) => ({
--- a/src/service/configuration/common/configurationTables.ts
+++ b/src/service/configuration/common/configurationTables.ts
@@ -24,6 +24,13 @@
   readonly withdrawn: boolean;
 }
 
+/** An operator, by the digest of the operator's key. */
+export interface OperatorRow {
+  readonly id: KeyDigest;
+  readonly name: string;
+  readonly withdrawn: boolean;
+}
+
 export const createConfigurationTables = () => ({
   services: createTable<ServiceRow>({ name: 'services', indices: {}, deadlines: {} }),
   workspaces: createTable<WorkspaceRow>({ name: 'workspaces', indices: {}, deadlines: {} }),
@@ -32,6 +39,7 @@
     indices: { workspace: (row) => row.workspace },
     deadlines: {},
   }),
+  operators: createTable<OperatorRow>({ name: 'operators', indices: {}, deadlines: {} }),
 });
 export type ConfigurationTables = ReturnType<typeof createConfigurationTables>;
 
@@ -84,4 +92,12 @@
     })),
   );
   replaceRows(tables.keys, keyRowsOf(tree));
+  replaceRows(
+    tables.operators,
+    Object.entries(tree.operators).map(([name, { digest, withdrawn }]) => ({
+      id: asBrand<KeyDigest>(digest),
+      name,
+      withdrawn,
+    })),
+  );
 };
--- a/src/service/configuration/common/tree.ts
+++ b/src/service/configuration/common/tree.ts
@@ -100,10 +100,22 @@
   keys: z.record(name, keySchema).default({}),
 });
 
+/** Someone who may read and change the settings. */
+export const operatorSchema = keySchema;
+
+export const usageSettingsSchema = z.strictObject({
+  /** Length of the windows in which usage is reported. */
+  windowMilliseconds: z.number().int().min(1_000).default(3_600_000),
+  /** Longest wait for the figures of entries after a window has ended. */
+  lateMilliseconds: z.number().int().nonnegative().default(30_000),
+});
+
 export const treeSchema = z.strictObject({
   policy: policyOverrides,
   services: z.record(name, serviceSchema),
   workspaces: z.record(name, workspaceSchema),
+  operators: z.record(name, operatorSchema).default({}),
+  usage: usageSettingsSchema.prefault({}),
 });
 
 /** A checked settings tree. */
--- a/src/service/configuration/common/treePath.ts
+++ b/src/service/configuration/common/treePath.ts
@@ -4,8 +4,6 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 
-// A record type could not refer to itself.
-// eslint-disable-next-line @typescript-eslint/consistent-indexed-object-style
 interface JsonObject {
   readonly [key: string]: JsonValue;
 }
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -9,6 +9,7 @@
   createPublicationSystem,
   insertSettings,
 } from '../../configuration/common/publicationSystem.js';
+import { createRevocationSystem } from '../../configuration/common/revocationSystem.js';
 import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
@@ -33,6 +34,7 @@
   createApplySystem,
   createPublicationSystem,
   createRotationSystem,
+  createRevocationSystem,
   createDaemonSystem,
   createAnnouncementSystem,
   createPlanSystem,
--- a/src/service/dispatch/common/dispatchSystem.ts
+++ b/src/service/dispatch/common/dispatchSystem.ts
@@ -5,6 +5,7 @@
  */
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../platform/tables/common/tick.js';
+import { refusalOfKey } from '../../configuration/common/keyInForce.js';
 import { UpstreamState } from '../../protocol/common/upstreamProtocol.js';
 import { refuseRequest } from '../../traffic/common/endRequest.js';
 import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
@@ -16,27 +17,29 @@
 import type { World } from '../../world/common/world.js';
 import { endAttempt, retryOrEnd } from './endAttempt.js';
 
-const isWithdrawn = (world: World, request: RequestRow): boolean =>
-  request.keyDigest !== null && world.keys.get(request.keyDigest)?.withdrawn !== false;
+const refusalOf = (world: World, request: RequestRow, now: Instant): RefusalKind | undefined =>
+  request.keyDigest === null ? undefined : refusalOfKey(world, request.keyDigest, now);
 
 const isServing = (world: World, attempt: AttemptRow): boolean =>
   world.upstreams.get(attempt.upstream)?.state === UpstreamState.Serving;
 
-const refuseWithdrawn = (
+const refuseAttempt = (
   world: World,
   attempt: AttemptRow,
   request: RequestRow,
+  kind: RefusalKind,
   now: Instant,
 ): void => {
-  endAttempt(world, attempt, RefusalKind.WithdrawnKey);
-  const refusal = createRefusal(RefusalKind.WithdrawnKey, !request.mayHaveRun);
+  endAttempt(world, attempt, kind);
+  const refusal = createRefusal(kind, !request.mayHaveRun);
   refuseRequest(world, request, refusal, now);
 };
 
 const dispatch = (world: World, attempt: AttemptRow, now: Instant): void => {
   const request = world.requests.get(attempt.request)!;
-  if (isWithdrawn(world, request)) {
-    refuseWithdrawn(world, attempt, request, now);
+  const kind = refusalOf(world, request, now);
+  if (kind !== undefined) {
+    refuseAttempt(world, attempt, request, kind, now);
     return;
   }
   if (isServing(world, attempt)) {
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -12,6 +12,8 @@
   PeerAlive: 'peerAlive',
   PeerSuspected: 'peerSuspected',
   SettingsPublished: 'settingsPublished',
+  SettingsFresh: 'settingsFresh',
+  SettingsStale: 'settingsStale',
   UpstreamAnnounced: 'upstreamAnnounced',
   UpstreamChanged: 'upstreamChanged',
   UpstreamGone: 'upstreamGone',
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -8,6 +8,7 @@
   MissingKey: 'missingKey',
   UnknownKey: 'unknownKey',
   WithdrawnKey: 'withdrawnKey',
+  StaleConfiguration: 'staleConfiguration',
   UnknownService: 'unknownService',
   ServiceNotAllowed: 'serviceNotAllowed',
   BodyNotJson: 'bodyNotJson',
@@ -39,6 +40,8 @@
   missingKey: 'Send a key of your workspace as `Authorization: Bearer KEY`.',
   unknownKey: 'The key is not known here; ask the operator of your workspace for a new one.',
   withdrawnKey: 'The key was withdrawn; ask the operator of your workspace for a new one.',
+  staleConfiguration:
+    'This entry cannot tell whether the key still holds; ask for another address and send again there.',
   unknownService: 'No service has this path or model; check its spelling in the settings tree.',
   serviceNotAllowed: 'The workspace may not use this service; ask its operator to add it.',
   bodyNotJson: 'The body is not JSON; send a JSON object with `content-type: application/json`.',
--- a/src/service/traffic/common/trafficTables.ts
+++ b/src/service/traffic/common/trafficTables.ts
@@ -103,12 +103,17 @@
 }
 
 export const createTrafficTables = () => ({
-  requests: createTable<RequestRow, 'waitingFor' | 'state', 'queue' | 'request' | 'retention'>({
+  requests: createTable<
+    RequestRow,
+    'waitingFor' | 'state' | 'key',
+    'queue' | 'request' | 'retention'
+  >({
     name: 'requests',
     indices: {
       waitingFor: (row) =>
         row.state === RequestState.Waiting ? (row.service ?? undefined) : undefined,
       state: (row) => row.state,
+      key: (row) => row.keyDigest ?? undefined,
     },
     deadlines: {
       queue: (row) => (row.state === RequestState.Waiting ? row.queueDeadline : never),
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -6,6 +6,7 @@
 import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
 import type { AnyTable } from '../../../platform/tables/common/table.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
+import { createFreshnessTables } from '../../configuration/common/freshnessTables.js';
 import { createServedTables, type ServedRow } from '../../configuration/common/servedTables.js';
 import { createSettingsTables } from '../../configuration/common/settingsTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
@@ -22,6 +23,7 @@
   ...createConfigurationTables(),
   ...createConsensusTables(),
   ...createEventTables(),
+  ...createFreshnessTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
   ...createRolloutTables(),
--- a/standins/virtual/testDeployment.ts
+++ b/standins/virtual/testDeployment.ts
@@ -47,4 +47,5 @@
       one: { services: ['model', 'depot'], keys: { main: { digest: digestOf('key-one') } } },
       two: { services: ['model'], keys: { main: { digest: digestOf('key-two') } } },
     },
+    operators: { chief: { digest: digestOf('operator-key') } },
   });
