--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -11,6 +11,7 @@
 import { createSettingsTables } from '../../configuration/common/settingsTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
+import { createReplicaTables } from '../../consensus/common/replicaTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
@@ -22,6 +23,7 @@
 const createTables = () => ({
   ...createConfigurationTables(),
   ...createConsensusTables(),
+  ...createReplicaTables(),
   ...createEventTables(),
   ...createFreshnessTables(),
   ...createMembershipTables(),
