--- a/src/service/configuration/common/keyInForce.ts
+++ b/src/service/configuration/common/keyInForce.ts
@@ -17,7 +17,8 @@
 /** Whether this daemon may serve requests with keys: its settings are known to be those in force. */
 export const isFresh = (world: World, now: Instant): boolean => {
   const leadership = world.leadership.get(leadershipId);
-  return leadership === undefined || (now < leadership.freshnessDeadline && hasCaughtUp(world));
+  if (leadership === undefined || now >= leadership.freshnessDeadline) return false;
+  return hasCaughtUp(world);
 };
 
 /** Why a request with this key is refused, or undefined where the key holds. */
--- a/src/service/configuration/test/common/keysInForce.test.ts
+++ b/src/service/configuration/test/common/keysInForce.test.ts
@@ -53,6 +53,7 @@
     tree: createTestTree(),
     seed: 1,
     latency: links.betweenDaemons,
+    hasFakeLog: true,
     ports: [log.port, upstreams.port, callers.port],
   });
   upstreams.attach(installation);
