--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -5,6 +5,8 @@
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { DaemonSettings } from '../../../platform/settings/common/deployment.js';
 import type { System } from '../../../platform/tables/common/tick.js';
+import { isFresh } from '../../configuration/common/keyInForce.js';
+import { servedId } from '../../configuration/common/servedTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { RequestState } from '../../traffic/common/trafficTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
@@ -23,6 +25,8 @@
     state: isSelf ? DaemonState.Alive : DaemonState.Unknown,
     incarnation: isSelf ? world.incarnation : 0,
     load: 0,
+    revision: 0,
+    isFresh: false,
     suspicionDeadline: isSelf
       ? never
       : deadlineAfter(now, world.deployment.timing.suspicionMilliseconds),
@@ -52,6 +56,8 @@
       incarnation: world.incarnation,
       load: ownLoad(world),
       leaving: world.isLeaving(),
+      revision: world.served.get(servedId)!.revision,
+      isFresh: isFresh(world, now),
     },
   });
 };
--- a/src/service/membership/common/membershipHandlers.ts
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -20,6 +20,8 @@
       state,
       incarnation: message.incarnation,
       load: message.load,
+      revision: message.revision,
+      isFresh: message.isFresh,
       suspicionDeadline: deadlineAfter(now, world.deployment.timing.suspicionMilliseconds),
     });
     if (daemon.state === state) return;
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -3,6 +3,7 @@
  * milliseconds. The schemas check what comes over the wire; encoding is the business of the port.
  */
 import { z } from 'zod';
+import { workspaceDemandSchema } from '../../admission/common/demandMessages.js';
 import {
   heartbeatSchema,
   upstreamAnnouncedSchema,
@@ -31,6 +32,7 @@
   proposalAnsweredSchema,
   followRequestedSchema,
   entriesFollowedSchema,
+  workspaceDemandSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -3,8 +3,13 @@
  */
 import type { Random } from '../../../base/common/random.js';
 import type { Metrics } from '../../../platform/metrics/common/metrics.js';
-import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
+import {
+  Role,
+  type DaemonSettings,
+  type Deployment,
+} from '../../../platform/settings/common/deployment.js';
 import type { AnyTable } from '../../../platform/tables/common/table.js';
+import { createDemandTables } from '../../admission/common/demandTables.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
 import { createFreshnessTables } from '../../configuration/common/freshnessTables.js';
 import { createServedTables, type ServedRow } from '../../configuration/common/servedTables.js';
@@ -24,6 +29,7 @@
   ...createConfigurationTables(),
   ...createConsensusTables(),
   ...createReplicaTables(),
+  ...createDemandTables(),
   ...createEventTables(),
   ...createFreshnessTables(),
   ...createMembershipTables(),
@@ -57,6 +63,8 @@
   readonly identifiers: Identifiers;
   readonly random: Random;
   readonly metrics: Metrics;
+  /** Whether the installation has control daemons; without them the settings file is in force for ever. */
+  readonly hasControl: boolean;
   /** The settings tree in force. */
   readonly tree: () => Tree;
   readonly setTree: (tree: Tree) => void;
@@ -79,6 +87,7 @@
     identifiers: createIdentifiers(options.self.name, options.incarnation),
     random: options.random,
     metrics: options.metrics,
+    hasControl: options.deployment.daemons.some(({ roles }) => roles.includes(Role.Control)),
     tree: () => tree,
     setTree: (newTree) => {
       tree = newTree;
