Add routes and commands of operators: tree, keys, members, status

Cause: an edit could be proposed only by code. Operators now have /operator/v1 on every entry, with an operator's key whose digest stands in the tree, and `shallotquay tree get|set|history|explain`, `key issue|withdraw|rotate|list`, `member list` and `status`. A new key is made by the entry and shown in the answer alone; the command holds only its digest. The key of the operator comes from a file or the environment and never from an argument, where other users of the VM could read it.

An edit is checked by the entry before it is proposed, so that a value of the wrong form, such as a key in place of a digest, never reaches the log. An entry that is behind the revision of the edit refuses it. The commands resend an edit under its identifier when the connection fails.

One test searches data folder, event files, log lines at level trace, the requests that the engine got, error bodies and the output of the commands for every key. The bench of the path starts the voters of its deployment, as an entry alone serves no keys.

--- a/bench/path/pathBench.ts
+++ b/bench/path/pathBench.ts
@@ -128,7 +128,8 @@
   try {
     const deployment = await writeDemoDeployment();
     const entry = `http://${deployment.callerAddresses[0]!}`;
-    processes.startDaemon(deployment.file, deployment.names[0]!);
+    // The entry serves requests with keys only beside a quorum.
+    deployment.voterNames.forEach((name) => processes.startDaemon(deployment.file, name));
     const engine = await processes.startChild<string>(
       'engine',
       new URL('./engineProcess.js', import.meta.url),
--- a/scripts/demo/deployment.ts
+++ b/scripts/demo/deployment.ts
@@ -19,6 +19,8 @@
   readonly file: string;
   readonly eventFolder: string;
   readonly names: readonly string[];
+  /** The daemons that vote in the replicated log. */
+  readonly voterNames: readonly string[];
   /** `host:port` of every entry, in the order of the names. */
   readonly callerAddresses: readonly string[];
 }
@@ -76,6 +78,9 @@
     file,
     eventFolder: join(folder, 'events'),
     names: daemons.map((daemon) => daemon.name),
+    voterNames: daemons
+      .filter(({ roles }) => roles.includes('control'))
+      .map((daemon) => daemon.name),
     callerAddresses: daemons.map((daemon) => daemon.callerAddress),
   };
 };
--- /dev/null
+++ b/src/command/key/node/agreedKeyCommands.ts
@@ -0,0 +1,96 @@
+/**
+ * `shallotquay key issue|withdraw|rotate|list`: the keys of a running installation. A new key is made by
+ * the entry and shown once; only its digest is kept.
+ */
+import type { Command } from 'commander';
+import { OperatorPath } from '../../../service/protocol/common/operatorProtocol.js';
+import type { SubcommandContext } from '../../main/node/subcommand.js';
+import {
+  addOperatorOptions,
+  askAndPrint,
+  createRequestIdentifier,
+  type OperatorOptions,
+} from '../../operator/node/operatorClient.js';
+
+interface IssuedKey {
+  readonly key: string;
+  readonly digest: string;
+  readonly revision: number;
+}
+
+interface RotateOptions extends OperatorOptions {
+  readonly overlap: string;
+}
+
+const millisecondsPerSecond = 1000;
+
+const formatIssued = ({ key, digest, revision }: IssuedKey): string =>
+  `key ${key}\ndigest ${digest}\nrevision ${revision}\n` +
+  'Keep the key now; it is stored nowhere and is not shown again.\n';
+
+const formatAccepted = ({ revision }: { revision: number }): string =>
+  `accepted as revision ${revision}\n`;
+
+interface ListedKey {
+  readonly workspace: string;
+  readonly name: string;
+  readonly withdrawn: boolean;
+}
+
+const formatKeys = ({ keys }: { keys: readonly ListedKey[] }): string =>
+  keys
+    .map(({ workspace, name, withdrawn }) => {
+      const state = withdrawn ? 'withdrawn' : 'in force';
+      return `${workspace} ${name} ${state}\n`;
+    })
+    .join('');
+
+const placeOf = (workspace: string, name: string) => ({
+  request: createRequestIdentifier(),
+  workspace,
+  name,
+});
+
+/** Adds the commands for keys of a running installation to `key`. */
+export const registerAgreedKeyCommands = (key: Command, context: SubcommandContext): void => {
+  addOperatorOptions(key.command('issue'))
+    .description('make a key for a workspace; it is shown once')
+    .argument('<workspace>')
+    .argument('<name>', 'name of the new key')
+    .action((workspace: string, name: string, options: OperatorOptions) =>
+      askAndPrint(
+        context,
+        options,
+        { path: OperatorPath.Keys, body: placeOf(workspace, name) },
+        formatIssued,
+      ),
+    );
+  addOperatorOptions(key.command('withdraw'))
+    .description('withdraw a key; it stops working within seconds')
+    .argument('<workspace>')
+    .argument('<name>', 'name of the key')
+    .action((workspace: string, name: string, options: OperatorOptions) =>
+      askAndPrint(
+        context,
+        options,
+        { path: OperatorPath.KeyWithdrawals, body: placeOf(workspace, name) },
+        formatAccepted,
+      ),
+    );
+  addOperatorOptions(key.command('rotate'))
+    .description('make a successor of a key; the old one is withdrawn after the overlap')
+    .argument('<workspace>')
+    .argument('<name>', 'name of the old key')
+    .argument('<successor>', 'name of the new key')
+    .option('--overlap <seconds>', 'how long both keys work', '86400')
+    .action((workspace: string, name: string, successor: string, options: RotateOptions) => {
+      const overlapMilliseconds = Math.round(Number(options.overlap) * millisecondsPerSecond);
+      const body = { ...placeOf(workspace, name), successor, overlapMilliseconds };
+      return askAndPrint(context, options, { path: OperatorPath.KeyRotations, body }, formatIssued);
+    });
+  addOperatorOptions(key.command('list'))
+    .description('print each key by workspace and name, and whether it is in force')
+    .action((options: OperatorOptions) =>
+      askAndPrint(context, options, { path: OperatorPath.Keys }, formatKeys),
+    );
+};
--- a/src/command/key/node/keyCommand.ts
+++ b/src/command/key/node/keyCommand.ts
@@ -2,6 +2,7 @@
  * `shallotquay key digest`: the digest of a key, as a settings tree holds it.
  */
 import { createKey, digestOfKey } from '../../../service/configuration/node/keyDigest.js';
+import { registerAgreedKeyCommands } from './agreedKeyCommands.js';
 import { ExitCode } from '../../main/common/exitCode.js';
 import type { RegisterSubcommand, SubcommandContext } from '../../main/node/subcommand.js';
 
@@ -40,9 +41,9 @@
 
 /** Adds `key` with its subcommand `digest` to the program. */
 export const registerKeyCommand: RegisterSubcommand = (program, context) => {
-  program
-    .command('key')
-    .description('work with the keys of callers')
+  const key = program.command('key').description('work with the keys of callers');
+  registerAgreedKeyCommands(key, context);
+  key
     .command('digest')
     .description('print a key once, and its SHA-256 digest; the key is read on standard input')
     .option('--random', 'make a random key in place of reading one')
--- a/src/command/main/node/program.ts
+++ b/src/command/main/node/program.ts
@@ -4,8 +4,11 @@
 import { Command, CommanderError } from 'commander';
 import { registerCheckCommand } from '../../check/node/checkCommand.js';
 import { registerKeyCommand } from '../../key/node/keyCommand.js';
+import { registerMemberCommand } from '../../member/node/memberCommand.js';
 import { registerRunCommand } from '../../run/node/runCommand.js';
+import { registerStatusCommand } from '../../status/node/statusCommand.js';
 import { registerTimelineCommand } from '../../timeline/node/timelineCommand.js';
+import { registerTreeCommand } from '../../tree/node/treeCommand.js';
 import { ExitCode } from '../common/exitCode.js';
 import type { ProgramStreams, RegisterSubcommand, SubcommandContext } from './subcommand.js';
 
@@ -13,8 +16,11 @@
 const subcommands: Readonly<Record<string, RegisterSubcommand>> = {
   check: registerCheckCommand,
   key: registerKeyCommand,
+  member: registerMemberCommand,
   run: registerRunCommand,
+  status: registerStatusCommand,
   timeline: registerTimelineCommand,
+  tree: registerTreeCommand,
 };
 
 const exitCodesText = `
--- /dev/null
+++ b/src/command/member/node/memberCommand.ts
@@ -0,0 +1,31 @@
+/**
+ * `shallotquay member list`: the daemons of an installation as one entry knows them.
+ */
+import type { MemberStatus } from '../../../service/configuration/common/status.js';
+import { OperatorPath } from '../../../service/protocol/common/operatorProtocol.js';
+import type { RegisterSubcommand } from '../../main/node/subcommand.js';
+import {
+  addOperatorOptions,
+  askAndPrint,
+  type OperatorOptions,
+} from '../../operator/node/operatorClient.js';
+
+/** One daemon in one line. */
+export const formatMember = (member: MemberStatus): string =>
+  `${member.daemon} ${member.zone} ${member.state} revision ${member.revision} ` +
+  `${member.isFresh ? 'fresh' : 'stale'} load ${member.load}\n`;
+
+/** Adds `member` with its subcommand `list` to the program. */
+export const registerMemberCommand: RegisterSubcommand = (program, context) => {
+  const member = program.command('member').description('see the daemons of the installation');
+  addOperatorOptions(member.command('list'))
+    .description('print each daemon with its zone, state, revision and load')
+    .action((options: OperatorOptions) =>
+      askAndPrint(
+        context,
+        options,
+        { path: OperatorPath.Members },
+        ({ members }: { members: readonly MemberStatus[] }) => members.map(formatMember).join(''),
+      ),
+    );
+};
--- /dev/null
+++ b/src/command/operator/node/operatorClient.ts
@@ -0,0 +1,155 @@
+/**
+ * Asks an entry as an operator, over HTTP. An edit whose answer was lost is sent again under the same
+ * request identifier, so that it is carried out once.
+ */
+import { readFileSync } from 'node:fs';
+import { randomUUID } from 'node:crypto';
+import type { Command } from 'commander';
+import { err, ok, Result } from 'neverthrow';
+import { request as sendRequest } from 'undici';
+import { operatorErrorSchema } from '../../../service/protocol/common/operatorProtocol.js';
+import { ExitCode } from '../../main/common/exitCode.js';
+import type { SubcommandContext } from '../../main/node/subcommand.js';
+
+/** The options that every command of an operator has. */
+export interface OperatorOptions {
+  readonly entry: string;
+  readonly keyFile?: string;
+  readonly json?: boolean;
+}
+
+/** Why a request of an operator had no success. */
+export interface OperatorError {
+  readonly kind: 'noKey' | 'unreachable' | 'refused' | 'badAnswer';
+  readonly message: string;
+  readonly exitCode: ExitCode;
+}
+
+const keyVariable = 'SHALLOTQUAY_OPERATOR_KEY';
+const defaultEntry = '127.0.0.1:7101';
+const attempts = 3;
+const timeoutMilliseconds = 10_000;
+const firstErrorStatus = 400;
+const firstServerErrorStatus = 500;
+
+/** Adds the options that every command of an operator has. */
+export const addOperatorOptions = (command: Command): Command =>
+  command
+    .option('--entry <address>', 'address of an entry as host:port', defaultEntry)
+    .option('--key-file <file>', `file with the operator's key; else ${keyVariable} is read`)
+    .option('--json', 'print the answer as JSON');
+
+const errorOf = (
+  kind: OperatorError['kind'],
+  message: string,
+  exitCode: ExitCode,
+): OperatorError => ({ kind, message, exitCode });
+
+const readKeyFile = Result.fromThrowable(
+  (file: string) => readFileSync(file, 'utf8').trim(),
+  () => errorOf('noKey', 'The key file cannot be read; check its path.', ExitCode.InvalidInput),
+);
+
+const noKey = errorOf(
+  'noKey',
+  `No operator's key is given; set ${keyVariable} or name a file by --key-file.`,
+  ExitCode.InvalidInput,
+);
+
+const keyOf = ({ keyFile }: OperatorOptions): Result<string, OperatorError> => {
+  if (keyFile !== undefined) return readKeyFile(keyFile);
+  const key = process.env[keyVariable] ?? '';
+  return key === '' ? err(noKey) : ok(key);
+};
+
+const refusalOf = (status: number, body: unknown): OperatorError => {
+  const parsed = operatorErrorSchema.safeParse(body);
+  const message = parsed.success
+    ? `${parsed.data.error.code}: ${parsed.data.error.message}`
+    : `The entry answered with status ${status}; check that the address is that of an entry.`;
+  const isFaulty = status < firstServerErrorStatus;
+  return errorOf('refused', message, isFaulty ? ExitCode.InvalidInput : ExitCode.Failure);
+};
+
+const parseJson = Result.fromThrowable(
+  (text: string): unknown => JSON.parse(text),
+  () =>
+    errorOf('badAnswer', 'The entry did not answer in JSON; check the address.', ExitCode.Failure),
+);
+
+const sendOnce = async (
+  entry: string,
+  key: string,
+  path: string,
+  body: object | undefined,
+): Promise<Result<unknown, OperatorError>> => {
+  const answer = await sendRequest(`http://${entry}${path}`, {
+    method: body === undefined ? 'GET' : 'POST',
+    headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+    body: body === undefined ? null : JSON.stringify(body),
+    headersTimeout: timeoutMilliseconds,
+    bodyTimeout: timeoutMilliseconds,
+  });
+  const parsed = parseJson(await answer.body.text());
+  return answer.statusCode < firstErrorStatus
+    ? parsed
+    : err(refusalOf(answer.statusCode, parsed.unwrapOr(undefined)));
+};
+
+const unreachable = (entry: string): OperatorError =>
+  errorOf(
+    'unreachable',
+    `The entry ${entry} does not answer; check that it runs, or name another by --entry.`,
+    ExitCode.Failure,
+  );
+
+const sendRepeatedly = async (
+  entry: string,
+  key: string,
+  path: string,
+  body: object | undefined,
+): Promise<Result<unknown, OperatorError>> => {
+  for (let attempt = 1; attempt <= attempts; attempt += 1) {
+    try {
+      // Each attempt begins only after the one before has failed.
+      // eslint-disable-next-line no-await-in-loop
+      return await sendOnce(entry, key, path, body);
+    } catch {
+      // The next attempt carries the same request identifier.
+    }
+  }
+  return err(unreachable(entry));
+};
+
+/** A new identifier of an edit. */
+export const createRequestIdentifier = (): string => randomUUID();
+
+/** Asks the entry; a body makes it a POST. */
+export const ask = async (
+  options: OperatorOptions,
+  path: string,
+  body?: object,
+): Promise<Result<unknown, OperatorError>> => {
+  const key = keyOf(options);
+  return key.isErr() ? err(key.error) : sendRepeatedly(options.entry, key.value, path, body);
+};
+
+/** Asks the entry and prints its answer by `format`, or as JSON where that was asked for. */
+export const askAndPrint = async (
+  context: SubcommandContext,
+  options: OperatorOptions,
+  question: { readonly path: string; readonly body?: object },
+  format: (answer: never) => string,
+): Promise<void> => {
+  const answer = await ask(options, question.path, question.body);
+  answer.match(
+    (value) =>
+      context.writeOutput(
+        options.json ? `${JSON.stringify(value, null, 2)}\n` : format(value as never),
+      ),
+    (error) => {
+      context.writeError(`${error.message}\n`);
+      context.setExitCode(error.exitCode);
+    },
+  );
+};
--- /dev/null
+++ b/src/command/status/node/statusCommand.ts
@@ -0,0 +1,31 @@
+/**
+ * `shallotquay status`: who leads, which revision is in force, and what is degraded, with the remedy.
+ */
+import type { Status } from '../../../service/configuration/common/status.js';
+import { OperatorPath } from '../../../service/protocol/common/operatorProtocol.js';
+import type { RegisterSubcommand } from '../../main/node/subcommand.js';
+import { formatMember } from '../../member/node/memberCommand.js';
+import {
+  addOperatorOptions,
+  askAndPrint,
+  type OperatorOptions,
+} from '../../operator/node/operatorClient.js';
+
+const formatStatus = (status: Status): string =>
+  [
+    `asked ${status.askedDaemon}\n`,
+    `leader ${status.leader ?? 'unknown'} in term ${status.term}\n`,
+    `revision ${status.revision}, ${status.isFresh ? 'fresh' : 'stale'}\n`,
+    ...status.members.map((member) => `  ${formatMember(member)}`),
+    ...(status.degraded.length === 0 ? ['nothing is degraded\n'] : []),
+    ...status.degraded.map((fault) => `degraded: ${fault}\n`),
+  ].join('');
+
+/** Adds `status` to the program. */
+export const registerStatusCommand: RegisterSubcommand = (program, context) => {
+  addOperatorOptions(program.command('status'))
+    .description('print who leads, the revision of each daemon, and what is degraded')
+    .action((options: OperatorOptions) =>
+      askAndPrint(context, options, { path: OperatorPath.Status }, formatStatus),
+    );
+};
--- /dev/null
+++ b/src/command/tree/node/treeCommand.ts
@@ -0,0 +1,141 @@
+/**
+ * `shallotquay tree`: read, edit, and explain the settings tree of a running installation.
+ */
+import { ok, Result } from 'neverthrow';
+import type { ExplainedLevel } from '../../../service/configuration/common/explain.js';
+import type { TreeChange } from '../../../service/configuration/common/configurationCommands.js';
+import type { SettingsHistoryRow } from '../../../service/configuration/common/settingsTables.js';
+import { OperatorPath } from '../../../service/protocol/common/operatorProtocol.js';
+import { ExitCode } from '../../main/common/exitCode.js';
+import type { RegisterSubcommand, SubcommandContext } from '../../main/node/subcommand.js';
+import {
+  addOperatorOptions,
+  askAndPrint,
+  createRequestIdentifier,
+  type OperatorOptions,
+} from '../../operator/node/operatorClient.js';
+
+interface SetOptions extends OperatorOptions {
+  readonly revision: string;
+  readonly remove?: boolean;
+  readonly request?: string;
+}
+
+const setExample = `
+The value is JSON; the revision is the one that \`tree get\` printed, so that an
+edit by someone else in between is not overwritten. A resend under the same
+--request gets the first answer again.
+
+Examples:
+  shallotquay tree set workspaces.depot.policy.weight 4 --revision 7
+  shallotquay tree set services.depot.policy --remove --revision 8`;
+
+const withQuery = (path: string, query: Readonly<Record<string, string | undefined>>): string => {
+  const entries = Object.entries(query).filter(
+    (entry): entry is [string, string] => entry[1] !== undefined,
+  );
+  return `${path}?${new URLSearchParams(entries).toString()}`;
+};
+
+const parseValue = Result.fromThrowable(
+  (text: string): unknown => JSON.parse(text),
+  () => 'The value is not JSON; write texts in double quotes, such as \'"bulk"\'.',
+);
+
+const changeOf = (
+  value: string | undefined,
+  { remove }: SetOptions,
+): Result<TreeChange, string> => {
+  if (remove) return ok({ kind: 'remove' });
+  return parseValue(value ?? '').map((parsed) => ({ kind: 'put', value: parsed }) as TreeChange);
+};
+
+const set = async (
+  path: string,
+  value: string | undefined,
+  options: SetOptions,
+  context: SubcommandContext,
+): Promise<void> => {
+  const change = changeOf(value, options);
+  if (change.isErr()) {
+    context.writeError(`${change.error}\n`);
+    context.setExitCode(ExitCode.InvalidInput);
+    return;
+  }
+  const body = {
+    request: options.request ?? createRequestIdentifier(),
+    path,
+    change: change.value,
+    expectedRevision: Number(options.revision),
+  };
+  await askAndPrint(
+    context,
+    options,
+    { path: OperatorPath.Tree, body },
+    ({ revision }: { revision: number }) => `accepted as revision ${revision}\n`,
+  );
+};
+
+const formatTree = ({ revision, value }: { revision: number; value: unknown }): string =>
+  `revision ${revision}\n${JSON.stringify(value, null, 2)}\n`;
+
+const formatLevels = ({ levels }: { levels: readonly ExplainedLevel[] }): string =>
+  levels
+    .map(({ level, value, isInForce }) => {
+      const said = value === null ? 'says nothing' : JSON.stringify(value);
+      return `${isInForce ? '*' : ' '} ${level}: ${said}\n`;
+    })
+    .join('');
+
+const formatHistory = ({ edits }: { edits: readonly SettingsHistoryRow[] }): string =>
+  edits
+    .map(({ revision, operator, path, change }) => {
+      const value = change.kind === 'put' ? JSON.stringify(change.value) : 'removed';
+      return `${revision} ${operator} ${path === '' ? '(whole tree)' : path} ${value}\n`;
+    })
+    .join('');
+
+/** Adds `tree` with its subcommands to the program. */
+export const registerTreeCommand: RegisterSubcommand = (program, context) => {
+  const tree = program.command('tree').description('read and edit the settings tree');
+  addOperatorOptions(tree.command('get'))
+    .description('print the tree, or the value at a path, with the revision')
+    .argument('[path]', 'keys joined by dots, such as workspaces.depot.policy', '')
+    .action((path: string, options: OperatorOptions) =>
+      askAndPrint(context, options, { path: withQuery(OperatorPath.Tree, { path }) }, formatTree),
+    );
+  addOperatorOptions(tree.command('set'))
+    .description('put a value at a path, or remove it')
+    .argument('<path>', 'keys joined by dots; tables on the way are made')
+    .argument('[value]', 'the value in JSON')
+    .requiredOption('--revision <number>', 'revision from which the edit is made')
+    .option('--remove', 'remove what stands at the path')
+    .option('--request <identifier>', 'identifier of an edit that is sent again')
+    .addHelpText('after', setExample)
+    .action((path: string, value: string | undefined, options: SetOptions) =>
+      set(path, value, options, context),
+    );
+  addOperatorOptions(tree.command('history'))
+    .description('print the last accepted edits: revision, operator, path, value')
+    .option('--last <count>', 'how many edits', '20')
+    .action((options: OperatorOptions & { readonly last: string }) =>
+      askAndPrint(
+        context,
+        options,
+        { path: withQuery(OperatorPath.History, { last: options.last }) },
+        formatHistory,
+      ),
+    );
+  addOperatorOptions(tree.command('explain'))
+    .description('say which level gives the value at a path; * marks the one in force')
+    .argument('<path>', 'such as workspaces.depot.policy.weight')
+    .option('--service <name>', 'for a policy of a workspace: for which of its services')
+    .action((path: string, options: OperatorOptions & { readonly service?: string }) =>
+      askAndPrint(
+        context,
+        options,
+        { path: withQuery(OperatorPath.Explain, { path, service: options.service }) },
+        formatLevels,
+      ),
+    );
+};
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -29,6 +29,8 @@
 import { createSubmitter } from '../../front/node/submission.js';
 import { createTrainerRoutes } from '../../front/node/trainerRoutes.js';
 import { createUpstreamRoutes } from '../../front/node/upstreamRoutes.js';
+import { createEditPort } from '../../operator/node/editPort.js';
+import { createOperatorRoutes } from '../../operator/node/operatorRoutes.js';
 import { openPeerPort } from '../../peers/node/peerPort.js';
 import { createFetchPort } from '../../rollout/node/fetchPort.js';
 import { createSampleExchanges } from '../../rollout/node/sampleExchanges.js';
@@ -103,6 +105,7 @@
   const exchangePort = createExchangePort(world, registry);
   const fetchPort = createFetchPort(world, wake);
   const eventPort = createEventPort(world, stamps, writer.write);
+  const editPort = createEditPort(world, monotonicClock, wake);
   const submitter = createSubmitter(world, registry, monotonicClock, wake);
 
   const openStorage = () =>
@@ -121,6 +124,7 @@
     deployment.limits,
     [
       createUpstreamRoutes(world, wake),
+      createOperatorRoutes(world, editPort, monotonicClock),
       createTrainerRoutes(world, samples, fetchPort, monotonicClock, wake),
       createCallerRoutes(world, submitter),
     ],
@@ -135,6 +139,7 @@
     storagePort.value,
     upstreamPort,
     exchangePort,
+    editPort,
     fetchPort,
     peerPort.value,
     eventPort,
--- /dev/null
+++ b/src/daemon/operator/node/editPort.ts
@@ -0,0 +1,69 @@
+/**
+ * Hands the edits of operators to the log, and answers each when it is in force on this entry, rejected,
+ * or unknown after its deadline.
+ */
+import { deadlineAfter, type Clock } from '../../../base/common/time.js';
+import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { asBrand } from '../../../base/common/brand.js';
+import type { EditCommand } from '../../../service/configuration/common/configurationCommands.js';
+import type { ProposalId, Rejection } from '../../../service/consensus/common/consensusTables.js';
+import type { World } from '../../../service/world/common/world.js';
+
+/** What became of an edit. */
+export type EditOutcome =
+  | { readonly kind: 'accepted'; readonly revision: number }
+  | { readonly kind: 'rejected'; readonly rejection: Rejection }
+  | { readonly kind: 'unknown' };
+
+/** The port; `drain` is run after each tick. */
+export interface EditPort {
+  readonly edit: (command: EditCommand) => Promise<EditOutcome>;
+  readonly drain: () => void;
+}
+
+const editMilliseconds = 5_000;
+
+interface PendingEdit {
+  readonly command: EditCommand;
+  readonly resolve: (outcome: EditOutcome) => void;
+}
+
+/** Creates the port. `wake` asks for a tick. */
+export const createEditPort = (world: World, clock: Clock, wake: () => void): EditPort => {
+  const pending = new Map<ProposalId, PendingEdit>();
+  const outcomes = world.proposalOutcomes.readChanges(RowReader.Port);
+  const answers = world.rememberedAnswers.readChanges(RowReader.Port);
+
+  const appliedOutcome = ({ command }: PendingEdit): EditOutcome | undefined => {
+    const answer = world.rememberedAnswers.get(asBrand(command.request));
+    if (answer?.revision == null) return undefined;
+    return { kind: 'accepted', revision: answer.revision };
+  };
+
+  const outcomeOf = (proposal: ProposalId, edit: PendingEdit): EditOutcome | undefined => {
+    const outcome = world.proposalOutcomes.get(proposal)?.outcome;
+    return outcome?.kind === 'applied' ? appliedOutcome(edit) : outcome;
+  };
+
+  const settle = (proposal: ProposalId, edit: PendingEdit): void => {
+    const outcome = outcomeOf(proposal, edit);
+    if (outcome === undefined) return;
+    pending.delete(proposal);
+    edit.resolve(outcome);
+  };
+
+  return {
+    edit: (command) =>
+      new Promise((resolve) => {
+        const id = world.identifiers.next<ProposalId>('edit');
+        pending.set(id, { command, resolve });
+        const proposalDeadline = deadlineAfter(clock(), editMilliseconds);
+        world.proposals.append({ id, command, proposalDeadline });
+        wake();
+      }),
+    drain: () => {
+      const changes = outcomes.take().length + answers.take().length;
+      if (changes > 0) pending.forEach((edit, proposal) => settle(proposal, edit));
+    },
+  };
+};
--- /dev/null
+++ b/src/service/configuration/common/explain.ts
@@ -0,0 +1,82 @@
+/**
+ * Explains a value of the settings: every level that could give it, and which of them does.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { createSettingsRejection, SettingsRejectionKind } from './settingsRejection.js';
+import type { SettingsRejection } from './settingsRejection.js';
+import { defaultPolicy, policySchema, type Policy, type Tree } from './tree.js';
+import { readAt } from './treePath.js';
+
+/** One level, from the weakest to the strongest. */
+export interface ExplainedLevel {
+  /** The path at which the level would say it, or `default`. */
+  readonly level: string;
+  /** What it says, or null where it says nothing. */
+  readonly value: unknown;
+  readonly isInForce: boolean;
+}
+
+type PolicyName = keyof Policy;
+
+const policyPath = /^(?:(services|workspaces)\.([^.]+)\.)?policy\.([^.]+)$/;
+
+const isPolicyName = (name: string): name is PolicyName => Object.hasOwn(policySchema.shape, name);
+
+const sayingOf = (tree: Tree, level: string): unknown => readAt(tree, level).unwrapOr(null);
+
+const markInForce = (levels: readonly Omit<ExplainedLevel, 'isInForce'>[]): ExplainedLevel[] => {
+  const last = levels.findLastIndex(({ value }) => value !== null);
+  return levels.map((level, index) => ({ ...level, isInForce: index === last }));
+};
+
+/** The places that say something of a policy, from the weakest to the strongest. */
+const policyLevels = (
+  name: PolicyName,
+  service: string | undefined,
+  workspace: string | undefined,
+): readonly string[] => [
+  `policy.${name}`,
+  ...(service === undefined ? [] : [`services.${service}.policy.${name}`]),
+  ...(workspace === undefined ? [] : [`workspaces.${workspace}.policy.${name}`]),
+];
+
+const explainPolicy = (
+  tree: Tree,
+  name: PolicyName,
+  service: string | undefined,
+  workspace: string | undefined,
+): readonly ExplainedLevel[] =>
+  markInForce([
+    { level: 'default', value: defaultPolicy[name] },
+    ...policyLevels(name, service, workspace).map((level) => ({
+      level,
+      value: sayingOf(tree, level),
+    })),
+  ]);
+
+const explainPlain = (
+  tree: Tree,
+  path: string,
+): Result<readonly ExplainedLevel[], SettingsRejection> =>
+  readAt(tree, path)
+    .map((value) => [{ level: path, value, isInForce: true }])
+    .mapErr(({ at }) =>
+      createSettingsRejection(SettingsRejectionKind.UnknownPath, `Nothing stands at \`${at}\`.`),
+    );
+
+/**
+ * Explains the value at a path. For a policy of a workspace, `service` says for which of its services.
+ */
+export const explain = (
+  tree: Tree,
+  path: string,
+  service?: string,
+): Result<readonly ExplainedLevel[], SettingsRejection> => {
+  const [, level, holder, name] = policyPath.exec(path) ?? [];
+  if (name === undefined || !isPolicyName(name)) return explainPlain(tree, path);
+  const isKnown = holder === undefined || readAt(tree, `${level}.${holder}`).isOk();
+  if (!isKnown) return err(createSettingsRejection(SettingsRejectionKind.UnknownPath));
+  const workspace = level === 'workspaces' ? holder : undefined;
+  const serviceOfPath = level === 'services' ? holder : service;
+  return ok(explainPolicy(tree, name, serviceOfPath, workspace));
+};
--- /dev/null
+++ b/src/service/protocol/common/operatorProtocol.ts
@@ -0,0 +1,50 @@
+/**
+ * What operators ask of an entry: HTTP with JSON bodies under `/operator/v1`, with the operator's key as
+ * `Authorization: Bearer KEY`. Edits carry a request identifier, under which they can be sent again.
+ */
+import { z } from 'zod';
+import { treeChangeSchema } from '../../configuration/common/configurationCommands.js';
+
+export const OperatorPath = {
+  Tree: '/operator/v1/tree',
+  Explain: '/operator/v1/explain',
+  History: '/operator/v1/history',
+  Keys: '/operator/v1/keys',
+  KeyWithdrawals: '/operator/v1/keys/withdrawals',
+  KeyRotations: '/operator/v1/keys/rotations',
+  Members: '/operator/v1/members',
+  Status: '/operator/v1/status',
+} as const;
+
+const request = z.string().min(1).max(128);
+
+export const treeEditSchema = z.strictObject({
+  request,
+  path: z.string(),
+  change: treeChangeSchema,
+  expectedRevision: z.number().int().positive(),
+});
+export type TreeEdit = z.infer<typeof treeEditSchema>;
+
+export const keyPlaceSchema = z.strictObject({
+  request,
+  workspace: z.string().min(1),
+  name: z.string().min(1),
+});
+export type KeyPlace = z.infer<typeof keyPlaceSchema>;
+
+export const keyRotationSchema = keyPlaceSchema.extend({
+  successor: z.string().min(1),
+  overlapMilliseconds: z.number().int().nonnegative(),
+});
+
+/** What an accepted edit is answered with. */
+export const acceptedSchema = z.object({ revision: z.number().int() });
+
+/** What a new key is answered with; the key is shown here and nowhere else. */
+export const issuedKeySchema = acceptedSchema.extend({ key: z.string(), digest: z.string() });
+
+/** What every refused request of an operator is answered with. */
+export const operatorErrorSchema = z.object({
+  error: z.object({ code: z.string(), message: z.string() }),
+});
