--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -31,6 +31,7 @@
 import { createUpstreamRoutes } from '../../front/node/upstreamRoutes.js';
 import { createEditPort } from '../../operator/node/editPort.js';
 import { createOperatorRoutes } from '../../operator/node/operatorRoutes.js';
+import { createOrderPort } from '../../orders/node/orderPort.js';
 import { openPeerPort } from '../../peers/node/peerPort.js';
 import { createFetchPort } from '../../rollout/node/fetchPort.js';
 import { createSampleExchanges } from '../../rollout/node/sampleExchanges.js';
@@ -104,6 +105,7 @@
   const upstreamPort = createUpstreamPort(world, findExchange, wake);
   const exchangePort = createExchangePort(world, registry);
   const fetchPort = createFetchPort(world, wake);
+  const orderPort = createOrderPort(world, monotonicClock, wake);
   const eventPort = createEventPort(world, stamps, writer.write);
   const editPort = createEditPort(world, monotonicClock, wake);
   const submitter = createSubmitter(world, registry, monotonicClock, wake);
@@ -137,6 +139,7 @@
 
   const ports = [
     storagePort.value,
+    orderPort,
     upstreamPort,
     exchangePort,
     editPort,
@@ -155,7 +158,7 @@
   const disposeAll = async (): Promise<void> => {
     driver?.dispose();
     await Promise.all([front.value.dispose(), peerPort.value.dispose(), upstreamPort.dispose()]);
-    await storagePort.value.dispose();
+    await Promise.all([storagePort.value.dispose(), orderPort.dispose()]);
     await Promise.all([writer.dispose(), metrics.dispose()]);
     log.info('closed');
   };
@@ -173,6 +176,7 @@
     wake();
     log.info('leaving');
     await delay(deployment.timing.adviceMilliseconds);
+    world.setRefusingNew();
     await waitAtMost(front.value.closeGracefully(), deployment.timing.drainMilliseconds);
     await dispose();
   };
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -20,6 +20,7 @@
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
+import { createOrderTables } from '../../orders/common/orderTables.js';
 import { createRolloutTables } from '../../rollout/common/rolloutTables.js';
 import { createTrafficTables } from '../../traffic/common/trafficTables.js';
 import { createUsageTables } from '../../usage/common/usageTables.js';
@@ -34,6 +35,7 @@
   ...createFreshnessTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
+  ...createOrderTables(),
   ...createRolloutTables(),
   ...createServedTables(),
   ...createSettingsTables(),
@@ -68,9 +70,12 @@
   /** The settings tree in force. */
   readonly tree: () => Tree;
   readonly setTree: (tree: Tree) => void;
-  /** Whether this daemon is leaving and takes no new requests. */
+  /** Whether this daemon is leaving: it is not advised any more, and still takes requests. */
   readonly isLeaving: () => boolean;
   readonly setLeaving: () => void;
+  /** Whether the advice that was given before has run out, so that new requests are refused. */
+  readonly isRefusingNew: () => boolean;
+  readonly setRefusingNew: () => void;
   readonly allTables: readonly AnyTable[];
 }
 
@@ -79,6 +84,7 @@
   const tables = createTables();
   let { tree } = options;
   let leaving = false;
+  let refusingNew = false;
   return {
     ...tables,
     deployment: options.deployment,
@@ -96,6 +102,10 @@
     setLeaving: () => {
       leaving = true;
     },
+    isRefusingNew: () => refusingNew,
+    setRefusingNew: () => {
+      refusingNew = true;
+    },
     allTables: Object.values(tables),
   };
 };
