--- a/bench/capacity/capacityBench.ts
+++ b/bench/capacity/capacityBench.ts
@@ -58,7 +58,14 @@
 const frameBytes = (message: Message): number =>
   encodeFrame({ from: 'daemon-in-zone-1', stamp: { wall: 1.7e12, counter: 1 }, message }).length;
 
-const heartbeat: Message = { kind: 'heartbeat', incarnation: 1.7e12, load: 57, leaving: false };
+const heartbeat: Message = {
+  kind: 'heartbeat',
+  incarnation: 1.7e12,
+  load: 57,
+  leaving: false,
+  revision: 1,
+  isFresh: true,
+};
 const relayed: Message = { kind: 'upstreamAnnounced', announcement: announcementOf(1) };
 
 /** Microseconds to take in one message of each daemon, at several numbers of daemons. */
--- a/proof/system/proofSystem.ts
+++ b/proof/system/proofSystem.ts
@@ -6,7 +6,7 @@
 import type { Milliseconds } from '../../src/base/common/time.js';
 import { adviseAddresses } from '../../src/service/advice/common/advice.js';
 import type { ServiceName } from '../../src/service/world/common/identifiers.js';
-import { digestOf } from '../../standins/virtual/testDeployment.js';
+import { digestOf, settleMilliseconds } from '../../standins/virtual/testDeployment.js';
 import { createLinks } from '../../standins/virtual/links.js';
 import {
   createVirtualCallers,
@@ -82,7 +82,6 @@
 }
 
 const lotMilliseconds: Milliseconds = 600_000;
-const settleMilliseconds: Milliseconds = 2_500;
 
 /** The example key of a workspace. */
 export const keyOf = (workspace: string): string => `demo-key-${workspace}`;
--- a/scripts/demo/main.ts
+++ b/scripts/demo/main.ts
@@ -39,12 +39,17 @@
   }
 };
 
+/** Whether an entry knows every daemon, and each of them serves requests with keys. */
+const isWhole = (answer: Advice | undefined, demo: DemoDeployment): boolean =>
+  answer?.addresses.length === demo.names.length &&
+  answer.addresses.every(({ isFresh }) => isFresh);
+
 const waitForDaemons = async (demo: DemoDeployment, processes: Processes): Promise<Advice> => {
   const deadline = performance.now() + readyMilliseconds;
   while (performance.now() < deadline) {
     if (processes.lost().length > 0) break;
     const answers = await Promise.all(demo.callerAddresses.map(askAdvice));
-    const whole = answers.every((answer) => answer?.addresses.length === demo.names.length);
+    const whole = answers.every((answer) => isWhole(answer, demo));
     if (whole) return answers[0]!;
     await delay(pollMilliseconds);
   }
--- a/src/daemon/front/node/errorResponse.ts
+++ b/src/daemon/front/node/errorResponse.ts
@@ -8,6 +8,7 @@
   missingKey: 401,
   unknownKey: 401,
   withdrawnKey: 401,
+  staleConfiguration: 503,
   unknownService: 404,
   serviceNotAllowed: 403,
   bodyNotJson: 400,
@@ -32,6 +33,7 @@
   RefusalKind.QueueFull,
   RefusalKind.QueueDeadlinePassed,
   RefusalKind.Leaving,
+  RefusalKind.StaleConfiguration,
 ]);
 
 /** The HTTP status of a refusal. */
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -29,6 +29,8 @@
 import { createSubmitter } from '../../front/node/submission.js';
 import { createTrainerRoutes } from '../../front/node/trainerRoutes.js';
 import { createUpstreamRoutes } from '../../front/node/upstreamRoutes.js';
+import { createEditPort } from '../../operator/node/editPort.js';
+import { createOperatorRoutes } from '../../operator/node/operatorRoutes.js';
 import { createOrderPort } from '../../orders/node/orderPort.js';
 import { openPeerPort } from '../../peers/node/peerPort.js';
 import { createFetchPort } from '../../rollout/node/fetchPort.js';
@@ -105,6 +107,7 @@
   const fetchPort = createFetchPort(world, wake);
   const orderPort = createOrderPort(world, monotonicClock, wake);
   const eventPort = createEventPort(world, stamps, writer.write);
+  const editPort = createEditPort(world, monotonicClock, wake);
   const submitter = createSubmitter(world, registry, monotonicClock, wake);
 
   const openStorage = () =>
@@ -123,6 +126,7 @@
     deployment.limits,
     [
       createUpstreamRoutes(world, wake),
+      createOperatorRoutes(world, editPort, monotonicClock),
       createTrainerRoutes(world, samples, fetchPort, monotonicClock, wake),
       createCallerRoutes(world, submitter),
     ],
@@ -138,6 +142,7 @@
     orderPort,
     upstreamPort,
     exchangePort,
+    editPort,
     fetchPort,
     peerPort.value,
     eventPort,
--- a/src/service/admission/test/common/leaving.test.ts
+++ b/src/service/admission/test/common/leaving.test.ts
@@ -6,6 +6,7 @@
   createTestDeployment,
   createTestTree,
   digestOf,
+  settleMilliseconds,
 } from '../../../../../standins/virtual/testDeployment.js';
 import { createVirtualCallers } from '../../../../../standins/virtual/virtualCallers.js';
 import { createVirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
@@ -24,6 +25,7 @@
     seed: 1,
     ports: [callers.port],
   });
+  installation.runFor(settleMilliseconds);
   return { callers, installation, world: installation.daemon('d1').core.world };
 };
 
--- a/src/service/admission/test/common/waitingLimit.test.ts
+++ b/src/service/admission/test/common/waitingLimit.test.ts
@@ -4,6 +4,7 @@
 import {
   createTestDeployment,
   createTestTree,
+  settleMilliseconds,
 } from '../../../../../standins/virtual/testDeployment.js';
 import { requestOn, sendRequest } from '../../../../../standins/virtual/trafficFixture.js';
 import { createVirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
@@ -23,7 +24,7 @@
     seed: 1,
     ports: [upstreams.createPort],
   });
-  installation.runFor(10);
+  installation.runFor(settleMilliseconds);
   return { installation, upstreams };
 };
 
--- a/src/service/advice/common/advice.ts
+++ b/src/service/advice/common/advice.ts
@@ -1,9 +1,10 @@
 /**
  * Address advice: which entries a caller should use, best first. There is no balancer before the system,
- * so the order is what spreads the callers: by zone and region first, then by load, then by a draw.
+ * so the order is what spreads the callers: entries that
+ * serve keys first, then by zone and region, then by load, then by a draw.
  */
-import type { Random } from '../../../base/common/random.js';
 import type { Milliseconds } from '../../../base/common/time.js';
+import { freshnessId } from '../../configuration/common/freshnessTables.js';
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
 
@@ -14,6 +15,8 @@
   readonly address: string;
   readonly zone: string;
   readonly region: string;
+  /** Whether it serves requests with keys; entries that do not stand last. */
+  readonly isFresh: boolean;
 }
 
 /** A ranked list, and for how long the caller may keep it. */
@@ -23,6 +26,7 @@
 }
 
 interface RankedDaemon {
+  readonly isFresh: boolean;
   readonly daemon: DaemonRow;
   readonly distance: number;
   readonly load: number;
@@ -47,20 +51,29 @@
   return daemon.isSelf ? !isLeaving : daemon.state === DaemonState.Alive;
 };
 
+const isFreshDaemon = (world: World, daemon: DaemonRow): boolean => {
+  if (!daemon.isSelf) return daemon.isFresh;
+  return world.freshness.get(freshnessId)?.isFresh ?? !world.hasControl;
+};
+
 const rank = (
+  world: World,
   daemon: DaemonRow,
   zone: string | undefined,
   region: string | undefined,
-  random: Random,
 ): RankedDaemon => ({
+  isFresh: isFreshDaemon(world, daemon),
   daemon,
   distance: distanceOf(daemon, zone, region),
   load: Math.floor(daemon.load / loadStep),
-  draw: random.below(drawBound),
+  draw: world.random.below(drawBound),
 });
 
 const compareRanks = (first: RankedDaemon, second: RankedDaemon): number =>
-  first.distance - second.distance || first.load - second.load || first.draw - second.draw;
+  Number(second.isFresh) - Number(first.isFresh) ||
+  first.distance - second.distance ||
+  first.load - second.load ||
+  first.draw - second.draw;
 
 /** Ranks the entries for a caller in `zone`; without a zone only load and the draw decide. */
 export const adviseAddresses = (world: World, zone: string | undefined): Advice => {
@@ -68,14 +81,15 @@
   const region = daemons.find((daemon) => daemon.zone === zone)?.region;
   const ranked = daemons
     .filter((daemon) => isAdvisable(daemon, world.isLeaving()))
-    .map((daemon) => rank(daemon, zone, region, world.random))
+    .map((daemon) => rank(world, daemon, zone, region))
     .sort(compareRanks);
   return {
-    addresses: ranked.map(({ daemon }) => ({
+    addresses: ranked.map(({ daemon, isFresh }) => ({
       daemon: daemon.id,
       address: daemon.callerAddress,
       zone: daemon.zone,
       region: daemon.region,
+      isFresh,
     })),
     keepMilliseconds: world.deployment.timing.adviceMilliseconds,
   };
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -10,6 +10,7 @@
   createPublicationSystem,
   insertSettings,
 } from '../../configuration/common/publicationSystem.js';
+import { createRevocationSystem } from '../../configuration/common/revocationSystem.js';
 import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
 import { createReplicaSystem, insertReplica } from '../../consensus/common/replicaSystem.js';
@@ -38,6 +39,7 @@
   createApplySystem,
   createPublicationSystem,
   createRotationSystem,
+  createRevocationSystem,
   createDaemonSystem,
   createAnnouncementSystem,
   createOrderSystem,
--- a/src/service/dispatch/test/common/retry.test.ts
+++ b/src/service/dispatch/test/common/retry.test.ts
@@ -8,6 +8,7 @@
 import {
   createTestDeployment,
   createTestTree,
+  settleMilliseconds,
 } from '../../../../../standins/virtual/testDeployment.js';
 import { requestOn, sendRequest } from '../../../../../standins/virtual/trafficFixture.js';
 import { createVirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
@@ -30,7 +31,7 @@
     seed: 1,
     ports: [upstreams.createPort],
   });
-  installation.runFor(10);
+  installation.runFor(settleMilliseconds);
   const worldOf = (name: string) => installation.daemon(name).core.world;
   return { installation, upstreams, worldOf };
 };
@@ -165,7 +166,7 @@
     seed: 1,
     ports: [upstreams.createPort],
   });
-  installation.runFor(10);
+  installation.runFor(settleMilliseconds);
   upstreams.setOutcome(() => DirectOutcome.Crash);
   const service = asBrand<ServiceName>('depot');
   const id = sendRequest(installation, 'd1', { key: 'key-one', service, model: null });
--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -10,6 +10,10 @@
   /** Requests that the sender runs or holds. */
   load: z.number().int().nonnegative(),
   leaving: z.boolean(),
+  /** Revision of the settings that the sender serves with. */
+  revision: z.number().int().nonnegative(),
+  /** Whether the sender knows that its settings are those in force. */
+  isFresh: z.boolean(),
 });
 
 export const upstreamAnnouncedSchema = z.object({
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -33,6 +33,10 @@
   readonly incarnation: number;
   /** Requests that it runs or holds, by its own last heartbeat. */
   readonly load: number;
+  /** Revision of the settings that it serves with, by its last heartbeat. */
+  readonly revision: number;
+  /** Whether it knew at its last heartbeat that its settings are those in force. */
+  readonly isFresh: boolean;
   /** When it becomes suspected unless it is heard from. */
   readonly suspicionDeadline: Instant;
   /** When the next heartbeat goes to it. */
--- a/src/service/routing/test/common/fairQueue.test.ts
+++ b/src/service/routing/test/common/fairQueue.test.ts
@@ -1,7 +1,11 @@
 /** Fair queueing: a workspace that floods does not hold up another, and bulk work leaves room for prompt. */
 import test from 'ava';
 import { treeSchema, type Policy, type Tree } from '../../../configuration/common/tree.js';
-import { createTestDeployment, digestOf } from '../../../../../standins/virtual/testDeployment.js';
+import {
+  createTestDeployment,
+  digestOf,
+  settleMilliseconds,
+} from '../../../../../standins/virtual/testDeployment.js';
 import { sendRequest, startOf } from '../../../../../standins/virtual/trafficFixture.js';
 import { createVirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
 import { createDirectUpstreams } from '../../../../../standins/virtual/directUpstreams.js';
@@ -31,7 +35,7 @@
     seed: 1,
     ports: [upstreams.createPort],
   });
-  installation.runFor(10);
+  installation.runFor(settleMilliseconds);
   return installation;
 };
 
--- a/src/service/traffic/common/trafficTables.ts
+++ b/src/service/traffic/common/trafficTables.ts
@@ -144,7 +144,7 @@
 const createRequestTable = () =>
   createTable<
     RequestRow,
-    'waitingFor' | 'state' | 'workspaceState' | 'callerWaiting' | 'flow',
+    'waitingFor' | 'state' | 'key' | 'workspaceState' | 'callerWaiting' | 'flow',
     'queue' | 'request' | 'retention' | 'backoff',
     never,
     'flow' | 'newestBulk' | 'newestBulkOfAll'
@@ -153,6 +153,7 @@
     indices: {
       waitingFor: (row) => (isRoutable(row) ? poolOfRequest(row) : undefined),
       state: (row) => row.state,
+      key: (row) => row.keyDigest ?? undefined,
       workspaceState: workspaceStateOf,
       callerWaiting: (row) => (isWaitingCaller(row) ? allWorkspaces : undefined),
       flow: (row) => (isRoutable(row) ? row.flow! : undefined),
--- a/standins/virtual/testDeployment.ts
+++ b/standins/virtual/testDeployment.ts
@@ -3,6 +3,7 @@
  */
 import { createHash } from 'node:crypto';
 import { asBrand } from '../../src/base/common/brand.js';
+import type { Milliseconds } from '../../src/base/common/time.js';
 import {
   deploymentSchema,
   type Deployment,
@@ -13,6 +14,9 @@
 const firstCallerPort = 7101;
 const firstPeerPort = 7201;
 
+/** Until a leader is elected and every daemon knows that its settings are in force. */
+export const settleMilliseconds: Milliseconds = 10_000;
+
 /** `count` daemons named `d1`, `d2`, … in zones `z1` to `z3`; the first `voters` of them have disks. */
 export const createTestDeployment = (count: number, voters: number): Deployment =>
   deploymentSchema.parse({
@@ -47,4 +51,5 @@
       one: { services: ['model', 'depot'], keys: { main: { digest: digestOf('key-one') } } },
       two: { services: ['model'], keys: { main: { digest: digestOf('key-two') } } },
     },
+    operators: { chief: { digest: digestOf('operator-key') } },
   });
