--- a/src/command/operator/test/node/operatorCommands.test.ts
+++ b/src/command/operator/test/node/operatorCommands.test.ts
@@ -174,6 +174,13 @@
     ),
   );
   t.regex(outputs[0]!.output, /^one second withdrawn$/m);
+  const answers = await Promise.all(
+    [
+      ['key', 'list'],
+      ['member', 'list'],
+      ['tree', 'get'],
+    ].map((argv) => runAgainst(daemon, ...argv, '--json')),
+  );
   await daemon.dispose();
   const searched = [
     await readAll(folder),
@@ -181,7 +188,7 @@
     JSON.stringify(engine.requests()),
     refused.text,
     wrong.text,
-    ...outputs.flatMap(({ output, error }) => [output, error]),
+    ...[...outputs, ...answers].flatMap(({ output, error }) => [output, error]),
   ];
   t.true(searched[0]!.includes('settingsPublished'));
   [key, operatorKey, callerKey, 'key-that-nobody-issued'].forEach((secret) =>
