--- a/src/daemon/front/node/callerRoutes.ts
+++ b/src/daemon/front/node/callerRoutes.ts
@@ -17,7 +17,7 @@
 import type { RequestContent } from '../../exchange/node/exchange.js';
 import { describeFaults, parseJson, type RouteEnvironment } from './decoding.js';
 import { errorResponse } from './errorResponse.js';
-import { readKeyDigest } from './keys.js';
+import { holdsKey, readKey, readKeyDigest } from './keys.js';
 import type { DecodedRequest, Submitter } from './submission.js';
 
 type RouteContext = Context<RouteEnvironment>;
@@ -52,15 +52,16 @@
   );
 
 const findModelService = (world: World, model: string): ServiceName | null =>
-  [...world.services.rows()].find((row) => row.settings.models.includes(model))?.id ?? null;
-
-const isUnderPath = (path: string, prefix: string): boolean =>
-  path === prefix || path.startsWith(`${prefix}/`);
-
-const findPlainService = (world: World, path: string): ServiceName | null =>
-  [...world.services.rows()].find(
-    (row) => row.settings.path !== undefined && isUnderPath(path, row.settings.path),
-  )?.id ?? null;
+  world.services.drawable('model', model)[0]?.id ?? null;
+
+/** The service with the longest path that is the path or holds it, by whole segments. */
+const findPlainService = (world: World, path: string): ServiceName | null => {
+  for (let end = path.length; end > 0; end = path.lastIndexOf('/', end - 1)) {
+    const [service] = world.services.where('path', path.slice(0, end));
+    if (service !== undefined) return service.id;
+  }
+  return null;
+};
 
 /** The digest by which a request is known that is sent again. */
 const digestContent = (method: string, path: string, body: Uint8Array): string =>
@@ -80,6 +81,10 @@
   decoded: DecodedRequest,
   content: RequestContent,
 ): Promise<Response> => {
+  const key = readKey(context.req.raw.headers);
+  if (key !== null && holdsKey(key, content)) {
+    return Promise.resolve(errorResponse(createRefusal(RefusalKind.KeyInContent, true)));
+  }
   const { request, response } = submitter.submit(decoded, content);
   const { outgoing } = context.env;
   outgoing.once('close', () => {
--- a/src/daemon/front/node/errorResponse.ts
+++ b/src/daemon/front/node/errorResponse.ts
@@ -10,6 +10,7 @@
   withdrawnKey: 401,
   unknownService: 404,
   serviceNotAllowed: 403,
+  keyInContent: 400,
   bodyNotJson: 400,
   bodyInvalid: 400,
   bodyTooLarge: 413,
--- a/src/daemon/front/node/keys.ts
+++ b/src/daemon/front/node/keys.ts
@@ -2,6 +2,7 @@
  * Keys at the border: a key is turned into its digest as soon as it has been read, and goes no further.
  */
 import { createHash } from 'node:crypto';
+import { Result } from 'neverthrow';
 import { asBrand } from '../../../base/common/brand.js';
 import type { KeyDigest } from '../../../service/world/common/identifiers.js';
 
@@ -20,3 +21,22 @@
   const key = readKey(headers);
   return key === null ? null : digestKey(key);
 };
+
+/** Headers that go on to upstreams, a path with its query, and a body. */
+export interface KeyCarrier {
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array | null;
+}
+
+const decodePath = Result.fromThrowable(decodeURIComponent, () => undefined);
+
+/**
+ * Whether the key that came with a request also stands in what would go on to an upstream. Percent codes
+ * of the path are decoded; a key that a body holds in another encoding is not seen.
+ */
+export const holdsKey = (key: string, { path, headers, body }: KeyCarrier): boolean =>
+  path.includes(key) ||
+  decodePath(path.replaceAll('+', ' ')).unwrapOr('').includes(key) ||
+  Object.values(headers).some((value) => value.includes(key)) ||
+  (body !== null && Buffer.from(body.buffer, body.byteOffset, body.byteLength).includes(key));
--- /dev/null
+++ b/src/daemon/front/test/node/callerKeys.test.ts
@@ -0,0 +1,71 @@
+/** No upstream sees a key of a caller: not in a header, a query or a body. */
+import test from 'ava';
+import { startPlain } from '../../../../../standins/index.js';
+import {
+  call,
+  errorOf,
+  openTestDaemon,
+  untilUpstreams,
+  type CallOptions,
+} from '../../../main/test/node/testDaemon.js';
+
+const key = 'key-one';
+
+interface Carrier {
+  readonly path: string;
+  readonly body: string | null;
+  readonly headers?: Record<string, string>;
+}
+
+/** Requests that carry the key outside the header made for it. */
+const carriers: Readonly<Record<string, Carrier>> = {
+  'the query': { path: `/depot/stock?api_key=${key}`, body: '{}' },
+  'the query in percent codes': { path: '/depot/stock?api_key=%6bey-one', body: '{}' },
+  'the path': { path: `/depot/${key}/stock`, body: '{}' },
+  'the body': { path: '/depot/stock', body: JSON.stringify({ token: key }) },
+  'a header that goes on': { path: '/depot/stock', body: '{}', headers: { 'x-request-id': key } },
+};
+
+const withPlain = async (
+  run: (daemon: Awaited<ReturnType<typeof openTestDaemon>>, plain: Plain) => Promise<void>,
+): Promise<void> => {
+  const daemon = await openTestDaemon();
+  const plain = await startPlain({ service: 'depot' });
+  plain.announceTo([`http://${daemon.callerAddress}`]);
+  await untilUpstreams(daemon, 1);
+  try {
+    await run(daemon, plain);
+  } finally {
+    await plain.dispose();
+    await daemon.dispose();
+  }
+};
+
+type Plain = Awaited<ReturnType<typeof startPlain>>;
+
+for (const [name, { path, body, headers }] of Object.entries(carriers)) {
+  test(`a request with its key in ${name} is refused and reaches no upstream`, (t) =>
+    withPlain(async (daemon, plain) => {
+      const options: CallOptions = headers === undefined ? { key } : { key, headers };
+      const answer = await call(daemon, path, body, options);
+      t.is(answer.status, 400);
+      t.is(errorOf(answer).code, 'keyInContent');
+      t.true(errorOf(answer).not_run);
+      t.is(plain.counters().received, 0);
+    }));
+}
+
+test('a request with its key in the right header runs, and the upstream sees no key', (t) =>
+  withPlain(async (daemon, plain) => {
+    const answer = await call(daemon, '/depot/stock?item=3', '{"count":1}', { key });
+    t.is(answer.status, 200);
+    t.is(plain.counters().ran, 1);
+    t.false(JSON.stringify(plain.calls()).includes(key));
+  }));
+
+test('a path is matched by whole segments', (t) =>
+  withPlain(async (daemon, plain) => {
+    const answer = await call(daemon, '/depots/stock', '{}', { key });
+    t.is(errorOf(answer).code, 'unknownService');
+    t.is(plain.counters().received, 0);
+  }));
--- a/src/service/configuration/common/configurationTables.ts
+++ b/src/service/configuration/common/configurationTables.ts
@@ -25,7 +25,12 @@
 }
 
 export const createConfigurationTables = () => ({
-  services: createTable<ServiceRow>({ name: 'services', indices: {}, deadlines: {} }),
+  services: createTable<ServiceRow, 'path', never, 'model'>({
+    name: 'services',
+    indices: { path: (row) => row.settings.path },
+    deadlines: {},
+    draws: { model: (row) => row.settings.models },
+  }),
   workspaces: createTable<WorkspaceRow>({ name: 'workspaces', indices: {}, deadlines: {} }),
   keys: createTable<KeyRow, 'workspace'>({
     name: 'keys',
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -10,6 +10,7 @@
   WithdrawnKey: 'withdrawnKey',
   UnknownService: 'unknownService',
   ServiceNotAllowed: 'serviceNotAllowed',
+  KeyInContent: 'keyInContent',
   BodyNotJson: 'bodyNotJson',
   BodyInvalid: 'bodyInvalid',
   BodyTooLarge: 'bodyTooLarge',
@@ -44,6 +45,8 @@
   withdrawnKey: 'The key was withdrawn; ask the operator of your workspace for a new one.',
   unknownService: 'No service has this path or model; check its spelling in the settings tree.',
   serviceNotAllowed: 'The workspace may not use this service; ask its operator to add it.',
+  keyInContent:
+    'The query or body holds the key; send it only as `Authorization: Bearer KEY` and renew the key.',
   bodyNotJson: 'The body is not JSON; send a JSON object with `content-type: application/json`.',
   bodyInvalid: 'The body lacks members or has wrong ones; correct them as named.',
   bodyTooLarge: 'The body is over the limit; send less or ask the operator to raise the limit.',
