--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -16,6 +16,7 @@
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
+import { createOrderTables } from '../../orders/common/orderTables.js';
 import { createRolloutTables } from '../../rollout/common/rolloutTables.js';
 import { createTrafficTables } from '../../traffic/common/trafficTables.js';
 import { createUsageTables } from '../../usage/common/usageTables.js';
@@ -30,6 +31,7 @@
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
+  ...createOrderTables(),
   ...createRolloutTables(),
   ...createServedTables(),
   ...createSettingsTables(),
@@ -62,9 +64,12 @@
   /** The settings tree in force. */
   readonly tree: () => Tree;
   readonly setTree: (tree: Tree) => void;
-  /** Whether this daemon is leaving and takes no new requests. */
+  /** Whether this daemon is leaving: it is not advised any more, and still takes requests. */
   readonly isLeaving: () => boolean;
   readonly setLeaving: () => void;
+  /** Whether the advice that was given before has run out, so that new requests are refused. */
+  readonly isRefusingNew: () => boolean;
+  readonly setRefusingNew: () => void;
   readonly allTables: readonly AnyTable[];
 }
 
@@ -73,6 +78,7 @@
   const tables = createTables();
   let { tree } = options;
   let leaving = false;
+  let refusingNew = false;
   return {
     ...tables,
     deployment: options.deployment,
@@ -89,6 +95,10 @@
     setLeaving: () => {
       leaving = true;
     },
+    isRefusingNew: () => refusingNew,
+    setRefusingNew: () => {
+      refusingNew = true;
+    },
     allTables: Object.values(tables),
   };
 };
