--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -11,6 +11,7 @@
   StaleConfiguration: 'staleConfiguration',
   UnknownService: 'unknownService',
   ServiceNotAllowed: 'serviceNotAllowed',
+  KeyInContent: 'keyInContent',
   BodyNotJson: 'bodyNotJson',
   BodyInvalid: 'bodyInvalid',
   BodyTooLarge: 'bodyTooLarge',
@@ -47,6 +48,8 @@
     'This entry cannot tell whether the key still holds; ask for another address and send again there.',
   unknownService: 'No service has this path or model; check its spelling in the settings tree.',
   serviceNotAllowed: 'The workspace may not use this service; ask its operator to add it.',
+  keyInContent:
+    'The query or body holds the key; send it only as `Authorization: Bearer KEY` and renew the key.',
   bodyNotJson: 'The body is not JSON; send a JSON object with `content-type: application/json`.',
   bodyInvalid: 'The body lacks members or has wrong ones; correct them as named.',
   bodyTooLarge: 'The body is over the limit; send less or ask the operator to raise the limit.',
