Filter the time line, write it as a page, and explain requests

Cause: to see why a request was refused, one had to read the merged event files by eye.

`shallotquay timeline` filters by request, sample, upstream, revision, kind and process; a request brings its attempts with it, and a sample its requests.

Not run: the page in a browser, since none is installed.

--- a/src/command/main/node/program.ts
+++ b/src/command/main/node/program.ts
@@ -3,6 +3,7 @@
  */
 import { Command, CommanderError } from 'commander';
 import { registerCheckCommand } from '../../check/node/checkCommand.js';
+import { registerExplainCommand } from '../../explain/node/explainCommand.js';
 import { registerKeyCommand } from '../../key/node/keyCommand.js';
 import { registerRunCommand } from '../../run/node/runCommand.js';
 import { registerTimelineCommand } from '../../timeline/node/timelineCommand.js';
@@ -12,6 +13,7 @@
 /** Every subcommand by its name; the order is that of the help text. */
 const subcommands: Readonly<Record<string, RegisterSubcommand>> = {
   check: registerCheckCommand,
+  explain: registerExplainCommand,
   key: registerKeyCommand,
   run: registerRunCommand,
   timeline: registerTimelineCommand,
--- a/src/command/timeline/node/timelineCommand.ts
+++ b/src/command/timeline/node/timelineCommand.ts
@@ -1,6 +1,7 @@
 /**
  * `shallotquay timeline FOLDER`: merges the event files of all processes into one ordered time line.
  */
+import { writeFileSync } from 'node:fs';
 import { Result } from 'neverthrow';
 import {
   formatEvent,
@@ -12,6 +13,8 @@
   readTimelineFile,
   type TimelineFileError,
 } from '../../../platform/timeline/node/timelineFile.js';
+import { filterEvents, type EventFilter } from '../../../service/timeline/common/eventFilter.js';
+import { formatTimelinePage } from '../../../service/timeline/common/timelinePage.js';
 import { ExitCode } from '../../main/common/exitCode.js';
 import type { RegisterSubcommand, SubcommandContext } from '../../main/node/subcommand.js';
 
@@ -22,9 +25,9 @@
 Example:
   shallotquay timeline data/kestrelkloof/events --about request-gp-north-1`;
 
-interface TimelineOptions {
-  readonly about?: string;
+interface TimelineOptions extends EventFilter {
   readonly last?: string;
+  readonly html?: string;
 }
 
 /** Reads all event files in a folder and merges them. */
@@ -33,19 +36,34 @@
     .andThen((files) => Result.combine(files.map(readTimelineFile)))
     .map(mergeTimelines);
 
-const isAbout = (event: TimelineEvent, text: string | undefined): boolean =>
-  text === undefined || Object.values(event.subject).some((value) => String(value).includes(text));
-
 const lastOf = <Value>(values: readonly Value[], count: string | undefined): readonly Value[] =>
   count === undefined ? values : values.slice(-Number(count));
 
+const writeText = (events: readonly TimelineEvent[], context: SubcommandContext): void =>
+  events.forEach((event) => context.writeOutput(`${formatEvent(event)}\n`));
+
+const writePage = (
+  events: readonly TimelineEvent[],
+  file: string,
+  context: SubcommandContext,
+): void =>
+  Result.fromThrowable(
+    () => writeFileSync(file, formatTimelinePage(events)),
+    () => `${file} can't be written; give a file in a folder that exists.`,
+  )().match(
+    () => context.writeOutput(`${file} holds ${events.length} events\n`),
+    (message) => {
+      context.writeError(`${message}\n`);
+      context.setExitCode(ExitCode.Failure);
+    },
+  );
+
 const show = (folder: string, options: TimelineOptions, context: SubcommandContext): void =>
   readMergedTimeline(folder).match(
     (events) => {
-      const selected = events.filter((event) => isAbout(event, options.about));
-      lastOf(selected, options.last).forEach((event) =>
-        context.writeOutput(`${formatEvent(event)}\n`),
-      );
+      const selected = lastOf(filterEvents(events, options), options.last);
+      if (options.html === undefined) writeText(selected, context);
+      else writePage(selected, options.html, context);
     },
     (error) => {
       context.writeError(`${error.message}\n`);
@@ -59,8 +77,15 @@
     .command('timeline')
     .description('merge the event files of all processes into one time line')
     .argument('<folder>', 'folder of the event files, as in the setting eventFolder')
+    .option('--request <id>', 'only events of a request and its attempts')
+    .option('--sample <id>', 'only events of a sample, its requests and their attempts')
+    .option('--upstream <name>', 'only events that concern an upstream')
+    .option('--revision <number>', 'only events of a revision of the settings')
+    .option('--kind <kind>', 'only events of a kind, such as requestRefused')
+    .option('--process <name>', 'only events of a process')
     .option('--about <text>', 'only events whose subject has this text')
     .option('--last <count>', 'only the last events')
+    .option('--html <file>', 'write one HTML page in place of text')
     .addHelpText('after', exampleText)
     .action((folder: string, options: TimelineOptions) => show(folder, options, context));
 };
--- /dev/null
+++ b/src/command/timeline/test/node/timelineCommands.test.ts
@@ -0,0 +1,74 @@
+/** The commands timeline and explain over event files. */
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Readable } from 'node:stream';
+import test, { type ExecutionContext } from 'ava';
+import { ExitCode } from '../../../main/common/exitCode.js';
+import { runProgram } from '../../../main/node/program.js';
+
+const run = async (argv: readonly string[]) => {
+  const written = { output: '', error: '' };
+  const exitCode = await runProgram(argv, {
+    standardInput: Readable.from([]),
+    writeOutput: (text) => {
+      written.output += text;
+    },
+    writeError: (text) => {
+      written.error += text;
+    },
+  });
+  return { exitCode, ...written };
+};
+
+const lineOf = (wall: number, process: string, kind: string, subject: object): string =>
+  `${JSON.stringify({ stamp: { wall, counter: 0 }, process, kind, subject })}\n`;
+
+const createFolder = async (t: ExecutionContext): Promise<string> => {
+  const folder = await mkdtemp(join(tmpdir(), 'timeline-'));
+  t.teardown(() => rm(folder, { recursive: true }));
+  const refusal = { request: 'request-1', reason: 'unknownKey', notRun: true };
+  await writeFile(join(folder, 'd1.events.jsonl'), lineOf(2, 'd1', 'requestRefused', refusal));
+  await writeFile(
+    join(folder, 'd2.events.jsonl'),
+    lineOf(1, 'd2', 'upstreamGone', { upstream: 'e1' }),
+  );
+  return folder;
+};
+
+test('timeline merges files and filters by kind', async (t) => {
+  const folder = await createFolder(t);
+  const whole = await run(['timeline', folder]);
+  t.regex(whole.output, /upstreamGone[^]*requestRefused/);
+  const filtered = await run(['timeline', folder, '--kind', 'upstreamGone']);
+  t.is(filtered.output.trim().split('\n').length, 1);
+});
+
+test('timeline writes a page', async (t) => {
+  const folder = await createFolder(t);
+  const file = join(folder, 'page.html');
+  const { exitCode, output } = await run(['timeline', folder, '--html', file]);
+  t.is(exitCode, ExitCode.Success);
+  t.is(output, `${file} holds 2 events\n`);
+  t.regex(await readFile(file, 'utf8'), /^<!doctype html>/);
+});
+
+test('timeline says so where the page can not be written', async (t) => {
+  const folder = await createFolder(t);
+  const { exitCode, error } = await run(['timeline', folder, '--html', join(folder, 'no', 'page')]);
+  t.is(exitCode, ExitCode.Failure);
+  t.regex(error, /give a file in a folder that exists/);
+});
+
+test('explain tells why a request was refused', async (t) => {
+  const folder = await createFolder(t);
+  const { exitCode, output } = await run(['explain', 'request-1', folder]);
+  t.is(exitCode, ExitCode.Success);
+  t.regex(output, /was refused on d1\.\nReason: unknownKey\. It did not run\./);
+});
+
+test('explain refuses an unknown identifier and an unreadable folder', async (t) => {
+  const folder = await createFolder(t);
+  t.is((await run(['explain', 'request-2', folder])).exitCode, ExitCode.InvalidInput);
+  t.is((await run(['explain', 'request-1', join(folder, 'no')])).exitCode, ExitCode.InvalidInput);
+});
--- /dev/null
+++ b/src/service/timeline/common/eventFilter.ts
@@ -0,0 +1,79 @@
+/**
+ * Filters of the time line: by request, sample, upstream, revision, kind, process, or any text of the
+ * subject. What belongs to a request or a sample is found through the attempts between them.
+ */
+import type { TimelineEvent } from '../../../platform/timeline/common/timelineEvent.js';
+
+/** What is wanted; everything that is left out lets every event through. */
+export interface EventFilter {
+  readonly request?: string | undefined;
+  readonly sample?: string | undefined;
+  readonly upstream?: string | undefined;
+  readonly revision?: string | undefined;
+  readonly kind?: string | undefined;
+  readonly process?: string | undefined;
+  /** Any part of any value of the subject. */
+  readonly about?: string | undefined;
+}
+
+type FilterName = keyof EventFilter;
+type Matches = (event: TimelineEvent, wanted: string) => boolean;
+
+const attemptsOf = (events: readonly TimelineEvent[], column: string, id: string): Set<string> =>
+  new Set(
+    events
+      .filter(({ subject }) => subject[column] === id)
+      .flatMap(({ subject }) => (typeof subject.attempt === 'string' ? [subject.attempt] : [])),
+  );
+
+const requestsOfSample = (events: readonly TimelineEvent[], sample: string): Set<string> =>
+  new Set(
+    events
+      .filter(({ subject }) => subject.sample === sample)
+      .flatMap(({ subject }) => (typeof subject.request === 'string' ? [subject.request] : [])),
+  );
+
+const isOneOf = (values: ReadonlySet<string>, value: unknown): boolean =>
+  typeof value === 'string' && values.has(value);
+
+const matchesRequests = (events: readonly TimelineEvent[], requests: ReadonlySet<string>) => {
+  const attempts = new Set([...requests].flatMap((id) => [...attemptsOf(events, 'request', id)]));
+  return ({ subject }: TimelineEvent): boolean =>
+    isOneOf(requests, subject.request) || isOneOf(attempts, subject.attempt);
+};
+
+const hasColumn =
+  (column: string): Matches =>
+  ({ subject }, wanted) =>
+    String(subject[column] ?? '') === wanted;
+
+/** Creates the test of each filter over all events. */
+const createMatches: Readonly<
+  Record<FilterName, (events: readonly TimelineEvent[], wanted: string) => Matches>
+> = {
+  request: (events, wanted) => matchesRequests(events, new Set([wanted])),
+  sample: (events, wanted) => {
+    const ofRequest = matchesRequests(events, requestsOfSample(events, wanted));
+    return (event) => event.subject.sample === wanted || ofRequest(event);
+  },
+  upstream: () => hasColumn('upstream'),
+  revision: () => hasColumn('revision'),
+  kind: () => (event, wanted) => event.kind === wanted,
+  process: () => (event, wanted) => event.process === wanted,
+  about: () => (event, wanted) =>
+    Object.values(event.subject).some((value) => String(value).includes(wanted)),
+};
+
+const filterNames = Object.keys(createMatches) as FilterName[];
+
+/** The events that pass every filter, in their order. */
+export const filterEvents = (
+  events: readonly TimelineEvent[],
+  filter: EventFilter,
+): readonly TimelineEvent[] =>
+  filterNames.reduce<readonly TimelineEvent[]>((left, name) => {
+    const wanted = filter[name];
+    if (wanted === undefined) return left;
+    const matches = createMatches[name](events, wanted);
+    return left.filter((event) => matches(event, wanted));
+  }, events);
