--- /dev/null
+++ b/proof/matrix/faults.ts
@@ -0,0 +1,235 @@
+/**
+ * The faults of the matrix: what each does to a system in which a flow runs, how it ends, and which flows
+ * it can't touch.
+ */
+import type { ValueOf } from '../../src/base/common/handlers.js';
+import { putEdit, withdrawEdit } from '../../standins/virtual/settingsEdits.js';
+import { UpstreamFaultKind, type UpstreamFault } from '../../standins/virtual/virtualUpstream.js';
+import { FailureName } from '../coverage/failures.js';
+import { Capability } from '../system/capabilities.js';
+import { keyOf, type ProofSystem } from '../system/proofSystem.js';
+import { digestOf } from '../../standins/virtual/testDeployment.js';
+import { FlowName, type BegunFlow } from './flows.js';
+
+export const FaultName = {
+  UpstreamCrash: 'upstreamCrash',
+  UpstreamSilence: 'upstreamSilence',
+  SilentConnections: 'silentConnections',
+  LateAnswers: 'lateAnswers',
+  UpstreamRefusal: 'upstreamRefusal',
+  Reclaim: 'reclaim',
+  WeightSwap: 'weightSwap',
+  DaemonCrash: 'daemonCrash',
+  DaemonRestart: 'daemonRestart',
+  DaemonFreeze: 'daemonFreeze',
+  Partition: 'partition',
+  SecondLoss: 'secondLoss',
+  PoisonousRequest: 'poisonousRequest',
+  KeyWithdrawal: 'keyWithdrawal',
+  RacingEdits: 'racingEdits',
+  CrashAndPartition: 'crashAndPartition',
+} as const;
+export type FaultName = ValueOf<typeof FaultName>;
+
+/** Why a fault and a flow have no cell. */
+export const InapplicableReason = {
+  /** The flow needs no upstream, so that nothing of it is at the upstream that fails. */
+  UsesNoUpstream: 'the flow uses no upstream',
+  /** The flow sends no request that could be poisonous. */
+  SendsNoRequest: 'the flow sends no request of a caller',
+  /** A plain service has no weights. */
+  HasNoWeights: 'the upstream of the flow has no weights',
+  /** The fault is the flow itself. */
+  IsTheFlow: 'the fault is the flow itself',
+} as const;
+export type InapplicableReason = ValueOf<typeof InapplicableReason>;
+
+export interface Fault {
+  readonly failures: readonly FailureName[];
+  readonly needs: Capability;
+  readonly inapplicable: Readonly<Partial<Record<FlowName, InapplicableReason>>>;
+  readonly inject: (system: ProofSystem, flow: BegunFlow) => void;
+  /** Ends what the fault leaves behind, so that the flow can be seen to recover. */
+  readonly recover: (system: ProofSystem, flow: BegunFlow) => void;
+}
+
+const withoutUpstream = {
+  edit: InapplicableReason.UsesNoUpstream,
+  keyWithdrawal: InapplicableReason.UsesNoUpstream,
+} as const;
+
+const targetOf = (system: ProofSystem, flow: BegunFlow): string =>
+  flow.upstream() ?? system.upstreams.names()[0]!;
+
+const upstreamFault = (
+  failures: readonly FailureName[],
+  fault: UpstreamFault,
+  recovery: UpstreamFault,
+): Fault => ({
+  failures,
+  needs: Capability.Traffic,
+  inapplicable: withoutUpstream,
+  inject: (system, flow) => system.upstreams.inject(targetOf(system, flow), fault),
+  recover: (system) =>
+    system.upstreams
+      .names()
+      .filter((name) => recovery.kind !== 'restart' || system.upstreams.get(name).isDown)
+      .forEach((name) => system.upstreams.inject(name, recovery)),
+});
+
+const nothing = (): void => {};
+const restart: UpstreamFault = { kind: UpstreamFaultKind.Restart };
+const recovered: UpstreamFault = { kind: UpstreamFaultKind.Recover };
+const longDelay = 12_000;
+const shortNotice = 3_000;
+const newWeights = 2;
+
+const isRunning = (system: ProofSystem, daemon: string): boolean =>
+  system.installation.runningNames().includes(daemon);
+
+const stopDaemon = (system: ProofSystem, daemon: string): void => {
+  if (isRunning(system, daemon)) system.stop(daemon);
+};
+
+const startDaemon = (system: ProofSystem, daemon: string): void => {
+  if (!isRunning(system, daemon)) system.start(daemon);
+};
+
+const otherVoter = (system: ProofSystem, daemon: string): string =>
+  system.site.deployment.daemons.find(
+    ({ name, roles }) => name !== daemon && roles.includes('control'),
+  )!.name;
+
+const daemonFault = (
+  failures: readonly FailureName[],
+  inject: Fault['inject'],
+  recover: Fault['recover'],
+): Fault => ({ failures, needs: Capability.Traffic, inapplicable: {}, inject, recover });
+
+const crashDaemon = daemonFault(
+  [FailureName.DaemonCrash],
+  (system, { daemon }) => stopDaemon(system, daemon),
+  (system, { daemon }) => startDaemon(system, daemon),
+);
+
+const cutOff = daemonFault(
+  [FailureName.ControlPartition],
+  (system, { daemon }) => system.isolate([daemon]),
+  (system, { daemon }) => system.rejoin([daemon]),
+);
+
+const crashUpstream = upstreamFault(
+  [FailureName.EngineCrash],
+  { kind: UpstreamFaultKind.Crash },
+  restart,
+);
+
+/** The fault of each name; the type checker proves that none is missing. */
+export const faults: Readonly<Record<FaultName, Fault>> = {
+  upstreamCrash: crashUpstream,
+  upstreamSilence: upstreamFault(
+    [FailureName.SilentConnection],
+    { kind: UpstreamFaultKind.Silence },
+    recovered,
+  ),
+  silentConnections: upstreamFault(
+    [FailureName.SilentConnection],
+    { kind: UpstreamFaultKind.SilenceOpen },
+    recovered,
+  ),
+  lateAnswers: upstreamFault(
+    [FailureName.SilentConnection],
+    { kind: UpstreamFaultKind.Late, delay: longDelay },
+    recovered,
+  ),
+  upstreamRefusal: upstreamFault(
+    [FailureName.EngineCrash],
+    { kind: UpstreamFaultKind.Refuse },
+    recovered,
+  ),
+  reclaim: upstreamFault(
+    [FailureName.Reclaim],
+    { kind: UpstreamFaultKind.Reclaim, notice: shortNotice },
+    restart,
+  ),
+  weightSwap: {
+    ...upstreamFault(
+      [FailureName.WeightSwapFailure],
+      { kind: UpstreamFaultKind.SwapWeights, weightVersion: newWeights },
+      recovered,
+    ),
+    inapplicable: {
+      ...withoutUpstream,
+      nonIdempotentCall: InapplicableReason.HasNoWeights,
+    },
+    recover: (system) => system.releaseWeights(newWeights),
+  },
+  daemonCrash: crashDaemon,
+  daemonRestart: daemonFault(
+    [FailureName.DaemonCrash, FailureName.LateRestart],
+    (system, { daemon }) => {
+      stopDaemon(system, daemon);
+      startDaemon(system, daemon);
+    },
+    nothing,
+  ),
+  daemonFreeze: daemonFault(
+    [FailureName.ControlPartition],
+    (system, { daemon }) => system.freeze(daemon),
+    (system, { daemon }) => system.thaw(daemon),
+  ),
+  partition: cutOff,
+  secondLoss: daemonFault(
+    [FailureName.SecondLoss],
+    (system, { daemon }) => {
+      stopDaemon(system, daemon);
+      startDaemon(system, daemon);
+      stopDaemon(system, otherVoter(system, daemon));
+    },
+    (system, { daemon }) => startDaemon(system, otherVoter(system, daemon)),
+  ),
+  poisonousRequest: {
+    ...crashUpstream,
+    failures: [FailureName.PoisonousRequest],
+    needs: Capability.Quarantine,
+    inapplicable: {
+      ...withoutUpstream,
+      sample: InapplicableReason.SendsNoRequest,
+    },
+    inject: (system) => system.upstreams.poison(() => true),
+  },
+  keyWithdrawal: {
+    failures: [FailureName.KeyWithdrawal],
+    needs: Capability.Edits,
+    inapplicable: { keyWithdrawal: InapplicableReason.IsTheFlow },
+    inject: (system) => {
+      const workspace = system.site.engineWorkspace;
+      const command = withdrawEdit('fault', workspace, 'main');
+      system.operators.send(system.advisedDaemon(), command, digestOf(keyOf(workspace)));
+    },
+    recover: nothing,
+  },
+  racingEdits: {
+    failures: [FailureName.RacingEdits, FailureName.ResentEdit],
+    needs: Capability.Edits,
+    inapplicable: {},
+    inject: (system) => {
+      const daemons = system.installation.runningNames();
+      const command = putEdit('race', 1, 'policy.stalenessBound', 0);
+      [daemons.at(0), daemons.at(-1)].forEach((daemon) => system.operators.send(daemon!, command));
+    },
+    recover: nothing,
+  },
+  crashAndPartition: {
+    ...crashUpstream,
+    failures: [FailureName.EngineCrash, FailureName.ControlPartition, FailureName.Combination],
+    inject: (system, flow) => {
+      crashUpstream.inject(system, flow);
+      cutOff.inject(system, flow);
+    },
+    recover: (system, flow) => {
+      crashUpstream.recover(system, flow);
+      cutOff.recover(system, flow);
+    },
+  },
+};
--- a/proof/system/proofSystem.ts
+++ b/proof/system/proofSystem.ts
@@ -112,7 +112,9 @@
   const names = site.deployment.daemons.map((daemon) => daemon.name);
   const { now } = installation;
 
+  const frozen = new Set<string>();
   const stop = (daemon: string): void => {
+    frozen.delete(daemon);
     installation.stop(daemon);
     callers.lose(daemon, now());
     trainers.lose(daemon);
@@ -181,18 +183,25 @@
     openLot,
     releaseWeights,
     shutDown: (daemon) => {
-      shutdowns.push(beginShutdown(installation, daemon, stop));
+      shutdowns.push(beginShutdown(installation, daemon, stop, (each) => frozen.has(each)));
+    },
+    stop: (daemon) => {
+      shutdowns
+        .filter((shutdown) => shutdown.daemon === daemon && shutdown.interruptedAt === null)
+        .forEach((shutdown) => Object.assign(shutdown, { interruptedAt: now() }));
+      stop(daemon);
     },
-    stop,
     start: (daemon) => {
       installation.start(daemon);
       reachability.begin(daemon, now());
     },
     freeze: (daemon) => {
+      frozen.add(daemon);
       installation.freeze(daemon);
       reachability.end(daemon, now());
     },
     thaw: (daemon) => {
+      frozen.delete(daemon);
       installation.thaw(daemon);
       reachability.begin(daemon, now());
     },
--- a/proof/system/recording.ts
+++ b/proof/system/recording.ts
@@ -23,6 +23,8 @@
   /** Until when callers may still use advice that they were given before. */
   readonly adviceDeadline: Instant;
   readonly drainDeadline: Instant;
+  /** When the daemon crashed before its shutdown had ended, or null. */
+  interruptedAt: Instant | null;
 }
 
 /** An order as the platform received it. */
--- a/standins/virtual/virtualUpstreams.ts
+++ b/standins/virtual/virtualUpstreams.ts
@@ -103,6 +103,7 @@
       schedule(notice, () => executions.crash(upstream));
     },
     swapWeights: ({ weightVersion }, upstream) => {
+      if (upstream.settings.weightVersion === null) return;
       Object.assign(upstream, { weightVersion });
     },
     recover: (_, upstream) => {
