--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -22,6 +22,8 @@
   RequestCancelled: 'requestCancelled',
   AttemptStarted: 'attemptStarted',
   AttemptEnded: 'attemptEnded',
+  RequestQuarantined: 'requestQuarantined',
+  BreakerOpened: 'breakerOpened',
   LateFact: 'lateFact',
   LotOpened: 'lotOpened',
   LotComplete: 'lotComplete',
@@ -32,6 +34,7 @@
   LeadershipTaken: 'leadershipTaken',
   LeadershipLost: 'leadershipLost',
   StorageFailed: 'storageFailed',
+  OrderEnded: 'orderEnded',
 } as const;
 export type EventKind = ValueOf<typeof EventKind>;
 
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -7,6 +7,7 @@
 import type { System } from '../../../platform/tables/common/tick.js';
 import { consensusHandlers } from '../../consensus/common/consensusHandlers.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
+import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
@@ -19,6 +20,7 @@
   ...membershipHandlers,
   ...consensusHandlers,
   ...demandHandlers,
+  ...quarantineHandlers,
 };
 
 /** Creates the system of incoming messages. */
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import { workspaceDemandSchema } from '../../admission/common/demandMessages.js';
+import { upstreamCrashedSchema } from '../../dispatch/common/quarantine.js';
 import {
   heartbeatSchema,
   upstreamAnnouncedSchema,
@@ -33,6 +34,7 @@
   followRequestedSchema,
   entriesFollowedSchema,
   workspaceDemandSchema,
+  upstreamCrashedSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -11,10 +11,12 @@
 import { createSettingsTables } from '../../configuration/common/settingsTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
+import { createRetryTables } from '../../dispatch/common/retryTables.js';
 import { createReplicaTables } from '../../consensus/common/replicaTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
+import { createOrderTables } from '../../orders/common/orderTables.js';
 import { createRolloutTables } from '../../rollout/common/rolloutTables.js';
 import { createTrafficTables } from '../../traffic/common/trafficTables.js';
 import { createUsageTables } from '../../usage/common/usageTables.js';
@@ -25,9 +27,11 @@
   ...createConsensusTables(),
   ...createReplicaTables(),
   ...createDemandTables(),
+  ...createRetryTables(),
   ...createEventTables(),
   ...createMembershipTables(),
   ...createMessageTables(),
+  ...createOrderTables(),
   ...createRolloutTables(),
   ...createServedTables(),
   ...createSettingsTables(),
