Measure rollouts on virtual time and what a sample costs the ledger

Cause: the ledger had no figures. Fake engines now draw the length of each answer where a bench asks for it, and count the tokens that they made.

Ruled out: counting the ledger's bytes from the log of the virtual run, as its entries would mix the work of several subjects; the bench encodes the commands of one lot instead.

There is no baseline in the bench: the idle share says nothing of the window or the early stop.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import { formatMeasurement, type Bench } from './measurement.js';
 import { runCapacityBench } from './capacity/capacityBench.js';
 import { runPathBench } from './path/pathBench.js';
+import { runRolloutBench } from './rollout/rolloutBench.js';
 import { runTickBench } from './tick/tickBench.js';
 
 /** Every bench by its name. */
@@ -11,6 +12,7 @@
   tick: runTickBench,
   path: runPathBench,
   capacity: runCapacityBench,
+  rollout: runRolloutBench,
 };
 
 const chosen = process.argv.slice(2);
--- a/standins/virtual/virtualExecutions.ts
+++ b/standins/virtual/virtualExecutions.ts
@@ -86,6 +86,7 @@
 
   const makeTokens = (execution: Execution, upstream: VirtualUpstream, tokens: number): void => {
     const { weightVersion, incarnation } = upstream;
+    Object.assign(execution, { madeTokens: execution.madeTokens + tokens });
     if (weightVersion === null) return;
     Object.assign(execution, {
       spans: addToSpans(execution.spans, { weightVersion, incarnation, tokens }),
@@ -120,7 +121,7 @@
     end(execution, ExecutionState.Ended);
     if (execution.isSilent) return;
     const { attempt } = execution;
-    const completionTokens = upstream.settings.answerTokens;
+    const completionTokens = execution.madeTokens;
     if (upstream.settings.kind === UpstreamKind.Engine) {
       report(context, upstream, { kind: 'usageCame', attempt, promptTokens, completionTokens });
     }
@@ -162,6 +163,7 @@
       state: ExecutionState.Running,
       spans: [],
       isSilent: upstream.isSilent,
+      madeTokens: 0,
     };
     executions.push(execution);
     running.set(attempt.id, { execution, context });
@@ -173,7 +175,12 @@
       report(context, upstream, { kind: 'answerStarted', attempt: attempt.id, status: 200 });
     }
     time.schedule(chunkMilliseconds, () =>
-      makeChunk(context, execution, upstream, upstream.settings.answerTokens),
+      makeChunk(
+        context,
+        execution,
+        upstream,
+        upstream.settings.drawTokens?.() ?? upstream.settings.answerTokens,
+      ),
     );
   };
 
--- a/standins/virtual/virtualUpstream.ts
+++ b/standins/virtual/virtualUpstream.ts
@@ -21,6 +21,8 @@
   readonly tokensPerSecond: number;
   /** Tokens of each answer; plain services answer in the time that these would take. */
   readonly answerTokens: number;
+  /** Draws the tokens of one answer, where answers differ. */
+  readonly drawTokens?: () => number;
   readonly weightVersion: number | null;
   readonly reclaimable: boolean;
 }
@@ -86,6 +88,8 @@
   /** Tokens as they were truly made. */
   spans: readonly VersionSpan[];
   isSilent: boolean;
+  /** Tokens that were made, whether or not a version was named. */
+  madeTokens: number;
 }
 
 /** The changing state of one fake upstream. */
