--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { runCapacityBench } from './capacity/capacityBench.js';
 import { runPathBench } from './path/pathBench.js';
 import { runTrafficBench } from './traffic/trafficBench.js';
+import { runRolloutBench } from './rollout/rolloutBench.js';
 import { runTickBench } from './tick/tickBench.js';
 
 /** Every bench by its name. */
@@ -13,6 +14,7 @@
   path: runPathBench,
   capacity: runCapacityBench,
   traffic: runTrafficBench,
+  rollout: runRolloutBench,
 };
 
 const chosen = process.argv.slice(2);
--- a/proof/scenario/scenarioRun.ts
+++ b/proof/scenario/scenarioRun.ts
@@ -30,8 +30,12 @@
   const requestsOfLot = (name: string): RequestId[] => {
     const trainer = trainers.get(name);
     if (trainer === undefined || trainer.lot === null) return [];
-    const { world } = system.installation.daemon(trainer.daemon).core;
-    return world.samples.where('lot', trainer.lot).flatMap(({ request }) => request ?? []);
+    const { lot } = trainer;
+    return system.installation
+      .runningNames()
+      .map((daemon) => system.installation.daemon(daemon).core.world)
+      .flatMap((world) => world.sampleRuns.where('lot', lot))
+      .flatMap(({ request }) => request ?? []);
   };
 
   const executionsOf = (name: string): Execution[] => {
--- a/proof/test/invariants.test.ts
+++ b/proof/test/invariants.test.ts
@@ -30,6 +30,7 @@
   announcedSince: 0,
   state: ExecutionState.Ended,
   spans,
+  madeTokens: 10,
   isSilent: false,
   ...columns,
 });
@@ -56,6 +57,7 @@
   sample: asBrand('sample-1'),
   attempt: asBrand<AttemptId>('attempt-1'),
   spans,
+  text: '',
   trainerVersion: 1,
   at: 300,
   ...columns,
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -10,6 +10,7 @@
 import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import { bodyHandlers } from '../../rollout/common/bodyHandlers.js';
 import type { World } from '../../world/common/world.js';
 import type { Message } from './message.js';
 
@@ -21,6 +22,7 @@
   ...consensusHandlers,
   ...demandHandlers,
   ...quarantineHandlers,
+  ...bodyHandlers,
 };
 
 /** Creates the system of incoming messages. */
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -19,6 +19,12 @@
   voteAnsweredSchema,
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
+import {
+  bodiesStoredSchema,
+  bodyAskedSchema,
+  bodyGivenSchema,
+  bodyOfferedSchema,
+} from '../../rollout/common/bodyMessages.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 
 /** Every message that one daemon sends to another. */
@@ -35,6 +41,10 @@
   entriesFollowedSchema,
   workspaceDemandSchema,
   upstreamCrashedSchema,
+  bodyOfferedSchema,
+  bodiesStoredSchema,
+  bodyAskedSchema,
+  bodyGivenSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
