Answer a trainer only after the texts of its tick are in memory

Cause: the port of fetches read before the port of bodies, so that a text which came from another daemon in the tick that made the fetch ready was not in memory, and the sample went out without its text. The demo met it when its lot was held by another daemon than the entry. Fakes on virtual time had the right order and hid it. Ruled out: texts lost on disk (the same batch was whole when asked for again).

--- a/src/daemon/front/node/trainerRoutes.ts
+++ b/src/daemon/front/node/trainerRoutes.ts
@@ -76,17 +76,23 @@
     return Response.json({ lot: id }, { status: createdStatus });
   };
 
+  const unavailable = (): Response => refuse(RefusalKind.BodyUnavailable);
+
   const sampleBodies = (batch: BatchRow): BatchResponse['samples'] =>
-    batch.samples.map((id) => {
+    batch.samples.flatMap((id) => {
       const sample = world.samples.get(id)!;
-      const text = ports.bodies.contentOf(textBodyOf(id, sample.attempt!))!;
-      return { sample: id, group: sample.group, text, spans: [...sample.spans] };
+      const text = ports.bodies.contentOf(textBodyOf(id, sample.attempt!));
+      if (text === undefined) return [];
+      return [{ sample: id, group: sample.group, text, spans: [...sample.spans] }];
     });
 
+  /** A batch is answered whole or not at all. */
   const batchResponse = (row: FetchRow): Response => {
     const batch = world.batches.get(row.batch!)!;
     const { cursor, nextCursor } = batch;
-    return Response.json({ cursor, nextCursor, samples: sampleBodies(batch) });
+    const samples = sampleBodies(batch);
+    if (samples.length < batch.samples.length) return unavailable();
+    return Response.json({ cursor, nextCursor, samples });
   };
 
   const endedResponse = ({ cursor }: FetchRow): Response =>
@@ -105,7 +111,7 @@
       Response.json({ retryAfter: retryAfterMilliseconds }, { status: notReadyStatus }),
     refused: () => refuse(RefusalKind.UnknownLot),
     failed: () => refuse(RefusalKind.LotDeadlinePassed),
-    unavailable: () => refuse(RefusalKind.BodyUnavailable),
+    unavailable,
     ledgerSilent: () => refuse(RefusalKind.LedgerUnavailable),
   };
 
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -34,12 +34,8 @@
 import { createOperatorRoutes } from '../../operator/node/operatorRoutes.js';
 import { createOrderPort } from '../../orders/node/orderPort.js';
 import { openPeerPort } from '../../peers/node/peerPort.js';
-import { createBodyPort } from '../../rollout/common/bodyPort.js';
-import { createFetchPort } from '../../rollout/node/fetchPort.js';
 import { openBodies } from '../../rollout/node/openBodies.js';
-import { createSampleExchanges } from '../../rollout/node/sampleExchanges.js';
-import { createSampleTexts } from '../../rollout/node/sampleTexts.js';
-import { createSubmissionPort } from '../../rollout/node/submissionPort.js';
+import { createRolloutPorts } from '../../rollout/node/rolloutPorts.js';
 import { createUpstreamPort } from '../../upstream/node/upstreamPort.js';
 import { createEventPort } from './eventPort.js';
 
@@ -105,16 +101,12 @@
   const wake = (): void => driver?.wake();
   const registry = createExchangeRegistry();
   const store = openBodies(options.folder, self);
-  const texts = createSampleTexts(world);
-  const bodies = createBodyPort(world, store, texts.find, wake);
-  const samples = createSampleExchanges(world, bodies, texts);
+  const rollouts = createRolloutPorts(world, store, monotonicClock, wake);
   const findExchange = (request: Parameters<typeof registry.get>[0]) =>
-    registry.get(request) ?? samples.find(request);
+    registry.get(request) ?? rollouts.samples.find(request);
   const upstreamPort = createUpstreamPort(world, findExchange, wake);
   const exchangePort = createExchangePort(world, registry);
-  const fetchPort = createFetchPort(world, wake);
   const orderPort = createOrderPort(world, monotonicClock, wake);
-  const submissions = createSubmissionPort(world, monotonicClock, wake);
   const relay = createTrainerRelay(world);
   const eventPort = createEventPort(world, stamps, writer.write);
   const editPort = createEditPort(world, monotonicClock, wake);
@@ -137,11 +129,7 @@
     [
       createUpstreamRoutes(world, wake),
       createOperatorRoutes(world, editPort, monotonicClock),
-      createTrainerRoutes(
-        world,
-        { bodies, submissions, fetches: fetchPort, relay },
-        monotonicClock,
-      ),
+      createTrainerRoutes(world, { ...rollouts, relay }, monotonicClock),
       createCallerRoutes(world, submitter),
     ],
     (error) => log.error({ message: error.message }, 'a route failed'),
@@ -157,10 +145,7 @@
     upstreamPort,
     exchangePort,
     editPort,
-    submissions,
-    fetchPort,
-    bodies,
-    texts,
+    rollouts,
     peerPort.value,
     eventPort,
   ];
