Keep a voter that lost its disk from voting, and prove control with real processes

Cause: a voter whose disk was replaced forgets its votes and what it acknowledged, and could elect a leader without an accepted entry when a second VM is lost right after. It now votes only once it has caught up with a leader whose lease holds, and has noted that; a new installation elects its first leader by the votes of all. Ruled out: telling a new installation by an operator's flag, which may be left set.

The test of a replaced disk then failed for another fault: the leader never took back what the voter had acknowledged before, so it was never caught up. A refusal of a voter that has not joined now does that.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
  */
 import { formatMeasurement, type Bench } from './measurement.js';
 import { runCapacityBench } from './capacity/capacityBench.js';
+import { runControlBench } from './control/controlBench.js';
 import { runPathBench } from './path/pathBench.js';
 import { runTickBench } from './tick/tickBench.js';
 
@@ -11,6 +12,7 @@
   tick: runTickBench,
   path: runPathBench,
   capacity: runCapacityBench,
+  control: runControlBench,
 };
 
 const chosen = process.argv.slice(2);
--- /dev/null
+++ b/scripts/prove/control/controlProcesses.ts
@@ -0,0 +1,145 @@
+/**
+ * Daemons of a proof as processes on loopback, and an upstream that records which of them gave orders.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { fileURLToPath } from 'node:url';
+import type { Member } from '../../../src/base/common/handlers.js';
+import { delay } from '../../../src/base/node/delay.js';
+import { orderSchema } from '../../../src/service/protocol/common/engineProtocol.js';
+import type { ControlAsk, ControlReport } from './controlMessages.js';
+
+const programFile = fileURLToPath(new URL('./daemonProcess.js', import.meta.url));
+const leaderMilliseconds = 30_000;
+const pollMilliseconds = 20;
+
+/** An order that has come to the upstream. */
+export interface RecordedOrder {
+  readonly daemon: string;
+  readonly order: string;
+  readonly at: number;
+}
+
+/** The upstream; each daemon reaches it under a path of its own. */
+export interface OrderRecorder {
+  readonly addressFor: (daemon: string) => string;
+  readonly orders: readonly RecordedOrder[];
+  readonly close: () => void;
+}
+
+/** Opens the upstream on a free port. */
+export const openOrderRecorder = async (): Promise<OrderRecorder> => {
+  const orders: RecordedOrder[] = [];
+
+  const stateOf = () => ({
+    incarnation: 1,
+    weightVersion: null,
+    models: [],
+    adapters: [],
+    role: 'worker',
+    highestFencing: null,
+    ordersDone: orders.map(({ order }) => order),
+  });
+
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      const daemon = request.url!.split('/')[1]!;
+      if (request.method === 'POST') {
+        const { order } = orderSchema.parse(JSON.parse(Buffer.concat(chunks).toString()));
+        orders.push({ daemon, order, at: performance.now() });
+      }
+      response.setHeader('content-type', 'application/json');
+      response.end(JSON.stringify(stateOf()));
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  return {
+    addressFor: (daemon) => `http://127.0.0.1:${port}/${daemon}`,
+    orders,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+};
+
+/** One daemon's process. */
+export interface ControlProcess {
+  readonly name: string;
+  readonly ask: (ask: ControlAsk) => void;
+  readonly onReport: (listener: (report: ControlReport) => void) => void;
+  /** Asks and waits for the report of the same kind. */
+  readonly answer: <Kind extends 'status' | 'remembered'>(
+    ask: Member<ControlAsk, Kind>,
+  ) => Promise<Member<ControlReport, Kind>>;
+  readonly signal: (signal: NodeJS.Signals) => void;
+  /** Kills it and resolves when it has ended. */
+  readonly kill: () => Promise<void>;
+}
+
+/** Starts a daemon; resolves when it listens. */
+export const startControlProcess = async (
+  deploymentFile: string,
+  name: string,
+  upstreamAddress: string,
+): Promise<ControlProcess> => {
+  const child: ChildProcess = spawn(
+    process.execPath,
+    [programFile, deploymentFile, name, upstreamAddress],
+    { stdio: ['ignore', 'ignore', 'inherit', 'ipc'] },
+  );
+  const ask = (message: ControlAsk): void => {
+    if (child.connected) child.send(message);
+  };
+  const onReport = (listener: (report: ControlReport) => void): void => {
+    child.on('message', listener);
+  };
+  await once(child, 'message');
+
+  const answer = <Kind extends 'status' | 'remembered'>(
+    message: Member<ControlAsk, Kind>,
+  ): Promise<Member<ControlReport, Kind>> =>
+    new Promise((resolve) => {
+      const take = (report: ControlReport): void => {
+        if (report.kind !== (message as ControlAsk).kind) return;
+        child.off('message', take);
+        resolve(report as Member<ControlReport, Kind>);
+      };
+      child.on('message', take);
+      ask(message);
+    });
+
+  return {
+    name,
+    ask,
+    onReport,
+    answer,
+    signal: (signal) => child.kill(signal),
+    kill: async () => {
+      if (child.exitCode !== null || child.signalCode !== null) return;
+      const ended = once(child, 'exit');
+      child.kill('SIGKILL');
+      await ended;
+    },
+  };
+};
+
+/** Waits until one of the daemons may act as leader. */
+export const waitForLeader = async (
+  processes: readonly ControlProcess[],
+): Promise<ControlProcess> => {
+  const deadline = performance.now() + leaderMilliseconds;
+  while (performance.now() < deadline) {
+    const answers = await Promise.all(processes.map((each) => each.answer({ kind: 'status' })));
+    const position = answers.findIndex(({ acting }) => acting);
+    if (position >= 0) return processes[position]!;
+    await delay(pollMilliseconds);
+  }
+  throw new Error(`no daemon may act as leader within ${leaderMilliseconds} ms`);
+};
--- /dev/null
+++ b/scripts/prove/control/daemonProcess.ts
@@ -0,0 +1,102 @@
+/**
+ * One daemon of a proof as a process: takes what it is asked over the channel to its starter.
+ * Arguments: deployment file, name of the daemon, address of the upstream that takes orders.
+ */
+import { asBrand } from '../../../src/base/common/brand.js';
+import { dispatchByKind, type HandlerTable } from '../../../src/base/common/handlers.js';
+import { monotonicClock } from '../../../src/base/node/monotonicClock.js';
+import { openDaemon } from '../../../src/daemon/main/node/daemon.js';
+import { createLog } from '../../../src/platform/log/node/log.js';
+import { RowReader } from '../../../src/platform/tables/common/rowReader.js';
+import { loadInstallation } from '../../../src/service/configuration/node/loadInstallation.js';
+import type { Command } from '../../../src/service/consensus/common/command.js';
+import type { ProposalId } from '../../../src/service/consensus/common/consensusTables.js';
+import { mayActAsLeader } from '../../../src/service/consensus/common/lease.js';
+import type { ControlAsk, ControlReport } from './controlMessages.js';
+
+const proposalMilliseconds = 10_000;
+const announcementMilliseconds = 3_600_000;
+const microsecondsPerMillisecond = 1_000;
+const noChange: Command = { kind: 'leadershipTaken', leader: 'none' };
+
+const [file = '', name = '', upstreamAddress = ''] = process.argv.slice(2);
+const say = (report: ControlReport): void => {
+  process.send!(report);
+};
+
+const installation = loadInstallation(file)._unsafeUnwrap();
+const opened = await openDaemon({ ...installation, name, log: createLog(name, 'error') });
+const { world, wake, onDidTick, sentBytes } = opened._unsafeUnwrap();
+
+world.arrivedAnnouncements.append({
+  isDirect: false,
+  announcement: {
+    upstream: 'engine',
+    kind: 'engine',
+    service: 'planner-lm',
+    address: upstreamAddress,
+    zone: 'gp-north',
+    incarnation: 1,
+    state: 'serving',
+    models: [],
+    adapters: [],
+    weightVersion: null,
+    reclaimable: false,
+    checksFencing: false,
+    resumesStreams: false,
+    slots: 1,
+    running: 0,
+    remaining: announcementMilliseconds,
+  },
+});
+
+const proposedAt = new Map<string, number>();
+const outcomes = world.proposalOutcomes.readChanges(RowReader.Port);
+
+const reportOutcome = (id: ProposalId): void => {
+  const start = proposedAt.get(id);
+  const row = world.proposalOutcomes.get(id);
+  if (start === undefined || row === undefined) return;
+  proposedAt.delete(id);
+  say({ kind: 'outcome', id, outcome: row.outcome.kind, milliseconds: monotonicClock() - start });
+};
+onDidTick(() => outcomes.take().forEach(reportOutcome));
+
+const propose = (id: string, command: Command): void => {
+  const now = monotonicClock();
+  proposedAt.set(id, now);
+  const proposalDeadline = now + proposalMilliseconds;
+  world.proposals.append({ id: asBrand(id), command, proposalDeadline });
+  wake();
+};
+
+const handlers: HandlerTable<ControlAsk, void> = {
+  propose: ({ id }) => propose(id, noChange),
+  proposeOrder: ({ id, order }) =>
+    propose(id, {
+      kind: 'orderIntended',
+      order,
+      upstream: 'engine',
+      action: 'loadWeights',
+      target: 1,
+    }),
+  status: () => {
+    const { user, system } = process.cpuUsage();
+    say({
+      kind: 'status',
+      acting: mayActAsLeader(world, monotonicClock()),
+      sentBytes: sentBytes(),
+      residentBytes: process.memoryUsage().rss,
+      processorMilliseconds: (user + system) / microsecondsPerMillisecond,
+    });
+  },
+  remembered: ({ ids }) =>
+    say({
+      kind: 'remembered',
+      missing: ids.filter((id) => !world.rememberedOutcomes.has(asBrand(id))),
+    }),
+};
+
+process.on('message', (ask: ControlAsk) => dispatchByKind(handlers, ask));
+process.on('disconnect', () => process.exit(0));
+say({ kind: 'ready' });
--- /dev/null
+++ b/scripts/prove/main.ts
@@ -0,0 +1,26 @@
+/**
+ * `npm run prove [-- NAME …]`: runs all proofs with real processes, or those named. The exit code is 1
+ * where something that must hold did not.
+ */
+import { proveControl } from './control/proveControl.js';
+import type { Proof } from './proof.js';
+
+/** Every proof by its name. */
+const proofs: Readonly<Record<string, Proof>> = {
+  control: proveControl,
+};
+
+const chosen = process.argv.slice(2);
+const names = chosen.length === 0 ? Object.keys(proofs) : chosen;
+const unknown = names.filter((name) => !Object.hasOwn(proofs, name));
+if (unknown.length > 0) {
+  console.error(`no proof ${unknown.join(', ')}; use one of ${Object.keys(proofs).join(', ')}`);
+  process.exit(2);
+}
+for (const name of names) {
+  const results = await proofs[name]!();
+  results.forEach((result) =>
+    console.log(`${result.holds ? 'holds' : 'FAILS'} ${result.name} ${result.value}`),
+  );
+  if (results.some(({ holds }) => !holds)) process.exitCode = 1;
+}
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -5,6 +5,7 @@
 import { resolve } from 'node:path';
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { createEmitter, type Event } from '../../../base/common/emitter.js';
 import { createRandom } from '../../../base/common/random.js';
 import { delay, waitAtMost } from '../../../base/node/delay.js';
 import { monotonicClock, wallClock } from '../../../base/node/monotonicClock.js';
@@ -51,6 +52,11 @@
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly world: World;
+  /** Asks for a tick, after rows were appended. */
+  readonly wake: () => void;
+  readonly onDidTick: Event<void>;
+  /** Bytes sent to other daemons so far. */
+  readonly sentBytes: () => number;
   /** Leaves the advice, finishes the given answers or their deadline, and closes. */
   readonly closeGracefully: () => Promise<void>;
 }
@@ -96,6 +102,7 @@
 
   let driver: TickDriver | undefined;
   const wake = (): void => driver?.wake();
+  const ticked = createEmitter<void>();
   const registry = createExchangeRegistry();
   const samples = createSampleExchanges(world);
   const findExchange = (request: Parameters<typeof registry.get>[0]) =>
@@ -145,7 +152,10 @@
   driver = createTickDriver(
     ticker,
     monotonicClock,
-    () => ports.forEach((port) => port.drain()),
+    () => {
+      ports.forEach((port) => port.drain());
+      ticked.fire();
+    },
     (error) => log.error({ kind: error.kind }, error.message),
   );
   log.info({ callers: front.value.address, peers: peerPort.value.address }, 'listening');
@@ -179,6 +189,9 @@
     callerAddress: front.value.address,
     peerAddress: peerPort.value.address,
     world,
+    wake,
+    onDidTick: ticked.event,
+    sentBytes: peerPort.value.sentBytes,
     closeGracefully,
     dispose,
   });
--- a/src/platform/storage/common/storageError.ts
+++ b/src/platform/storage/common/storageError.ts
@@ -26,10 +26,10 @@
 
 const remedies: Readonly<Record<StorageErrorKind, string>> = {
   storageCorrupt:
-    'Replace the disk or the VM and let the daemon begin with an empty data folder under another ' +
-    'name; the other control daemons hold the state. Do not delete single files.',
+    'Replace the disk or the VM and let the daemon begin with an empty data folder while the other ' +
+    'control daemons run, which hold the state. Do not delete single files.',
   storageSegmentMissing:
-    'Put the file back, or let the daemon begin with an empty data folder under another name.',
+    'Put the file back, or let the daemon begin with an empty data folder while the others run.',
   storageDiskFull: 'Free space on the disk of the data folder and start the daemon again.',
   storageLocked: 'Stop the other process, or give this daemon a data folder of its own.',
   storageUnknownRecord: 'Run the release that wrote the data folder, or a later one.',
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -15,6 +15,8 @@
   term,
   /** Asks without any effect whether the vote would be given. */
   isPreVote: z.boolean(),
+  /** Whether the sender has not joined yet. */
+  isNew: z.boolean(),
   lastIndex: index,
   lastTerm: term,
 });
@@ -44,6 +46,8 @@
   kind: z.literal('appendAnswered'),
   term,
   accepted: z.boolean(),
+  /** Whether the sender has not joined yet, and may have less than it once acknowledged. */
+  isNew: z.boolean(),
   /** The last entry that agrees with the leader, or where not accepted the last that may agree. */
   matchIndex: index,
   renewal: z.number(),
--- a/src/service/consensus/common/durableState.ts
+++ b/src/service/consensus/common/durableState.ts
@@ -16,6 +16,8 @@
     term: z.number().int().nonnegative(),
     votedFor: z.string().nullable(),
   }),
+  /** This daemon holds all that it has ever acknowledged, and may vote. */
+  z.object({ kind: z.literal('joined') }),
 ]);
 export type StorageWrite = z.infer<typeof storageWriteSchema>;
 
@@ -23,6 +25,7 @@
 export interface DurableState {
   readonly term: number;
   readonly votedFor: string | null;
+  readonly hasJoined: boolean;
   readonly entries: readonly LogEntry[];
 }
 
@@ -36,6 +39,7 @@
 export const createReplay = (): Replay => {
   let term = 0;
   let votedFor: string | null = null;
+  let hasJoined = false;
   const entries: LogEntry[] = [];
 
   const handlers: HandlerTable<StorageWrite, void> = {
@@ -46,10 +50,13 @@
     vote: (write) => {
       ({ term, votedFor } = write);
     },
+    joined: () => {
+      hasJoined = true;
+    },
   };
 
   return {
     take: (write) => dispatchByKind(handlers, write),
-    state: () => ({ term, votedFor, entries }),
+    state: () => ({ term, votedFor, hasJoined, entries }),
   };
 };
--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -12,6 +12,7 @@
 import type { World } from '../../world/common/world.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import { electionMinimumMilliseconds, orderWaitMilliseconds } from './consensusTiming.js';
+import { join, mayVoteFor, votesNeeded } from './joining.js';
 import {
   appendEntry,
   changeReplica,
@@ -53,10 +54,16 @@
   );
 
 const askForVotes = (world: World, term: number, isPreVote: boolean): void => {
-  const { lastIndex, lastTerm } = replicaOf(world);
-  otherMembers(world).forEach(({ id }) =>
-    sendOnceSynced(world, id, { kind: 'voteRequested', term, isPreVote, lastIndex, lastTerm }),
-  );
+  const { lastIndex, lastTerm, hasJoined } = replicaOf(world);
+  const message = {
+    kind: 'voteRequested',
+    term,
+    isPreVote,
+    isNew: !hasJoined,
+    lastIndex,
+    lastTerm,
+  } as const;
+  otherMembers(world).forEach(({ id }) => sendOnceSynced(world, id, message));
 };
 
 /** Ceases to lead or to ask for votes. */
@@ -102,6 +109,7 @@
 };
 
 const startLeadership = (world: World, now: Instant): void => {
+  join(world);
   const { term, lastIndex } = replicaOf(world);
   [...world.members.rows()].forEach(({ id }) =>
     world.members.change(id, {
@@ -131,7 +139,7 @@
 
 const hasQuorumOfVotes = (world: World): boolean => {
   const granted = [...world.members.rows()].filter((member) => member.hasGrantedVote);
-  return granted.length >= quorumSize(world);
+  return granted.length >= votesNeeded(world);
 };
 
 /** Goes on where a quorum has granted its votes; the own vote counts once it is synced. */
@@ -162,8 +170,10 @@
 
 type VoteRequest = Member<ConsensusMessage, 'voteRequested'>;
 
+/** Whether this daemon may vote for the sender, whose log must hold what its own holds. */
 const isUpToDate = (world: World, request: VoteRequest): boolean => {
   const { lastIndex, lastTerm } = replicaOf(world);
+  if (!mayVoteFor(world, request.isNew)) return false;
   if (request.lastTerm !== lastTerm) return request.lastTerm > lastTerm;
   return request.lastIndex >= lastIndex;
 };
@@ -189,6 +199,7 @@
   if (votedFor !== null && votedFor !== candidate.id) return false;
   if (!isUpToDate(world, request)) return false;
   if (votedFor === null) moveToTerm(world, term, candidate.id);
+  join(world);
   changeReplica(world, { electionDeadline: electionDeadlineAfter(world, now) });
   return true;
 };
--- a/src/service/consensus/common/replicaSystem.ts
+++ b/src/service/consensus/common/replicaSystem.ts
@@ -46,6 +46,7 @@
     state: isVoter ? ReplicaState.Recovering : ReplicaState.Learner,
     term: 0,
     votedFor: null,
+    hasJoined: false,
     leader: null,
     lastIndex: 0,
     lastTerm: 0,
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -36,6 +36,8 @@
   readonly state: ReplicaState;
   readonly term: number;
   readonly votedFor: DaemonId | null;
+  /** Whether it may vote for those who have joined; see the module `joining`. */
+  readonly hasJoined: boolean;
   readonly leader: DaemonId | null;
   readonly lastIndex: number;
   readonly lastTerm: number;
--- a/src/service/consensus/common/replication.ts
+++ b/src/service/consensus/common/replication.ts
@@ -20,6 +20,7 @@
   quorumSize,
   takesPart,
 } from './election.js';
+import { join } from './joining.js';
 import type { LogEntry } from './logEntry.js';
 import {
   changeReplica,
@@ -125,6 +126,7 @@
     kind: 'appendAnswered',
     term: replicaOf(world).term,
     renewal: append.renewal,
+    isNew: !replicaOf(world).hasJoined,
     answeredAt: now,
     ...result,
   });
@@ -157,9 +159,25 @@
 const noteCurrent = (world: World, append: Append): void => {
   const { commitIndex, currentAsOf } = replicaOf(world);
   if (append.currentAsOf === null || commitIndex < append.commitIndex) return;
+  join(world);
   changeReplica(world, { currentAsOf: Math.max(currentAsOf, append.currentAsOf) });
 };
 
+type Answer = Member<ConsensusMessage, 'appendAnswered'>;
+
+const progressOf = (
+  member: MemberRow,
+  { accepted, matchIndex, isNew }: Answer,
+): Pick<MemberRow, 'matchIndex' | 'nextIndex'> => {
+  if (accepted) {
+    const reached = Math.max(member.matchIndex, matchIndex);
+    return { matchIndex: reached, nextIndex: Math.max(member.nextIndex, reached + 1) };
+  }
+  // A new voter has lost what it acknowledged; of others a late refusal takes nothing back.
+  const kept = isNew ? matchIndex : Math.max(member.matchIndex, matchIndex);
+  return { matchIndex: Math.min(member.matchIndex, kept), nextIndex: kept + 1 };
+};
+
 /** What a voter does with the messages of replication. */
 export const replicationHandlers: Pick<
   HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]>,
@@ -187,14 +205,8 @@
     const member = world.members.get(voter.id);
     const { state, term } = replicaOf(world);
     if (member === undefined || state !== ReplicaState.Leader || answered.term !== term) return;
-    const matchIndex = answered.accepted
-      ? Math.max(member.matchIndex, answered.matchIndex)
-      : member.matchIndex;
     world.members.change(voter.id, {
-      matchIndex,
-      nextIndex: answered.accepted
-        ? Math.max(member.nextIndex, matchIndex + 1)
-        : Math.max(matchIndex, answered.matchIndex) + 1,
+      ...progressOf(member, answered),
       renewedAt: Math.max(member.renewedAt, answered.renewal),
       answeredAt: Math.max(member.answeredAt, answered.answeredAt),
       renewalDeadline: answered.accepted ? member.renewalDeadline : now,
--- a/src/service/consensus/common/storageFacts.ts
+++ b/src/service/consensus/common/storageFacts.ts
@@ -34,6 +34,7 @@
       state: ReplicaState.Follower,
       term: state.term,
       votedFor: state.votedFor === null ? null : asBrand<DaemonId>(state.votedFor),
+      hasJoined: state.hasJoined,
       lastIndex: state.entries.at(-1)?.index ?? 0,
       lastTerm: state.entries.at(-1)?.term ?? 0,
       electionDeadline: electionDeadlineAfter(world, now),
--- a/standins/virtual/controlInstallation.ts
+++ b/standins/virtual/controlInstallation.ts
@@ -8,7 +8,11 @@
 import type { World } from '../../src/service/world/common/world.js';
 import { createControlHistory, type ControlHistory } from './controlHistory.js';
 import { createTestDeployment, createTestTree } from './testDeployment.js';
-import { createVirtualInstallation, type VirtualInstallation } from './virtualInstallation.js';
+import {
+  createVirtualInstallation,
+  type VirtualInstallation,
+  type VirtualOptions,
+} from './virtualInstallation.js';
 import {
   announceOrderedUpstream,
   createVirtualOrders,
@@ -20,6 +24,7 @@
   readonly voters?: number;
   readonly seed?: number;
   readonly checksFencing?: boolean;
+  readonly latency?: VirtualOptions['latency'];
 }
 
 export interface ControlInstallation extends VirtualInstallation {
@@ -54,6 +59,7 @@
     deployment,
     tree: createTestTree(),
     seed,
+    ...(options.latency === undefined ? {} : { latency: options.latency }),
     ports: [announceOrderedUpstream, orders.port, history.port],
   });
   created = installation;
--- a/standins/virtual/test/controlFailures.test.ts
+++ b/standins/virtual/test/controlFailures.test.ts
@@ -223,3 +223,73 @@
   t.deepEqual(installation.history.violations(), []);
   ['d2', 'd3'].forEach((name) => t.deepEqual(installation.missingAt(name), []));
 });
+
+test('the copy of a leader counts only once it is synced', (t) => {
+  const installation = createSettled();
+  const leader = installation.acting()!;
+  const [first, second] = installation.voterNames.filter((name) => name !== leader) as [
+    string,
+    string,
+  ];
+  installation.disk(leader).faults.extraSyncDelay = 300;
+  installation.cut(leader, second);
+  installation.cut(first, second);
+  installation.propose(leader, 'slow');
+  installation.runFor(100);
+  installation.stop(leader);
+  installation.stop(first);
+  installation.heal(leader, second);
+  installation.heal(first, second);
+  installation.start(leader);
+  installation.runFor(2 * settleMilliseconds);
+  assertWhole(t, installation);
+});
+
+test('a voter that alone does not hear the leader starts no term', (t) => {
+  const installation = createSettled();
+  const leader = installation.acting()!;
+  const { term } = leadershipOf(installation.worldOf(leader));
+  installation.cut(leader, otherVoter(installation, leader));
+  installation.runFor(60_000);
+  t.is(installation.acting(), leader);
+  t.is(leadershipOf(installation.worldOf(leader)).term, term);
+});
+
+test('a second VM that is lost right after the disk of the first was replaced loses nothing', (t) => {
+  const installation = createSettled();
+  const leader = installation.acting()!;
+  const [first, second] = installation.voterNames.filter((name) => name !== leader) as [
+    string,
+    string,
+  ];
+  installation.cut(leader, second);
+  installation.cut(first, second);
+  proposeStream(installation, leader, 'before', 20);
+  installation.runFor(1_000);
+  installation.stop(first);
+  installation.disk(first).clear();
+  installation.stop(leader);
+  installation.start(first);
+  installation.heal(first, second);
+  installation.heal(leader, second);
+  installation.runFor(settleMilliseconds);
+  t.is(installation.acting(), undefined);
+  installation.start(leader);
+  installation.runFor(2 * settleMilliseconds);
+  t.truthy(installation.acting());
+  assertWhole(t, installation);
+  installation.stop(leader);
+  installation.runFor(settleMilliseconds);
+  t.truthy(installation.acting(), 'the replaced voter has joined');
+});
+
+test('a voter with a new disk is caught up by the leader and joins', (t) => {
+  const installation = createSettled();
+  const name = otherVoter(installation, installation.acting()!);
+  installation.stop(name);
+  installation.disk(name).clear();
+  installation.start(name);
+  installation.runFor(settleMilliseconds);
+  t.true(installation.worldOf(name).replica.rows().next().value?.hasJoined);
+  assertWhole(t, installation);
+});
