--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
  */
 import { formatMeasurement, type Bench } from './measurement.js';
 import { runCapacityBench } from './capacity/capacityBench.js';
+import { runControlBench } from './control/controlBench.js';
 import { runPathBench } from './path/pathBench.js';
 import { runTrafficBench } from './traffic/trafficBench.js';
 import { runRolloutBench } from './rollout/rolloutBench.js';
@@ -15,6 +16,7 @@
   capacity: runCapacityBench,
   traffic: runTrafficBench,
   rollout: runRolloutBench,
+  control: runControlBench,
 };
 
 const chosen = process.argv.slice(2);
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -5,6 +5,7 @@
 import { resolve } from 'node:path';
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { createEmitter, type Event } from '../../../base/common/emitter.js';
 import { createRandom } from '../../../base/common/random.js';
 import { delay, waitAtMost } from '../../../base/node/delay.js';
 import { monotonicClock, wallClock } from '../../../base/node/monotonicClock.js';
@@ -54,6 +55,11 @@
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly world: World;
+  /** Asks for a tick, after rows were appended. */
+  readonly wake: () => void;
+  readonly onDidTick: Event<void>;
+  /** Bytes sent to other daemons so far. */
+  readonly sentBytes: () => number;
   /** Leaves the advice, finishes the given answers or their deadline, and closes. */
   readonly closeGracefully: () => Promise<void>;
 }
@@ -99,6 +105,7 @@
 
   let driver: TickDriver | undefined;
   const wake = (): void => driver?.wake();
+  const ticked = createEmitter<void>();
   const registry = createExchangeRegistry();
   const store = openBodies(options.folder, self);
   const rollouts = createRolloutPorts(world, store, monotonicClock, wake);
@@ -152,7 +159,10 @@
   driver = createTickDriver(
     ticker,
     monotonicClock,
-    () => ports.forEach((port) => port.drain()),
+    () => {
+      ports.forEach((port) => port.drain());
+      ticked.fire();
+    },
     (error) => log.error({ kind: error.kind }, error.message),
   );
   log.info({ callers: front.value.address, peers: peerPort.value.address }, 'listening');
@@ -188,6 +198,9 @@
     callerAddress: front.value.address,
     peerAddress: peerPort.value.address,
     world,
+    wake,
+    onDidTick: ticked.event,
+    sentBytes: peerPort.value.sentBytes,
     closeGracefully,
     dispose,
   });
