--- a/proof/scenario/actions.ts
+++ b/proof/scenario/actions.ts
@@ -66,6 +66,8 @@
     key: z.string().optional(),
     count: z.number().int().positive().default(1),
     every: milliseconds.default(100),
+    /** Whether each of the calls has the content of the first, as when a caller sends again. */
+    isResent: z.boolean().default(false),
   }),
   z.strictObject({ kind: z.literal(ActionKind.Depart), name: z.string() }),
   z.strictObject({
@@ -119,10 +121,13 @@
 };
 
 const handlers: HandlerTable<Action, void, [ScenarioRun]> = {
-  call: ({ name, count, every, ...call }, run) =>
+  call: ({ name, count, every, isResent, ...call }, run) =>
     Array.from({ length: count }, (_, index) => index).forEach((index) =>
       run.system.installation.schedule(index * every, () =>
-        run.addCall(name, run.system.call(call)),
+        run.addCall(
+          name,
+          run.system.call({ ...call, digest: isResent ? name : `${name}-${index}` }),
+        ),
       ),
     ),
   depart: ({ name }, run) => run.callsOf(name).forEach(run.system.callers.depart),
--- a/proof/system/proofSystem.ts
+++ b/proof/system/proofSystem.ts
@@ -45,6 +45,8 @@
   readonly daemon?: string | undefined;
   /** The key that is sent in place of that of the workspace. */
   readonly key?: string | undefined;
+  /** The digest of its content; equal for calls that are sent again. */
+  readonly digest?: string;
 }
 
 /** A lot as a scenario describes it. */
@@ -174,11 +176,12 @@
     trainers,
     operators,
     advisedDaemon,
-    call: ({ workspace, service, daemon, key }) =>
+    call: ({ workspace, service, daemon, key, digest }) =>
       callers.send(daemon ?? advisedDaemon(), {
         keyDigest: digestOf(key ?? keyOf(workspace)),
         service: asBrand<ServiceName>(service),
         estimatedTokens: 100,
+        ...(digest === undefined ? {} : { digest }),
       }),
     openLot,
     releaseWeights,
