--- a/bench/capacity/capacityBench.ts
+++ b/bench/capacity/capacityBench.ts
@@ -3,7 +3,7 @@
  * row, bytes of each message between daemons, and processor time for each message.
  */
 import { asBrand } from '../../src/base/common/brand.js';
-import { encodeFrame } from '../../src/platform/wire/node/frames.js';
+import { encodeFrame } from '../../src/infrastructure/wire/node/frames.js';
 import { treeSchema, type Tree } from '../../src/service/configuration/common/tree.js';
 import type { Core } from '../../src/service/core/common/core.js';
 import type { Message } from '../../src/service/messages/common/message.js';
--- a/bench/capacity/rows.ts
+++ b/bench/capacity/rows.ts
@@ -3,7 +3,7 @@
  */
 import { asBrand } from '../../src/base/common/brand.js';
 import { createRandom } from '../../src/base/common/random.js';
-import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
+import { silentMetrics } from '../../src/infrastructure/metrics/common/metrics.js';
 import type { Tree } from '../../src/service/configuration/common/tree.js';
 import { createCore, type Core } from '../../src/service/core/common/core.js';
 import type { Announcement } from '../../src/service/protocol/common/upstreamProtocol.js';
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 /** The layers from the lowest to the highest; a file imports only from its own layer or below. */
-const layers = ['base', 'platform', 'service', 'daemon', 'command'];
+const layers = ['base', 'infrastructure', 'service', 'daemon', 'command'];
 
 const aboveLayer = (layer) => layers.slice(layers.indexOf(layer) + 1);
 
--- a/proof/scenario/report.ts
+++ b/proof/scenario/report.ts
@@ -1,7 +1,7 @@
 /**
  * The report on a failed scenario: its step, the rows concerned in every daemon, and the merged time line.
  */
-import type { AnyTable } from '../../src/platform/tables/common/table.js';
+import type { AnyTable } from '../../src/infrastructure/tables/common/table.js';
 import type { VirtualEvent } from '../../standins/virtual/virtualInstallation.js';
 import type { ScenarioFailure } from './runScenario.js';
 import type { ScenarioRun } from './scenarioRun.js';
--- a/proof/scenario/scenario.ts
+++ b/proof/scenario/scenario.ts
@@ -5,12 +5,12 @@
 import { basename, join } from 'node:path';
 import { err, type Result } from 'neverthrow';
 import { z } from 'zod';
-import { checkDocument } from '../../src/platform/settings/common/checkDocument.js';
+import { checkDocument } from '../../src/infrastructure/settings/common/checkDocument.js';
 import {
   createSettingsError,
   type SettingsError,
-} from '../../src/platform/settings/common/settingsFault.js';
-import { readDocument } from '../../src/platform/settings/node/readSettings.js';
+} from '../../src/infrastructure/settings/common/settingsFault.js';
+import { readDocument } from '../../src/infrastructure/settings/node/readSettings.js';
 import { FailureName } from '../coverage/failures.js';
 import { InvariantName } from '../invariants/invariant.js';
 import { Capability } from '../system/capabilities.js';
--- a/proof/system/edits.ts
+++ b/proof/system/edits.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto';
 import { asBrand } from '../../src/base/common/brand.js';
 import { deadlineAfter, type Milliseconds } from '../../src/base/common/time.js';
-import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { RowReader } from '../../src/infrastructure/tables/common/rowReader.js';
 import type { EditCommand } from '../../src/service/configuration/common/configurationCommands.js';
 import { servedId } from '../../src/service/configuration/common/servedTables.js';
 import type { ProposalId } from '../../src/service/consensus/common/consensusTables.js';
--- a/proof/system/installations.ts
+++ b/proof/system/installations.ts
@@ -2,7 +2,7 @@
  * The two installations that the proof runs on, with the sizes and latencies of their users.
  */
 import type { ValueOf } from '../../src/base/common/handlers.js';
-import type { Deployment } from '../../src/platform/settings/common/deployment.js';
+import type { Deployment } from '../../src/infrastructure/settings/common/deployment.js';
 import type { Tree } from '../../src/service/configuration/common/tree.js';
 import { loadInstallation } from '../../src/service/configuration/node/loadInstallation.js';
 import { UpstreamKind } from '../../src/service/protocol/common/upstreamProtocol.js';
--- a/scripts/demo/main.ts
+++ b/scripts/demo/main.ts
@@ -5,7 +5,7 @@
 import { request } from 'undici';
 import { delay } from '../../src/base/node/delay.js';
 import { readMergedTimeline } from '../../src/command/timeline/node/timelineCommand.js';
-import { formatEvent } from '../../src/platform/timeline/common/timelineEvent.js';
+import { formatEvent } from '../../src/infrastructure/timeline/common/timelineEvent.js';
 import type { Advice } from '../../src/service/advice/common/advice.js';
 import {
   chatCompletionsPath,
--- a/src/command/run/node/runCommand.ts
+++ b/src/command/run/node/runCommand.ts
@@ -1,7 +1,7 @@
 /**
  * `shallotquay run FILE NAME`: runs one daemon of an installation until it is told to stop.
  */
-import { createLog } from '../../../platform/log/node/log.js';
+import { createLog } from '../../../infrastructure/log/node/log.js';
 import { loadInstallation } from '../../../service/configuration/node/loadInstallation.js';
 import { openDaemon, type Daemon } from '../../../daemon/main/node/daemon.js';
 import { ExitCode } from '../../main/common/exitCode.js';
--- a/src/command/timeline/node/timelineCommand.ts
+++ b/src/command/timeline/node/timelineCommand.ts
@@ -7,12 +7,12 @@
   formatEvent,
   mergeTimelines,
   type TimelineEvent,
-} from '../../../platform/timeline/common/timelineEvent.js';
+} from '../../../infrastructure/timeline/common/timelineEvent.js';
 import {
   listTimelineFiles,
   readTimelineFile,
   type TimelineFileError,
-} from '../../../platform/timeline/node/timelineFile.js';
+} from '../../../infrastructure/timeline/node/timelineFile.js';
 import { filterEvents, type EventFilter } from '../../../service/timeline/common/eventFilter.js';
 import { formatTimelinePage } from '../../../service/timeline/common/timelinePage.js';
 import { ExitCode } from '../../main/common/exitCode.js';
--- a/src/daemon/consensus/node/replayRecords.ts
+++ b/src/daemon/consensus/node/replayRecords.ts
@@ -6,7 +6,7 @@
   createStorageError,
   StorageErrorKind,
   type StorageError,
-} from '../../../platform/storage/common/storageError.js';
+} from '../../../infrastructure/storage/common/storageError.js';
 import {
   createReplay,
   storageWriteSchema,
--- a/src/daemon/consensus/node/storagePort.ts
+++ b/src/daemon/consensus/node/storagePort.ts
@@ -4,12 +4,12 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
-import type { StorageError } from '../../../platform/storage/common/storageError.js';
-import { encodeRecord } from '../../../platform/storage/node/recordCodec.js';
+import type { StorageError } from '../../../infrastructure/storage/common/storageError.js';
+import { encodeRecord } from '../../../infrastructure/storage/node/recordCodec.js';
 import {
   openSegmentStore,
   type SegmentStore,
-} from '../../../platform/storage/node/segmentStore.js';
+} from '../../../infrastructure/storage/node/segmentStore.js';
 import type { StorageRequest } from '../../../service/consensus/common/replicaTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { replayRecords } from './replayRecords.js';
--- a/src/daemon/exchange/node/exchangePort.ts
+++ b/src/daemon/exchange/node/exchangePort.ts
@@ -2,7 +2,7 @@
  * Closes the exchange of a request when its row has reached a final state.
  */
 import type { Disposable } from '../../../base/common/disposable.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { hasEnded } from '../../../service/traffic/common/endRequest.js';
 import type { World } from '../../../service/world/common/world.js';
 import type { ExchangeRegistry } from './exchange.js';
--- a/src/daemon/front/node/httpFront.ts
+++ b/src/daemon/front/node/httpFront.ts
@@ -9,8 +9,8 @@
 import { bodyLimit } from 'hono/body-limit';
 import type { Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
-import type { Limits } from '../../../platform/settings/common/deployment.js';
-import { listen, type ListenError } from '../../../platform/sockets/node/listen.js';
+import type { Limits } from '../../../infrastructure/settings/common/deployment.js';
+import { listen, type ListenError } from '../../../infrastructure/sockets/node/listen.js';
 import {
   createRefusal,
   RefusalKind,
--- a/src/daemon/front/node/trainerRelay.ts
+++ b/src/daemon/front/node/trainerRelay.ts
@@ -4,7 +4,7 @@
  */
 import { Agent, type Dispatcher } from 'undici';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
-import { Role } from '../../../platform/settings/common/deployment.js';
+import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { DaemonState } from '../../../service/membership/common/membershipTables.js';
 import { createRefusal, RefusalKind } from '../../../service/traffic/common/refusal.js';
 import type { World } from '../../../service/world/common/world.js';
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -9,15 +9,21 @@
 import { createRandom } from '../../../base/common/random.js';
 import { delay, waitAtMost } from '../../../base/node/delay.js';
 import { monotonicClock, wallClock } from '../../../base/node/monotonicClock.js';
-import type { Log } from '../../../platform/log/node/log.js';
-import { silentMetrics } from '../../../platform/metrics/common/metrics.js';
-import { createStatsdMetrics } from '../../../platform/metrics/node/statsdMetrics.js';
-import type { DaemonSettings, Deployment } from '../../../platform/settings/common/deployment.js';
-import type { ListenError } from '../../../platform/sockets/node/listen.js';
-import type { StorageError } from '../../../platform/storage/common/storageError.js';
-import { createTickDriver, type TickDriver } from '../../../platform/tables/node/tickDriver.js';
-import { createHybridLogicalClock } from '../../../platform/timeline/common/hybridLogicalClock.js';
-import { createTimelineWriter } from '../../../platform/timeline/node/timelineFile.js';
+import type { Log } from '../../../infrastructure/log/node/log.js';
+import { silentMetrics } from '../../../infrastructure/metrics/common/metrics.js';
+import { createStatsdMetrics } from '../../../infrastructure/metrics/node/statsdMetrics.js';
+import type {
+  DaemonSettings,
+  Deployment,
+} from '../../../infrastructure/settings/common/deployment.js';
+import type { ListenError } from '../../../infrastructure/sockets/node/listen.js';
+import type { StorageError } from '../../../infrastructure/storage/common/storageError.js';
+import {
+  createTickDriver,
+  type TickDriver,
+} from '../../../infrastructure/tables/node/tickDriver.js';
+import { createHybridLogicalClock } from '../../../infrastructure/timeline/common/hybridLogicalClock.js';
+import { createTimelineWriter } from '../../../infrastructure/timeline/node/timelineFile.js';
 import type { Tree } from '../../../service/configuration/common/tree.js';
 import { createCore } from '../../../service/core/common/core.js';
 import { EventKind } from '../../../service/events/common/eventKind.js';
--- a/src/daemon/main/node/eventPort.ts
+++ b/src/daemon/main/node/eventPort.ts
@@ -1,8 +1,8 @@
 /**
  * Stamps the events that systems have recorded and writes them to the event file of the process.
  */
-import type { HybridLogicalClock } from '../../../platform/timeline/common/hybridLogicalClock.js';
-import type { TimelineEvent } from '../../../platform/timeline/common/timelineEvent.js';
+import type { HybridLogicalClock } from '../../../infrastructure/timeline/common/hybridLogicalClock.js';
+import type { TimelineEvent } from '../../../infrastructure/timeline/common/timelineEvent.js';
 import type { World } from '../../../service/world/common/world.js';
 
 /** The port; `drain` is run after each tick. */
--- a/src/daemon/main/test/node/border.test.ts
+++ b/src/daemon/main/test/node/border.test.ts
@@ -126,7 +126,7 @@
 test('an address that is in use is refused with the remedy', async (t) => {
   const daemon = await openTestDaemon();
   t.teardown(daemon.dispose);
-  const { listen } = await import('../../../../platform/sockets/node/listen.js');
+  const { listen } = await import('../../../../infrastructure/sockets/node/listen.js');
   const { createServer } = await import('node:net');
   const outcome = await listen(createServer(), daemon.callerAddress);
   t.is(outcome._unsafeUnwrapErr().kind, 'addressInUse');
--- a/src/daemon/main/test/node/testDaemon.ts
+++ b/src/daemon/main/test/node/testDaemon.ts
@@ -2,8 +2,8 @@
  * One daemon on ports of its own for tests over real sockets.
  */
 import { request, type Dispatcher } from 'undici';
-import { createLog } from '../../../../platform/log/node/log.js';
-import type { Deployment, Limits } from '../../../../platform/settings/common/deployment.js';
+import { createLog } from '../../../../infrastructure/log/node/log.js';
+import type { Deployment, Limits } from '../../../../infrastructure/settings/common/deployment.js';
 import {
   createTestDeployment,
   createTestTree,
--- a/src/daemon/operator/node/editPort.ts
+++ b/src/daemon/operator/node/editPort.ts
@@ -3,7 +3,7 @@
  * or unknown after its deadline.
  */
 import { deadlineAfter, type Clock } from '../../../base/common/time.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { asBrand } from '../../../base/common/brand.js';
 import type { EditCommand } from '../../../service/configuration/common/configurationCommands.js';
 import type { ProposalId, Rejection } from '../../../service/consensus/common/consensusTables.js';
--- a/src/daemon/rollout/common/bodyPort.ts
+++ b/src/daemon/rollout/common/bodyPort.ts
@@ -4,7 +4,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import type { Disposable } from '../../../base/common/disposable.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import type { BodyLoad, BodySend } from '../../../service/rollout/common/bodyRows.js';
 import type { BodyId, DaemonId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
--- a/src/daemon/rollout/node/fetchPort.ts
+++ b/src/daemon/rollout/node/fetchPort.ts
@@ -2,7 +2,7 @@
  * Holds the questions of trainers until their rows have been decided.
  */
 import type { Disposable } from '../../../base/common/disposable.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { releaseBodies } from '../../../service/rollout/common/bodySystem.js';
 import { FetchState, type FetchRow } from '../../../service/rollout/common/runRows.js';
 import type { FetchId } from '../../../service/world/common/identifiers.js';
--- a/src/daemon/rollout/node/openBodies.ts
+++ b/src/daemon/rollout/node/openBodies.ts
@@ -5,7 +5,7 @@
 import { err } from 'neverthrow';
 import { wallClock } from '../../../base/node/monotonicClock.js';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
-import type { DaemonSettings } from '../../../platform/settings/common/deployment.js';
+import type { DaemonSettings } from '../../../infrastructure/settings/common/deployment.js';
 import type { BodyStore } from '../common/bodyStore.js';
 import { openFileBodyStore } from './fileBodyStore.js';
 
--- a/src/daemon/rollout/node/sampleTexts.ts
+++ b/src/daemon/rollout/node/sampleTexts.ts
@@ -4,7 +4,7 @@
 import { createParser } from 'eventsource-parser';
 import { Result } from 'neverthrow';
 import type { Disposable } from '../../../base/common/disposable.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import {
   engineChunkSchema,
   streamEndMarker,
--- a/src/daemon/rollout/node/submissionPort.ts
+++ b/src/daemon/rollout/node/submissionPort.ts
@@ -3,7 +3,7 @@
  */
 import type { Disposable } from '../../../base/common/disposable.js';
 import type { Clock } from '../../../base/common/time.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import type { LotOpened } from '../../../service/rollout/common/putLot.js';
 import { submitLot } from '../../../service/rollout/common/submissionSystem.js';
 import { SubmissionState, type SubmissionRow } from '../../../service/rollout/common/runRows.js';
--- a/src/daemon/rollout/test/node/rolloutPorts.test.ts
+++ b/src/daemon/rollout/test/node/rolloutPorts.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import { asBrand } from '../../../../base/common/brand.js';
 import { createRandom } from '../../../../base/common/random.js';
-import { silentMetrics } from '../../../../platform/metrics/common/metrics.js';
+import { silentMetrics } from '../../../../infrastructure/metrics/common/metrics.js';
 import { createCore } from '../../../../service/core/common/core.js';
 import { readBody } from '../../../../service/rollout/common/bodySystem.js';
 import { FetchState, type FetchRow } from '../../../../service/rollout/common/runRows.js';
--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -4,7 +4,7 @@
  */
 import { Agent, type Dispatcher } from 'undici';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import {
   attemptHeader,
   engineRefusalHeader,
--- a/src/service/admission/common/admissionSystem.ts
+++ b/src/service/admission/common/admissionSystem.ts
@@ -3,7 +3,7 @@
  * service, and freezes the policy in force for the whole request.
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { refusalOfKey } from '../../configuration/common/keyInForce.js';
 import { effectivePolicy, WorkClass, type Policy } from '../../configuration/common/tree.js';
 import { earnRetry } from '../../dispatch/common/retryBudget.js';
--- a/src/service/admission/common/demandSystem.ts
+++ b/src/service/admission/common/demandSystem.ts
@@ -2,7 +2,7 @@
  * Reports the demand of each workspace to the other entries while there is any, and sums up theirs.
  */
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { DaemonState } from '../../membership/common/membershipTables.js';
 import type { WorkspaceName } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
--- a/src/service/admission/common/demandTables.ts
+++ b/src/service/admission/common/demandTables.ts
@@ -4,7 +4,7 @@
  */
 import type { Brand } from '../../../base/common/brand.js';
 import type { Instant } from '../../../base/common/time.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { DaemonId, WorkspaceName } from '../../world/common/identifiers.js';
 
 /** The requests of one workspace on another entry, by its last report. */
--- a/src/service/configuration/common/checkTree.ts
+++ b/src/service/configuration/common/checkTree.ts
@@ -3,12 +3,15 @@
  * entry of a list that runs over services or workspaces.
  */
 import type { Result } from 'neverthrow';
-import { checkDocument } from '../../../platform/settings/common/checkDocument.js';
+import { checkDocument } from '../../../infrastructure/settings/common/checkDocument.js';
 import {
   SettingsFaultKind,
   type SettingsFault,
-} from '../../../platform/settings/common/settingsFault.js';
-import { findRepeated, type Occurrence } from '../../../platform/settings/common/uniqueness.js';
+} from '../../../infrastructure/settings/common/settingsFault.js';
+import {
+  findRepeated,
+  type Occurrence,
+} from '../../../infrastructure/settings/common/uniqueness.js';
 import { treeSchema, type ServiceSettings, type Tree } from './tree.js';
 
 type TreeCheck = (tree: Tree) => readonly SettingsFault[];
--- a/src/service/configuration/common/configurationTables.ts
+++ b/src/service/configuration/common/configurationTables.ts
@@ -2,7 +2,7 @@
  * The accepted configuration as tables: the rows that admission and routing look up for each request.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { KeyDigest, ServiceName, WorkspaceName } from '../../world/common/identifiers.js';
 import type { ServiceSettings, Tree, WorkspaceSettings } from './tree.js';
 
--- a/src/service/configuration/common/freshnessTables.ts
+++ b/src/service/configuration/common/freshnessTables.ts
@@ -3,7 +3,7 @@
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import { never, type Instant } from '../../../base/common/time.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 
 /** The only identifier in the table of freshness. */
 export const freshnessId: Brand<'freshness'> = asBrand('freshness');
--- a/src/service/configuration/common/publicationSystem.ts
+++ b/src/service/configuration/common/publicationSystem.ts
@@ -5,7 +5,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { leadershipId } from '../../consensus/common/consensusTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
--- a/src/service/configuration/common/revocationSystem.ts
+++ b/src/service/configuration/common/revocationSystem.ts
@@ -4,7 +4,7 @@
  * once this daemon no longer knows that its settings are those in force.
  */
 import type { Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { leadershipId } from '../../consensus/common/consensusTables.js';
 import { endRunningAttempts } from '../../dispatch/common/endAttempt.js';
 import { EventKind } from '../../events/common/eventKind.js';
--- a/src/service/configuration/common/servedTables.ts
+++ b/src/service/configuration/common/servedTables.ts
@@ -3,7 +3,7 @@
  * row in the data folder, so that a restarted daemon never serves an older one.
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { Settings } from './settingsTables.js';
 
 /** The only identifier in the table of served settings. */
--- a/src/service/configuration/common/settingsRejection.ts
+++ b/src/service/configuration/common/settingsRejection.ts
@@ -2,7 +2,7 @@
  * Why an edit of the settings was not accepted. The settings are then unchanged.
  */
 import type { ValueOf } from '../../../base/common/handlers.js';
-import type { SettingsFault } from '../../../platform/settings/common/settingsFault.js';
+import type { SettingsFault } from '../../../infrastructure/settings/common/settingsFault.js';
 import type { Rejection } from '../../consensus/common/consensusTables.js';
 
 export const SettingsRejectionKind = {
--- a/src/service/configuration/common/settingsTables.ts
+++ b/src/service/configuration/common/settingsTables.ts
@@ -4,7 +4,11 @@
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import type { Instant } from '../../../base/common/time.js';
-import { createTable, type Entity, type Table } from '../../../platform/tables/common/table.js';
+import {
+  createTable,
+  type Entity,
+  type Table,
+} from '../../../infrastructure/tables/common/table.js';
 import type { TreeChange } from './configurationCommands.js';
 import type { SettingsRejection } from './settingsRejection.js';
 import type { Tree } from './tree.js';
--- a/src/service/configuration/node/loadInstallation.ts
+++ b/src/service/configuration/node/loadInstallation.ts
@@ -4,16 +4,16 @@
  */
 import { dirname, resolve } from 'node:path';
 import { err, ok, type Result } from 'neverthrow';
-import { checkDeployment } from '../../../platform/settings/common/checkDeployment.js';
-import type { Deployment } from '../../../platform/settings/common/deployment.js';
-import type { TomlDocument } from '../../../platform/settings/common/parseToml.js';
+import { checkDeployment } from '../../../infrastructure/settings/common/checkDeployment.js';
+import type { Deployment } from '../../../infrastructure/settings/common/deployment.js';
+import type { TomlDocument } from '../../../infrastructure/settings/common/parseToml.js';
 import {
   createSettingsError,
   type FaultyFile,
   type SettingsError,
   type SettingsFault,
-} from '../../../platform/settings/common/settingsFault.js';
-import { readDocument, resolveBeside } from '../../../platform/settings/node/readSettings.js';
+} from '../../../infrastructure/settings/common/settingsFault.js';
+import { readDocument, resolveBeside } from '../../../infrastructure/settings/node/readSettings.js';
 import { checkTree } from '../common/checkTree.js';
 import type { Tree } from '../common/tree.js';
 
--- a/src/service/configuration/test/node/loadInstallation.test.ts
+++ b/src/service/configuration/test/node/loadInstallation.test.ts
@@ -6,10 +6,13 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type { Result } from 'neverthrow';
-import { checkDeployment } from '../../../../platform/settings/common/checkDeployment.js';
-import { parseToml } from '../../../../platform/settings/common/parseToml.js';
-import type { SettingsFault } from '../../../../platform/settings/common/settingsFault.js';
-import { readDocument, readSettings } from '../../../../platform/settings/node/readSettings.js';
+import { checkDeployment } from '../../../../infrastructure/settings/common/checkDeployment.js';
+import { parseToml } from '../../../../infrastructure/settings/common/parseToml.js';
+import type { SettingsFault } from '../../../../infrastructure/settings/common/settingsFault.js';
+import {
+  readDocument,
+  readSettings,
+} from '../../../../infrastructure/settings/node/readSettings.js';
 import { checkTree } from '../../common/checkTree.js';
 import { loadInstallation } from '../../node/loadInstallation.js';
 
--- a/src/service/consensus/common/applySystem.ts
+++ b/src/service/consensus/common/applySystem.ts
@@ -5,7 +5,7 @@
 import { ok, type Result } from 'neverthrow';
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import type { Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { configurationApplyHandlers } from '../../configuration/common/applyConfiguration.js';
 import { orderApplyHandlers } from '../../orders/common/applyOrders.js';
 import { ledgerHandlers } from '../../rollout/common/ledgerHandlers.js';
--- a/src/service/consensus/common/consensusTables.ts
+++ b/src/service/consensus/common/consensusTables.ts
@@ -4,9 +4,9 @@
  */
 import type { Brand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
-import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { Command } from './command.js';
 
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -6,7 +6,7 @@
 import { asBrand } from '../../../base/common/brand.js';
 import type { HandlerTable, Member } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import { Role } from '../../../platform/settings/common/deployment.js';
+import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
--- a/src/service/consensus/common/replicaSystem.ts
+++ b/src/service/consensus/common/replicaSystem.ts
@@ -4,8 +4,8 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { never, type Instant } from '../../../base/common/time.js';
-import { Role, type DaemonSettings } from '../../../platform/settings/common/deployment.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import { Role, type DaemonSettings } from '../../../infrastructure/settings/common/deployment.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { maximumVoters } from './consensusTiming.js';
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -3,7 +3,11 @@
  * under the ports of a real process and under fakes on virtual time.
  */
 import type { Instant } from '../../../base/common/time.js';
-import { createTicker, type System, type Ticker } from '../../../platform/tables/common/tick.js';
+import {
+  createTicker,
+  type System,
+  type Ticker,
+} from '../../../infrastructure/tables/common/tick.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
 import { createDemandSystem } from '../../admission/common/demandSystem.js';
 import {
--- a/src/service/dispatch/common/attemptFactSystem.ts
+++ b/src/service/dispatch/common/attemptFactSystem.ts
@@ -4,7 +4,7 @@
  */
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { NotRunReason, type AttemptFact } from '../../traffic/common/attemptFact.js';
 import { answerRequest } from '../../traffic/common/endRequest.js';
--- a/src/service/dispatch/common/deadlineSystem.ts
+++ b/src/service/dispatch/common/deadlineSystem.ts
@@ -3,7 +3,7 @@
  * fell silent, and rows that are no longer needed.
  */
 import { never, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { failRequest, hasEnded, refuseRequest } from '../../traffic/common/endRequest.js';
 import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
 import {
--- a/src/service/dispatch/common/departureSystem.ts
+++ b/src/service/dispatch/common/departureSystem.ts
@@ -2,7 +2,7 @@
  * Requests whose caller has gone: what runs for them is ended, and what it made is counted as waste.
  */
 import type { Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { cancelRequest, hasEnded } from '../../traffic/common/endRequest.js';
 import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
 import type { RequestId } from '../../world/common/identifiers.js';
--- a/src/service/dispatch/common/dispatchSystem.ts
+++ b/src/service/dispatch/common/dispatchSystem.ts
@@ -4,7 +4,7 @@
  * `writing`; from then on the request may have run.
  */
 import type { Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { refusalOfKey } from '../../configuration/common/keyInForce.js';
 import { UpstreamState } from '../../protocol/common/upstreamProtocol.js';
 import { refuseRequest } from '../../traffic/common/endRequest.js';
--- a/src/service/dispatch/common/retryTables.ts
+++ b/src/service/dispatch/common/retryTables.ts
@@ -4,7 +4,7 @@
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import type { Instant } from '../../../base/common/time.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { UpstreamId, WorkspaceName } from '../../world/common/identifiers.js';
 
 export type SuspectId = Brand<'suspect'>;
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -2,9 +2,9 @@
  * The kinds of events of the time line, and the queue through which systems record them.
  */
 import type { ValueOf } from '../../../base/common/handlers.js';
-import type { EventSubject } from '../../../platform/timeline/common/timelineEvent.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
-import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
+import type { EventSubject } from '../../../infrastructure/timeline/common/timelineEvent.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 
 export const EventKind = {
   DaemonStarted: 'daemonStarted',
--- a/src/service/membership/common/announcementSystem.ts
+++ b/src/service/membership/common/announcementSystem.ts
@@ -4,7 +4,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { Announcement } from '../../protocol/common/upstreamProtocol.js';
 import type { ServiceName, UpstreamId } from '../../world/common/identifiers.js';
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -3,8 +3,8 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
-import type { DaemonSettings } from '../../../platform/settings/common/deployment.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { DaemonSettings } from '../../../infrastructure/settings/common/deployment.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { isFresh } from '../../configuration/common/keyInForce.js';
 import { servedId } from '../../configuration/common/servedTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -4,7 +4,7 @@
  */
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import type { Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { consensusHandlers } from '../../consensus/common/consensusHandlers.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
 import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
--- a/src/service/messages/common/messageTables.ts
+++ b/src/service/messages/common/messageTables.ts
@@ -1,8 +1,8 @@
 /**
  * The queues through which messages pass between systems and the port of the peers.
  */
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
-import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import type { IncomingMessage, OutgoingMessage } from './message.js';
 
 export const createMessageTables = () => ({
--- a/src/service/orders/common/orderSystem.ts
+++ b/src/service/orders/common/orderSystem.ts
@@ -6,7 +6,7 @@
 import { asBrand } from '../../../base/common/brand.js';
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { orderFlightMilliseconds } from '../../consensus/common/consensusTiming.js';
 import { leadershipOf, mayActAsLeader } from '../../consensus/common/lease.js';
 import { EventKind } from '../../events/common/eventKind.js';
--- a/src/service/orders/common/orderTables.ts
+++ b/src/service/orders/common/orderTables.ts
@@ -4,9 +4,9 @@
 import type { Brand } from '../../../base/common/brand.js';
 import type { ValueOf } from '../../../base/common/handlers.js';
 import type { Instant } from '../../../base/common/time.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
-import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { EngineOrder } from '../../protocol/common/engineProtocol.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { OrderClosed } from './orderCommands.js';
--- a/src/service/rollout/common/bodyCopies.ts
+++ b/src/service/rollout/common/bodyCopies.ts
@@ -4,7 +4,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
-import { Role } from '../../../platform/settings/common/deployment.js';
+import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { DaemonState } from '../../membership/common/membershipTables.js';
 import type { BodyCopyId, BodyId, DaemonId, LotId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
--- a/src/service/rollout/common/completionSystem.ts
+++ b/src/service/rollout/common/completionSystem.ts
@@ -3,7 +3,7 @@
  * completion of a lot is on its way go into the next one.
  */
 import type { Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import type { LotId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { holdersOf, isStored } from './bodyCopies.js';
--- a/src/service/rollout/common/earlyStopSystem.ts
+++ b/src/service/rollout/common/earlyStopSystem.ts
@@ -3,7 +3,7 @@
  * engine has changed to other weights and the lot wants one version a sample.
  */
 import type { Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { AttemptState, type AttemptRow } from '../../traffic/common/trafficTables.js';
 import type { LotId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
--- a/src/service/rollout/common/fetchSystem.ts
+++ b/src/service/rollout/common/fetchSystem.ts
@@ -5,7 +5,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import type { Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import type { GroupId, LotId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { releaseBodies, readBody } from './bodySystem.js';
--- a/src/service/rollout/common/ledgerProposals.ts
+++ b/src/service/rollout/common/ledgerProposals.ts
@@ -4,7 +4,7 @@
  * is known.
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import {
   leadershipId,
   type ProposalId,
--- a/src/service/rollout/common/lotSystem.ts
+++ b/src/service/rollout/common/lotSystem.ts
@@ -5,8 +5,8 @@
 import { asBrand } from '../../../base/common/brand.js';
 import { pickOne } from '../../../base/common/random.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
-import { Role } from '../../../platform/settings/common/deployment.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { leadershipId } from '../../consensus/common/consensusTables.js';
 import { DaemonState } from '../../membership/common/membershipTables.js';
 import type { DaemonId, LotId } from '../../world/common/identifiers.js';
--- a/src/service/rollout/common/planSystem.ts
+++ b/src/service/rollout/common/planSystem.ts
@@ -4,7 +4,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { never, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { createArrivedRow } from '../../traffic/common/arrivedRequest.js';
 import type { LotId, RequestId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
--- a/src/service/rollout/common/rolloutTables.ts
+++ b/src/service/rollout/common/rolloutTables.ts
@@ -4,9 +4,9 @@
  * the ledger alone. Runs, clocks and fetches belong to one daemon. Texts stay in the ports.
  */
 import { never } from '../../../base/common/time.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
-import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { LotId } from '../../world/common/identifiers.js';
 import {
   ReadState,
--- a/src/service/rollout/common/sampleSystem.ts
+++ b/src/service/rollout/common/sampleSystem.ts
@@ -3,7 +3,7 @@
  * are young enough; otherwise the sample is run again and the tokens are counted as waste.
  */
 import { never, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { countWaste } from '../../dispatch/common/endAttempt.js';
 import { hasEnded } from '../../traffic/common/endRequest.js';
 import {
--- a/src/service/rollout/common/submissionSystem.ts
+++ b/src/service/rollout/common/submissionSystem.ts
@@ -4,7 +4,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
 import type { LotId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
--- a/src/service/rollout/common/windowSystem.ts
+++ b/src/service/rollout/common/windowSystem.ts
@@ -5,7 +5,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { effectivePolicy } from '../../configuration/common/tree.js';
 import { UpstreamState } from '../../protocol/common/upstreamProtocol.js';
 import type { LotId, ServiceName } from '../../world/common/identifiers.js';
--- a/src/service/rollout/test/common/ledgerHandlers.test.ts
+++ b/src/service/rollout/test/common/ledgerHandlers.test.ts
@@ -8,7 +8,7 @@
 import { asBrand } from '../../../../base/common/brand.js';
 import { dispatchByKind } from '../../../../base/common/handlers.js';
 import { createRandom } from '../../../../base/common/random.js';
-import { silentMetrics } from '../../../../platform/metrics/common/metrics.js';
+import { silentMetrics } from '../../../../infrastructure/metrics/common/metrics.js';
 import type { ApplyContext } from '../../../consensus/common/applySystem.js';
 import type { CommittedEntry, Rejection } from '../../../consensus/common/consensusTables.js';
 import type { SampleId } from '../../../world/common/identifiers.js';
--- a/src/service/routing/common/flowSystem.ts
+++ b/src/service/routing/common/flowSystem.ts
@@ -2,7 +2,7 @@
  * Follows requests into the backlog of their flows, and lets flows go on whose workspace was at its limit
  * when one of its requests ends or its share of the limit changes.
  */
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { hasEnded } from '../../traffic/common/endRequest.js';
 import {
   poolOfRequest,
--- a/src/service/routing/common/routingSystem.ts
+++ b/src/service/routing/common/routingSystem.ts
@@ -5,7 +5,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import type { System } from '../../../platform/tables/common/tick.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { ownShareOf, runningOf } from '../../admission/common/limitShares.js';
 import type { WorkClass } from '../../configuration/common/tree.js';
 import { suspicionOf } from '../../dispatch/common/quarantine.js';
--- a/src/service/timeline/common/eventFilter.ts
+++ b/src/service/timeline/common/eventFilter.ts
@@ -2,7 +2,7 @@
  * Filters of the time line: by request, sample, upstream, revision, kind, process, or any text of the
  * subject. What belongs to a request or a sample is found through the attempts between them.
  */
-import type { TimelineEvent } from '../../../platform/timeline/common/timelineEvent.js';
+import type { TimelineEvent } from '../../../infrastructure/timeline/common/timelineEvent.js';
 
 /** What is wanted; everything that is left out lets every event through. */
 export interface EventFilter {
--- a/src/service/timeline/common/explainRequest.ts
+++ b/src/service/timeline/common/explainRequest.ts
@@ -5,7 +5,7 @@
 import {
   formatEvent,
   type TimelineEvent,
-} from '../../../platform/timeline/common/timelineEvent.js';
+} from '../../../infrastructure/timeline/common/timelineEvent.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
 import { filterEvents } from './eventFilter.js';
--- a/src/service/timeline/common/timelinePage.ts
+++ b/src/service/timeline/common/timelinePage.ts
@@ -2,7 +2,7 @@
  * The time line as one HTML page that needs nothing from elsewhere: a row an event, a lane a process, and
  * a box that hides the rows which lack a text. All text of events is escaped.
  */
-import type { TimelineEvent } from '../../../platform/timeline/common/timelineEvent.js';
+import type { TimelineEvent } from '../../../infrastructure/timeline/common/timelineEvent.js';
 
 const escapes: Readonly<Record<string, string>> = {
   '&': '&amp;',
--- a/src/service/timeline/test/common/timeline.test.ts
+++ b/src/service/timeline/test/common/timeline.test.ts
@@ -3,7 +3,7 @@
 import type {
   EventSubject,
   TimelineEvent,
-} from '../../../../platform/timeline/common/timelineEvent.js';
+} from '../../../../infrastructure/timeline/common/timelineEvent.js';
 import { filterEvents } from '../../common/eventFilter.js';
 import { explainRequest } from '../../common/explainRequest.js';
 import { escapeHtml, formatTimelinePage } from '../../common/timelinePage.js';
--- a/src/service/traffic/common/flowTables.ts
+++ b/src/service/traffic/common/flowTables.ts
@@ -4,7 +4,7 @@
  * starts in tokens divided by weight: the one that starts first is served next.
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { WorkClass } from '../../configuration/common/tree.js';
 import type { ServiceName, WorkspaceName } from '../../world/common/identifiers.js';
 
--- a/src/service/traffic/common/trafficTables.ts
+++ b/src/service/traffic/common/trafficTables.ts
@@ -3,9 +3,9 @@
  */
 import type { ValueOf } from '../../../base/common/handlers.js';
 import { never, type Instant } from '../../../base/common/time.js';
-import { RowReader } from '../../../platform/tables/common/rowReader.js';
-import { createRowQueue } from '../../../platform/tables/common/rowQueue.js';
-import { createTable } from '../../../platform/tables/common/table.js';
+import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import { WorkClass, type Policy } from '../../configuration/common/tree.js';
 import type {
   AttemptId,
--- a/src/service/usage/common/usageTables.ts
+++ b/src/service/usage/common/usageTables.ts
@@ -1,7 +1,7 @@
 /**
  * Usage that this daemon has counted, by workspace. Totals only rise within one incarnation.
  */
-import { createTable } from '../../../platform/tables/common/table.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { WorkspaceName } from '../../world/common/identifiers.js';
 
 export interface UsageRow {
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -2,13 +2,13 @@
  * The world of one daemon: all its tables, and what systems need besides rows.
  */
 import type { Random } from '../../../base/common/random.js';
-import type { Metrics } from '../../../platform/metrics/common/metrics.js';
+import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
 import {
   Role,
   type DaemonSettings,
   type Deployment,
-} from '../../../platform/settings/common/deployment.js';
-import type { AnyTable } from '../../../platform/tables/common/table.js';
+} from '../../../infrastructure/settings/common/deployment.js';
+import type { AnyTable } from '../../../infrastructure/tables/common/table.js';
 import { createDemandTables } from '../../admission/common/demandTables.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
 import { createFreshnessTables } from '../../configuration/common/freshnessTables.js';
--- a/standins/announcing/announcer.ts
+++ b/standins/announcing/announcer.ts
@@ -6,8 +6,8 @@
 import { asBrand, type Brand } from '../../src/base/common/brand.js';
 import { deadlineAfter, type Instant, type Milliseconds } from '../../src/base/common/time.js';
 import { monotonicClock } from '../../src/base/node/monotonicClock.js';
-import { createTable } from '../../src/platform/tables/common/table.js';
-import type { System } from '../../src/platform/tables/common/tick.js';
+import { createTable } from '../../src/infrastructure/tables/common/table.js';
+import type { System } from '../../src/infrastructure/tables/common/tick.js';
 import {
   announcementPath,
   type Announcement,
--- a/standins/engine/enginePort.ts
+++ b/standins/engine/enginePort.ts
@@ -4,7 +4,7 @@
 import type { ServerResponse } from 'node:http';
 import type { HandlerTable } from '../../src/base/common/handlers.js';
 import { dispatchByKind } from '../../src/base/common/handlers.js';
-import type { System } from '../../src/platform/tables/common/tick.js';
+import type { System } from '../../src/infrastructure/tables/common/tick.js';
 import {
   engineRefusalHeader,
   engineRefusalStatus,
--- a/standins/engine/engineSystems.ts
+++ b/standins/engine/engineSystems.ts
@@ -3,7 +3,7 @@
  */
 import { asBrand } from '../../src/base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../src/base/common/time.js';
-import type { System } from '../../src/platform/tables/common/tick.js';
+import type { System } from '../../src/infrastructure/tables/common/tick.js';
 import type { Counters } from '../common/counters.js';
 import type { EngineCounter, EngineSettings } from './engineSettings.js';
 import {
--- a/standins/faults/faultScript.ts
+++ b/standins/faults/faultScript.ts
@@ -4,7 +4,7 @@
  */
 import { asBrand, type Brand } from '../../src/base/common/brand.js';
 import type { ValueOf } from '../../src/base/common/handlers.js';
-import { createTable } from '../../src/platform/tables/common/table.js';
+import { createTable } from '../../src/infrastructure/tables/common/table.js';
 import { FaultKind, type Fault } from './faults.js';
 
 /** One line of a script. Without conditions it applies to the very next request or order. */
--- a/standins/ordering/ordering.ts
+++ b/standins/ordering/ordering.ts
@@ -4,7 +4,7 @@
  */
 import { Hono } from 'hono';
 import { asBrand, type Brand } from '../../src/base/common/brand.js';
-import { createTable } from '../../src/platform/tables/common/table.js';
+import { createTable } from '../../src/infrastructure/tables/common/table.js';
 import {
   upstreamOrderSchema,
   upstreamOrdersPath,
--- a/standins/plain/plain.ts
+++ b/standins/plain/plain.ts
@@ -6,7 +6,7 @@
 import { asBrand } from '../../src/base/common/brand.js';
 import { deadlineAfter, never } from '../../src/base/common/time.js';
 import { monotonicClock } from '../../src/base/node/monotonicClock.js';
-import type { System } from '../../src/platform/tables/common/tick.js';
+import type { System } from '../../src/infrastructure/tables/common/tick.js';
 import {
   engineRefusalHeader,
   engineRefusalStatus,
--- a/standins/trainer/trainer.ts
+++ b/standins/trainer/trainer.ts
@@ -9,7 +9,7 @@
 import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
 import { deadlineAfter, type Milliseconds } from '../../src/base/common/time.js';
 import { monotonicClock } from '../../src/base/node/monotonicClock.js';
-import type { System } from '../../src/platform/tables/common/tick.js';
+import type { System } from '../../src/infrastructure/tables/common/tick.js';
 import { createCounters } from '../common/counters.js';
 import { startLoop } from '../common/nodeLoop.js';
 import { createTrainerPort, type BatchAnswer } from './trainerPort.js';
--- a/standins/virtual/controlHistory.ts
+++ b/standins/virtual/controlHistory.ts
@@ -2,7 +2,7 @@
  * Watches a virtual installation over its whole run for what must always hold of control: one entry at
  * each index, applied once on each daemon in rising order, and never two daemons that may act as leader.
  */
-import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { RowReader } from '../../src/infrastructure/tables/common/rowReader.js';
 import type { ProposalId } from '../../src/service/consensus/common/consensusTables.js';
 import { mayActAsLeader } from '../../src/service/consensus/common/lease.js';
 import type { VirtualContext, VirtualInstallation, VirtualPort } from './virtualInstallation.js';
--- a/standins/virtual/directUpstreams.ts
+++ b/standins/virtual/directUpstreams.ts
@@ -3,7 +3,7 @@
  * tokens take, so that queues can be worked out by hand. All daemons of an installation share them.
  */
 import type { Milliseconds } from '../../src/base/common/time.js';
-import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { RowReader } from '../../src/infrastructure/tables/common/rowReader.js';
 import {
   UpstreamKind,
   UpstreamState,
--- a/standins/virtual/links.ts
+++ b/standins/virtual/links.ts
@@ -2,7 +2,7 @@
  * One-way latencies between the places of a deployment, for virtual time.
  */
 import type { Milliseconds } from '../../src/base/common/time.js';
-import type { Deployment } from '../../src/platform/settings/common/deployment.js';
+import type { Deployment } from '../../src/infrastructure/settings/common/deployment.js';
 
 /** One-way latencies by distance. */
 export interface LinkLatencies {
--- a/standins/virtual/testDeployment.ts
+++ b/standins/virtual/testDeployment.ts
@@ -7,7 +7,7 @@
 import {
   deploymentSchema,
   type Deployment,
-} from '../../src/platform/settings/common/deployment.js';
+} from '../../src/infrastructure/settings/common/deployment.js';
 import { treeSchema, type Tree } from '../../src/service/configuration/common/tree.js';
 import type { KeyDigest } from '../../src/service/world/common/identifiers.js';
 
--- a/standins/virtual/virtualCallers.ts
+++ b/standins/virtual/virtualCallers.ts
@@ -3,7 +3,7 @@
  * of each call.
  */
 import type { Instant, Milliseconds } from '../../src/base/common/time.js';
-import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { RowReader } from '../../src/infrastructure/tables/common/rowReader.js';
 import { arrivedRow, type DecodedRequest } from '../../src/daemon/front/node/submission.js';
 import { hasEnded } from '../../src/service/traffic/common/endRequest.js';
 import type { Refusal } from '../../src/service/traffic/common/refusal.js';
--- a/standins/virtual/virtualDisk.ts
+++ b/standins/virtual/virtualDisk.ts
@@ -8,8 +8,8 @@
 import {
   createStorageError,
   StorageErrorKind,
-} from '../../src/platform/storage/common/storageError.js';
-import { decodeRecords, encodeRecord } from '../../src/platform/storage/node/recordCodec.js';
+} from '../../src/infrastructure/storage/common/storageError.js';
+import { decodeRecords, encodeRecord } from '../../src/infrastructure/storage/node/recordCodec.js';
 import type { StorageFact } from '../../src/service/consensus/common/replicaTables.js';
 import type { VirtualContext, VirtualPort } from './virtualInstallation.js';
 
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -5,8 +5,8 @@
 import { asBrand } from '../../src/base/common/brand.js';
 import { createRandom } from '../../src/base/common/random.js';
 import { never, type Instant, type Milliseconds } from '../../src/base/common/time.js';
-import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
-import type { Deployment } from '../../src/platform/settings/common/deployment.js';
+import { silentMetrics } from '../../src/infrastructure/metrics/common/metrics.js';
+import type { Deployment } from '../../src/infrastructure/settings/common/deployment.js';
 import type { Tree } from '../../src/service/configuration/common/tree.js';
 import { createCore, type Core } from '../../src/service/core/common/core.js';
 import type { RecordedEvent } from '../../src/service/events/common/eventKind.js';
--- a/standins/virtual/virtualTrainers.ts
+++ b/standins/virtual/virtualTrainers.ts
@@ -5,8 +5,8 @@
  */
 import { asBrand } from '../../src/base/common/brand.js';
 import { deadlineAfter, type Instant, type Milliseconds } from '../../src/base/common/time.js';
-import { Role } from '../../src/platform/settings/common/deployment.js';
-import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { Role } from '../../src/infrastructure/settings/common/deployment.js';
+import { RowReader } from '../../src/infrastructure/tables/common/rowReader.js';
 import { releaseBodies } from '../../src/service/rollout/common/bodySystem.js';
 import { createLotOpened, type LotWish } from '../../src/service/rollout/common/openLot.js';
 import { promptBodyOf } from '../../src/service/rollout/common/putLot.js';
--- a/standins/virtual/virtualUpstreams.ts
+++ b/standins/virtual/virtualUpstreams.ts
@@ -4,7 +4,7 @@
  */
 import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
 import { never, type Instant } from '../../src/base/common/time.js';
-import { RowReader } from '../../src/platform/tables/common/rowReader.js';
+import { RowReader } from '../../src/infrastructure/tables/common/rowReader.js';
 import { UpstreamState } from '../../src/service/protocol/common/upstreamProtocol.js';
 import type { AttemptRow, AttemptState } from '../../src/service/traffic/common/trafficTables.js';
 import type { AttemptId } from '../../src/service/world/common/identifiers.js';
--- a/standins/weightStore/weightStore.ts
+++ b/standins/weightStore/weightStore.ts
@@ -6,7 +6,7 @@
 import { asBrand } from '../../src/base/common/brand.js';
 import { deadlineAfter, millisecondsPerSecond, type Instant } from '../../src/base/common/time.js';
 import { monotonicClock } from '../../src/base/node/monotonicClock.js';
-import type { System } from '../../src/platform/tables/common/tick.js';
+import type { System } from '../../src/infrastructure/tables/common/tick.js';
 import { weightsPath } from '../../src/service/protocol/common/platformProtocol.js';
 import { answeredOnSocket, listen, type StandInEnvironment } from '../common/httpListener.js';
 import { startLoop } from '../common/nodeLoop.js';
--- a/standins/weightStore/weightStoreTables.ts
+++ b/standins/weightStore/weightStoreTables.ts
@@ -4,7 +4,7 @@
 import type { Brand } from '../../src/base/common/brand.js';
 import type { ValueOf } from '../../src/base/common/handlers.js';
 import { never, type Instant } from '../../src/base/common/time.js';
-import { createTable } from '../../src/platform/tables/common/table.js';
+import { createTable } from '../../src/infrastructure/tables/common/table.js';
 import type { FaultPlan } from '../faults/faults.js';
 
 /** Where a download stands. */
