--- a/src/daemon/fleet/node/votersFile.ts
+++ b/src/daemon/fleet/node/votersFile.ts
@@ -42,6 +42,7 @@
 ): readonly string[] =>
   readVoters(folder).unwrapOr(undefined) ??
   ((): readonly string[] => {
-    if (isFirstStart) writeVoters(folder, told);
+    if (!isFirstStart) return [];
+    writeVoters(folder, told);
     return told;
   })();
--- a/src/infrastructure/settings/common/fleetSettings.ts
+++ b/src/infrastructure/settings/common/fleetSettings.ts
@@ -17,6 +17,8 @@
   readonly metering: MeteringSettings | null;
   /** Name under which this daemon gives orders. */
   readonly holder: string;
+  /** How many voters the log shall have, once there are so many control daemons. */
+  readonly voterCount: number;
   /** How long after its submission the results of a job are kept. */
   readonly jobRetentionMilliseconds: Milliseconds;
 }
@@ -27,5 +29,6 @@
 export const noFleet: FleetSettings = {
   metering: null,
   holder: '',
+  voterCount: 0,
   jobRetentionMilliseconds: defaultJobRetentionMilliseconds,
 };
--- a/src/service/consensus/common/applySystem.ts
+++ b/src/service/consensus/common/applySystem.ts
@@ -29,6 +29,7 @@
 
 const handlers: ApplyHandlers<Command> = {
   leadershipTaken: () => ok(undefined),
+  votersSet: () => ok(undefined),
   ...configurationApplyHandlers,
   ...orderApplyHandlers,
   ...ledgerHandlers,
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -16,6 +16,7 @@
 import { meteringCommandSchemas } from '../../metering/common/meteringCommands.js';
 import { orderClosedSchema, orderIntendedSchema } from '../../orders/common/orderCommands.js';
 import { ledgerCommandSchemas } from '../../rollout/common/ledgerCommands.js';
+import { votersSetSchema } from './voterCommands.js';
 import { versionNamedSchema } from '../../weights/common/versionCommands.js';
 
 /** Which daemons apply a command. */
@@ -38,6 +39,7 @@
 /** Every command; each subject adds its own schemas here. */
 export const commandSchema = z.discriminatedUnion('kind', [
   leadershipTakenSchema,
+  votersSetSchema,
   treeSeededSchema,
   treeSetSchema,
   keyIssueSchema,
@@ -56,6 +58,7 @@
 /** The topic of each kind of command. */
 export const topicOfCommand: Readonly<Record<Command['kind'], Topic>> = {
   leadershipTaken: Topic.Configuration,
+  votersSet: Topic.Voters,
   treeSeeded: Topic.Configuration,
   treeSet: Topic.Configuration,
   keyIssue: Topic.Configuration,
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -30,9 +30,8 @@
 export const keepsEntries = (world: World): boolean => world.self.roles.includes(Role.Control);
 
 const sourcesOf = (world: World): DaemonRow[] => {
-  const isVoter = (row: DaemonRow): boolean => world.members.has(row.id);
   const isSource = (row: DaemonRow): boolean =>
-    !row.isSelf && (keepsEntries(world) ? isVoter(row) : row.isControl);
+    !row.isSelf && (keepsEntries(world) ? row.isVoter : row.isControl);
   return [...world.daemons.rows()].filter(isSource);
 };
 
--- a/src/service/consensus/common/joining.ts
+++ b/src/service/consensus/common/joining.ts
@@ -23,5 +23,6 @@
 /** How many votes this daemon needs to be elected. */
 export const votesNeeded = (world: World): number => {
   const voters = world.members.size();
+  if (voters === 0) return Number.POSITIVE_INFINITY;
   return replicaOf(world).hasJoined ? Math.floor(voters / 2) + 1 : voters;
 };
--- a/src/service/consensus/common/proposals.ts
+++ b/src/service/consensus/common/proposals.ts
@@ -12,12 +12,15 @@
 import { proposalResendMilliseconds } from './consensusTiming.js';
 import type { LogEntry } from './logEntry.js';
 import { appendEntry, entryOfProposal, replicaOf } from './replicaLog.js';
+import { adoptVoters } from './voters.js';
 import { ReplicaState, type PendingProposalRow } from './replicaTables.js';
 
 type ProposedEntry = Pick<LogEntry, 'proposal' | 'origin' | 'command'>;
 
 const appendOnce = (world: World, entry: ProposedEntry): void => {
-  if (entryOfProposal(world, entry.proposal) === undefined) appendEntry(world, entry);
+  if (entryOfProposal(world, entry.proposal) !== undefined) return;
+  appendEntry(world, entry);
+  if (entry.command.kind === 'votersSet') adoptVoters(world);
 };
 
 const submitHere = (world: World, row: PendingProposalRow, now: Instant): void => {
--- a/src/service/consensus/common/replicaSystem.ts
+++ b/src/service/consensus/common/replicaSystem.ts
@@ -4,49 +4,30 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { never, type Instant } from '../../../base/common/time.js';
-import { Role, type DaemonSettings } from '../../../infrastructure/settings/common/deployment.js';
+import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
-import { maximumVoters } from './consensusTiming.js';
 import { countVotes, takeElectionDeadline } from './election.js';
 import { feedLearners, follow } from './following.js';
 import { updateLeadership } from './lease.js';
 import { carryProposals, resendProposals } from './proposals.js';
 import { changeReplica, entriesBetween, replicaOf, withoutLeadership } from './replicaLog.js';
 import { replicaId, ReplicaState } from './replicaTables.js';
+import { canVote, putVoters } from './voters.js';
 import { advanceCommit, replicate } from './replication.js';
 import { takeStorageFacts } from './storageFacts.js';
 
-const isControl = ({ roles }: DaemonSettings): boolean => roles.includes(Role.Control);
-
-const insertMember = (world: World, name: string): void => {
-  world.members.put({
-    id: asBrand<DaemonId>(name),
-    isSelf: name === world.self.name,
-    hasGrantedVote: false,
-    nextIndex: 1,
-    matchIndex: 0,
-    renewedAt: Number.NEGATIVE_INFINITY,
-    answeredAt: Number.NEGATIVE_INFINITY,
-    renewalDeadline: never,
-    toldCommitIndex: 0,
-  });
-};
-
 /** Puts the replica and the voters of the settings into their tables; done once, before the first tick. */
-export const insertReplica = (
-  world: World,
-  voters: readonly string[] | undefined,
-  now: Instant,
-): void => {
-  const control = world.deployment.daemons.filter(isControl).map(({ name }) => name);
-  (voters ?? control.slice(0, maximumVoters)).forEach((name) => insertMember(world, name));
-  const isVoter = world.members.has(asBrand<DaemonId>(world.self.name));
+export const insertReplica = (world: World, now: Instant): void => {
+  // Where all daemons are listed, so are the voters; else the log on its disk says whether one votes.
+  const isListed = world.deployment.discovery === Discovery.Listed;
+  const mayVote = isListed ? world.firstVoters.includes(world.self.name) : canVote(world);
   world.replica.put({
     ...withoutLeadership,
     id: replicaId,
-    state: isVoter ? ReplicaState.Recovering : ReplicaState.Learner,
+    state: mayVote ? ReplicaState.Recovering : ReplicaState.Learner,
+    votersIndex: 0,
     term: 0,
     votedFor: null,
     hasJoined: false,
@@ -60,10 +41,11 @@
     electionDeadline: never,
     voteRefusalDeadline: Number.NEGATIVE_INFINITY,
     currentAsOf: Number.NEGATIVE_INFINITY,
-    followDeadline: isVoter ? never : now,
+    followDeadline: mayVote ? never : now,
     relay: null,
     relayDeadline: Number.NEGATIVE_INFINITY,
   });
+  putVoters(world, world.firstVoters);
 };
 
 const deliverCommitted = (world: World): void => {
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -56,6 +56,8 @@
   readonly leaseDeadline: Instant;
   /** From when on this leader may give orders; `never` for others. */
   readonly orderDeadline: Instant;
+  /** Index of the change by which the present voters vote; 0 for the first voters. */
+  readonly votersIndex: number;
   /** Index of its `leadershipTaken` entry; 0 for others than the leader. */
   readonly leadershipIndex: number;
   /** The last instant, by the own clock, for which the delivered entries were all that was accepted. */
--- a/src/service/consensus/common/replication.ts
+++ b/src/service/consensus/common/replication.ts
@@ -32,6 +32,7 @@
   syncedIndexOf,
   termAt,
 } from './replicaLog.js';
+import { adoptVoters, becomeVoter, canVote } from './voters.js';
 import { isCurrentLeader, ReplicaState, type MemberRow } from './replicaTables.js';
 
 const sendEntries = (world: World, member: MemberRow, now: Instant): void => {
@@ -143,7 +144,12 @@
 
 const storeNewEntries = (world: World, entries: readonly LogEntry[]): void => {
   const position = entries.findIndex((entry) => termAt(world, entry.index) !== entry.term);
-  if (position >= 0) storeEntries(world, entries.slice(position));
+  if (position < 0) return;
+  const stored = entries.slice(position);
+  const replacesVoters = stored[0]!.index <= replicaOf(world).votersIndex;
+  storeEntries(world, stored);
+  const changesVoters = stored.some(({ command }) => command.kind === 'votersSet');
+  if (replacesVoters || changesVoters) adoptVoters(world);
 };
 
 const takeEntries = (world: World, append: Append): number => {
@@ -157,9 +163,9 @@
 };
 
 const noteCurrent = (world: World, append: Append): void => {
-  const { commitIndex, currentAsOf } = replicaOf(world);
+  const { commitIndex, lastIndex, currentAsOf } = replicaOf(world);
   if (append.currentAsOf === null || commitIndex < append.commitIndex) return;
-  join(world);
+  if (lastIndex >= append.commitIndex) join(world);
   changeReplica(world, { currentAsOf: Math.max(currentAsOf, append.currentAsOf) });
 };
 
@@ -184,7 +190,8 @@
   'entriesAppended' | 'appendAnswered'
 > = {
   entriesAppended: (append, world, leader, now) => {
-    if (!takesPart(world) || !world.members.has(leader.id)) return;
+    if (replicaOf(world).state === ReplicaState.Learner && canVote(world)) becomeVoter(world, now);
+    if (!takesPart(world)) return;
     const { term, lastIndex, commitIndex } = replicaOf(world);
     if (append.term < term) {
       answer(world, append, leader, now, { accepted: false, matchIndex: 0 });
--- a/src/service/consensus/common/storageFacts.ts
+++ b/src/service/consensus/common/storageFacts.ts
@@ -14,8 +14,12 @@
   replicaOf,
   withoutLeadership,
 } from './replicaLog.js';
+import { adoptVoters, becomeLearner } from './voters.js';
 import { entryIdOf, ReplicaState, type StorageFact } from './replicaTables.js';
 
+/** At the first start no leader can be there, so voters wait only so as not to ask all at once. */
+const firstElectionMilliseconds = 600;
+
 const releaseMessages = (world: World, sequence: number): void =>
   [...world.heldMessages.rows()]
     .filter((held) => held.sequence <= sequence)
@@ -27,6 +31,7 @@
 const handlers: HandlerTable<StorageFact, void, [World, Instant]> = {
   recovered: ({ state }, world, now) => {
     if (replicaOf(world).state !== ReplicaState.Recovering) return;
+    const isFirstStart = !state.hasJoined && state.term === 0 && state.entries.length === 0;
     state.entries.forEach((entry) =>
       world.logEntries.put({ ...entry, id: entryIdOf(entry.index) }),
     );
@@ -37,10 +42,16 @@
       hasJoined: state.hasJoined,
       lastIndex: state.entries.at(-1)?.index ?? 0,
       lastTerm: state.entries.at(-1)?.term ?? 0,
-      electionDeadline: electionDeadlineAfter(world, now),
+      electionDeadline: isFirstStart
+        ? deadlineAfter(now, world.random.below(firstElectionMilliseconds))
+        : electionDeadlineAfter(world, now),
       // It may have answered a renewal right before it was ended.
-      voteRefusalDeadline: deadlineAfter(now, electionMinimumMilliseconds),
+      voteRefusalDeadline: isFirstStart
+        ? Number.NEGATIVE_INFINITY
+        : deadlineAfter(now, electionMinimumMilliseconds),
     });
+    adoptVoters(world);
+    if (!world.members.has(asBrand<DaemonId>(world.self.name))) becomeLearner(world, now);
   },
   synced: ({ sequence }, world) => {
     changeReplica(world, { syncedSequence: sequence });
--- /dev/null
+++ b/src/service/consensus/common/voters.ts
@@ -0,0 +1,108 @@
+/**
+ * Who votes: the first voters, or those of the newest change in the log. A control daemon that is not
+ * among them follows as a learner until a leader sends it entries as to a voter.
+ */
+import { asBrand } from '../../../base/common/brand.js';
+import { never, type Instant } from '../../../base/common/time.js';
+import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import type { DaemonId } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+import {
+  changeReplica,
+  electionDeadlineAfter,
+  entriesBetween,
+  replicaOf,
+  requestWrite,
+  termAt,
+  withoutLeadership,
+} from './replicaLog.js';
+import { entryIdOf, ReplicaState, type MemberRow } from './replicaTables.js';
+
+const memberOf = (world: World, id: DaemonId): MemberRow => ({
+  id,
+  isSelf: id === world.self.name,
+  hasGrantedVote: false,
+  nextIndex: replicaOf(world).lastIndex + 1,
+  matchIndex: 0,
+  renewedAt: Number.NEGATIVE_INFINITY,
+  answeredAt: Number.NEGATIVE_INFINITY,
+  renewalDeadline: replicaOf(world).state === ReplicaState.Leader ? 0 : never,
+  toldCommitIndex: 0,
+});
+
+/** Makes the table of members hold these voters. */
+export const putVoters = (world: World, names: readonly string[]): void => {
+  const wanted = names.map((name) => asBrand<DaemonId>(name));
+  [...world.members.rows()]
+    .filter(({ id }) => !wanted.includes(id))
+    .forEach(({ id }) => world.members.remove(id));
+  wanted
+    .filter((id) => !world.members.has(id))
+    .forEach((id) => world.members.put(memberOf(world, id)));
+};
+
+/** Takes the voters from the newest change in the log, or the first voters where there is none. */
+export const adoptVoters = (world: World): void => {
+  const { lastIndex, votersIndex } = replicaOf(world);
+  for (let index = lastIndex; index > 0; index -= 1) {
+    const command = world.logEntries.get(entryIdOf(index))?.command;
+    if (command?.kind === 'votersSet') {
+      if (index !== votersIndex) changeReplica(world, { votersIndex: index });
+      putVoters(world, command.voters);
+      return;
+    }
+  }
+  changeReplica(world, { votersIndex: 0 });
+  putVoters(world, world.firstVoters);
+};
+
+/** Whether this daemon can vote: it keeps entries on a disk. */
+export const canVote = (world: World): boolean =>
+  world.self.roles.includes(Role.Control) && world.self.dataFolder !== undefined;
+
+/** Goes on as a voter with the entries that this daemon has followed, which it writes to its disk. */
+export const becomeVoter = (world: World, now: Instant): void => {
+  const { commitIndex } = replicaOf(world);
+  const entries = entriesBetween(world, 1, commitIndex);
+  const lastIndex = entries.at(-1)?.index ?? 0;
+  changeReplica(world, {
+    ...withoutLeadership,
+    state: ReplicaState.Follower,
+    lastIndex,
+    lastTerm: termAt(world, lastIndex) ?? 0,
+    followDeadline: never,
+    electionDeadline: electionDeadlineAfter(world, now),
+  });
+  if (entries.length > 0) requestWrite(world, { kind: 'entries', entries });
+  adoptVoters(world);
+};
+
+/** Goes on as a learner, with the entries that are certainly agreed. */
+export const becomeLearner = (world: World, now: Instant): void => {
+  const { commitIndex, lastIndex } = replicaOf(world);
+  for (let index = lastIndex; index > commitIndex; index -= 1) {
+    world.logEntries.remove(entryIdOf(index));
+  }
+  changeReplica(world, {
+    ...withoutLeadership,
+    state: ReplicaState.Learner,
+    leader: null,
+    lastIndex: commitIndex,
+    lastTerm: termAt(world, commitIndex) ?? 0,
+    electionDeadline: never,
+    followDeadline: now,
+    relay: null,
+  });
+};
+
+/** Acts on what another daemon says of the voters: one that was voted out does not ask for votes. */
+export const hearOfVoters = (
+  world: World,
+  told: { readonly index: number; readonly names: readonly string[] },
+  now: Instant,
+): void => {
+  const { state, votersIndex } = replicaOf(world);
+  const isOutdated = told.index > votersIndex && !told.names.includes(world.self.name);
+  const isVoter = state !== ReplicaState.Learner && state !== ReplicaState.Recovering;
+  if (isOutdated && isVoter && state !== ReplicaState.Failed) becomeLearner(world, now);
+};
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -18,6 +18,7 @@
 import { createRevocationSystem } from '../../configuration/common/revocationSystem.js';
 import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
+import { createVoterSystem } from '../../consensus/common/voterSystem.js';
 import { createReplicaSystem, insertReplica } from '../../consensus/common/replicaSystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
 import { createDeadlineSystem } from '../../dispatch/common/deadlineSystem.js';
@@ -96,6 +97,7 @@
 const declarationSystems: readonly SystemFactory[] = [
   createInboxSystem,
   createReplicaSystem,
+  createVoterSystem,
   createApplySystem,
   createDaemonSystem,
   createRegistrySystem,
@@ -131,7 +133,7 @@
   const world = createWorld(options);
   insertSettings(world, options.restored);
   insertDaemons(world, now);
-  insertReplica(world, options.voters, now);
+  insertReplica(world, now);
   const systems = systemsOfProfile[profile].map((create) => create(world));
   return { world, ticker: createTicker(world.allTables, systems) };
 };
--- /dev/null
+++ b/src/service/declaration/test/common/declaration.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import { checkDeclaration } from '../../common/checkDeclaration.js';
+import { RouteKind, type Declaration, type RouteDeclaration } from '../../common/declaration.js';
+
+const route = (columns: Partial<RouteDeclaration> = {}): RouteDeclaration => ({
+  name: 'bookings',
+  host: 'yard.example',
+  prefix: '/book/',
+  kind: RouteKind.Idempotent,
+  timeoutMilliseconds: 1_000,
+  objectiveMilliseconds: 200,
+  targets: [{ service: 'yard-app', weight: 1 }],
+  maximumAttempts: 2,
+  isOpen: false,
+  isResumable: false,
+  isSingleVersion: false,
+  priority: 2,
+  dueMilliseconds: null,
+  itemLifetimeMilliseconds: null,
+  ...columns,
+});
+
+const declaration = (columns: Partial<Declaration> = {}): Declaration => ({
+  version: 1,
+  routes: [route()],
+  services: [{ name: 'yard-app', maximumConnections: 100, engineSlots: null, models: [] }],
+  workspaces: [{ name: 'yard', keys: ['key-1'], priority: null }],
+  limits: {
+    maximumHeaderBytes: 16_384,
+    maximumBodyBytes: 1_048_576,
+    headerMilliseconds: 3_000,
+    idleMilliseconds: 15_000,
+  },
+  ...columns,
+});
+
+const faultOf = (columns: Partial<Declaration>): string =>
+  checkDeclaration(declaration(columns)).match(
+    () => 'none',
+    ({ kind }) => kind,
+  );
+
+test('a declaration without faults is taken', (t) => {
+  t.is(faultOf({}), 'none');
+});
+
+test('a route to a service that is not declared is refused', (t) => {
+  t.is(faultOf({ routes: [route({ targets: [{ service: 'x', weight: 1 }] })] }), 'unknownService');
+});
+
+test('two routes of one host and prefix are refused', (t) => {
+  t.is(faultOf({ routes: [route(), route({ name: 'other' })] }), 'routeRepeated');
+});
+
+test('weights that add up to 0 are refused, and so is a route without a service', (t) => {
+  t.is(
+    faultOf({ routes: [route({ targets: [{ service: 'yard-app', weight: 0 }] })] }),
+    'weightsInvalid',
+  );
+  t.is(faultOf({ routes: [route({ targets: [] })] }), 'weightsInvalid');
+});
+
+test('a timeout of 0 is refused', (t) => {
+  t.is(faultOf({ routes: [route({ timeoutMilliseconds: 0 })] }), 'timeoutInvalid');
+});
+
+test('a key that two workspaces share is refused', (t) => {
+  const workspaces = [
+    { name: 'first', keys: ['key-1'], priority: null },
+    { name: 'second', keys: ['key-1'], priority: null },
+  ];
+  t.is(faultOf({ workspaces }), 'keyShared');
+});
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -43,6 +43,7 @@
   LotDropped: 'lotDropped',
   DeclarationInForce: 'declarationInForce',
   RegistrationChanged: 'registrationChanged',
+  VotersChanging: 'votersChanging',
   CallRefused: 'callRefused',
   SendEnded: 'sendEnded',
   JobAccepted: 'jobAccepted',
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -5,7 +5,8 @@
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { mayActAsLeader } from '../../consensus/common/lease.js';
+import { replicaOf } from '../../consensus/common/replicaLog.js';
+import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import { drawService, findRoute } from '../../declaration/common/findRoute.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
@@ -106,7 +107,8 @@
     run: (now) => {
       const hasChanges = changes.map((reader) => reader.take().length > 0).includes(true);
       const isDue = world.runs.takeDue('backoff', now).length > 0;
-      if ((hasChanges || isDue) && mayActAsLeader(world, now)) assignAll(world, now);
+      const isLeader = isCurrentLeader(replicaOf(world), now);
+      if ((hasChanges || isDue) && isLeader) assignAll(world, now);
     },
   };
 };
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -6,7 +6,9 @@
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { leadershipOf, mayActAsLeader } from '../../consensus/common/lease.js';
+import { leadershipOf } from '../../consensus/common/lease.js';
+import { replicaOf } from '../../consensus/common/replicaLog.js';
+import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
@@ -210,7 +212,7 @@
     name: 'run',
     run: (now) => {
       world.runFacts.takeAll().forEach((fact) => takeFact(world, fact, now));
-      if (mayActAsLeader(world, now)) {
+      if (isCurrentLeader(replicaOf(world), now)) {
         lead(now);
         return;
       }
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -5,6 +5,7 @@
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import { Discovery, Role } from '../../../infrastructure/settings/common/deployment.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
+import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { isFresh } from '../../configuration/common/keyInForce.js';
 import { servedId } from '../../configuration/common/servedTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
@@ -22,6 +23,7 @@
     region: settings.region,
     callerAddress: settings.callerAddress,
     peerAddress: settings.peerAddress,
+    isVoter: world.firstVoters.includes(settings.name),
     isControl: settings.roles.includes(Role.Control),
     isEntry: settings.roles.includes(Role.Entry),
     isSelf,
@@ -58,7 +60,7 @@
 
 type Introduction = Pick<
   Extract<MembershipMessage, { kind: 'heartbeat' }>,
-  'member' | 'controlDaemons'
+  'member' | 'controlDaemons' | 'voters'
 >;
 
 /** What a heartbeat says of this daemon and of control daemons, where daemons announce themselves. */
@@ -68,7 +70,10 @@
   const member = memberOf(rows.find((row) => row.isSelf)!);
   if (!world.self.roles.includes(Role.Control)) return { member };
   const known = rows.filter((row) => row.isControl && row.state === DaemonState.Alive);
-  return { member, controlDaemons: known.map(memberOf) };
+  const controlDaemons = known.map(memberOf);
+  if (!world.members.has(asBrand(world.self.name))) return { member, controlDaemons };
+  const names = [...world.members.rows()].map(({ id }) => id);
+  return { member, controlDaemons, voters: { index: replicaOf(world).votersIndex, names } };
 };
 
 const ownLoad = (world: World): number =>
--- a/src/service/membership/common/membershipHandlers.ts
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -4,6 +4,8 @@
 import type { HandlerTable, Member } from '../../../base/common/handlers.js';
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
+import { hearOfVoters } from '../../consensus/common/voters.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import { insertMember } from './daemonSystem.js';
@@ -28,6 +30,7 @@
       .filter((member) => !world.daemons.has(asBrand(member.name)))
       .forEach((member) => insertMember(world, member, now));
     if (message.incarnation < daemon.incarnation) return;
+    if (message.voters !== undefined) hearOfVoters(world, message.voters, now);
     const state = message.leaving ? DaemonState.Leaving : DaemonState.Alive;
     world.daemons.change(daemon.id, {
       state,
@@ -36,6 +39,10 @@
       revision: message.revision,
       isFresh: message.isFresh,
       ...placeOf(message),
+      isVoter:
+        world.deployment.discovery === Discovery.Listed
+          ? daemon.isVoter
+          : message.voters?.names.includes(daemon.id) === true,
       suspicionDeadline: deadlineAfter(now, world.deployment.timing.suspicionMilliseconds),
     });
     if (daemon.state === state) return;
--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -28,6 +28,8 @@
   isFresh: z.boolean(),
   /** The sender, where daemons announce themselves. */
   member: memberSchema.optional(),
+  /** The voters of the log as a voter knows them, and the index of the change that made them so. */
+  voters: z.object({ index: z.number(), names: z.array(z.string()) }).optional(),
   /** Control daemons that the sender knows, for receivers that do not. */
   controlDaemons: z.array(memberSchema).optional(),
 });
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -30,6 +30,8 @@
   /** Where other daemons connect. */
   readonly peerAddress: string;
   readonly isControl: boolean;
+  /** Whether it votes, as it has said itself or the settings say. */
+  readonly isVoter: boolean;
   readonly isEntry: boolean;
   readonly isSelf: boolean;
   readonly state: DaemonState;
--- a/src/service/weights/common/weightSystem.ts
+++ b/src/service/weights/common/weightSystem.ts
@@ -100,7 +100,7 @@
 };
 
 const isBehind = (world: World, row: RegistrationRow): boolean => {
-  const {model} = (world.placements.get(row.id)!);
+  const { model } = world.placements.get(row.id)!;
   return (heldVersion(row, model) ?? 0) < newestVersion(world, model);
 };
 
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -20,6 +20,7 @@
 import { createServedTables, type ServedRow } from '../../configuration/common/servedTables.js';
 import { createSettingsTables } from '../../configuration/common/settingsTables.js';
 import type { Tree } from '../../configuration/common/tree.js';
+import { maximumVoters } from '../../consensus/common/consensusTiming.js';
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
 import { createDeclarationTables } from '../../declaration/common/declarationTables.js';
 import { createForwardingTables } from '../../forwarding/common/forwardingTables.js';
@@ -92,6 +93,8 @@
   readonly random: Random;
   readonly metrics: Metrics;
   readonly fleet: FleetSettings;
+  /** Names of the voters with which the log began. */
+  readonly firstVoters: readonly string[];
   /** Milliseconds since the Unix epoch by this VM's wall clock. */
   readonly wallNow: WallClock;
   /** Whether the installation has control daemons; without them the settings file is in force for ever. */
@@ -108,6 +111,13 @@
   readonly allTables: readonly AnyTable[];
 }
 
+/** The voters of an installation that lists its daemons; its other control daemons follow and relay. */
+const listedVoters = ({ daemons }: Deployment): string[] =>
+  daemons
+    .filter(({ roles }) => roles.includes(Role.Control))
+    .slice(0, maximumVoters)
+    .map(({ name }) => name);
+
 /** Creates a world whose tables are empty. */
 export const createWorld = (options: WorldOptions): World => {
   const tables = createTables();
@@ -123,6 +133,7 @@
     random: options.random,
     metrics: options.metrics,
     fleet: options.fleet ?? noFleet,
+    firstVoters: options.voters ?? listedVoters(options.deployment),
     wallNow: options.wallClock ?? (() => 0),
     hasControl: options.deployment.daemons.some(({ roles }) => roles.includes(Role.Control)),
     tree: () => tree,
