--- a/src/service/consensus/common/consensusTiming.ts
+++ b/src/service/consensus/common/consensusTiming.ts
@@ -8,23 +8,23 @@
 export const clockRateError = 0.01;
 
 /** How often the leader renews its lease with each voter. */
-export const renewalMilliseconds = 400;
+export const renewalMilliseconds = 250;
 
 /** How long a voter refuses to vote after it has heard of a leader, by its own clock. */
-export const electionMinimumMilliseconds = 2_000;
+export const electionMinimumMilliseconds = 1_300;
 
 /** Time for the rounds of an election, their syncs, and the first proposal that is sent again. */
 const electionRoundsMilliseconds = 1_000;
 
 /** Voters wait up to this much longer before they ask for votes, each for another time. */
-export const electionSpreadMilliseconds = 1_500;
+export const electionSpreadMilliseconds = 700;
 
 /** The longest time from the loss of a leader until a proposal is accepted, where no vote is split. */
 export const failoverBoundMilliseconds =
   electionMinimumMilliseconds + electionSpreadMilliseconds + electionRoundsMilliseconds;
 
 /** How long the leader may act after it has sent the renewals that a quorum has answered. */
-export const leaseMilliseconds = 1_900;
+export const leaseMilliseconds = 1_200;
 
 /** The longest time between the check of the lease and the arrival of the order at an upstream. */
 export const orderFlightMilliseconds = 1_000;
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -14,7 +14,9 @@
 const insertJob = (world: World, command: JobSubmitted): void => {
   const { kind, job, items, ...columns } = command;
   const id = asBrand<JobId>(job);
-  world.jobs.put({ ...columns, id, state: JobState.Open, total: items.length, listed: 0 });
+  const tokens = items.reduce((sum, item) => sum + (item.expectedTokens ?? item.tokens), 0);
+  const total = items.length;
+  world.jobs.put({ ...columns, id, state: JobState.Open, tokens, total, listed: 0 });
   items.forEach((item) =>
     world.jobItems.put({ ...item, id: itemIdOf(job, item.item), job: id, isListed: false }),
   );
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -1,6 +1,6 @@
 /**
  * Gives waiting runs to engines with free slots. One daemon assigns all runs, so slots are not booked
- * twice. Older jobs go first, and in a job the longest items; items of a group go to one engine, which
+ * twice. Routes go by their priority, older jobs first, and in a job the longest items; items of a group go to one engine, which
  * then reads their prompt once.
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
@@ -8,6 +8,7 @@
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import { drawService, findRoute } from '../../declaration/common/findRoute.js';
+import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
@@ -19,15 +20,19 @@
   readonly run: RunRow;
   readonly item: JobItemRow;
   readonly job: JobRow;
+  readonly route: RouteRow;
 }
 
 const candidateOf = (world: World, run: RunRow): Candidate | undefined => {
   const item = world.jobItems.get(run.id);
   const job = world.jobs.get(run.job);
-  return item === undefined || job === undefined ? undefined : { run, item, job };
+  const route = job === undefined ? undefined : findRoute(world, job.host, job.path);
+  if (item === undefined || job === undefined || route === undefined) return undefined;
+  return { run, item, job, route };
 };
 
 const compareCandidates = (first: Candidate, second: Candidate): number =>
+  first.route.priority - second.route.priority ||
   first.job.submittedAt - second.job.submittedAt ||
   (second.item.expectedTokens ?? 0) - (first.item.expectedTokens ?? 0);
 
@@ -63,9 +68,7 @@
   candidate: Candidate,
   now: Instant,
 ): RegistrationRow | undefined => {
-  const { job } = candidate;
-  const route = findRoute(world, job.host, job.path);
-  if (route === undefined) return undefined;
+  const { job, route } = candidate;
   const free = world.registrations
     .where('service', drawService(world, route))
     .filter((row) => servesVersion(world, row, job) && freeSlots(world, row) > 0);
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -26,6 +26,8 @@
 export interface JobRow extends Omit<JobSubmitted, 'kind' | 'job' | 'items'> {
   readonly id: JobId;
   readonly state: JobState;
+  /** Tokens of all its items, as far as the trainer can tell. */
+  readonly tokens: number;
   /** How many items it has. */
   readonly total: number;
   /** How many of them are listed. */
--- a/src/service/jobs/common/listItems.ts
+++ b/src/service/jobs/common/listItems.ts
@@ -42,12 +42,6 @@
     proposalDeadline: deadlineAfter(now, proposalMilliseconds),
   });
 
-const forgetListed = (world: World): void =>
-  world.runs
-    .where('state', RunState.Proposed)
-    .filter(({ id }) => world.jobItems.get(id)?.isListed !== false)
-    .forEach(({ id }) => world.runs.remove(id));
-
 /** Creates the system that proposes results. */
 export const createListingSystem = (world: World): System => ({
   name: 'listing',
@@ -57,6 +51,5 @@
       byJob.set(job, [...(byJob.get(job) ?? []), listed]);
     });
     byJob.forEach((results, job) => propose(world, job, results, now));
-    forgetListed(world);
   },
 });
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -180,9 +180,17 @@
   stopRunning(world, run, fromTheStart, now);
 };
 
+/** A result of an earlier lease of this daemon may be agreed after its item has a run again. */
+const isDone = (world: World, job: JobRow, run: RunRow): boolean =>
+  job.state === JobState.Ended || world.jobItems.get(run.id)?.isListed !== false;
+
 const seeToJob = (world: World, job: JobRow, now: Instant): void => {
+  const runs = world.runs.where('job', job.id);
+  removeRuns(
+    world,
+    runs.filter((run) => isDone(world, job, run)),
+  );
   if (job.state === JobState.Open) insertRuns(world, job, now);
-  else removeRuns(world, world.runs.where('job', job.id));
 };
 
 /** Creates the system of runs. */
--- /dev/null
+++ b/src/service/jobs/test/common/runs.test.ts
@@ -0,0 +1,122 @@
+import test from 'ava';
+import {
+  testDeclarationCommand,
+  testEngine,
+  testItem,
+  testJob,
+} from '../../../../../standins/virtual/fleetFixture.js';
+import { createFleetCore } from '../../../../../standins/virtual/fleetCore.js';
+import { RunState, itemIdOf } from '../../common/jobTables.js';
+import { ItemResult } from '../../common/jobCommands.js';
+
+const listed = (item: string) => ({
+  item,
+  result: ItemResult.Completed,
+  text: 'done',
+  versions: [1],
+  score: null,
+});
+
+test('an item that is listed by an earlier proposal is not run any more', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.propose('job', testJob('j', [testItem('a')]));
+  t.is(core.world.runs.get(itemIdOf('j', 'a'))?.state, RunState.Waiting);
+
+  core.propose('list', { kind: 'itemsListed', job: 'j', results: [listed('a')] });
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.settle();
+
+  t.is(core.world.runs.get(itemIdOf('j', 'a')), undefined);
+});
+
+test('a broken text goes on after its last event at another engine', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.world.arrivedRegistrations.append({ registration: testEngine('e2'), isDirect: false });
+  core.propose('job', testJob('j', [testItem('a')]));
+  const id = itemIdOf('j', 'a');
+  const first = core.world.runs.get(id)!;
+  t.is(first.state, RunState.Running);
+
+  core.world.runFacts.append({
+    kind: 'broken',
+    item: id,
+    start: first.start,
+    text: ['x', 'y'],
+    versions: [1],
+    reason: 'reset',
+  });
+  core.runFor(200);
+
+  const second = core.world.runs.get(id)!;
+  t.is(second.state, RunState.Running);
+  t.not(second.upstream, first.upstream);
+  t.is(second.events, 2);
+  t.is(second.text, 'x\ny');
+});
+
+test('a text of a version that the job does not allow is run anew', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({
+    registration: testEngine('e1', { models: [{ name: 'm0', version: 3 }] }),
+    isDirect: false,
+  });
+  core.propose('job', testJob('j', [testItem('a')], { minimumVersion: 3 }));
+  const id = itemIdOf('j', 'a');
+  const { start } = core.world.runs.get(id)!;
+
+  core.world.runFacts.append({ kind: 'whole', item: id, start, text: ['x'], versions: [2] });
+  core.runFor(200);
+
+  t.is(core.world.runs.get(id)?.events, 0);
+  t.is(core.world.jobs.get('j' as never)?.listed, 0);
+});
+
+test('a whole text is listed once, and a late fact of its run changes nothing', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.propose('job', testJob('j', [testItem('a')]));
+  const id = itemIdOf('j', 'a');
+  const { start } = core.world.runs.get(id)!;
+  const whole = { kind: 'whole', item: id, start, text: ['x'], versions: [1] } as const;
+
+  core.world.runFacts.append(whole);
+  core.settle();
+  core.world.runFacts.append({ ...whole, text: ['other'] });
+  core.settle();
+
+  t.is(core.world.jobs.get('j' as never)?.listed, 1);
+  t.is(core.world.jobResults.get('j/0' as never)?.text, 'x');
+});
+
+test('an ended job runs nothing', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.propose('job', testJob('j', [testItem('a'), testItem('b')]));
+  t.is(core.world.runs.size(), 2);
+  core.propose('end', { kind: 'jobEnded', job: 'j' });
+  t.is(core.world.runs.size(), 0);
+});
+
+test('an item that fails as often as its route allows is listed as dead', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.propose('job', testJob('j', [testItem('a')]));
+  const id = itemIdOf('j', 'a');
+  const fail = (): void => {
+    const { start } = core.world.runs.get(id)!;
+    core.world.runFacts.append({ kind: 'failed', item: id, start });
+    core.runFor(200);
+  };
+  fail();
+  fail();
+  t.is(core.world.jobs.get('j' as never)?.listed, 0);
+  fail();
+  t.is(core.world.jobResults.get('j/0' as never)?.result, ItemResult.Dead);
+});
--- a/src/service/weights/common/weightSystem.ts
+++ b/src/service/weights/common/weightSystem.ts
@@ -4,18 +4,18 @@
  * order whose outcome is unknown is judged by the next reports of the engine.
  */
 import type { Instant, Milliseconds } from '../../../base/common/time.js';
-import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { leadershipOf, mayActAsLeader } from '../../consensus/common/lease.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { JobState } from '../../jobs/common/jobTables.js';
-import { RegistrationState, type RegistrationRow } from '../../registry/common/registryTables.js';
+import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
+import { enginesOf, heldVersion, lagOf, newestVersion } from './engines.js';
+import { placeEngines } from './placement.js';
 import {
   SwitchMode,
-  type ModelVersionRow,
   type OrderName,
   type WeightOrderFact,
   type WeightOrderRow,
@@ -35,46 +35,11 @@
   unknown: 2_500,
 };
 
-const isEngine = (row: RegistrationRow): boolean =>
-  row.state === RegistrationState.Ready && row.models.length > 0;
-
-const enginesOf = (world: World): RegistrationRow[] =>
-  [...world.registrations.rows()].filter(isEngine);
-
-const heldVersion = (row: RegistrationRow, model: string): number | undefined =>
-  row.models.find(({ name }) => name === model)?.version;
-
-const newestVersion = (world: World, model: string): number =>
-  world.modelVersions.get(asBrand<ModelVersionRow['id']>(model))?.version ?? 0;
-
-/** By how many versions an engine lags for a model; an engine stays with the model it is nearest to. */
-const lagOf = (world: World, row: RegistrationRow, model: string): number =>
-  newestVersion(world, model) - (heldVersion(row, model) ?? 0);
-
-const place = (world: World, row: RegistrationRow): void => {
-  const [chosen] = row.models
-    .map(({ name }) => name)
-    .sort(
-      (first, second) =>
-        world.placements.count('model', first) - world.placements.count('model', second) ||
-        lagOf(world, row, first) - lagOf(world, row, second),
-    );
-  world.placements.put({ id: row.id, model: chosen! });
-};
-
-const removeAbsent = (world: World): void =>
-  [...world.placements.rows()]
-    .filter(({ id }) => {
-      const row = world.registrations.get(id);
-      return row === undefined || !isEngine(row);
-    })
-    .forEach(({ id }) => world.placements.remove(id));
-
 const closeFulfilled = (world: World): void =>
   [...world.weightOrders.rows()]
     .filter(({ id, model, version }) => {
       const row = world.registrations.get(id);
-      return row === undefined || (heldVersion(row, model) ?? 0) >= version;
+      return row === undefined || heldVersion(row, model) >= version;
     })
     .forEach(({ id }) => world.weightOrders.remove(id));
 
@@ -101,7 +66,7 @@
 
 const isBehind = (world: World, row: RegistrationRow): boolean => {
   const { model } = world.placements.get(row.id)!;
-  return (heldVersion(row, model) ?? 0) < newestVersion(world, model);
+  return heldVersion(row, model) < newestVersion(world, model);
 };
 
 /** Engines whose version is the oldest for their model go first. */
@@ -141,21 +106,31 @@
 };
 
 /** Creates the system of weights. */
-export const createWeightSystem = (world: World): System => ({
-  name: 'weight',
-  run: (now) => {
+export const createWeightSystem = (world: World): System => {
+  const changes = [
+    world.registrations.readChanges(),
+    world.modelVersions.readChanges(),
+    world.weightOrders.readChanges(),
+    world.jobs.readChanges(),
+  ];
+  let isActing = false;
+
+  const run = (now: Instant): void => {
     world.weightOrderFacts.takeAll().forEach((fact) => takeFact(world, fact, now));
     const expired = world.weightOrders.takeDue('order', now);
-    if (!mayActAsLeader(world, now)) {
-      dropOwn(world);
+    const wasActing = isActing;
+    isActing = mayActAsLeader(world, now);
+    const hasChanges = changes.map((reader) => reader.take().length > 0).includes(true);
+    if (!isActing) {
+      if (wasActing) dropOwn(world);
       return;
     }
+    if (wasActing && !hasChanges && expired.length === 0) return;
     expired.forEach(({ id }) => world.weightOrders.remove(id));
     closeFulfilled(world);
-    removeAbsent(world);
-    enginesOf(world)
-      .filter(({ id }) => !world.placements.has(id))
-      .forEach((row) => place(world, row));
+    placeEngines(world, enginesOf(world));
     giveOrders(world, now);
-  },
-});
+  };
+
+  return { name: 'weight', run };
+};
--- /dev/null
+++ b/standins/virtual/fleetCore.ts
@@ -0,0 +1,93 @@
+/**
+ * One control daemon that is its own quorum, under the profile of declarations: its disk syncs at once,
+ * its messages go nowhere, and time is set by the test.
+ */
+import { createRandom } from '../../src/base/common/random.js';
+import type { Instant, Milliseconds } from '../../src/base/common/time.js';
+import type { FleetSettings } from '../../src/infrastructure/settings/common/fleetSettings.js';
+import { noFleet } from '../../src/infrastructure/settings/common/fleetSettings.js';
+import { silentMetrics } from '../../src/infrastructure/metrics/common/metrics.js';
+import { createCore, Profile } from '../../src/service/core/common/core.js';
+import type { Command } from '../../src/service/consensus/common/command.js';
+import type { World } from '../../src/service/world/common/world.js';
+import { createTestDeployment, createTestTree } from './testDeployment.js';
+
+export interface FleetCore {
+  readonly world: World;
+  readonly now: () => Instant;
+  /** Ticks and syncs until nothing is left to do at this instant. */
+  readonly settle: () => void;
+  /** Lets time pass in small steps. */
+  readonly runFor: (duration: Milliseconds) => void;
+  /** Proposes a command and settles. */
+  readonly propose: (id: string, command: Command) => void;
+}
+
+const stepMilliseconds = 50;
+const roundsToSettle = 6;
+const proposalMilliseconds = 5_000;
+
+/** Until the daemon leads and may give orders. */
+export const leadMilliseconds: Milliseconds = 8_000;
+
+/** Creates the daemon and lets it take the lead. */
+export const createFleetCore = (fleet: Partial<FleetSettings> = {}): FleetCore => {
+  const deployment = createTestDeployment(1, 1);
+  let now: Instant = 0;
+  const { world, ticker } = createCore(
+    {
+      deployment,
+      self: deployment.daemons[0]!,
+      tree: createTestTree(),
+      incarnation: 1,
+      random: createRandom(1),
+      metrics: silentMetrics,
+      voters: [deployment.daemons[0]!.name],
+      fleet: { ...noFleet, ...fleet },
+      wallClock: () => now,
+    },
+    now,
+    Profile.Declaration,
+  );
+  world.storageFacts.append({
+    kind: 'recovered',
+    state: { term: 0, votedFor: null, hasJoined: false, entries: [] },
+  });
+
+  const tick = (): void => {
+    const outcome = ticker.tick(now);
+    if (outcome.isErr()) throw new Error(outcome.error.message);
+    world.outgoingMessages.takeAll();
+    world.storageRequests
+      .takeAll()
+      .forEach(({ sequence }) => world.storageFacts.append({ kind: 'synced', sequence }));
+  };
+
+  const settle = (): void => {
+    for (let round = 0; round < roundsToSettle; round += 1) tick();
+  };
+
+  const runFor = (duration: Milliseconds): void => {
+    const end = now + duration;
+    while (now < end) {
+      now = Math.min(end, now + stepMilliseconds);
+      settle();
+    }
+  };
+
+  runFor(leadMilliseconds);
+  return {
+    world,
+    now: () => now,
+    settle,
+    runFor,
+    propose: (id, command) => {
+      world.proposals.append({
+        id: id as never,
+        command,
+        proposalDeadline: now + proposalMilliseconds,
+      });
+      settle();
+    },
+  };
+};
