--- /dev/null
+++ b/src/base/test/node/suspendAwareClock.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava';
+import { createSuspendAwareClock } from '../../node/monotonicClock.js';
+
+const createClocks = () => {
+  const clocks = { steady: 100, wall: 1_000_000 };
+  const clock = createSuspendAwareClock(
+    () => clocks.steady,
+    () => clocks.wall,
+  );
+  const pass = (steady: number, wall: number): number => {
+    clocks.steady += steady;
+    clocks.wall += wall;
+    return clock();
+  };
+  return { pass };
+};
+
+test('time in which the VM was suspended is counted', (t) => {
+  const { pass } = createClocks();
+  t.is(pass(10, 10), 110);
+  t.is(pass(5, 4_005), 4_115);
+  t.is(pass(10, 10), 4_125);
+});
+
+test('small corrections and backward steps of the wall clock change nothing', (t) => {
+  const { pass } = createClocks();
+  t.is(pass(10, 60), 110);
+  t.is(pass(10, -5_000), 120);
+  t.is(pass(10, 10), 130);
+});
--- a/src/daemon/consensus/node/storagePort.ts
+++ b/src/daemon/consensus/node/storagePort.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { delay } from '../../../base/node/delay.js';
 import type { StorageError } from '../../../infrastructure/storage/common/storageError.js';
 import { encodeRecord } from '../../../infrastructure/storage/node/recordCodec.js';
 import {
@@ -20,15 +21,26 @@
   readonly drain: () => void;
 }
 
+/** How a daemon uses its data folder. */
+export interface StoragePortOptions extends SegmentStoreOptions {
+  /** Whether a write that failed is tried again until it succeeds; else the replica takes no part. */
+  readonly retriesWrites?: boolean;
+}
+
+/** Before a write that failed is tried again. */
+const retryMilliseconds = 500;
+
 const createPort = (
   world: World,
   store: SegmentStore,
   wake: () => void,
   onDidFail: (error: StorageError) => void,
+  options: StoragePortOptions,
 ): StoragePort => {
   let waiting: StorageRequest[] = [];
   let writing: Promise<void> | undefined;
   let hasFailed = false;
+  let isDisposed = false;
 
   const fail = (failure: StorageError): void => {
     hasFailed = true;
@@ -37,13 +49,27 @@
     wake();
   };
 
+  /** Writes records, again after a while where a disk that is full or refuses writes is waited for. */
+  const appendOrRetry = async (records: readonly Buffer[]): Promise<Result<void, StorageError>> => {
+    let written = await store.append(records);
+    while (written.isErr() && options.retriesWrites === true && !isDisposed) {
+      onDidFail(written.error);
+      // eslint-disable-next-line no-await-in-loop -- the disk is given time
+      await delay(retryMilliseconds);
+      // eslint-disable-next-line no-await-in-loop -- one try after the other
+      written = await store.append(records);
+    }
+    return written;
+  };
+
   const writeWaiting = async (): Promise<void> => {
     while (waiting.length > 0 && !hasFailed) {
       const batch = waiting;
       waiting = [];
       // The next batch is whatever comes while this one is being synced.
+      const records = batch.map(({ write }) => encodeRecord(write));
       // eslint-disable-next-line no-await-in-loop -- batches are synced one after the other
-      const written = await store.append(batch.map(({ write }) => encodeRecord(write)));
+      const written = await appendOrRetry(records);
       if (written.isErr()) {
         fail(written.error);
         return;
@@ -62,6 +88,7 @@
       });
     },
     dispose: async () => {
+      isDisposed = true;
       await writing;
       await store.dispose();
     },
@@ -74,7 +101,7 @@
   folder: string,
   wake: () => void,
   onDidFail: (error: StorageError) => void,
-  options?: SegmentStoreOptions,
+  options: StoragePortOptions = { isLocked: true },
 ): Promise<Result<StoragePort, StorageError>> => {
   const store = await openSegmentStore(folder, options);
   if (store.isErr()) return err(store.error);
@@ -84,7 +111,7 @@
     return err(state.error);
   }
   world.storageFacts.append({ kind: 'recovered', state: state.value });
-  return ok(createPort(world, store.value, wake, onDidFail));
+  return ok(createPort(world, store.value, wake, onDidFail, options));
 };
 
 /** The port of a daemon without durable state. */
--- a/src/daemon/duties/node/usageReportPort.ts
+++ b/src/daemon/duties/node/usageReportPort.ts
@@ -5,7 +5,10 @@
 import type { Clock } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { mayActAsLeader } from '../../../service/consensus/common/lease.js';
-import type { UsageReportRow, WindowId } from '../../../service/metering/common/meteringTables.js';
+import type {
+  UsageReportRow,
+  UsageWindowId,
+} from '../../../service/metering/common/meteringTables.js';
 import type { World } from '../../../service/world/common/world.js';
 
 /** Sends one report; resolves to null where it was accepted, and to the reason where not. */
@@ -43,7 +46,7 @@
     }
   };
 
-  const follow = (id: WindowId): void => {
+  const follow = (id: UsageWindowId): void => {
     const report = world.usageReports.get(id);
     if (report?.isInFlight === true) void send(report);
   };
--- a/src/daemon/fleet/node/fleetDaemon.ts
+++ b/src/daemon/fleet/node/fleetDaemon.ts
@@ -100,12 +100,12 @@
       folder,
       wake,
       (error) => log.error({ kind: error.kind }, error.message),
-      { isLocked: false },
+      { isLocked: false, retriesWrites: true },
     );
   const storage =
     self.dataFolder === undefined ? ok(noStorage) : await openStorage(self.dataFolder);
   if (storage.isErr()) return err(storage.error);
-  const peers = await openPeerPort(world, stamps, wake);
+  const peers = await openPeerPort(world, stamps, wake, clock);
   if (peers.isErr()) {
     await storage.value.dispose();
     return err(peers.error);
--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -170,7 +170,10 @@
     }
     const row = open.get(id);
     open.delete(id);
-    if (row?.answer === null) row.connection.dispose();
+    if (row?.answer !== null) return;
+    row.connection.dispose();
+    const upstream = send === undefined ? undefined : world.registrations.get(send.upstream);
+    if (upstream !== undefined) client.dropIdle(upstream.address);
   };
 
   return {
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -24,6 +24,8 @@
 export interface UpstreamClient extends Disposable {
   /** Sends a request; disposing of the result cuts its connection. */
   readonly send: (target: UpstreamRequest, listener: UpstreamListener) => Disposable;
+  /** Closes the idle connections to an address, which may have fallen silent like the one in use. */
+  readonly dropIdle: (address: string) => void;
 }
 
 /** Idle connections kept for each upstream; further ones are closed after their answer. */
@@ -75,6 +77,11 @@
         },
       };
     },
+    dropIdle: (address) => {
+      const { host, port } = splitAddress(address);
+      const idle = agent.freeSockets[agent.getName({ host, port })] ?? [];
+      idle.forEach((socket) => socket.destroy());
+    },
     dispose: () => agent.destroy(),
   };
 };
--- a/src/daemon/peers/node/peerPort.ts
+++ b/src/daemon/peers/node/peerPort.ts
@@ -7,6 +7,8 @@
 import { z } from 'zod';
 import { asBrand } from '../../../base/common/brand.js';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { deadlineAfter, never, type Clock, type Milliseconds } from '../../../base/common/time.js';
+import { monotonicClock } from '../../../base/node/monotonicClock.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
 import { listen, type ListenError } from '../../../infrastructure/sockets/node/listen.js';
 import type { HybridLogicalClock } from '../../../infrastructure/timeline/common/hybridLogicalClock.js';
@@ -37,27 +39,53 @@
 
 interface PeerConnection {
   readonly send: (frame: Buffer) => void;
+  /** Whether what was sent has not been acknowledged for too long. */
+  readonly isSilent: () => boolean;
   readonly dispose: () => void;
 }
 
-const openConnection = (address: string, onDidClose: () => void): PeerConnection => {
+/** A receiver acknowledges what has come with one byte, at most this often. */
+const acknowledgementMilliseconds: Milliseconds = 100;
+const acknowledgement = Buffer.from([0]);
+
+/** A connection on which nothing was acknowledged for so long has fallen silent, and is made anew. */
+const silenceMilliseconds: Milliseconds = 1_500;
+
+const openConnection = (address: string, clock: Clock, onDidClose: () => void): PeerConnection => {
   const { host, port } = splitAddress(address);
   const socket = connect({ host, port, noDelay: true });
+  let silenceDeadline = never;
   socket.on('error', () => {});
   socket.on('close', onDidClose);
+  socket.on('data', () => {
+    silenceDeadline = never;
+  });
   return {
     send: (frame) => {
       if (socket.writableLength <= maximumWaitingBytes) socket.write(frame);
+      silenceDeadline = Math.min(silenceDeadline, deadlineAfter(clock(), silenceMilliseconds));
     },
+    isSilent: () => clock() >= silenceDeadline,
     dispose: () => socket.destroy(),
   };
 };
 
+/** Creates what acknowledges the bytes of one accepted connection. */
+const createAcknowledger = (socket: Socket, clock: Clock): (() => void) => {
+  let nextAt = 0;
+  return () => {
+    if (clock() < nextAt || !socket.writable) return;
+    nextAt = deadlineAfter(clock(), acknowledgementMilliseconds);
+    socket.write(acknowledgement);
+  };
+};
+
 /** Opens the port on the address of the settings. */
 export const openPeerPort = async (
   world: World,
   stamps: HybridLogicalClock,
   wake: () => void,
+  clock: Clock = monotonicClock,
 ): Promise<Result<PeerPort, ListenError>> => {
   const connections = new Map<DaemonId, PeerConnection>();
   const accepted = new Set<Socket>();
@@ -78,11 +106,13 @@
 
   const accept = (socket: Socket): void => {
     const decoder = createFrameDecoder();
+    const acknowledge = createAcknowledger(socket, clock);
     accepted.add(socket);
     socket.on('error', () => {});
     socket.on('close', () => accepted.delete(socket));
     socket.on('data', (bytes: Buffer) => {
       receivedBytes += bytes.length;
+      acknowledge();
       decoder.push(bytes).match(
         (values) => values.forEach(takeValue),
         () => {
@@ -97,8 +127,11 @@
     const address = world.daemons.get(daemon)?.peerAddress;
     if (address === undefined) return undefined;
     const existing = connections.get(daemon);
-    if (existing !== undefined) return existing;
-    const created = openConnection(address, () => connections.delete(daemon));
+    if (existing?.isSilent() === false) return existing;
+    existing?.dispose();
+    const created = openConnection(address, clock, () => {
+      if (connections.get(daemon) === created) connections.delete(daemon);
+    });
     connections.set(daemon, created);
     return created;
   };
--- a/src/infrastructure/storage/node/segmentStore.ts
+++ b/src/infrastructure/storage/node/segmentStore.ts
@@ -25,7 +25,7 @@
 export interface SegmentStore extends AsyncDisposable {
   /** The records that were there at the opening, in order. */
   readonly values: readonly unknown[];
-  /** Writes records and syncs them. After an error nothing more may be written. */
+  /** Writes records and syncs them. After an error the same records may be written again. */
   readonly append: (records: readonly Buffer[]) => ResultAsync<void, StorageError>;
 }
 
@@ -100,12 +100,18 @@
     handle = await openSegment(folder, number, bytes);
   };
 
+  let isTorn = false;
+
   return {
     append: async (records: readonly Buffer[]): Promise<void> => {
+      // A write that failed may have left some of its bytes.
+      if (isTorn) await handle.truncate(bytes);
       if (bytes >= segmentBytes) await startNextSegment();
       const batch = Buffer.concat(records);
+      isTorn = true;
       await handle.appendFile(batch);
       await handle.datasync();
+      isTorn = false;
       bytes += batch.length;
     },
     dispose: () => handle.close(),
--- a/src/infrastructure/wire/node/frames.ts
+++ b/src/infrastructure/wire/node/frames.ts
@@ -7,8 +7,8 @@
 
 const lengthBytes = 4;
 
-/** The longest frame that is accepted, in bytes. */
-export const maximumFrameBytes = 4 * 1024 * 1024;
+/** The longest frame that is accepted, in bytes: a declaration of the largest body, twice. */
+export const maximumFrameBytes = 64 * 1024 * 1024;
 
 export interface FrameError {
   readonly kind: 'frameTooLong' | 'frameNotCbor';
--- a/src/service/consensus/common/consensusTiming.ts
+++ b/src/service/consensus/common/consensusTiming.ts
@@ -37,10 +37,13 @@
 export const freshnessMilliseconds = 4_000;
 
 /** How often a learner asks the daemon that it follows. */
-export const followMilliseconds = 1_000;
+export const followMilliseconds = 500;
 
-/** After this silence a learner follows another daemon, and a relay forgets a learner. */
-export const followSilenceMilliseconds = 3_000;
+/** After this time without fresh news a learner follows another daemon. */
+export const followSilenceMilliseconds = 1_200;
+
+/** After this silence a relay forgets a learner. */
+export const learnerSilenceMilliseconds = 3_000;
 
 /** How often a proposal without an outcome is sent again. */
 export const proposalResendMilliseconds = 500;
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -15,6 +15,7 @@
 import {
   followMilliseconds,
   followSilenceMilliseconds,
+  learnerSilenceMilliseconds,
   maximumEntriesInMessage,
 } from './consensusTiming.js';
 import type { LogEntry } from './logEntry.js';
@@ -166,12 +167,12 @@
       sentIndex: isStuck ? request.afterIndex : Math.max(before.sentIndex, request.afterIndex),
       acknowledgedIndex: request.afterIndex,
       askedAt: request.askedAt,
-      silenceDeadline: deadlineAfter(now, followSilenceMilliseconds),
+      silenceDeadline: deadlineAfter(now, learnerSilenceMilliseconds),
     });
     sendFollowed(world, learner, now);
   },
-  entriesFollowed: (followed, world, sender, now) => {
-    const { state, relay, commitIndex, term, currentAsOf } = replicaOf(world);
+  entriesFollowed: (followed, world, sender) => {
+    const { state, relay, commitIndex, term, currentAsOf, relayDeadline } = replicaOf(world);
     if (state !== ReplicaState.Learner || sender.id !== relay) return;
     if (followed.afterIndex > commitIndex) return;
     takeFollowed(world, followed);
@@ -179,7 +180,8 @@
     changeReplica(world, {
       term: Math.max(term, followed.term),
       leader: followed.leader === null ? null : asBrand<DaemonId>(followed.leader),
-      relayDeadline: deadlineAfter(now, followSilenceMilliseconds),
+      // One that answers and is itself cut off from the leader is as good as silent.
+      relayDeadline: Math.max(relayDeadline, deadlineAfter(known, followSilenceMilliseconds)),
       currentAsOf: Math.max(currentAsOf, known),
     });
   },
--- a/src/service/consensus/common/voterSystem.ts
+++ b/src/service/consensus/common/voterSystem.ts
@@ -30,9 +30,11 @@
 
 /** The voters after the next change, or undefined where none is due. */
 const nextVoters = (world: World): string[] | undefined => {
+  const voters = namesOf(world);
+  // The first voters are put into the log, as a voter that loses its disk forgets them.
+  if (replicaOf(world).votersIndex === 0) return voters;
   const [learner] = learnersOf(world);
   if (learner === undefined) return undefined;
-  const voters = namesOf(world);
   if (voters.length < world.fleet.voterCount) return [...voters, learner.id];
   const silent = findSilent(world);
   return silent === undefined ? undefined : voters.filter((name) => name !== silent);
--- /dev/null
+++ b/src/service/consensus/test/common/voters.test.ts
@@ -0,0 +1,115 @@
+import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
+import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
+import { noFleet } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
+import {
+  createTestDeployment,
+  createTestTree,
+} from '../../../../../standins/virtual/testDeployment.js';
+import {
+  createVirtualInstallation,
+  type VirtualInstallation,
+} from '../../../../../standins/virtual/virtualInstallation.js';
+import { Profile } from '../../../core/common/core.js';
+import { declarationId } from '../../../declaration/common/declarationTables.js';
+import { replicaOf } from '../../common/replicaLog.js';
+import { isCurrentLeader } from '../../common/replicaTables.js';
+
+const firstVoters = ['d1', 'd2', 'd3'];
+const settleMilliseconds = 6_000;
+const changeMilliseconds = 9_000;
+
+/** Three voters; the other control daemons are not started until a test does so. */
+const createInstallation = (seed: number): VirtualInstallation =>
+  createVirtualInstallation({
+    deployment: { ...createTestDeployment(5, 5), discovery: Discovery.Announced },
+    tree: createTestTree(),
+    seed,
+    profile: Profile.Declaration,
+    fleet: { ...noFleet, voterCount: 3 },
+    notStarted: ['d4', 'd5'],
+    voters: (name, incarnation) =>
+      firstVoters.includes(name) && incarnation === 1 ? firstVoters : [],
+  });
+
+const worldOf = (installation: VirtualInstallation, name: string) =>
+  installation.daemon(name).core.world;
+
+const leaderOf = (installation: VirtualInstallation): string | undefined =>
+  installation
+    .runningNames()
+    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()));
+
+const votersAt = (installation: VirtualInstallation, name: string): string[] =>
+  [...worldOf(installation, name).members.rows()].map(({ id }) => String(id)).sort();
+
+const declare = (installation: VirtualInstallation, name: string, version: number): void => {
+  worldOf(installation, name).proposals.append({
+    id: asBrand(`declare-${version}`),
+    command: testDeclarationCommand(version),
+    proposalDeadline: installation.now() + changeMilliseconds,
+  });
+  installation.wake(name);
+  installation.runFor(changeMilliseconds);
+};
+
+const versionAt = (installation: VirtualInstallation, name: string): number =>
+  worldOf(installation, name).declarations.get(declarationId)?.version ?? 0;
+
+[1, 2, 3, 4, 5].forEach((seed) => {
+  test(`a voter that is gone for good is replaced by an empty daemon (seed ${seed})`, (t) => {
+    const installation = createInstallation(seed);
+    installation.runFor(settleMilliseconds);
+    declare(installation, 'd1', 1);
+
+    installation.stop('d3');
+    installation.start('d4');
+    installation.runFor(changeMilliseconds);
+    const leader = leaderOf(installation)!;
+    t.deepEqual(votersAt(installation, leader), ['d1', 'd2', 'd4']);
+
+    installation.stop('d2');
+    installation.runFor(changeMilliseconds);
+    declare(installation, 'd1', 2);
+    t.is(versionAt(installation, 'd4'), 2);
+  });
+
+  test(`a voter with a new disk votes again once it holds the log (seed ${seed})`, (t) => {
+    const installation = createInstallation(seed);
+    installation.runFor(settleMilliseconds);
+    declare(installation, 'd1', 1);
+
+    installation.stop('d2');
+    installation.disk('d2').clear();
+    installation.start('d2');
+    installation.runFor(changeMilliseconds);
+    installation.stop('d3');
+    installation.runFor(changeMilliseconds);
+    t.not(leaderOf(installation), undefined);
+    t.is(versionAt(installation, 'd2'), 1);
+  });
+});
+
+test('an empty daemon that is not of the first start never leads alone', (t) => {
+  const installation = createInstallation(7);
+  firstVoters.forEach((name) => installation.stop(name));
+  installation.start('d4');
+  installation.start('d5');
+  installation.runFor(3 * changeMilliseconds);
+  t.is(leaderOf(installation), undefined);
+});
+
+test('a voter that was voted out while it was away follows and asks for no votes', (t) => {
+  const installation = createInstallation(8);
+  installation.runFor(settleMilliseconds);
+  installation.stop('d3');
+  installation.start('d4');
+  installation.runFor(changeMilliseconds);
+  const { term } = replicaOf(worldOf(installation, leaderOf(installation)!));
+
+  installation.start('d3');
+  installation.runFor(changeMilliseconds);
+  t.is(replicaOf(worldOf(installation, 'd3')).state, 'learner');
+  t.is(replicaOf(worldOf(installation, leaderOf(installation)!)).term, term);
+});
--- a/src/service/declaration/common/findRoute.ts
+++ b/src/service/declaration/common/findRoute.ts
@@ -11,6 +11,16 @@
 export const isDeclarationFresh = (world: World, now: Instant): boolean =>
   world.declarations.has(declarationId) && now < leadershipOf(world).freshnessDeadline;
 
+/**
+ * Refusals need fresher knowledge than answers: a route or key that was added is to be served everywhere
+ * within the time in which a declaration comes into force, which is shorter than that for withdrawals.
+ */
+const refusalMarginMilliseconds = 2_000;
+
+/** Whether this daemon may say that the declaration in force lacks a route or key. */
+export const mayDeny = (world: World, now: Instant): boolean =>
+  isDeclarationFresh(world, now + refusalMarginMilliseconds);
+
 /** The route of the host with the longest prefix that begins the path. */
 export const findRoute = (world: World, host: string, path: string): RouteRow | undefined =>
   world.routes
--- a/src/service/forwarding/common/checkCaller.ts
+++ b/src/service/forwarding/common/checkCaller.ts
@@ -9,6 +9,7 @@
   findRoute,
   findWorkspace,
   isDeclarationFresh,
+  mayDeny,
   needsKey,
 } from '../../declaration/common/findRoute.js';
 import type { World } from '../../world/common/world.js';
@@ -29,6 +30,9 @@
   readonly workspace: string | null;
 }
 
+const denialOf = (world: World, kind: CallRefusalKind, now: Instant): CallRefusalKind =>
+  mayDeny(world, now) ? kind : CallRefusalKind.NotReady;
+
 /** Checks the key alone, for requests that name no route. */
 export const checkKey = (
   world: World,
@@ -37,7 +41,9 @@
 ): Result<string | null, CallRefusalKind> => {
   if (!isDeclarationFresh(world, now)) return err(CallRefusalKind.NotReady);
   const holder = findWorkspace(world, key);
-  return holder === undefined ? err(CallRefusalKind.UnknownKey) : ok(holder.workspace);
+  return holder === undefined
+    ? err(denialOf(world, CallRefusalKind.UnknownKey, now))
+    : ok(holder.workspace);
 };
 
 /** Checks route and key. */
@@ -48,9 +54,9 @@
 ): Result<AllowedCaller, CallRefusalKind> => {
   if (!isDeclarationFresh(world, now)) return err(CallRefusalKind.NotReady);
   const route = findRoute(world, claim.host, claim.path);
-  if (route === undefined) return err(CallRefusalKind.UnknownRoute);
+  if (route === undefined) return err(denialOf(world, CallRefusalKind.UnknownRoute, now));
   const holder = claim.isOwn ? undefined : findWorkspace(world, claim.key);
   const isMissing = holder === undefined && !claim.isOwn && needsKey(world, route);
-  if (isMissing) return err(CallRefusalKind.UnknownKey);
+  if (isMissing) return err(denialOf(world, CallRefusalKind.UnknownKey, now));
   return ok({ route, workspace: holder?.workspace ?? null });
 };
--- a/src/service/metering/common/applyMetering.ts
+++ b/src/service/metering/common/applyMetering.ts
@@ -5,15 +5,15 @@
 import type { ApplyHandlers } from '../../consensus/common/applyHandlers.js';
 import type { World } from '../../world/common/world.js';
 import type { MeteringCommand, UseCounts } from './meteringCommands.js';
-import { addCounts, windowIdOf, WindowState, type UsageWindowRow } from './meteringTables.js';
+import { addCounts, usageWindowIdOf, WindowState, type UsageWindowRow } from './meteringTables.js';
 
 /** Windows that are kept after their report, so that a late command finds them. */
 const keptWindows = 64;
 
 const windowRow = (world: World, window: number): UsageWindowRow =>
-  world.usageWindows.get(windowIdOf(window)) ??
+  world.usageWindows.get(usageWindowIdOf(window)) ??
   world.usageWindows.put({
-    id: windowIdOf(window),
+    id: usageWindowIdOf(window),
     window,
     state: WindowState.Open,
     counts: {},
@@ -45,8 +45,8 @@
     return ok(undefined);
   },
   usageReported: ({ window }, world) => {
-    world.usageWindows.change(windowIdOf(window), { state: WindowState.Reported });
-    world.usageWindows.remove(windowIdOf(window - keptWindows));
+    world.usageWindows.change(usageWindowIdOf(window), { state: WindowState.Reported });
+    world.usageWindows.remove(usageWindowIdOf(window - keptWindows));
     return ok(undefined);
   },
 };
--- a/src/service/metering/common/meteringSystem.ts
+++ b/src/service/metering/common/meteringSystem.ts
@@ -12,7 +12,7 @@
 import type { World } from '../../world/common/world.js';
 import {
   WindowState,
-  windowIdOf,
+  usageWindowIdOf,
   type MeteringClockRow,
   type ReportFact,
   type UsageWindowRow,
@@ -86,7 +86,7 @@
 
 const factHandlers: HandlerTable<ReportFact, void, [World, Instant]> = {
   accepted: ({ window }, world, now) => {
-    world.usageReports.remove(windowIdOf(window));
+    world.usageReports.remove(usageWindowIdOf(window));
     world.proposals.append({
       id: asBrand(`reported/${window}`),
       command: { kind: 'usageReported', window },
@@ -96,7 +96,7 @@
   },
   failed: ({ window, reason }, world, now) => {
     const sendDeadline = deadlineAfter(now, resendMilliseconds);
-    world.usageReports.change(windowIdOf(window), { isInFlight: false, sendDeadline });
+    world.usageReports.change(usageWindowIdOf(window), { isInFlight: false, sendDeadline });
     world.events.append({ kind: EventKind.DutyEnded, subject: { window, outcome: reason } });
   },
 };
--- a/src/service/metering/common/meteringTables.ts
+++ b/src/service/metering/common/meteringTables.ts
@@ -19,12 +19,12 @@
 } as const;
 export type WindowState = ValueOf<typeof WindowState>;
 
-export type WindowId = Brand<'usageWindow'>;
-export const windowIdOf = (window: number): WindowId => asBrand(String(window));
+export type UsageWindowId = Brand<'usageWindow'>;
+export const usageWindowIdOf = (window: number): UsageWindowId => asBrand(String(window));
 
 /** The agreed row of a window. */
 export interface UsageWindowRow {
-  readonly id: WindowId;
+  readonly id: UsageWindowId;
   readonly window: number;
   readonly state: WindowState;
   readonly counts: UseCounts;
@@ -32,14 +32,14 @@
 
 /** What this daemon has counted in a window and not yet folded into the agreed state. */
 export interface OwnCountRow {
-  readonly id: WindowId;
+  readonly id: UsageWindowId;
   readonly window: number;
   readonly counts: UseCounts;
 }
 
 /** The report of a window that this daemon sends as leader. */
 export interface UsageReportRow {
-  readonly id: WindowId;
+  readonly id: UsageWindowId;
   readonly window: number;
   readonly counts: UseCounts;
   readonly fencing: number;
@@ -93,7 +93,7 @@
   const { metering } = world.fleet;
   if (workspace === null || metering === null) return;
   const window = Math.floor(world.wallNow() / metering.windowMilliseconds);
-  const id = windowIdOf(window);
+  const id = usageWindowIdOf(window);
   const counts = addCounts(world.ownCounts.get(id)?.counts ?? {}, { [workspace]: 1 });
   world.ownCounts.put({ id, window, counts });
 };
--- a/src/service/weights/common/versionTables.ts
+++ b/src/service/weights/common/versionTables.ts
@@ -23,13 +23,13 @@
 }
 
 /** What becomes of requests that run while an engine changes its weights. */
-export const SwitchMode = {
+export const DuringSwap = {
   /** They finish first. */
   Finish: 'finish',
   /** They go on under the new weights. */
   Continue: 'continue',
 } as const;
-export type SwitchMode = ValueOf<typeof SwitchMode>;
+export type DuringSwap = ValueOf<typeof DuringSwap>;
 
 export type OrderName = Brand<'weightOrder'>;
 
@@ -40,7 +40,7 @@
   readonly order: OrderName;
   readonly model: string;
   readonly version: number;
-  readonly switchMode: SwitchMode;
+  readonly duringSwap: DuringSwap;
   readonly fencing: number;
   /** When it is given up; the reports of the engine then decide whether there is another. */
   readonly orderDeadline: Instant;
--- a/src/service/weights/common/weightSystem.ts
+++ b/src/service/weights/common/weightSystem.ts
@@ -15,7 +15,7 @@
 import { enginesOf, heldVersion, lagOf, newestVersion } from './engines.js';
 import { placeEngines } from './placement.js';
 import {
-  SwitchMode,
+  DuringSwap,
   type OrderName,
   type WeightOrderFact,
   type WeightOrderRow,
@@ -43,12 +43,12 @@
     })
     .forEach(({ id }) => world.weightOrders.remove(id));
 
-const switchModeOf = (world: World, model: string): SwitchMode => {
+const duringSwapOf = (world: World, model: string): DuringSwap => {
   const isBound = world.jobs
     .where('state', JobState.Open)
     .filter((job) => job.model === model)
     .some(({ host, path }) => findRoute(world, host, path)?.isSingleVersion === true);
-  return isBound ? SwitchMode.Finish : SwitchMode.Continue;
+  return isBound ? DuringSwap.Finish : DuringSwap.Continue;
 };
 
 const give = (world: World, row: RegistrationRow, model: string, now: Instant): void => {
@@ -57,7 +57,7 @@
     order: world.identifiers.next<OrderName>('weightOrder'),
     model,
     version: newestVersion(world, model),
-    switchMode: switchModeOf(world, model),
+    duringSwap: duringSwapOf(world, model),
     fencing: leadershipOf(world).fencing,
     orderDeadline: deadlineAfter(now, loadMilliseconds),
   };
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -7,8 +7,9 @@
 import { never, type Instant, type Milliseconds } from '../../src/base/common/time.js';
 import { silentMetrics } from '../../src/infrastructure/metrics/common/metrics.js';
 import type { Deployment } from '../../src/infrastructure/settings/common/deployment.js';
+import type { FleetSettings } from '../../src/infrastructure/settings/common/fleetSettings.js';
 import type { Tree } from '../../src/service/configuration/common/tree.js';
-import { createCore, type Core } from '../../src/service/core/common/core.js';
+import { createCore, type Core, type Profile } from '../../src/service/core/common/core.js';
 import type { RecordedEvent } from '../../src/service/events/common/eventKind.js';
 import type { DaemonId } from '../../src/service/world/common/identifiers.js';
 import { createVirtualDisk, createVirtualStoragePort, type VirtualDisk } from './virtualDisk.js';
@@ -44,6 +45,13 @@
   readonly latency?: (from: string, to: string) => Milliseconds;
   /** Whether a fake takes the place of the replicated log; voters then get no disk. */
   readonly hasFakeLog?: boolean;
+  /** The systems of the daemons; those of the settings tree unless it is said. */
+  readonly profile?: Profile;
+  readonly fleet?: FleetSettings;
+  /** The first voters as a daemon knows them at a start; those of the deployment unless it is said. */
+  readonly voters?: (name: string, incarnation: number) => readonly string[];
+  /** Daemons that are not started with the others. */
+  readonly notStarted?: readonly string[];
   /** How long a disk takes to sync. */
   readonly syncDelay?: Milliseconds;
   /** Creates the fake ports of each start of a daemon. */
@@ -163,8 +171,18 @@
     const { deployment, tree, seed } = options;
     const random = createRandom(seed + incarnation * 1000 + deployment.daemons.indexOf(self));
     const core = createCore(
-      { deployment, self, tree, incarnation, random, metrics: silentMetrics },
+      {
+        deployment,
+        self,
+        tree,
+        incarnation,
+        random,
+        metrics: silentMetrics,
+        voters: options.voters?.(name, incarnation),
+        fleet: options.fleet,
+      },
       time.now(),
+      options.profile,
     );
     const daemon: VirtualDaemon = { name, core, incarnation };
     daemons.set(name, daemon);
@@ -203,7 +221,9 @@
     time.advanceTo(end);
   };
 
-  options.deployment.daemons.forEach(({ name }) => start(name));
+  options.deployment.daemons
+    .filter(({ name }) => options.notStarted?.includes(name) !== true)
+    .forEach(({ name }) => start(name));
 
   return {
     now: time.now,
