Keep the beginnings of long texts in the log; cancel scoring requests of ended jobs

Ruled out: handing runs to the next leader (it cannot reach the connections of the old one). The tests of saved texts and of cancelled scoring requests are new.

--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -60,7 +60,7 @@
     const end = (isWhole: boolean, reason: string): void => {
       if (isOver) return;
       isOver = true;
-      const came = { item, start, text: stream.events(), versions: stream.versions() };
+      const came = { item, start, ...stream.take() };
       if (isWhole && stream.isInOrder()) report({ kind: 'whole', ...came });
       else report({ kind: 'broken', ...came, reason });
     };
@@ -69,7 +69,7 @@
       stream.push(chunk);
       if (clock() - reportedAt < progressMilliseconds) return;
       reportedAt = clock();
-      report({ kind: 'progress', item, start });
+      report({ kind: 'progress', item, start, ...stream.take() });
     });
     response.on('error', (error) => end(false, error.message));
     response.on('close', () => end(false, 'closed early'));
--- a/src/daemon/jobs/node/textStream.ts
+++ b/src/daemon/jobs/node/textStream.ts
@@ -4,13 +4,19 @@
  */
 import { createParser } from 'eventsource-parser';
 
+/** Some events of a text. */
+export interface TextPart {
+  /** Data of the events, in order. */
+  readonly text: readonly string[];
+  /** Versions under which they were made. */
+  readonly versions: readonly number[];
+}
+
 /** What has come of a text. */
 export interface TextStream {
   readonly push: (chunk: Uint8Array) => void;
-  /** Data of the whole events, in order. */
-  readonly events: () => readonly string[];
-  /** Versions under which those events were made. */
-  readonly versions: () => readonly number[];
+  /** The whole events since they were last taken. */
+  readonly take: () => TextPart;
   /** Whether the identifiers of the events follow each other without a gap. */
   readonly isInOrder: () => boolean;
 }
@@ -25,15 +31,17 @@
   versionField: string,
 ): TextStream => {
   const decoder = new TextDecoder();
-  const events: string[] = [];
-  const versions = new Set<number>();
+  let events: string[] = [];
+  let versions = new Set<number>();
+  let count = lastEvent;
   let present = version;
   let inOrder = true;
 
   const parser = createParser({
     onEvent: ({ id, data }) => {
-      if (Number(id) !== lastEvent + events.length + 1) inOrder = false;
+      if (Number(id) !== count + 1) inOrder = false;
       if (!inOrder) return;
+      count += 1;
       events.push(data);
       if (present !== null) versions.add(present);
     },
@@ -44,8 +52,12 @@
 
   return {
     push: (chunk) => parser.feed(decoder.decode(chunk, { stream: true })),
-    events: () => events,
-    versions: () => [...versions],
+    take: () => {
+      const part = { text: events, versions: [...versions] };
+      events = [];
+      versions = new Set();
+      return part;
+    },
     isInOrder: () => inOrder,
   };
 };
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -77,6 +77,7 @@
   declarationSet: Topic.Configuration,
   jobSubmitted: Topic.Voters,
   itemsListed: Topic.Voters,
+  textsSaved: Topic.Voters,
   jobEnded: Topic.Voters,
   jobForgotten: Topic.Voters,
   versionNamed: Topic.Voters,
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -33,6 +33,7 @@
 import { createJobReadSystem } from '../../jobs/common/jobReads.js';
 import { createListingSystem } from '../../jobs/common/listItems.js';
 import { createRunSystem } from '../../jobs/common/runSystem.js';
+import { createSavingSystem } from '../../jobs/common/saveTexts.js';
 import { createScoringSystem } from '../../jobs/common/scoring.js';
 import { createMeteringSystem } from '../../metering/common/meteringSystem.js';
 import { createRegistrySystem } from '../../registry/common/registrySystem.js';
@@ -104,6 +105,7 @@
   createCallSystem,
   createSendSystem,
   createRunSystem,
+  createSavingSystem,
   createScoringSystem,
   createListingSystem,
   createWeightSystem,
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -6,7 +6,7 @@
 import type { ApplyHandlers } from '../../consensus/common/applyHandlers.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
-import type { JobCommand, JobSubmitted, ListedItem } from './jobCommands.js';
+import type { JobCommand, JobSubmitted, ListedItem, SavedItem } from './jobCommands.js';
 import { itemIdOf, JobState, resultIdOf, type JobId, type JobRow } from './jobTables.js';
 
 const noBytes = new Uint8Array();
@@ -18,7 +18,13 @@
   const total = items.length;
   world.jobs.put({ ...columns, id, state: JobState.Open, tokens, total, listed: 0 });
   items.forEach((item) =>
-    world.jobItems.put({ ...item, id: itemIdOf(job, item.item), job: id, isListed: false }),
+    world.jobItems.put({
+      ...item,
+      id: itemIdOf(job, item.item),
+      job: id,
+      isListed: false,
+      saved: null,
+    }),
   );
   world.events.append({
     kind: EventKind.JobAccepted,
@@ -31,11 +37,25 @@
   const item = world.jobItems.get(itemIdOf(job.id, listed.item));
   if (item === undefined || item.isListed) return;
   const position = world.jobs.get(job.id)!.listed;
-  world.jobItems.change(item.id, { isListed: true, body: noBytes, scorer: null });
+  world.jobItems.change(item.id, { isListed: true, body: noBytes, scorer: null, saved: null });
   world.jobResults.put({ ...listed, id: resultIdOf(job.id, position), job: job.id });
   world.jobs.change(job.id, { listed: position + 1 });
 };
 
+/** Appends to what is agreed of a text; what does not follow it, or begins anew, takes its place. */
+const saveText = (world: World, job: JobRow, { item: name, after, ...part }: SavedItem): void => {
+  const item = world.jobItems.get(itemIdOf(job.id, name));
+  if (item === undefined || item.isListed) return;
+  if (after === 0) {
+    world.jobItems.change(item.id, { saved: part });
+    return;
+  }
+  if (item.saved?.events !== after) return;
+  const versions = [...new Set([...item.saved.versions, ...part.versions])];
+  const text = `${item.saved.text}\n${part.text}`;
+  world.jobItems.change(item.id, { saved: { events: part.events, text, versions } });
+};
+
 export const jobApplyHandlers: ApplyHandlers<JobCommand> = {
   jobSubmitted: (command, world) => {
     if (!world.jobs.has(asBrand(command.job))) insertJob(world, command);
@@ -46,6 +66,11 @@
     if (row?.state === JobState.Open) results.forEach((result) => listItem(world, row, result));
     return ok(undefined);
   },
+  textsSaved: ({ job, saved }, world) => {
+    const row = world.jobs.get(asBrand(job));
+    if (row?.state === JobState.Open) saved.forEach((part) => saveText(world, row, part));
+    return ok(undefined);
+  },
   jobEnded: ({ job }, world) => {
     world.jobs.change(asBrand(job), { state: JobState.Ended });
     world.events.append({ kind: EventKind.JobEnded, subject: { job } });
--- a/src/service/jobs/common/jobCommands.ts
+++ b/src/service/jobs/common/jobCommands.ts
@@ -73,6 +73,29 @@
   results: z.array(listedItemSchema),
 });
 
+/** The beginning of a text. */
+export const savedTextSchema = z.object({
+  /** How many events it has. */
+  events: z.number().int().positive(),
+  text: z.string(),
+  versions: z.array(z.number()),
+});
+export type SavedText = z.infer<typeof savedTextSchema>;
+
+export const savedItemSchema = savedTextSchema.extend({
+  item: z.string(),
+  /** Events that were agreed before; the text is what follows them. */
+  after: z.number().int().nonnegative(),
+});
+export type SavedItem = z.infer<typeof savedItemSchema>;
+
+/** Keeps the beginnings of long texts, so that they outlive the leader. */
+export const textsSavedSchema = z.object({
+  kind: z.literal('textsSaved'),
+  job: z.string(),
+  saved: z.array(savedItemSchema),
+});
+
 /** Ends a job: nothing of it runs any more, and what is listed stays. */
 export const jobEndedSchema = z.object({ kind: z.literal('jobEnded'), job: z.string() });
 
@@ -82,6 +105,7 @@
 export const jobCommandSchemas = [
   jobSubmittedSchema,
   itemsListedSchema,
+  textsSavedSchema,
   jobEndedSchema,
   jobForgottenSchema,
 ] as const;
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -10,7 +10,7 @@
 import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { CallId } from '../../forwarding/common/forwardingTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
-import type { JobItem, JobSubmitted, ListedItem } from './jobCommands.js';
+import type { JobItem, JobSubmitted, ListedItem, SavedItem, SavedText } from './jobCommands.js';
 
 export type JobId = Brand<'job'>;
 export type ItemId = Brand<'jobItem'>;
@@ -38,6 +38,8 @@
   readonly id: ItemId;
   readonly job: JobId;
   readonly isListed: boolean;
+  /** What is agreed of its text so far, from which another leader goes on. */
+  readonly saved: SavedText | null;
 }
 
 export interface JobResultRow extends ListedItem {
@@ -69,6 +71,12 @@
   readonly events: number;
   readonly text: string;
   readonly versions: readonly number[];
+  /** Events of the text that are agreed, or proposed to be. */
+  readonly savedEvents: number;
+  /** Length of the text of those events. */
+  readonly savedCharacters: number;
+  /** When more of the text is proposed to be kept. */
+  readonly saveDeadline: Instant;
   /** Failures that the upstreams themselves answered. */
   readonly failures: number;
   /** When a waiting run may be given to an upstream again. */
@@ -84,12 +92,16 @@
   readonly rescoreDeadline: Instant;
 }
 
-/** What the port reports of a start; the text is what came since the start. */
+/** What the port reports of a start; the text is what came since its last report. */
 export type RunFact = {
   readonly item: ItemId;
   readonly start: number;
 } & (
-  | { readonly kind: 'progress' }
+  | {
+      readonly kind: 'progress';
+      readonly text: readonly string[];
+      readonly versions: readonly number[];
+    }
   /** The stream ended in good order. */
   | {
       readonly kind: 'whole';
@@ -117,6 +129,12 @@
   readonly listed: ListedItem;
 }
 
+/** A part of a text that waits to be proposed. */
+export interface QueuedText {
+  readonly job: JobId;
+  readonly saved: SavedItem;
+}
+
 /** The score that a scoring request gave, read from the answer by the port. */
 export interface ScoreFact {
   readonly call: CallId;
@@ -166,5 +184,6 @@
   }),
   runFacts: createRowQueue<RunFact>('runFacts', RowReader.System),
   itemResults: createRowQueue<QueuedResult>('itemResults', RowReader.System),
+  savedTexts: createRowQueue<QueuedText>('savedTexts', RowReader.System),
   scoreFacts: createRowQueue<ScoreFact>('scoreFacts', RowReader.System),
 });
--- a/src/service/jobs/common/listItems.ts
+++ b/src/service/jobs/common/listItems.ts
@@ -13,9 +13,15 @@
 
 type Ending = Pick<ListedItem, 'result' | 'score'>;
 
+/** Cancels the scoring request of a run, so that it is not sent again. */
+export const cancelScoring = (world: World, { call }: RunRow): void => {
+  if (call !== null) world.departedCalls.append(call);
+};
+
 /** Queues the result of a run for the next proposal. */
 export const listItem = (world: World, run: RunRow, { result, score }: Ending): void => {
   const item = world.jobItems.get(run.id);
+  cancelScoring(world, run);
   world.runs.change(run.id, { state: RunState.Proposed, upstream: null, call: null });
   if (item === undefined) return;
   const isComplete = result === ItemResult.Completed;
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -21,14 +21,15 @@
   type RunFact,
   type RunRow,
 } from './jobTables.js';
-import { listItem } from './listItems.js';
+import { cancelScoring, listItem } from './listItems.js';
+import { saveText } from './saveTexts.js';
 import { beginScoring } from './scoring.js';
 
 /** How long a run may be silent: several pauses between events and the reading of a long prompt. */
 const progressMilliseconds = 2_000;
 
-/** Progress moves the stored deadline only in steps of this size. */
-const progressStepMilliseconds = 250;
+/** How often the beginning of a long text is kept in the log. */
+const saveMilliseconds = 1_200;
 
 /** Before an item that an upstream did not take is offered again. */
 const backoffMilliseconds = 40;
@@ -50,9 +51,12 @@
     state: RunState.Waiting,
     start: 0,
     upstream: null,
-    events: 0,
-    text: '',
-    versions: [],
+    events: item.saved?.events ?? 0,
+    text: item.saved?.text ?? '',
+    versions: item.saved?.versions ?? [],
+    savedEvents: item.saved?.events ?? 0,
+    savedCharacters: item.saved?.text.length ?? 0,
+    saveDeadline: deadlineAfter(now, saveMilliseconds),
     failures: 0,
     backoffDeadline: now,
     progressDeadline: never,
@@ -72,7 +76,10 @@
 };
 
 const removeRuns = (world: World, runs: readonly RunRow[]): void =>
-  runs.forEach(({ id }) => world.runs.remove(id));
+  runs.forEach((run) => {
+    cancelScoring(world, run);
+    world.runs.remove(run.id);
+  });
 
 const stopRunning = (
   world: World,
@@ -119,7 +126,13 @@
   return versions.every((version) => version >= job.minimumVersion);
 };
 
-const fromTheStart = { events: 0, text: '', versions: [] } as const;
+const fromTheStart = {
+  events: 0,
+  text: '',
+  versions: [],
+  savedEvents: 0,
+  savedCharacters: 0,
+} as const;
 
 const maximumFailuresOf = (world: World, job: JobRow): number =>
   findRoute(world, job.host, job.path)?.maximumAttempts ?? 1;
@@ -130,10 +143,13 @@
   listItem(world, run, { result: ItemResult.Dead, score: null });
 
 const handlers: HandlerTable<RunFact, void, Context> = {
-  progress: (_, world, run, _job, now) => {
+  progress: (fact, world, run, job, now) => {
     const progressDeadline = deadlineAfter(now, progressMilliseconds);
-    if (progressDeadline - run.progressDeadline < progressStepMilliseconds) return;
-    world.runs.change(run.id, { progressDeadline });
+    const columns = withEvents(run, fact.text, fact.versions);
+    const changed = world.runs.change(run.id, { ...columns, progressDeadline })!;
+    if (now >= run.saveDeadline && isAllowed(world, job, columns.versions)) {
+      saveText(world, changed, deadlineAfter(now, saveMilliseconds));
+    }
   },
   whole: (fact, world, run, job, now) => {
     const columns = withEvents(run, fact.text, fact.versions);
@@ -174,10 +190,11 @@
   dispatchByKind<RunFact, void, Context>(handlers, fact, world, run, job, now);
 };
 
-const startOver = (world: World, run: RunRow, now: Instant): void => {
+/** Leaves an upstream that has fallen silent; the text goes on elsewhere after what has come. */
+const leaveSilent = (world: World, run: RunRow, now: Instant): void => {
   world.metrics.count('runs.silent');
   avoidUpstream(world, run, now);
-  stopRunning(world, run, fromTheStart, now);
+  stopRunning(world, run, {}, now);
 };
 
 /** A result of an earlier lease of this daemon may be agreed after its item has a run again. */
@@ -213,7 +230,7 @@
     }
     ledTerm = term;
     world.runs.takeDue('life', now).forEach((run) => giveUp(world, run));
-    world.runs.takeDue('progress', now).forEach((run) => startOver(world, run, now));
+    world.runs.takeDue('progress', now).forEach((run) => leaveSilent(world, run, now));
   };
 
   return {
--- a/src/service/jobs/test/common/runs.test.ts
+++ b/src/service/jobs/test/common/runs.test.ts
@@ -6,6 +6,7 @@
   testJob,
 } from '../../../../../standins/virtual/fleetFixture.js';
 import { createFleetCore } from '../../../../../standins/virtual/fleetCore.js';
+import { CallState } from '../../../forwarding/common/forwardingTables.js';
 import { RunState, itemIdOf } from '../../common/jobTables.js';
 import { ItemResult } from '../../common/jobCommands.js';
 
@@ -120,3 +121,54 @@
   fail();
   t.is(core.world.jobResults.get('j/0' as never)?.result, ItemResult.Dead);
 });
+
+test('the scoring request of an ended job is cancelled', (t) => {
+  const core = createFleetCore();
+  const scorer = { requestId: 's', host: 'yard.example', path: '/score/a', body: new Uint8Array() };
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.world.arrivedRegistrations.append({
+    registration: testEngine('e2', { service: 'yard-app', models: [] }),
+    isDirect: false,
+  });
+  core.propose('job', testJob('j', [{ ...testItem('a'), scorer }]));
+  const id = itemIdOf('j', 'a');
+  const { start } = core.world.runs.get(id)!;
+  core.world.runFacts.append({ kind: 'whole', item: id, start, text: ['x'], versions: [1] });
+  core.settle();
+  const call = core.world.runs.get(id)!.call!;
+  t.is(core.world.calls.get(call)?.state, CallState.Running);
+
+  core.propose('end', { kind: 'jobEnded', job: 'j' });
+  t.is(core.world.calls.get(call)?.state, CallState.Cancelled);
+});
+
+test('a text whose beginning is agreed goes on after it under another lease', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.propose('job', testJob('j', [testItem('a')]));
+  const id = itemIdOf('j', 'a');
+  const report = (...text: string[]): void => {
+    const { start } = core.world.runs.get(id)!;
+    core.world.runFacts.append({ kind: 'progress', item: id, start, text, versions: [1] });
+    core.settle();
+  };
+  report('x');
+  core.runFor(1_300);
+  report('y', 'two\nlines');
+  core.runFor(1_300);
+  report('z');
+  t.deepEqual(core.world.jobItems.get(id)?.saved, {
+    events: 4,
+    text: 'x\ny\ntwo\nlines\nz',
+    versions: [1],
+  });
+
+  core.world.runs.remove(id);
+  core.propose('other', testJob('k', []));
+  core.world.jobs.change('j' as never, {});
+  core.settle();
+  t.is(core.world.runs.get(id)?.events, 4);
+  t.is(core.world.runs.get(id)?.text, 'x\ny\ntwo\nlines\nz');
+});
