--- a/eslint.config.js
+++ b/eslint.config.js
@@ -66,7 +66,7 @@
 const pureFolders = ['src/**/common/**/*.ts'];
 
 export default [
-  { ignores: ['out/', 'node_modules/'] },
+  { ignores: ['out/', 'target/', 'node_modules/'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
