--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -30,6 +30,7 @@
 import { createCallSystem } from '../../forwarding/common/callSystem.js';
 import { createSendSystem } from '../../forwarding/common/sendSystem.js';
 import { createAssignmentSystem } from '../../jobs/common/assignmentSystem.js';
+import { createForgetSystem } from '../../jobs/common/forgetSystem.js';
 import { createJobReadSystem } from '../../jobs/common/jobReads.js';
 import { createListingSystem } from '../../jobs/common/listItems.js';
 import { createRunSystem } from '../../jobs/common/runSystem.js';
@@ -108,6 +109,7 @@
   createSavingSystem,
   createScoringSystem,
   createListingSystem,
+  createForgetSystem,
   createWeightSystem,
   createAssignmentSystem,
   createJobReadSystem,
--- a/src/service/declaration/common/applyDeclaration.ts
+++ b/src/service/declaration/common/applyDeclaration.ts
@@ -33,10 +33,6 @@
     world.routes,
     declaration.routes.map((route) => ({ ...route, id: asBrand(`${route.host} ${route.prefix}`) })),
   );
-  replaceRows(
-    world.declaredServices,
-    declaration.services.map((service) => ({ ...service, id: asBrand(service.name) })),
-  );
   replaceRows(world.callerKeys, keyRowsOf(declaration));
   world.events.append({ kind: EventKind.DeclarationInForce, subject: { version, digest } });
 };
--- a/src/service/declaration/common/declarationTables.ts
+++ b/src/service/declaration/common/declarationTables.ts
@@ -3,7 +3,7 @@
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
-import type { Declaration, RouteDeclaration, ServiceDeclaration } from './declaration.js';
+import type { Declaration, RouteDeclaration } from './declaration.js';
 
 export interface DeclarationRow {
   readonly id: Brand<'declaration'>;
@@ -27,11 +27,6 @@
   readonly workspacePriority: number | null;
 }
 
-export type DeclaredServiceId = Brand<'declaredService'>;
-export interface DeclaredServiceRow extends ServiceDeclaration {
-  readonly id: DeclaredServiceId;
-}
-
 export const createDeclarationTables = () => ({
   declarations: createTable<DeclarationRow>({ name: 'declarations', indices: {}, deadlines: {} }),
   routes: createTable<RouteRow, 'host'>({
@@ -40,9 +35,4 @@
     deadlines: {},
   }),
   callerKeys: createTable<CallerKeyRow>({ name: 'callerKeys', indices: {}, deadlines: {} }),
-  declaredServices: createTable<DeclaredServiceRow>({
-    name: 'declaredServices',
-    indices: {},
-    deadlines: {},
-  }),
 });
--- a/src/service/jobs/test/common/runs.test.ts
+++ b/src/service/jobs/test/common/runs.test.ts
@@ -172,3 +172,20 @@
   t.is(core.world.runs.get(id)?.events, 4);
   t.is(core.world.runs.get(id)?.text, 'x\ny\ntwo\nlines\nz');
 });
+
+test('an ended job is forgotten once its results need not be kept, and an open one is not', (t) => {
+  const core = createFleetCore({ jobRetentionMilliseconds: 20_000 });
+  core.propose('declare', testDeclarationCommand());
+  core.propose('ended', testJob('j', [testItem('a')]));
+  core.propose('open', testJob('k', [testItem('a')]));
+  core.propose('end', { kind: 'jobEnded', job: 'j' });
+  core.runFor(15_000);
+  core.propose('first', testJob('l', []));
+  t.true(core.world.jobs.has('j' as never));
+  core.runFor(20_000);
+  core.propose('second', testJob('m', []));
+  core.settle();
+  t.false(core.world.jobs.has('j' as never));
+  t.is(core.world.jobItems.where('job', 'j').length, 0);
+  t.true(core.world.jobs.has('k' as never));
+});
