Let long test files tell of each test as it ends

Ruled out: load of the machine alone (the same gap on an idle machine). Change: the tests of the four long files run one after the other. No test, bound or timeout changed.

--- a/proof/test/faultMatrix.ts
+++ b/proof/test/faultMatrix.ts
@@ -1,5 +1,6 @@
 /**
- * Declares one test for a share of the cells of an installation. `npm run faults` runs all of them.
+ * Declares one test for a share of the cells of an installation. Tests run one after the other, so that
+ * the runner hears of each as it ends and not of all after the last. `npm run faults` runs all of them.
  */
 import test from 'ava';
 import { faults } from '../matrix/faults.js';
@@ -23,8 +24,11 @@
     .filter(isRun)
     .filter((_, index) => index % share === offset)
     .forEach((cell) =>
-      test(`${cell.fault} at ${cell.flow}, step ${flows[cell.flow].steps[cell.step]}`, (t) => {
-        const { verdict } = runCell(cell, seed);
-        t.deepEqual(verdict, { kind: 'passed' });
-      }),
+      test.serial(
+        `${cell.fault} at ${cell.flow}, step ${flows[cell.flow].steps[cell.step]}`,
+        (t) => {
+          const { verdict } = runCell(cell, seed);
+          t.deepEqual(verdict, { kind: 'passed' });
+        },
+      ),
     );
--- a/proof/test/scenarioFiles.ts
+++ b/proof/test/scenarioFiles.ts
@@ -1,5 +1,6 @@
 /**
- * Declares one test for each scenario file of an installation.
+ * Declares one test for each scenario file of an installation. Tests run one after the other, so that the
+ * runner hears of each as it ends and not of all after the last.
  */
 import test from 'ava';
 import { FailureName } from '../coverage/failures.js';
@@ -20,7 +21,7 @@
   );
 
 const declare = ({ name, scenario }: ScenarioFile): void =>
-  test(`${name}: ${scenario.title}`, (t) => {
+  test.serial(`${name}: ${scenario.title}`, (t) => {
     const verdict = runScenario(scenario);
     if (verdict.kind === 'failed') {
       verdict.failures.forEach((failure) => t.fail(reportFailure(failure, verdict.run)));
--- a/src/service/rollout/test/common/sampleFaults.test.ts
+++ b/src/service/rollout/test/common/sampleFaults.test.ts
@@ -14,7 +14,7 @@
 
 Object.entries(steps).forEach(([step, isReached]) =>
   Object.entries(faults).forEach(([fault, inject]) =>
-    test(`${fault} when the first sample is ${step}`, (t) => {
+    test.serial(`${fault} when the first sample is ${step}`, (t) => {
       const scenario = createScenario(seed);
       const trainer = scenario.trainers.open('d2', wish);
       const reached = runUntil(
--- a/standins/virtual/test/controlFailures.test.ts
+++ b/standins/virtual/test/controlFailures.test.ts
@@ -1,4 +1,7 @@
-/** Failures of control on virtual time; what must always hold is watched over the whole of each run. */
+/**
+ * Failures of control on virtual time; what must always hold is watched over the whole of each run. Tests
+ * run one after the other, so that the runner hears of each as it ends.
+ */
 import test, { type ExecutionContext } from 'ava';
 import { leadershipOf } from '../../../src/service/consensus/common/lease.js';
 import { createControlInstallation, type ControlInstallation } from '../controlInstallation.js';
@@ -34,29 +37,32 @@
     .forEach((name) => t.deepEqual(installation.missingAt(name), [], `missing at ${name}`));
 };
 
-test('a leader that is isolated for long may not act, loses nothing accepted, and rejoins', (t) => {
-  const installation = createSettled();
-  const old = installation.acting()!;
-  const other = otherVoter(installation, old);
-  proposeStream(installation, 'd5', 'before', 20);
-  installation.isolate(old);
-  const lost = installation.propose(old, 'lost');
-  installation.runFor(settleMilliseconds);
-  t.not(installation.acting(), old);
-  t.truthy(installation.acting());
-  t.false(installation.history.accepted().has(lost));
-  t.true(leadershipOf(installation.worldOf(old)).freshnessDeadline < installation.now());
-  proposeStream(installation, other, 'during', 20);
-  installation.runFor(600_000);
-  installation.rejoin(old);
-  installation.runFor(settleMilliseconds);
-  proposeStream(installation, old, 'after', 20);
-  installation.runFor(settleMilliseconds);
-  t.is(installation.history.accepted().size >= 60, true);
-  assertWhole(t, installation);
-});
+test.serial(
+  'a leader that is isolated for long may not act, loses nothing accepted, and rejoins',
+  (t) => {
+    const installation = createSettled();
+    const old = installation.acting()!;
+    const other = otherVoter(installation, old);
+    proposeStream(installation, 'd5', 'before', 20);
+    installation.isolate(old);
+    const lost = installation.propose(old, 'lost');
+    installation.runFor(settleMilliseconds);
+    t.not(installation.acting(), old);
+    t.truthy(installation.acting());
+    t.false(installation.history.accepted().has(lost));
+    t.true(leadershipOf(installation.worldOf(old)).freshnessDeadline < installation.now());
+    proposeStream(installation, other, 'during', 20);
+    installation.runFor(600_000);
+    installation.rejoin(old);
+    installation.runFor(settleMilliseconds);
+    proposeStream(installation, old, 'after', 20);
+    installation.runFor(settleMilliseconds);
+    t.is(installation.history.accepted().size >= 60, true);
+    assertWhole(t, installation);
+  },
+);
 
-test('a leader that is frozen past its lease gives no order when it is thawed', (t) => {
+test.serial('a leader that is frozen past its lease gives no order when it is thawed', (t) => {
   const installation = createSettled();
   const old = installation.acting()!;
   installation.proposeOrder(old, 'first', 1);
@@ -84,27 +90,30 @@
   assertWhole(t, installation);
 });
 
-test('a lost majority accepts nothing, and after its return all that was accepted is there', (t) => {
-  const installation = createSettled({ voters: 5, daemons: 7 });
-  proposeStream(installation, 'd7', 'before', 50);
-  installation.runFor(1_000);
-  const accepted = installation.history.accepted().size;
-  ['d1', 'd2', 'd3'].forEach((name) => installation.stop(name));
-  installation.runFor(settleMilliseconds);
-  const during = installation.propose('d7', 'during');
-  installation.runFor(settleMilliseconds);
-  t.is(installation.acting(), undefined);
-  t.is(installation.history.accepted().size, accepted);
-  const outcome = installation.worldOf('d7').proposalOutcomes.get(during)?.outcome;
-  t.like(outcome, { kind: 'rejected', rejection: { kind: 'noLeader' } });
-  ['d1', 'd2', 'd3'].forEach((name) => installation.start(name));
-  installation.runFor(2 * settleMilliseconds);
-  t.truthy(installation.acting());
-  t.false(installation.worldOf('d1').rememberedOutcomes.has(during));
-  assertWhole(t, installation);
-});
+test.serial(
+  'a lost majority accepts nothing, and after its return all that was accepted is there',
+  (t) => {
+    const installation = createSettled({ voters: 5, daemons: 7 });
+    proposeStream(installation, 'd7', 'before', 50);
+    installation.runFor(1_000);
+    const accepted = installation.history.accepted().size;
+    ['d1', 'd2', 'd3'].forEach((name) => installation.stop(name));
+    installation.runFor(settleMilliseconds);
+    const during = installation.propose('d7', 'during');
+    installation.runFor(settleMilliseconds);
+    t.is(installation.acting(), undefined);
+    t.is(installation.history.accepted().size, accepted);
+    const outcome = installation.worldOf('d7').proposalOutcomes.get(during)?.outcome;
+    t.like(outcome, { kind: 'rejected', rejection: { kind: 'noLeader' } });
+    ['d1', 'd2', 'd3'].forEach((name) => installation.start(name));
+    installation.runFor(2 * settleMilliseconds);
+    t.truthy(installation.acting());
+    t.false(installation.worldOf('d1').rememberedOutcomes.has(during));
+    assertWhole(t, installation);
+  },
+);
 
-test('a second VM that is lost right after a repair loses nothing accepted', (t) => {
+test.serial('a second VM that is lost right after a repair loses nothing accepted', (t) => {
   const installation = createSettled();
   const [first, second] = installation.voterNames as [string, string];
   installation.stop(first);
@@ -123,7 +132,7 @@
   assertWhole(t, installation);
 });
 
-test('every daemon restarts in turn and at once after hundreds of changes', (t) => {
+test.serial('every daemon restarts in turn and at once after hundreds of changes', (t) => {
   const installation = createSettled();
   proposeStream(installation, 'd4', 'change', 400);
   installation.runFor(1_000);
@@ -139,48 +148,54 @@
   assertWhole(t, installation);
 });
 
-test('a crash of any voter between any two steps of an acceptance loses nothing accepted', (t) => {
-  // Latencies and syncs take 1 ms, so halves of a millisecond fall between all steps.
-  for (let halves = 0; halves < 16; halves += 1) {
-    const installation = createSettled({ seed: 3 });
-    const voters = installation.voterNames;
-    voters.forEach((name, position) => {
-      installation.propose('d5', `crash-${position}`);
-      installation.runFor(halves / 2);
-      installation.stop(name);
+test.serial(
+  'a crash of any voter between any two steps of an acceptance loses nothing accepted',
+  (t) => {
+    // Latencies and syncs take 1 ms, so halves of a millisecond fall between all steps.
+    for (let halves = 0; halves < 16; halves += 1) {
+      const installation = createSettled({ seed: 3 });
+      const voters = installation.voterNames;
+      voters.forEach((name, position) => {
+        installation.propose('d5', `crash-${position}`);
+        installation.runFor(halves / 2);
+        installation.stop(name);
+        installation.runFor(settleMilliseconds);
+        installation.start(name);
+        installation.runFor(settleMilliseconds);
+      });
+      voters.forEach((name) => installation.stop(name));
+      voters.forEach((name) => installation.start(name));
       installation.runFor(settleMilliseconds);
-      installation.start(name);
+      assertWhole(t, installation);
+    }
+  },
+);
+
+test.serial(
+  'an order that comes late from an old leader changes nothing at an upstream of either kind',
+  (t) => {
+    [true, false].forEach((checksFencing) => {
+      const installation = createSettled({ checksFencing });
+      const old = installation.acting()!;
+      installation.orders.faults.flight = 900;
+      installation.proposeOrder(old, 'first', 1);
+      installation.runFor(20);
+      t.is(installation.orders.written.length, 1);
+      installation.stop(old);
+      installation.orders.faults.flight = 5;
+      installation.runFor(settleMilliseconds);
+      installation.proposeOrder(installation.acting()!, 'second', 2);
       installation.runFor(settleMilliseconds);
+      t.deepEqual(
+        installation.orders.done.map(({ order }) => order),
+        ['first', 'second'],
+      );
+      t.deepEqual(installation.history.violations(), []);
     });
-    voters.forEach((name) => installation.stop(name));
-    voters.forEach((name) => installation.start(name));
-    installation.runFor(settleMilliseconds);
-    assertWhole(t, installation);
-  }
-});
+  },
+);
 
-test('an order that comes late from an old leader changes nothing at an upstream of either kind', (t) => {
-  [true, false].forEach((checksFencing) => {
-    const installation = createSettled({ checksFencing });
-    const old = installation.acting()!;
-    installation.orders.faults.flight = 900;
-    installation.proposeOrder(old, 'first', 1);
-    installation.runFor(20);
-    t.is(installation.orders.written.length, 1);
-    installation.stop(old);
-    installation.orders.faults.flight = 5;
-    installation.runFor(settleMilliseconds);
-    installation.proposeOrder(installation.acting()!, 'second', 2);
-    installation.runFor(settleMilliseconds);
-    t.deepEqual(
-      installation.orders.done.map(({ order }) => order),
-      ['first', 'second'],
-    );
-    t.deepEqual(installation.history.violations(), []);
-  });
-});
-
-test('an order whose answer is lost is read back and not carried out twice', (t) => {
+test.serial('an order whose answer is lost is read back and not carried out twice', (t) => {
   const installation = createSettled();
   const leader = installation.acting()!;
   installation.orders.faults.losesAnswers = true;
@@ -196,7 +211,7 @@
   );
 });
 
-test('a full disk ends the part of a voter with an error, and the others go on', (t) => {
+test.serial('a full disk ends the part of a voter with an error, and the others go on', (t) => {
   const installation = createSettled();
   const old = installation.acting()!;
   installation.disk(old).faults.isFull = true;
@@ -212,7 +227,7 @@
   assertWhole(t, installation);
 });
 
-test('a voter whose disk has a flipped bit takes no part and the others keep all', (t) => {
+test.serial('a voter whose disk has a flipped bit takes no part and the others keep all', (t) => {
   const installation = createSettled();
   proposeStream(installation, 'd5', 'before', 20);
   installation.stop('d1');
@@ -224,7 +239,7 @@
   ['d2', 'd3'].forEach((name) => t.deepEqual(installation.missingAt(name), []));
 });
 
-test('the copy of a leader counts only once it is synced', (t) => {
+test.serial('the copy of a leader counts only once it is synced', (t) => {
   const installation = createSettled();
   const leader = installation.acting()!;
   const [first, second] = installation.voterNames.filter((name) => name !== leader) as [
@@ -245,7 +260,7 @@
   assertWhole(t, installation);
 });
 
-test('a voter that alone does not hear the leader starts no term', (t) => {
+test.serial('a voter that alone does not hear the leader starts no term', (t) => {
   const installation = createSettled();
   const leader = installation.acting()!;
   const { term } = leadershipOf(installation.worldOf(leader));
@@ -255,35 +270,38 @@
   t.is(leadershipOf(installation.worldOf(leader)).term, term);
 });
 
-test('a second VM that is lost right after the disk of the first was replaced loses nothing', (t) => {
-  const installation = createSettled();
-  const leader = installation.acting()!;
-  const [first, second] = installation.voterNames.filter((name) => name !== leader) as [
-    string,
-    string,
-  ];
-  installation.cut(leader, second);
-  installation.cut(first, second);
-  proposeStream(installation, leader, 'before', 20);
-  installation.runFor(1_000);
-  installation.stop(first);
-  installation.disk(first).clear();
-  installation.stop(leader);
-  installation.start(first);
-  installation.heal(first, second);
-  installation.heal(leader, second);
-  installation.runFor(settleMilliseconds);
-  t.is(installation.acting(), undefined);
-  installation.start(leader);
-  installation.runFor(2 * settleMilliseconds);
-  t.truthy(installation.acting());
-  assertWhole(t, installation);
-  installation.stop(leader);
-  installation.runFor(settleMilliseconds);
-  t.truthy(installation.acting(), 'the replaced voter has joined');
-});
+test.serial(
+  'a second VM that is lost right after the disk of the first was replaced loses nothing',
+  (t) => {
+    const installation = createSettled();
+    const leader = installation.acting()!;
+    const [first, second] = installation.voterNames.filter((name) => name !== leader) as [
+      string,
+      string,
+    ];
+    installation.cut(leader, second);
+    installation.cut(first, second);
+    proposeStream(installation, leader, 'before', 20);
+    installation.runFor(1_000);
+    installation.stop(first);
+    installation.disk(first).clear();
+    installation.stop(leader);
+    installation.start(first);
+    installation.heal(first, second);
+    installation.heal(leader, second);
+    installation.runFor(settleMilliseconds);
+    t.is(installation.acting(), undefined);
+    installation.start(leader);
+    installation.runFor(2 * settleMilliseconds);
+    t.truthy(installation.acting());
+    assertWhole(t, installation);
+    installation.stop(leader);
+    installation.runFor(settleMilliseconds);
+    t.truthy(installation.acting(), 'the replaced voter has joined');
+  },
+);
 
-test('a voter with a new disk is caught up by the leader and joins', (t) => {
+test.serial('a voter with a new disk is caught up by the leader and joins', (t) => {
   const installation = createSettled();
   const name = otherVoter(installation, installation.acting()!);
   installation.stop(name);
