Retire control daemons: replace them as voters before they are taken away

Change: an agreed row for each daemon that retires. The leader adds a learner as a voter, waits until all voters hold the log, and then removes the one that retires; a leader that retires itself resigns first. Ruled out: completion as soon as the change is agreed, as the successor may then lack entries while another disk is lost.

--- a/src/infrastructure/settings/common/deployment.ts
+++ b/src/infrastructure/settings/common/deployment.ts
@@ -40,6 +40,8 @@
 
 export const daemonSchema = z.strictObject({
   name,
+  /** Name of the VM by which operators know it, where that is another one. */
+  label: z.string().min(1).optional(),
   zone: name,
   region: name,
   roles: z.array(z.enum(Role)).min(1),
--- a/src/service/consensus/common/applySystem.ts
+++ b/src/service/consensus/common/applySystem.ts
@@ -26,10 +26,12 @@
 } from './consensusTables.js';
 import { replicaOf } from './replicaLog.js';
 import { ReplicaState } from './replicaTables.js';
+import { retirementApplyHandlers } from './retirement.js';
 
 const handlers: ApplyHandlers<Command> = {
   leadershipTaken: () => ok(undefined),
   votersSet: () => ok(undefined),
+  ...retirementApplyHandlers,
   ...configurationApplyHandlers,
   ...orderApplyHandlers,
   ...ledgerHandlers,
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -16,7 +16,7 @@
 import { meteringCommandSchemas } from '../../metering/common/meteringCommands.js';
 import { orderClosedSchema, orderIntendedSchema } from '../../orders/common/orderCommands.js';
 import { ledgerCommandSchemas } from '../../rollout/common/ledgerCommands.js';
-import { votersSetSchema } from './voterCommands.js';
+import { daemonRetiredSchema, votersSetSchema } from './voterCommands.js';
 import { versionNamedSchema } from '../../weights/common/versionCommands.js';
 
 /** Which daemons apply a command. */
@@ -40,6 +40,7 @@
 export const commandSchema = z.discriminatedUnion('kind', [
   leadershipTakenSchema,
   votersSetSchema,
+  daemonRetiredSchema,
   treeSeededSchema,
   treeSetSchema,
   keyIssueSchema,
@@ -59,6 +60,7 @@
 export const topicOfCommand: Readonly<Record<Command['kind'], Topic>> = {
   leadershipTaken: Topic.Configuration,
   votersSet: Topic.Voters,
+  daemonRetired: Topic.Voters,
   treeSeeded: Topic.Configuration,
   treeSet: Topic.Configuration,
   keyIssue: Topic.Configuration,
--- a/src/service/consensus/common/voterSystem.ts
+++ b/src/service/consensus/common/voterSystem.ts
@@ -1,22 +1,34 @@
 /**
  * Keeps the number of voters: the leader removes a voter that has fallen silent where a learner can take
- * its place, and adds learners while voters are missing. One change is agreed before the next begins.
+ * its place, adds learners while voters are missing, and replaces voters that retire. One change is agreed
+ * before the next begins. A leader that retires itself resigns, and its successor removes it.
  */
+import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
+import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
-import { replicaOf } from './replicaLog.js';
+import { becomeFollower } from './election.js';
+import { changeReplica, replicaOf } from './replicaLog.js';
 import { isCurrentLeader, type ReplicaRow } from './replicaTables.js';
+import { areVotersCaughtUp, isRetiring } from './retirement.js';
 
 const proposalMilliseconds = 5_000;
 
+/** A voter that has resigned asks for no votes while the others elect: several election timeouts. */
+const resignationMilliseconds = 5_000;
+
 const isSettled = ({ votersIndex, commitIndex }: ReplicaRow): boolean => votersIndex <= commitIndex;
 
 const learnersOf = (world: World): DaemonRow[] =>
   [...world.daemons.rows()].filter(
-    (row) => row.isControl && row.state === DaemonState.Alive && !world.members.has(row.id),
+    (row) =>
+      row.isControl &&
+      row.state === DaemonState.Alive &&
+      !world.members.has(row.id) &&
+      !isRetiring(world, row.id),
   );
 
 /** A voter that has fallen silent, and one that this daemon has never heard of. */
@@ -28,11 +40,29 @@
 
 const namesOf = (world: World): string[] => [...world.members.rows()].map(({ id }) => id);
 
+const isRetiringVoter = (world: World, name: string): boolean =>
+  isRetiring(world, asBrand<DaemonId>(name));
+
+/** The voters after the next change, where one of them retires: its successor comes first. */
+const replaceRetiring = (
+  world: World,
+  voters: readonly string[],
+  retiring: string,
+): string[] | undefined => {
+  const [learner] = learnersOf(world);
+  const isReplaced = voters.length > world.fleet.voterCount;
+  if (!isReplaced) return learner === undefined ? undefined : [...voters, learner.id];
+  const mayGo = areVotersCaughtUp(world) && retiring !== world.self.name;
+  return mayGo ? voters.filter((name) => name !== retiring) : undefined;
+};
+
 /** The voters after the next change, or undefined where none is due. */
 const nextVoters = (world: World): string[] | undefined => {
   const voters = namesOf(world);
   // The first voters are put into the log, as a voter that loses its disk forgets them.
   if (replicaOf(world).votersIndex === 0) return voters;
+  const retiring = voters.find((name) => isRetiringVoter(world, name));
+  if (retiring !== undefined) return replaceRetiring(world, voters, retiring);
   const [learner] = learnersOf(world);
   if (learner === undefined) return undefined;
   if (voters.length < world.fleet.voterCount) return [...voters, learner.id];
@@ -49,9 +79,22 @@
   });
 };
 
+/** Leaves the lead to another voter, once a successor of this one holds the log. */
+const resignIfRetiring = (world: World, now: Instant): void => {
+  const isReplaced = world.members.size() > world.fleet.voterCount;
+  if (!isReplaced || !isRetiringVoter(world, world.self.name) || !areVotersCaughtUp(world)) return;
+  becomeFollower(world, now);
+  changeReplica(world, { electionDeadline: deadlineAfter(now, resignationMilliseconds) });
+};
+
 /** Creates the system of voters. */
 export const createVoterSystem = (world: World): System => {
-  const changes = [world.daemons.readChanges(), world.replica.readChanges()];
+  const changes = [
+    world.daemons.readChanges(),
+    world.replica.readChanges(),
+    world.members.readChanges(),
+    world.retirements.readChanges(),
+  ];
   return {
     name: 'voter',
     run: (now) => {
@@ -60,6 +103,7 @@
       if (!hasChanges || !isCurrentLeader(replica, now) || !isSettled(replica)) return;
       const voters = world.proposals.size() === 0 ? nextVoters(world) : undefined;
       if (voters !== undefined) propose(world, voters, now);
+      else resignIfRetiring(world, now);
     },
   };
 };
--- /dev/null
+++ b/src/service/consensus/test/common/retirement.test.ts
@@ -0,0 +1,129 @@
+import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
+import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
+import { noFleet } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
+import {
+  createTestDeployment,
+  createTestTree,
+} from '../../../../../standins/virtual/testDeployment.js';
+import {
+  createVirtualInstallation,
+  type VirtualInstallation,
+} from '../../../../../standins/virtual/virtualInstallation.js';
+import { Profile } from '../../../core/common/core.js';
+import { declarationId } from '../../../declaration/common/declarationTables.js';
+import type { Command } from '../../common/command.js';
+import { replicaOf } from '../../common/replicaLog.js';
+import { isCurrentLeader } from '../../common/replicaTables.js';
+import { findRetirement, RetirementState } from '../../common/retirement.js';
+
+const firstVoters = ['d1', 'd2', 'd3'];
+const settleMilliseconds = 6_000;
+const changeMilliseconds = 12_000;
+
+/** Three voters and, where a test starts it, one more control daemon; each has its name as a label. */
+const createInstallation = (seed: number): VirtualInstallation => {
+  const deployment = createTestDeployment(4, 4);
+  return createVirtualInstallation({
+    deployment: {
+      ...deployment,
+      discovery: Discovery.Announced,
+      daemons: deployment.daemons.map((daemon) => ({ ...daemon, label: `vm-${daemon.name}` })),
+    },
+    tree: createTestTree(),
+    seed,
+    profile: Profile.Declaration,
+    fleet: { ...noFleet, voterCount: 3 },
+    notStarted: ['d4'],
+    voters: (name, incarnation) =>
+      firstVoters.includes(name) && incarnation === 1 ? firstVoters : [],
+  });
+};
+
+const worldOf = (installation: VirtualInstallation, name: string) =>
+  installation.daemon(name).core.world;
+
+const leaderOf = (installation: VirtualInstallation): string =>
+  installation
+    .runningNames()
+    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()))!;
+
+const votersAt = (installation: VirtualInstallation, name: string): string[] =>
+  [...worldOf(installation, name).members.rows()].map(({ id }) => String(id)).sort();
+
+const stateOf = (installation: VirtualInstallation, daemon: string): RetirementState =>
+  findRetirement(worldOf(installation, leaderOf(installation)), `vm-${daemon}`).state;
+
+const agree = (installation: VirtualInstallation, id: string, command: Command): void => {
+  const name = leaderOf(installation);
+  const proposalDeadline = installation.now() + changeMilliseconds;
+  worldOf(installation, name).proposals.append({ id: asBrand(id), command, proposalDeadline });
+  installation.wake(name);
+  installation.runFor(changeMilliseconds);
+};
+
+const retire = (installation: VirtualInstallation, daemon: string): void =>
+  agree(installation, `retirement/${daemon}`, {
+    kind: 'daemonRetired',
+    daemon,
+    label: `vm-${daemon}`,
+  });
+
+const versionAt = (installation: VirtualInstallation, name: string): number | undefined =>
+  worldOf(installation, name).declarations.get(declarationId)?.version;
+
+const others = (daemon: string): string[] =>
+  ['d1', 'd2', 'd3', 'd4'].filter((name) => name !== daemon);
+
+const loseDisk = (installation: VirtualInstallation, name: string): void => {
+  installation.stop(name);
+  installation.disk(name).clear();
+  installation.start(name);
+};
+
+[1, 2, 3, 4].forEach((seed) =>
+  ['leader', 'follower'].forEach((part) =>
+    test.serial(`a ${part} that retires may go, and another disk after it (seed ${seed})`, (t) => {
+      const installation = createInstallation(seed);
+      installation.runFor(settleMilliseconds);
+      installation.start('d4');
+      installation.runFor(settleMilliseconds);
+      agree(installation, 'declare', testDeclarationCommand(5));
+      const leader = leaderOf(installation);
+      const retired = part === 'leader' ? leader : firstVoters.find((name) => name !== leader)!;
+      t.is(stateOf(installation, retired), RetirementState.Possible);
+
+      retire(installation, retired);
+      t.is(stateOf(installation, retired), RetirementState.Completed);
+      t.deepEqual(votersAt(installation, leaderOf(installation)), others(retired));
+
+      installation.stop(retired);
+      const [lost] = others(retired);
+      loseDisk(installation, lost!);
+      installation.runFor(changeMilliseconds);
+      agree(installation, 'declare again', testDeclarationCommand(6));
+      others(retired).forEach((name) => t.is(versionAt(installation, name), 6, name));
+      t.deepEqual(votersAt(installation, leaderOf(installation)), others(retired));
+    }),
+  ),
+);
+
+test('a daemon without which too few are left may not retire', (t) => {
+  const installation = createInstallation(5);
+  installation.runFor(settleMilliseconds);
+  t.is(stateOf(installation, 'd2'), RetirementState.TooFewLeft);
+  t.is(stateOf(installation, 'd9'), RetirementState.Unknown);
+});
+
+test('a daemon is not known to have retired while its successor lacks entries', (t) => {
+  const installation = createInstallation(6);
+  installation.runFor(settleMilliseconds);
+  installation.start('d4');
+  installation.runFor(settleMilliseconds);
+  const retired = firstVoters.find((name) => name !== leaderOf(installation))!;
+  installation.stop('d4');
+  retire(installation, retired);
+  t.is(stateOf(installation, retired), RetirementState.Running);
+  t.true(votersAt(installation, leaderOf(installation)).includes(retired));
+});
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -19,6 +19,7 @@
   const isSelf = settings.name === world.self.name;
   return {
     id: asBrand<DaemonId>(settings.name),
+    label: settings.label ?? '',
     zone: settings.zone,
     region: settings.region,
     callerAddress: settings.callerAddress,
@@ -51,6 +52,7 @@
 
 const memberOf = (row: DaemonRow): Member => ({
   name: row.id,
+  ...(row.label === '' ? {} : { label: row.label }),
   zone: row.zone,
   region: row.region,
   roles: [...(row.isEntry ? [Role.Entry] : []), ...(row.isControl ? [Role.Control] : [])],
--- a/src/service/membership/common/membershipHandlers.ts
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -18,7 +18,12 @@
 }: Member<MembershipMessage, 'heartbeat'>): Partial<Omit<DaemonRow, 'id'>> =>
   member === undefined
     ? {}
-    : { zone: member.zone, region: member.region, callerAddress: member.callerAddress };
+    : {
+        label: member.label ?? '',
+        zone: member.zone,
+        region: member.region,
+        callerAddress: member.callerAddress,
+      };
 
 export const membershipHandlers: HandlerTable<
   MembershipMessage,
--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -8,6 +8,8 @@
 /** Where a daemon is and what it does; told by the daemon itself. */
 export const memberSchema = z.object({
   name: z.string().min(1),
+  /** Name of its VM by which operators know it. */
+  label: z.string().min(1).optional(),
   zone: z.string(),
   region: z.string(),
   roles: z.array(z.enum(Role)),
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -24,6 +24,8 @@
 
 export interface DaemonRow {
   readonly id: DaemonId;
+  /** Name of its VM by which operators know it; empty until it has said so. */
+  readonly label: string;
   readonly zone: string;
   readonly region: string;
   readonly callerAddress: string;
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -31,6 +31,7 @@
 import { createVersionTables } from '../../weights/common/versionTables.js';
 import { createRetryTables } from '../../dispatch/common/retryTables.js';
 import { createReplicaTables } from '../../consensus/common/replicaTables.js';
+import { createRetirementTables } from '../../consensus/common/retirementTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
 import { createMessageTables } from '../../messages/common/messageTables.js';
@@ -44,6 +45,7 @@
   ...createConfigurationTables(),
   ...createConsensusTables(),
   ...createReplicaTables(),
+  ...createRetirementTables(),
   ...createDemandTables(),
   ...createRetryTables(),
   ...createEventTables(),
