Write logs without blocking within a byte budget, and expose metrics to scrapers

Cause: the log was written synchronously, so a reader that stops reading stopped the process; decisions on requests had no line unless they were refusals; the metrics of the fleet daemon went nowhere. Found by the new test: a reader that closes its end killed the process by an uncaught error (EBADF there, EPIPE on a pipe); it is counted as a drop now.

--- a/src/daemon/fleet/node/eventLog.ts
+++ b/src/daemon/fleet/node/eventLog.ts
@@ -1,7 +1,10 @@
 /**
- * Writes the events that systems record as log lines.
+ * Writes the events that systems record as log lines, within the budget of lines.
  */
+import type { Clock, Instant } from '../../../base/common/time.js';
 import type { Log } from '../../../infrastructure/log/node/log.js';
+import { createEventBudget } from '../../../service/events/common/eventBudget.js';
+import type { RecordedEvent } from '../../../service/events/common/eventKind.js';
 import type { World } from '../../../service/world/common/world.js';
 
 /** The port; `drain` is run after each tick. */
@@ -9,8 +12,43 @@
   readonly drain: () => void;
 }
 
-/** Creates the port. */
-export const createEventLog = (world: World, log: Log): EventLog => ({
-  drain: () =>
-    world.events.takeAll().forEach(({ kind, subject }) => log.info({ event: kind, ...subject })),
-});
+/** How often it is said how many lines were left out. */
+const dropReportMilliseconds = 5_000;
+
+/** What a line has besides the subject of its event: level, time, process and quotes. */
+const envelopeBytes = 90;
+
+/** Creates the port. `takeQueueDropped` counts lines that found the queue of the log full. */
+export const createEventLog = (
+  world: World,
+  log: Log,
+  clock: Clock,
+  takeQueueDropped: () => number,
+): EventLog => {
+  const budget = createEventBudget(clock());
+  let reportedAt: Instant = clock();
+
+  const write = (event: RecordedEvent, now: Instant): void => {
+    const line = { event: event.kind, ...event.subject };
+    const bytes = envelopeBytes + JSON.stringify(line).length;
+    if (budget.admits(event, bytes, now)) log.info(line);
+  };
+
+  const reportDropped = (now: Instant): void => {
+    reportedAt = now;
+    const overBudget = budget.takeDropped();
+    const queueFull = takeQueueDropped();
+    if (overBudget + queueFull === 0) return;
+    world.metrics.count('log.linesDropped', overBudget, { reason: 'budget' });
+    world.metrics.count('log.linesDropped', queueFull, { reason: 'queueFull' });
+    log.warn({ event: 'linesDropped', overBudget, queueFull });
+  };
+
+  return {
+    drain: () => {
+      const now = clock();
+      world.events.takeAll().forEach((event) => write(event, now));
+      if (now - reportedAt >= dropReportMilliseconds) reportDropped(now);
+    },
+  };
+};
--- a/src/daemon/fleet/node/fleetDaemon.ts
+++ b/src/daemon/fleet/node/fleetDaemon.ts
@@ -49,6 +49,8 @@
   readonly wallClock: WallClock;
   readonly metrics: Metrics;
   readonly log: Log;
+  /** Lines that found the queue of the log full since this was last asked. */
+  readonly takeDroppedLines: () => number;
 }
 
 /** A running daemon. */
@@ -92,7 +94,7 @@
   const runs = createRunPort(world, client, dialect, clock, wake);
   const orders = createWeightOrderPort(world, client, dialect, clock, wake);
   const reports = createUsageReportPort(world, options.sendUsageReport, clock, wake);
-  const events = createEventLog(world, log);
+  const events = createEventLog(world, log, clock, options.takeDroppedLines);
 
   const openStorage = (folder: string) =>
     openStoragePort(
--- /dev/null
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -0,0 +1,49 @@
+/**
+ * The page that a scraper fetches: the counters and histograms of the process, and gauges of its present
+ * state, which are read when the page is asked for.
+ */
+import { Hono } from 'hono';
+import type { Clock } from '../../../base/common/time.js';
+import type { ScrapedMetrics } from '../../../infrastructure/metrics/node/scrapedMetrics.js';
+import { leadershipOf } from '../../../service/consensus/common/lease.js';
+import { replicaOf } from '../../../service/consensus/common/replicaLog.js';
+import { declarationId } from '../../../service/declaration/common/declarationTables.js';
+import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
+import type { World } from '../../../service/world/common/world.js';
+import type { RouteEnvironment } from '../../front/node/decoding.js';
+
+/** How each gauge is read; lengths of time are in milliseconds. */
+const gauges: Readonly<Record<string, (world: World, now: number) => number>> = {
+  'calls.held': (world) => world.calls.size(),
+  'jobs.open': (world) => world.jobs.count('state', JobState.Open),
+  'runs.waiting': (world) => world.runs.count('state', RunState.Waiting),
+  'runs.running': (world) => world.runs.count('state', RunState.Running),
+  'runs.scoring': (world) => world.runs.count('state', RunState.Scoring),
+  'registrations.known': (world) => world.registrations.size(),
+  'members.known': (world) => world.daemons.size(),
+  'log.lastIndex': (world) => replicaOf(world).lastIndex,
+  'log.commitIndex': (world) => replicaOf(world).commitIndex,
+  'log.term': (world) => replicaOf(world).term,
+  'log.isLeader': (world) => (leadershipOf(world).isSelf ? 1 : 0),
+  'declaration.version': (world) => world.declarations.get(declarationId)?.version ?? 0,
+  'declaration.freshFor': (world, now) =>
+    Math.max(-1, Math.round(leadershipOf(world).freshnessDeadline - now)),
+  'process.residentBytes': () => process.memoryUsage.rss(),
+  'process.heapBytes': () => process.memoryUsage().heapUsed,
+};
+
+/** Creates the route of the page. */
+export const createMetricsRoutes = (
+  path: string,
+  world: World,
+  metrics: ScrapedMetrics,
+  clock: Clock,
+): Hono<RouteEnvironment> => {
+  const routes = new Hono<RouteEnvironment>();
+  routes.get(path, async () => {
+    const now = clock();
+    Object.entries(gauges).forEach(([name, read]) => metrics.gauge(name, read(world, now)));
+    return new Response(await metrics.text(), { headers: { 'content-type': metrics.contentType } });
+  });
+  return routes;
+};
--- /dev/null
+++ b/src/infrastructure/log/test/node/log.test.ts
@@ -0,0 +1,70 @@
+import { once } from 'node:events';
+import { createServer, connect, type AddressInfo, type Socket } from 'node:net';
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import test from 'ava';
+import { createQueuedLog } from '../../node/log.js';
+
+/** Name of the property by which the runtime keeps the descriptor of a socket. */
+const handleName = '_handle';
+
+/** The descriptor of a connection whose other end never reads. */
+const openUnreadConnection = async () => {
+  const accepted: Socket[] = [];
+  const server = createServer((socket) => {
+    socket.pause();
+    accepted.push(socket);
+  }).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  await once(socket, 'connect');
+  const { fd } = (socket as unknown as Record<string, { readonly fd: number }>)[handleName]!;
+  return {
+    fd,
+    close: () => {
+      socket.destroy();
+      accepted.forEach((one) => one.destroy());
+      server.close();
+    },
+  };
+};
+
+test('a reader that does not read stops nothing; what does not fit is dropped and counted', async (t) => {
+  const connection = await openUnreadConnection();
+  const { log, takeDropped } = createQueuedLog('test', 'info', connection.fd);
+  const text = 'x'.repeat(1_000);
+  const lines = 20_000;
+  let turns = 0;
+  const counter = setInterval(() => {
+    turns += 1;
+  }, 1);
+  for (let batch = 0; batch < 20; batch += 1) {
+    for (let line = 0; line < lines / 20; line += 1) log.info(text);
+    await delay(5);
+  }
+  clearInterval(counter);
+  const dropped = takeDropped();
+  connection.close();
+  t.true(turns > 10, `${turns} turns of the event loop`);
+  t.true(dropped > lines / 4, `${dropped} of ${lines} dropped`);
+  t.is(takeDropped(), 0);
+});
+
+test('lines that wait are written before the log is disposed of', (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'log-'));
+  const file = join(folder, 'lines');
+  const descriptor = openSync(file, 'w');
+  const lines = createQueuedLog('test', 'info', descriptor);
+  lines.log.info('first');
+  lines.log.info('last');
+  lines.dispose();
+  const written = readFileSync(file, 'utf8').trim().split('\n');
+  closeSync(descriptor);
+  rmSync(folder, { recursive: true });
+  t.deepEqual(
+    written.map((line) => (JSON.parse(line) as { msg: string }).msg),
+    ['first', 'last'],
+  );
+});
--- a/src/infrastructure/metrics/node/statsdMetrics.ts
+++ b/src/infrastructure/metrics/node/statsdMetrics.ts
@@ -23,6 +23,7 @@
   return {
     count: (name, amount = 1, tags = {}) => client.increment(name, amount, { ...tags }),
     gauge: (name, value, tags = {}) => client.gauge(name, value, { ...tags }),
+    observe: (name, latency, tags = {}) => client.timing(name, latency, { ...tags }),
     dispose: () =>
       new Promise((resolve) => {
         client.close(() => resolve());
--- /dev/null
+++ b/src/service/events/common/eventBudget.ts
@@ -0,0 +1,91 @@
+/**
+ * Which events become log lines. Lines on single requests share a budget of bytes a second: while it runs
+ * low, only a fixed share of the requests is logged, the same requests in every process, and when it is
+ * used up none. Lines on changes of what the process believes are always written.
+ */
+import type { Instant } from '../../../base/common/time.js';
+import { EventKind, type RecordedEvent } from './eventKind.js';
+
+/** Bytes a second for lines on requests; an eighth of a megabit on links of 42 Mbit/s and more. */
+export const budgetBytesPerSecond = 16 * 1024;
+
+/** Bytes that may be saved up for bursts: eight seconds. */
+const burstBytes = 8 * budgetBytesPerSecond;
+
+/** Below this level only sampled requests are logged. */
+const lowBytes = burstBytes / 2;
+
+/** One request in so many is sampled. */
+const sampleShare = 16;
+
+const millisecondsPerSecond = 1_000;
+
+/** Kinds of events of which there may be several for each request. */
+const requestKinds: ReadonlySet<EventKind> = new Set([
+  EventKind.CallAdmitted,
+  EventKind.CallAnswered,
+  EventKind.CallCancelled,
+  EventKind.CallRefused,
+  EventKind.SendStarted,
+  EventKind.SendEnded,
+  EventKind.RunStarted,
+  EventKind.RunNotTaken,
+  EventKind.RunFailed,
+  EventKind.RunBroken,
+  EventKind.RunSilent,
+  EventKind.ItemListed,
+]);
+
+/** FNV-1a over 32 bits: the same number for an identifier in every process. */
+const hashOf = (text: string): number => {
+  const prime = 16_777_619;
+  const offset = 2_166_136_261;
+  return [...text].reduce(
+    // eslint-disable-next-line no-bitwise -- the hash is defined by bit operations
+    (hash, character) => Math.imul(hash ^ character.charCodeAt(0), prime) >>> 0,
+    offset,
+  );
+};
+
+const isSampled = ({ subject }: RecordedEvent): boolean =>
+  hashOf(String(subject.request ?? subject.item ?? '')) % sampleShare === 0;
+
+/** The budget of one process. */
+export interface EventBudget {
+  /** Whether an event is written; `bytes` is the length of its line. */
+  readonly admits: (event: RecordedEvent, bytes: number, now: Instant) => boolean;
+  /** Events that were not written since this was last asked. */
+  readonly takeDropped: () => number;
+}
+
+/** Creates a budget that is full. */
+export const createEventBudget = (start: Instant): EventBudget => {
+  let available = burstBytes;
+  let filledAt = start;
+  let dropped = 0;
+
+  const fill = (now: Instant): void => {
+    const added = ((now - filledAt) * budgetBytesPerSecond) / millisecondsPerSecond;
+    available = Math.min(burstBytes, available + added);
+    filledAt = now;
+  };
+
+  const isWithin = (event: RecordedEvent, bytes: number): boolean =>
+    available >= bytes && (available >= lowBytes || isSampled(event));
+
+  return {
+    admits: (event, bytes, now) => {
+      if (!requestKinds.has(event.kind)) return true;
+      fill(now);
+      const isAdmitted = isWithin(event, bytes);
+      if (isAdmitted) available -= bytes;
+      else dropped += 1;
+      return isAdmitted;
+    },
+    takeDropped: () => {
+      const count = dropped;
+      dropped = 0;
+      return count;
+    },
+  };
+};
--- /dev/null
+++ b/src/service/forwarding/common/callEvents.ts
@@ -0,0 +1,108 @@
+/**
+ * What is recorded of calls: each decision with the inputs that decided it, their age or version, and its
+ * outcome. Calls are named by the identifier that their caller gave them.
+ */
+import type { Instant } from '../../../base/common/time.js';
+import type { EventSubject } from '../../../infrastructure/timeline/common/timelineEvent.js';
+import { leadershipOf } from '../../consensus/common/lease.js';
+import { declarationId } from '../../declaration/common/declarationTables.js';
+import { EventKind } from '../../events/common/eventKind.js';
+import type { RegistrationRow } from '../../registry/common/registryTables.js';
+import type { World } from '../../world/common/world.js';
+import type { CallRow, SendEnding, SendRow } from './forwardingTables.js';
+
+/** How events of the end of a call are counted. */
+const endings = {
+  [EventKind.CallAnswered]: 'answered',
+  [EventKind.CallRefused]: 'refused',
+  [EventKind.CallCancelled]: 'cancelled',
+} as const;
+
+const versionOf = (world: World): number => world.declarations.get(declarationId)?.version ?? 0;
+
+/** For how long the declaration still counts as known to be in force; negative where it does not. */
+const freshFor = (world: World, now: Instant): number =>
+  Math.round(leadershipOf(world).freshnessDeadline - now);
+
+/** Records that a call is allowed, and by what. */
+export const recordAdmission = (world: World, call: CallRow, now: Instant): void =>
+  world.events.append({
+    kind: EventKind.CallAdmitted,
+    subject: {
+      request: call.requestId,
+      route: call.route,
+      service: call.service,
+      workspace: call.workspace,
+      declaration: versionOf(world),
+      freshForMilliseconds: freshFor(world, now),
+      remainingMilliseconds: Math.round(call.callDeadline - now),
+    },
+  });
+
+/** Records the choice of an upstream. */
+export const recordSendStart = (
+  world: World,
+  call: CallRow,
+  upstream: RegistrationRow,
+  now: Instant,
+): void =>
+  world.events.append({
+    kind: EventKind.SendStarted,
+    subject: {
+      request: call.requestId,
+      upstream: upstream.id,
+      zone: upstream.zone,
+      running: upstream.ownRunning,
+      slots: upstream.slots,
+      registeredForMilliseconds: Math.round(upstream.reportDeadline - now),
+      attempt: call.tried.length + 1,
+    },
+  });
+
+/** Records how a send ended. */
+export const recordSendEnd = (
+  world: World,
+  send: SendRow,
+  { outcome, reason }: SendEnding,
+  now: Instant,
+): void => {
+  const tookMilliseconds = Math.round(now - send.startedAt);
+  world.metrics.count('sends.ended', 1, { outcome });
+  world.metrics.observe('sends.latency', tookMilliseconds, { outcome });
+  world.events.append({
+    kind: EventKind.SendEnded,
+    subject: {
+      request: world.calls.get(send.call)?.requestId ?? '',
+      upstream: send.upstream,
+      outcome,
+      reason,
+      tookMilliseconds,
+    },
+  });
+};
+
+/** Records how a call ended. */
+export const recordCallEnd = (
+  world: World,
+  call: CallRow,
+  kind: keyof typeof endings,
+  inputs: EventSubject,
+  now: Instant,
+): void => {
+  const tookMilliseconds = Math.round(now - call.arrivedAt);
+  const { route } = call;
+  world.metrics.observe('calls.latency', tookMilliseconds, { route, end: endings[kind] });
+  world.events.append({
+    kind,
+    subject: {
+      request: call.requestId,
+      route,
+      service: call.service,
+      attempts: call.attempts,
+      tookMilliseconds,
+      declaration: versionOf(world),
+      freshForMilliseconds: freshFor(world, now),
+      ...inputs,
+    },
+  });
+};
--- a/src/service/forwarding/common/callSystem.ts
+++ b/src/service/forwarding/common/callSystem.ts
@@ -8,6 +8,7 @@
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import { drawService } from '../../declaration/common/findRoute.js';
 import type { World } from '../../world/common/world.js';
+import { recordAdmission } from './callEvents.js';
 import { CallRefusalKind } from './callRefusal.js';
 import { checkCaller } from './checkCaller.js';
 import { cancelCall, forgetCalls, refuseCall } from './endCall.js';
@@ -31,12 +32,14 @@
   return deadlineAfter(now, Math.min(remaining - answerMilliseconds, allowed));
 };
 
-const emptyCall = (arrived: ArrivedCall): CallRow => ({
+const emptyCall = (arrived: ArrivedCall, now: Instant): CallRow => ({
   id: arrived.id,
   requestId: arrived.requestId,
   workspace: null,
+  route: '',
   service: '',
   state: CallState.Waiting,
+  arrivedAt: now,
   isIdempotent: false,
   maximumAttempts: 1,
   attempts: 0,
@@ -58,9 +61,10 @@
   workspace: string | null,
   now: Instant,
 ): void => {
-  world.calls.put({
-    ...emptyCall(arrived),
+  const call = world.calls.put({
+    ...emptyCall(arrived, now),
     workspace,
+    route: route.name,
     service: drawService(world, route),
     isIdempotent: route.kind === RouteKind.Idempotent,
     maximumAttempts: route.maximumAttempts,
@@ -70,10 +74,11 @@
     backoffDeadline: now,
   });
   world.metrics.count('calls.admitted', 1, { route: route.name });
+  recordAdmission(world, call, now);
 };
 
 const refuse = (world: World, arrived: ArrivedCall, kind: CallRefusalKind, now: Instant): void =>
-  refuseCall(world, world.calls.put(emptyCall(arrived)), kind, now);
+  refuseCall(world, world.calls.put(emptyCall(arrived, now)), kind, now);
 
 const take = (world: World, arrived: ArrivedCall, now: Instant): void =>
   checkCaller(world, arrived, now)
--- a/src/service/forwarding/common/endCall.ts
+++ b/src/service/forwarding/common/endCall.ts
@@ -2,11 +2,19 @@
  * Ends calls and sends, and keeps the count of what each upstream runs.
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import { EventKind } from '../../events/common/eventKind.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { EventKind } from '../../events/common/eventKind.js';
+import { recordCallEnd, recordSendEnd } from './callEvents.js';
 import { refusalOf, type CallRefusalKind } from './callRefusal.js';
-import { CallState, SendState, type CallRow, type SendRow } from './forwardingTables.js';
+import {
+  CallState,
+  SendOutcome,
+  SendState,
+  type CallRow,
+  type SendEnding,
+  type SendRow,
+} from './forwardingTables.js';
 
 /** Ended rows stay until ports and systems have read them. */
 const retentionMilliseconds = 1_000;
@@ -22,15 +30,17 @@
   countOnUpstream(world, upstream, 1);
 
 /** Ends a send and frees its place. */
-export const endSend = (world: World, send: SendRow, outcome: string): void => {
+export const endSend = (world: World, send: SendRow, ending: SendEnding, now: Instant): void => {
   if (send.state === SendState.Ended) return;
   world.sends.change(send.id, { state: SendState.Ended });
   countOnUpstream(world, send.upstream, -1);
-  world.metrics.count('sends.ended', 1, { outcome });
+  recordSendEnd(world, send, ending, now);
 };
 
-const endSends = (world: World, call: CallRow, outcome: string): void =>
-  world.sends.where('call', call.id).forEach((send) => endSend(world, send, outcome));
+const abandonSends = (world: World, call: CallRow, reason: string, now: Instant): void =>
+  world.sends
+    .where('call', call.id)
+    .forEach((send) => endSend(world, send, { outcome: SendOutcome.Abandoned, reason }, now));
 
 const endCall = (
   world: World,
@@ -46,7 +56,8 @@
 
 /** Gives the caller the answer of a send. */
 export const answerCall = (world: World, call: CallRow, send: SendRow, now: Instant): void => {
-  endSend(world, send, 'answered');
+  endSend(world, send, { outcome: SendOutcome.Answered, reason: '' }, now);
+  recordCallEnd(world, call, EventKind.CallAnswered, { upstream: send.upstream }, now);
   endCall(world, call, { state: CallState.Answered, answer: send.id }, now);
 };
 
@@ -57,24 +68,17 @@
   kind: CallRefusalKind,
   now: Instant,
 ): void => {
-  endSends(world, call, kind);
+  abandonSends(world, call, kind, now);
   world.metrics.count('calls.refused', 1, { kind });
-  world.events.append({
-    kind: EventKind.CallRefused,
-    subject: {
-      request: call.requestId,
-      refusal: kind,
-      service: call.service,
-      attempts: call.attempts,
-      tried: call.tried.join(','),
-    },
-  });
+  const tried = call.tried.join(',');
+  recordCallEnd(world, call, EventKind.CallRefused, { refusal: kind, tried }, now);
   endCall(world, call, { state: CallState.Refused, refusal: refusalOf(kind) }, now);
 };
 
 /** Ends a call whose caller has left. */
 export const cancelCall = (world: World, call: CallRow, now: Instant): void => {
-  endSends(world, call, 'cancelled');
+  abandonSends(world, call, 'cancelled', now);
+  recordCallEnd(world, call, EventKind.CallCancelled, {}, now);
   endCall(world, call, { state: CallState.Cancelled }, now);
 };
 
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -43,8 +43,12 @@
   readonly id: CallId;
   readonly requestId: string;
   readonly workspace: string | null;
+  /** Name of its route; empty where it has none. */
+  readonly route: string;
   readonly service: string;
   readonly state: CallState;
+  /** When it came. */
+  readonly arrivedAt: Instant;
   readonly isIdempotent: boolean;
   readonly maximumAttempts: number;
   /** Sends that may have run. */
@@ -74,11 +78,33 @@
 } as const;
 export type SendState = ValueOf<typeof SendState>;
 
+/** How a send ended. */
+export const SendOutcome = {
+  Answered: 'answered',
+  /** The upstream answered with a failure of its own, and the call goes on. */
+  Failed: 'failed',
+  NotRun: 'notRun',
+  Broken: 'broken',
+  /** No answer came in time. */
+  Silent: 'silent',
+  /** The call ended before an answer came. */
+  Abandoned: 'abandoned',
+} as const;
+export type SendOutcome = ValueOf<typeof SendOutcome>;
+
+export interface SendEnding {
+  readonly outcome: SendOutcome;
+  /** What the port saw, for the log. */
+  readonly reason: string;
+}
+
 export interface SendRow {
   readonly id: SendId;
   readonly call: CallId;
   readonly upstream: UpstreamId;
   readonly state: SendState;
+  /** When it was given to the upstream. */
+  readonly startedAt: Instant;
   /** Until when the upstream must have answered. */
   readonly silenceDeadline: Instant;
 }
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -8,13 +8,16 @@
 import { countUse } from '../../metering/common/meteringTables.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
+import { recordSendStart } from './callEvents.js';
 import { CallRefusalKind } from './callRefusal.js';
 import { answerCall, endSend, occupyUpstream, refuseCall } from './endCall.js';
 import {
   CallState,
   isEndedCall,
+  SendOutcome,
   SendState,
   type CallRow,
+  type SendEnding,
   type SendFact,
   type SendId,
   type SendRow,
@@ -64,11 +67,13 @@
 
 const send = (world: World, call: CallRow, upstream: RegistrationRow, now: Instant): void => {
   occupyUpstream(world, upstream.id);
+  recordSendStart(world, call, upstream, now);
   world.sends.put({
     id: world.identifiers.next<SendId>('send'),
     call: call.id,
     upstream: upstream.id,
     state: SendState.Running,
+    startedAt: now,
     silenceDeadline: silenceDeadlineOf(call, now),
   });
   world.calls.change(call.id, {
@@ -102,8 +107,14 @@
 };
 
 /** Ends a send that may have run, and sends again where that is allowed. */
-const takeFailure = (world: World, call: CallRow, row: SendRow, now: Instant): void => {
-  endSend(world, row, 'broken');
+const takeFailure = (
+  world: World,
+  call: CallRow,
+  row: SendRow,
+  ending: SendEnding,
+  now: Instant,
+): void => {
+  endSend(world, row, ending, now);
   avoid(world, row, now);
   const changed = world.calls.change(call.id, { attempts: call.attempts + 1 })!;
   if (mayRunAgain(changed)) waitAgain(world, changed, 0, now);
@@ -119,20 +130,20 @@
       failedAnswers: call.failedAnswers + (isFailure ? 1 : 0),
     })!;
     if (isFailure && mayRunAgain(changed)) {
-      endSend(world, row, 'failed');
+      endSend(world, row, { outcome: SendOutcome.Failed, reason: `status ${status}` }, now);
       waitAgain(world, changed, 0, now);
       return;
     }
     answerCall(world, changed, row, now);
   },
-  notRun: (_, world, call, row, now) => {
-    endSend(world, row, 'notRun');
+  notRun: ({ reason }, world, call, row, now) => {
+    endSend(world, row, { outcome: SendOutcome.NotRun, reason }, now);
     avoid(world, row, now);
     waitAgain(world, call, backoffMilliseconds, now);
   },
-  broken: (_, world, call, row, now) => {
+  broken: ({ reason }, world, call, row, now) => {
     countUse(world, call.workspace);
-    takeFailure(world, call, row, now);
+    takeFailure(world, call, row, { outcome: SendOutcome.Broken, reason }, now);
   },
 };
 
@@ -150,7 +161,7 @@
   const call = world.calls.get(row.call);
   if (call === undefined || isEndedCall(call)) return;
   countUse(world, call.workspace);
-  takeFailure(world, call, row, now);
+  takeFailure(world, call, row, { outcome: SendOutcome.Silent, reason: 'no answer in time' }, now);
 };
 
 /** Creates the system of sends. */
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -9,6 +9,7 @@
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import { drawService, findRoute } from '../../declaration/common/findRoute.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
+import { EventKind } from '../../events/common/eventKind.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
@@ -77,10 +78,29 @@
   return engineOfGroup(world, candidate, rows) ?? mostFree(world, rows);
 };
 
+const recordRunStart = (
+  world: World,
+  { run, job }: Candidate,
+  { id, models, slots }: RegistrationRow,
+): void =>
+  world.events.append({
+    kind: EventKind.RunStarted,
+    subject: {
+      item: run.id,
+      upstream: id,
+      version: models.find(({ name }) => name === job.model)?.version ?? null,
+      minimumVersion: job.minimumVersion,
+      running: world.runs.count('upstream', id),
+      slots,
+      afterEvent: run.events,
+    },
+  });
+
 const assign = (world: World, candidate: Candidate, now: Instant): void => {
   const { run } = candidate;
   const engine = chooseEngine(world, candidate, now);
   if (engine === undefined) return;
+  recordRunStart(world, candidate, engine);
   world.runs.change(run.id, {
     state: RunState.Running,
     upstream: engine.id,
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -137,6 +137,13 @@
 const maximumFailuresOf = (world: World, job: JobRow): number =>
   findRoute(world, job.host, job.path)?.maximumAttempts ?? 1;
 
+/** Records what became of a run, with the events that its text has by then. */
+const record = (world: World, kind: EventKind, run: RunRow, reason: string): void =>
+  world.events.append({
+    kind,
+    subject: { item: run.id, upstream: run.upstream, reason, events: run.events },
+  });
+
 type Context = [World, RunRow, JobRow, Instant];
 
 const giveUp = (world: World, run: RunRow): void =>
@@ -162,18 +169,18 @@
   },
   broken: (fact, world, run, job, now) => {
     const columns = withEvents(run, fact.text, fact.versions);
-    const { reason } = fact;
-    world.events.append({
-      kind: EventKind.RunBroken,
-      subject: { item: run.id, upstream: run.upstream, reason, events: columns.events },
-    });
+    record(world, EventKind.RunBroken, { ...run, events: columns.events }, fact.reason);
     avoidUpstream(world, run, now);
     const kept = isAllowed(world, job, columns.versions) ? columns : fromTheStart;
     stopRunning(world, run, kept, now);
   },
-  notRun: (_, world, run, _job, now) => stopRunning(world, run, {}, now),
+  notRun: ({ reason }, world, run, _job, now) => {
+    record(world, EventKind.RunNotTaken, run, reason);
+    stopRunning(world, run, {}, now);
+  },
   failed: (_, world, run, job, now) => {
     const failures = run.failures + 1;
+    record(world, EventKind.RunFailed, run, `failure ${failures}`);
     if (failures >= maximumFailuresOf(world, job)) giveUp(world, run);
     else stopRunning(world, run, { failures, ...fromTheStart }, now);
   },
@@ -193,6 +200,7 @@
 /** Leaves an upstream that has fallen silent; the text goes on elsewhere after what has come. */
 const leaveSilent = (world: World, run: RunRow, now: Instant): void => {
   world.metrics.count('runs.silent');
+  record(world, EventKind.RunSilent, run, 'no event in time');
   avoidUpstream(world, run, now);
   stopRunning(world, run, {}, now);
 };
