--- a/standins/virtual/test/controlFailures.test.ts
+++ b/standins/virtual/test/controlFailures.test.ts
@@ -2,40 +2,15 @@
  * Failures of control on virtual time; what must always hold is watched over the whole of each run. Tests
  * run one after the other, so that the runner hears of each as it ends.
  */
-import test, { type ExecutionContext } from 'ava';
+import test from 'ava';
 import { leadershipOf } from '../../../src/service/consensus/common/lease.js';
-import { createControlInstallation, type ControlInstallation } from '../controlInstallation.js';
-
-const settleMilliseconds = 10_000;
-
-const createSettled = (options: Parameters<typeof createControlInstallation>[0] = {}) => {
-  const installation = createControlInstallation(options);
-  installation.runFor(settleMilliseconds);
-  return installation;
-};
-
-const otherVoter = (installation: ControlInstallation, than: string): string =>
-  installation.voterNames.find((name) => name !== than)!;
-
-/** Proposes on a daemon every 10 ms. */
-const proposeStream = (
-  installation: ControlInstallation,
-  daemon: string,
-  prefix: string,
-  count: number,
-): void => {
-  for (let position = 0; position < count; position += 1) {
-    installation.propose(daemon, `${prefix}-${position}`);
-    installation.runFor(10);
-  }
-};
-
-const assertWhole = (t: ExecutionContext, installation: ControlInstallation): void => {
-  t.deepEqual(installation.history.violations(), []);
-  installation
-    .runningNames()
-    .forEach((name) => t.deepEqual(installation.missingAt(name), [], `missing at ${name}`));
-};
+import {
+  assertWhole,
+  createSettled,
+  otherVoter,
+  proposeStream,
+  settleMilliseconds,
+} from './controlSteps.js';
 
 test.serial(
   'a leader that is isolated for long may not act, loses nothing accepted, and rejoins',
