Carry the last word of an upstream to every daemon

Cause: a control daemon that did not know the upstream (just restarted, or its report went elsewhere) acknowledged the last word and dropped it, and the one message to the others was lost with its connection. Daemons then went on sending to the upstream until five seconds of silence, longer than the 2.5 s that it serves after the acknowledgement. Change: departures are rows of their own; they are told at once and repeated with heartbeats for three seconds; late reports of the same start change nothing.

--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -9,6 +9,7 @@
 import { isFresh } from '../../configuration/common/keyInForce.js';
 import { servedId } from '../../configuration/common/servedTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { recentDepartures } from '../../registry/common/registrySystem.js';
 import { RequestState } from '../../traffic/common/trafficTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -62,20 +63,26 @@
 
 type Introduction = Pick<
   Extract<MembershipMessage, { kind: 'heartbeat' }>,
-  'member' | 'controlDaemons' | 'voters'
+  'member' | 'controlDaemons' | 'voters' | 'departures'
 >;
 
 /** What a heartbeat says of this daemon and of control daemons, where daemons announce themselves. */
-const introduce = (world: World): Introduction => {
+const introduce = (world: World, now: Instant): Introduction => {
   if (world.deployment.discovery === Discovery.Listed) return {};
   const rows = [...world.daemons.rows()];
   const member = memberOf(rows.find((row) => row.isSelf)!);
   if (!world.self.roles.includes(Role.Control)) return { member };
   const known = rows.filter((row) => row.isControl && row.state === DaemonState.Alive);
   const controlDaemons = known.map(memberOf);
-  if (!world.members.has(asBrand(world.self.name))) return { member, controlDaemons };
+  const departures = recentDepartures(world, now);
+  if (!world.members.has(asBrand(world.self.name))) return { member, controlDaemons, departures };
   const names = [...world.members.rows()].map(({ id }) => id);
-  return { member, controlDaemons, voters: { index: replicaOf(world).votersIndex, names } };
+  return {
+    member,
+    controlDaemons,
+    departures,
+    voters: { index: replicaOf(world).votersIndex, names },
+  };
 };
 
 const ownLoad = (world: World): number =>
@@ -96,7 +103,7 @@
       leaving: world.isLeaving(),
       revision: world.served.get(servedId)!.revision,
       isFresh: isFresh(world, now),
-      ...introduce(world),
+      ...introduce(world, now),
     },
   });
 };
--- a/src/service/membership/common/membershipHandlers.ts
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -7,6 +7,7 @@
 import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
 import { hearOfVoters } from '../../consensus/common/voters.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { hearOfDepartures } from '../../registry/common/registrySystem.js';
 import type { World } from '../../world/common/world.js';
 import { insertMember } from './daemonSystem.js';
 import type { MembershipMessage } from './membershipMessages.js';
@@ -35,6 +36,7 @@
       .filter((member) => !world.daemons.has(asBrand(member.name)))
       .forEach((member) => insertMember(world, member, now));
     if (message.incarnation < daemon.incarnation) return;
+    hearOfDepartures(world, message.departures ?? [], now);
     if (message.voters !== undefined) hearOfVoters(world, message.voters, now);
     const state = message.leaving ? DaemonState.Leaving : DaemonState.Alive;
     world.daemons.change(daemon.id, {
--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -3,6 +3,7 @@
  */
 import { z } from 'zod';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import { departureSchema } from '../../registry/common/registryTables.js';
 import { announcementSchema } from '../../protocol/common/upstreamProtocol.js';
 
 /** Where a daemon is and what it does; told by the daemon itself. */
@@ -32,6 +33,8 @@
   member: memberSchema.optional(),
   /** The voters of the log as a voter knows them, and the index of the change that made them so. */
   voters: z.object({ index: z.number(), names: z.array(z.string()) }).optional(),
+  /** Upstreams that have left lately, as a control daemon was told. */
+  departures: z.array(departureSchema).optional(),
   /** Control daemons that the sender knows, for receivers that do not. */
   controlDaemons: z.array(memberSchema).optional(),
 });
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -20,7 +20,10 @@
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
-import { upstreamRegisteredSchema } from '../../registry/common/registryTables.js';
+import {
+  upstreamDepartedSchema,
+  upstreamRegisteredSchema,
+} from '../../registry/common/registryTables.js';
 import {
   bodiesStoredSchema,
   bodyAskedSchema,
@@ -48,6 +51,7 @@
   bodyAskedSchema,
   bodyGivenSchema,
   upstreamRegisteredSchema,
+  upstreamDepartedSchema,
   ...jobReadSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
--- a/src/service/registry/common/registryTables.ts
+++ b/src/service/registry/common/registryTables.ts
@@ -13,8 +13,6 @@
   Ready: 'ready',
   /** Finishes what it has and takes nothing new. */
   Draining: 'draining',
-  /** Has left; kept for a while so that late reports of it change nothing. */
-  Gone: 'gone',
 } as const;
 export type RegistrationState = ValueOf<typeof RegistrationState>;
 
@@ -35,12 +33,30 @@
 });
 export type Registration = z.infer<typeof registrationSchema>;
 
+/** An upstream has said that it leaves, by its own report or by a last word without one. */
+export const departureSchema = z.object({
+  upstream: z.string().min(1),
+  /** Starts up to this wall clock have left, in milliseconds. */
+  startedAt: z.number(),
+});
+export type Departure = z.infer<typeof departureSchema>;
+
 /** A control daemon tells the others what an upstream has reported to it. */
 export const upstreamRegisteredSchema = z.object({
   kind: z.literal('upstreamRegistered'),
   registration: registrationSchema,
 });
 
+/** A control daemon tells the others at once of a departure; its heartbeats repeat it for a while. */
+export const upstreamDepartedSchema = z.object({
+  kind: z.literal('upstreamDeparted'),
+  departure: departureSchema,
+});
+
+/** The messages of the registry. */
+export type RegistryMessage =
+  z.infer<typeof upstreamRegisteredSchema> | z.infer<typeof upstreamDepartedSchema>;
+
 export interface RegistrationRow extends Omit<Registration, 'upstream'> {
   readonly id: UpstreamId;
   /** When the row is dropped unless a report comes. */
@@ -57,6 +73,20 @@
   readonly isDirect: boolean;
 }
 
+/** An upstream that has left; late reports of its starts until then change nothing. */
+export interface DepartureRow extends Omit<Departure, 'upstream'> {
+  readonly id: UpstreamId;
+  /** When late reports of it can't come any more. */
+  readonly retentionDeadline: Instant;
+  /** Until when other daemons are told with each heartbeat. */
+  readonly tellingDeadline: Instant;
+}
+
+/** A departure as a port has decoded it; `startedAt` is null where the upstream did not say it. */
+export interface ArrivedDeparture extends Omit<Departure, 'startedAt'> {
+  readonly startedAt: number | null;
+}
+
 export const createRegistryTables = () => ({
   registrations: createTable<RegistrationRow, 'service' | 'address', 'report'>({
     name: 'registrations',
@@ -66,8 +96,14 @@
     },
     deadlines: { report: (row) => row.reportDeadline },
   }),
+  upstreamDepartures: createTable<DepartureRow, never, 'retention'>({
+    name: 'upstreamDepartures',
+    indices: {},
+    deadlines: { retention: (row) => row.retentionDeadline },
+  }),
   arrivedRegistrations: createRowQueue<ArrivedRegistration>(
     'arrivedRegistrations',
     RowReader.System,
   ),
+  arrivedDepartures: createRowQueue<ArrivedDeparture>('arrivedDepartures', RowReader.System),
 });
