Let engines take turns in loading versions, and use them as soon as a load is over

Cause: every engine of a model loaded each version although jobs allow the one before, and an engine counted as loading until its next report, up to 1.2 s after the load was over. Change: as many engines load a version as become too old with each version; an engine that accepted an order is asked again after 0.9 s with the version that it must hold, and refuses an item where it does not. Tests: loads.test.ts, four tests.

--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -136,6 +136,7 @@
         ? remainingUntil(call.callDeadline, clock())
         : null,
       lastEvent: null,
+      expectedVersion: null,
     });
     const target = { address: upstream.address, content: known.content, headers };
     const connection = client.send(target, {
--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -30,6 +30,8 @@
   readonly remaining: Milliseconds | null;
   /** The last event of the text that the request goes on after; null from the start. */
   readonly lastEvent: string | null;
+  /** The weight version under which it shall run; an upstream with another one refuses. */
+  readonly expectedVersion: number | null;
 }
 
 /** What the head of an answer says of the request. */
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -123,6 +123,7 @@
         ? remainingUntil(run.lifeDeadline, clock())
         : null,
       lastEvent: run.events === 0 ? null : String(run.events),
+      expectedVersion: run.expectedVersion,
     });
     const content = { method: 'POST', path: body.path, headers: body.headers, body: body.body };
     const connection = client.send(
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -5,18 +5,24 @@
 import { asBrand } from '../../../base/common/brand.js';
 import type { ApplyHandlers } from '../../consensus/common/applyHandlers.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import type { ModelVersionRow } from '../../weights/common/versionTables.js';
 import type { World } from '../../world/common/world.js';
 import type { JobCommand, JobSubmitted, ListedItem, SavedItem } from './jobCommands.js';
 import { itemIdOf, JobState, resultIdOf, type JobId, type JobRow } from './jobTables.js';
 
 const noBytes = new Uint8Array();
 
+/** The version that engines hold before a trainer names one. */
+const firstVersion = 1;
+
 const insertJob = (world: World, command: JobSubmitted): void => {
   const { kind, job, items, ...columns } = command;
   const id = asBrand<JobId>(job);
   const tokens = items.reduce((sum, item) => sum + (item.expectedTokens ?? item.tokens), 0);
   const total = items.length;
-  world.jobs.put({ ...columns, id, state: JobState.Open, tokens, total, listed: 0 });
+  const newest = world.modelVersions.get(asBrand<ModelVersionRow['id']>(command.model))?.version;
+  const newestVersion = newest ?? firstVersion;
+  world.jobs.put({ ...columns, id, state: JobState.Open, newestVersion, tokens, total, listed: 0 });
   items.forEach((item) =>
     world.jobItems.put({
       ...item,
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -37,10 +37,24 @@
   first.job.submittedAt - second.job.submittedAt ||
   (second.item.expectedTokens ?? 0) - (first.item.expectedTokens ?? 0);
 
-const servesVersion = (world: World, row: RegistrationRow, job: JobRow): boolean => {
+/**
+ * Whether an engine holds a version that the job allows. One that was ordered to load another is asked
+ * once it should hold that one; it refuses an item that expects a version which it does not hold.
+ */
+const servesVersion = (world: World, row: RegistrationRow, job: JobRow, now: Instant): boolean => {
+  const order = world.weightOrders.get(row.id);
+  if (order?.model === job.model) {
+    const mayHold = order.loadedDeadline <= now && row.avoidDeadline <= now;
+    return mayHold && order.version >= job.minimumVersion;
+  }
   const held = row.models.find(({ name }) => name === job.model);
-  if (held === undefined || held.version < job.minimumVersion) return false;
-  return world.weightOrders.get(row.id)?.model !== job.model;
+  return held !== undefined && held.version >= job.minimumVersion;
+};
+
+/** The version that an engine must hold although its reports do not show it yet. */
+const expectedVersionOf = (world: World, row: RegistrationRow, job: JobRow): number | null => {
+  const order = world.weightOrders.get(row.id);
+  return order?.model === job.model ? order.version : null;
 };
 
 const freeSlots = (world: World, row: RegistrationRow): number =>
@@ -72,7 +86,7 @@
   const { job, route } = candidate;
   const free = world.registrations
     .where('service', drawService(world, route))
-    .filter((row) => servesVersion(world, row, job) && freeSlots(world, row) > 0);
+    .filter((row) => servesVersion(world, row, job, now) && freeSlots(world, row) > 0);
   const trusted = free.filter((row) => row.avoidDeadline <= now);
   const rows = trusted.length > 0 ? trusted : free;
   return engineOfGroup(world, candidate, rows) ?? mostFree(world, rows);
@@ -104,6 +118,7 @@
   world.runs.change(run.id, {
     state: RunState.Running,
     upstream: engine.id,
+    expectedVersion: expectedVersionOf(world, engine, candidate.job),
     start: run.start + 1,
     progressDeadline: deadlineAfter(now, firstEventMilliseconds),
   });
@@ -129,7 +144,8 @@
     name: 'assignment',
     run: (now) => {
       const hasChanges = changes.map((reader) => reader.take().length > 0).includes(true);
-      const isDue = world.runs.takeDue('backoff', now).length > 0;
+      const isLoaded = world.weightOrders.takeDue('loaded', now).length > 0;
+      const isDue = world.runs.takeDue('backoff', now).length > 0 || isLoaded;
       const isLeader = isCurrentLeader(replicaOf(world), now);
       if ((hasChanges || isDue) && isLeader) assignAll(world, now);
     },
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -26,6 +26,8 @@
 export interface JobRow extends Omit<JobSubmitted, 'kind' | 'job' | 'items'> {
   readonly id: JobId;
   readonly state: JobState;
+  /** The newest weight version of its model when it was accepted. */
+  readonly newestVersion: number;
   /** Tokens of all its items, as far as the trainer can tell. */
   readonly tokens: number;
   /** How many items it has. */
@@ -67,6 +69,8 @@
   /** Rises with each start on an upstream; facts of earlier starts are dropped. */
   readonly start: number;
   readonly upstream: UpstreamId | null;
+  /** The version that its engine must hold to run it, where its reports do not show it yet. */
+  readonly expectedVersion: number | null;
   /** Events of the text so far. */
   readonly events: number;
   readonly text: string;
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -4,7 +4,12 @@
  * after its last whole event at another upstream.
  */
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
-import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
+import {
+  deadlineAfter,
+  never,
+  type Instant,
+  type Milliseconds,
+} from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { leadershipOf } from '../../consensus/common/lease.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
@@ -31,9 +36,15 @@
 /** How often the beginning of a long text is kept in the log. */
 const saveMilliseconds = 1_200;
 
-/** Before an item that an upstream did not take is offered again. */
+/** Before an item whose run ended is offered again. */
 const backoffMilliseconds = 40;
 
+/** Before an item that an upstream did not take is offered again; a load ends to within this time. */
+const notTakenMilliseconds = 120;
+
+/** An upstream that did not take an item gets nothing for this time where another one can run it. */
+const notTakenAvoidMilliseconds = 100;
+
 /** An upstream at which a run broke gets nothing new for this time where another one can run it. */
 const avoidMilliseconds = 1_500;
 
@@ -51,6 +62,7 @@
     state: RunState.Waiting,
     start: 0,
     upstream: null,
+    expectedVersion: null,
     events: item.saved?.events ?? 0,
     text: item.saved?.text ?? '',
     versions: item.saved?.versions ?? [],
@@ -95,8 +107,13 @@
   });
 };
 
-const avoidUpstream = (world: World, run: RunRow, now: Instant): void => {
-  const avoidDeadline = deadlineAfter(now, avoidMilliseconds);
+const avoidUpstream = (
+  world: World,
+  run: RunRow,
+  now: Instant,
+  duration: Milliseconds = avoidMilliseconds,
+): void => {
+  const avoidDeadline = deadlineAfter(now, duration);
   if (run.upstream !== null) world.registrations.change(run.upstream, { avoidDeadline });
 };
 
@@ -176,7 +193,8 @@
   },
   notRun: ({ reason }, world, run, _job, now) => {
     record(world, EventKind.RunNotTaken, run, reason);
-    stopRunning(world, run, {}, now);
+    avoidUpstream(world, run, now, notTakenAvoidMilliseconds);
+    stopRunning(world, run, { backoffDeadline: deadlineAfter(now, notTakenMilliseconds) }, now);
   },
   failed: (_, world, run, job, now) => {
     const failures = run.failures + 1;
--- a/src/service/registry/common/registryTables.ts
+++ b/src/service/registry/common/registryTables.ts
@@ -24,6 +24,8 @@
   zone: z.string(),
   state: z.enum(RegistrationState),
   slots: z.number().int().positive(),
+  /** Whether it is cheap and may be taken away at short notice. */
+  isReclaimable: z.boolean(),
   /** Weight version of each model that it serves. */
   models: z.array(z.object({ name: z.string(), version: z.number().int() })),
   /** Wall clock of its start in milliseconds; tells two starts under one identifier apart. */
--- a/src/service/weights/common/versionTables.ts
+++ b/src/service/weights/common/versionTables.ts
@@ -42,6 +42,8 @@
   readonly version: number;
   readonly duringSwap: DuringSwap;
   readonly fencing: number;
+  /** From when on an engine that accepted it should hold the version; never before it has. */
+  readonly loadedDeadline: Instant;
   /** When it is given up; the reports of the engine then decide whether there is another. */
   readonly orderDeadline: Instant;
 }
@@ -63,10 +65,10 @@
     indices: { model: (row) => row.model },
     deadlines: {},
   }),
-  weightOrders: createTable<WeightOrderRow, never, 'order'>({
+  weightOrders: createTable<WeightOrderRow, never, 'order' | 'loaded'>({
     name: 'weightOrders',
     indices: {},
-    deadlines: { order: (row) => row.orderDeadline },
+    deadlines: { order: (row) => row.orderDeadline, loaded: (row) => row.loadedDeadline },
   }),
   weightOrderFacts: createRowQueue<WeightOrderFact>('weightOrderFacts', RowReader.System),
 });
--- a/src/service/weights/common/weightSystem.ts
+++ b/src/service/weights/common/weightSystem.ts
@@ -1,10 +1,11 @@
 /**
- * Brings engines to the newest weight versions. The engines are shared out between the models, so that a
- * version is loaded only on its share of them; a few load at once. The leader alone gives orders, and an
+ * Brings engines to new weight versions. The engines are shared out between the models, so that a version
+ * is loaded only on its share of them; a few load at once, and where jobs allow older versions, engines take
+ * turns in loading the new one. The leader alone gives orders, and an
  * order whose outcome is unknown is judged by the next reports of the engine.
  */
 import type { Instant, Milliseconds } from '../../../base/common/time.js';
-import { deadlineAfter } from '../../../base/common/time.js';
+import { deadlineAfter, never } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { leadershipOf, mayActAsLeader } from '../../consensus/common/lease.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
@@ -12,6 +13,7 @@
 import { JobState } from '../../jobs/common/jobTables.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
+import { dueLoads } from './dueLoads.js';
 import { enginesOf, heldVersion, lagOf, newestVersion } from './engines.js';
 import { placeEngines } from './placement.js';
 import {
@@ -27,6 +29,9 @@
 /** A load takes about a second, more while several load, and is seen with the next report. */
 const loadMilliseconds = 6_000;
 
+/** After this time an engine is asked whether it holds the version: the load time of the users' sheets. */
+const firstTryMilliseconds = 900;
+
 /** How soon an order whose outcome is unknown, or that was refused, may be given again. */
 const repeatMilliseconds: Readonly<Record<WeightOrderFact['kind'], Milliseconds>> = {
   accepted: loadMilliseconds,
@@ -59,27 +64,36 @@
     version: newestVersion(world, model),
     duringSwap: duringSwapOf(world, model),
     fencing: leadershipOf(world).fencing,
+    loadedDeadline: never,
     orderDeadline: deadlineAfter(now, loadMilliseconds),
   };
   world.weightOrders.put(order);
 };
 
-const isBehind = (world: World, row: RegistrationRow): boolean => {
-  const { model } = world.placements.get(row.id)!;
-  return heldVersion(row, model) < newestVersion(world, model);
+/** The engines that are to load, those that can run least of what is asked for first. */
+const enginesToLoad = (world: World): RegistrationRow[] => {
+  const engines = enginesOf(world);
+  const models = new Set(engines.map(({ id }) => world.placements.get(id)!.model));
+  return [...models].flatMap((model) =>
+    dueLoads(
+      world,
+      model,
+      engines.filter(({ id }) => world.placements.get(id)!.model === model),
+    ),
+  );
 };
 
-/** Engines whose version is the oldest for their model go first. */
+const steadyCount = (world: World): number =>
+  enginesOf(world).filter(({ isReclaimable }) => !isReclaimable).length;
+
+/** Gives orders while few engines load; engines that may be reclaimed add nothing to that bound. */
 const giveOrders = (world: World, now: Instant): void => {
-  const engines = enginesOf(world);
-  const maximumLoads = Math.max(1, Math.round(engines.length * loadShare));
-  engines
-    .filter((row) => !world.weightOrders.has(row.id) && isBehind(world, row))
-    .sort(
-      (first, second) =>
-        lagOf(world, second, world.placements.get(second.id)!.model) -
-        lagOf(world, first, world.placements.get(first.id)!.model),
-    )
+  const maximumLoads = Math.max(1, Math.round(steadyCount(world) * loadShare));
+  const lag = (row: RegistrationRow): number =>
+    lagOf(world, row, world.placements.get(row.id)!.model);
+  enginesToLoad(world)
+    .filter(({ id }) => !world.weightOrders.has(id))
+    .sort((first, second) => lag(second) - lag(first))
     .slice(0, Math.max(0, maximumLoads - world.weightOrders.size()))
     .forEach((row) => give(world, row, world.placements.get(row.id)!.model, now));
 };
@@ -88,7 +102,9 @@
   const order = world.weightOrders.get(fact.upstream);
   if (order?.order !== fact.order) return;
   const orderDeadline = deadlineAfter(now, repeatMilliseconds[fact.kind]);
-  world.weightOrders.change(order.id, { orderDeadline });
+  const isAccepted = fact.kind === 'accepted' || fact.kind === 'held';
+  const loadedDeadline = isAccepted ? deadlineAfter(now, firstTryMilliseconds) : never;
+  world.weightOrders.change(order.id, { orderDeadline, loadedDeadline });
   world.events.append({
     kind: EventKind.WeightOrderEnded,
     subject: {
--- /dev/null
+++ b/src/service/weights/test/common/loads.test.ts
@@ -0,0 +1,138 @@
+import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
+import { createFleetCore, type FleetCore } from '../../../../../standins/virtual/fleetCore.js';
+import {
+  testDeclarationCommand,
+  testEngine,
+  testItem,
+  testJob,
+} from '../../../../../standins/virtual/fleetFixture.js';
+import { itemIdOf, RunState } from '../../../jobs/common/jobTables.js';
+import type { UpstreamId } from '../../../world/common/identifiers.js';
+
+const engineId = (name: string): UpstreamId => asBrand<UpstreamId>(name);
+const loadMilliseconds = 900;
+
+interface HeldVersion {
+  readonly engine: string;
+  readonly version: number;
+}
+
+/** Engines of one model, as they report it. */
+const report = (core: FleetCore, held: readonly HeldVersion[], sequence: number): void => {
+  held.forEach(({ engine, version }) =>
+    core.world.arrivedRegistrations.append({
+      registration: testEngine(engine, { models: [{ name: 'm0', version }], sequence }),
+      isDirect: false,
+    }),
+  );
+  core.settle();
+};
+
+const name = (core: FleetCore, version: number): void =>
+  core.propose(`version/${version}`, { kind: 'versionNamed', model: 'm0', version });
+
+const orderedEngines = (core: FleetCore): string[] =>
+  [...core.world.weightOrders.rows()].map(({ id }) => String(id)).sort();
+
+const createCore = (): FleetCore => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  return core;
+};
+
+test('engines that the jobs still allow take turns in loading a version', (t) => {
+  const core = createCore();
+  const names = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'];
+  report(
+    core,
+    names.map((engine) => ({ engine, version: 1 })),
+    1,
+  );
+  name(core, 2);
+  core.propose('job', testJob('j2', [], { minimumVersion: 1 }));
+  report(
+    core,
+    names.map((engine) => ({ engine, version: 2 })),
+    2,
+  );
+  t.deepEqual(orderedEngines(core), []);
+
+  name(core, 3);
+  t.is(orderedEngines(core).length, 2);
+  report(core, [{ engine: orderedEngines(core)[0]!, version: 3 }], 3);
+  report(core, [{ engine: orderedEngines(core)[0]!, version: 3 }], 4);
+  report(core, [{ engine: orderedEngines(core)[0]!, version: 3 }], 5);
+  t.deepEqual(orderedEngines(core), [], 'three of seven hold the new version');
+
+  name(core, 4);
+  t.is(orderedEngines(core).length, 2);
+  const tooOld = new Set(
+    names.filter(
+      (engine) => core.world.registrations.get(engineId(engine))!.models[0]!.version < 3,
+    ),
+  );
+  t.true(orderedEngines(core).every((engine) => tooOld.has(engine)));
+});
+
+test('without a job that allows an older version every engine loads', (t) => {
+  const core = createCore();
+  report(
+    core,
+    ['e1', 'e2'].map((engine) => ({ engine, version: 1 })),
+    1,
+  );
+  name(core, 2);
+  const [first] = orderedEngines(core);
+  t.is(orderedEngines(core).length, 1);
+  report(core, [{ engine: first!, version: 2 }], 2);
+  t.is(orderedEngines(core).length, 1);
+  t.not(orderedEngines(core)[0], first);
+});
+
+const accept = (core: FleetCore): void => {
+  const [order] = [...core.world.weightOrders.rows()];
+  core.world.weightOrderFacts.append({
+    upstream: order!.id,
+    order: order!.order,
+    kind: 'accepted',
+  });
+  core.settle();
+};
+
+test('an engine is asked for the new version once it should hold it, before it reports it', (t) => {
+  const core = createCore();
+  report(core, [{ engine: 'e1', version: 1 }], 1);
+  name(core, 2);
+  core.propose('job', testJob('j2', [testItem('a')], { minimumVersion: 2 }));
+  const run = () => core.world.runs.get(itemIdOf('j2', 'a'))!;
+  accept(core);
+  core.runFor(loadMilliseconds - 100);
+  t.is(run().state, RunState.Waiting);
+
+  core.runFor(200);
+  t.is(run().state, RunState.Running);
+  t.is(run().expectedVersion, 2);
+});
+
+test('an engine that still loads refuses, and is asked again a little later', (t) => {
+  const core = createCore();
+  report(core, [{ engine: 'e1', version: 1 }], 1);
+  name(core, 2);
+  core.propose('job', testJob('j2', [testItem('a')], { minimumVersion: 2 }));
+  const run = () => core.world.runs.get(itemIdOf('j2', 'a'))!;
+  accept(core);
+  core.runFor(loadMilliseconds + 100);
+  const { start } = run();
+  core.world.runFacts.append({
+    kind: 'notRun',
+    item: itemIdOf('j2', 'a'),
+    start,
+    reason: 'loading',
+  });
+  core.settle();
+  t.is(run().state, RunState.Waiting);
+  core.runFor(250);
+  t.is(run().state, RunState.Running);
+  t.is(run().start, start + 1);
+});
--- a/standins/virtual/fleetFixture.ts
+++ b/standins/virtual/fleetFixture.ts
@@ -116,6 +116,7 @@
   zone: 'z1',
   state: RegistrationState.Ready,
   slots: 2,
+  isReclaimable: false,
   models: [
     { name: 'm0', version: 1 },
     { name: 'm1', version: 1 },
