Leave slow engines, keep places for callers, and order reclaimable engines by demand

Cause: prompt callers waited behind scoring calls at the plain service; runs stayed on engines that had turned slow; engines were never ordered, a duty not built. Change: scoring calls keep their place in a queue and leave one slot of six to callers; the pace of engines is measured in the texts, slow ones get new items last and their runs move where a place is free; the leader orders reclaimable engines for the peak of demand of the last half minute, spread over zones.

--- a/src/daemon/fleet/node/fleetDaemon.ts
+++ b/src/daemon/fleet/node/fleetDaemon.ts
@@ -24,6 +24,10 @@
 import { createCore, Profile } from '../../../service/core/common/core.js';
 import type { World } from '../../../service/world/common/world.js';
 import { noStorage, openStoragePort } from '../../consensus/node/storagePort.js';
+import {
+  createCapacityOrderPort,
+  type SendCapacityOrder,
+} from '../../duties/node/capacityOrderPort.js';
 import { createUsageReportPort, type SendUsageReport } from '../../duties/node/usageReportPort.js';
 import { createWeightOrderPort } from '../../duties/node/weightOrderPort.js';
 import { createCallPort, type CallPort } from '../../forwarding/node/callPort.js';
@@ -45,6 +49,7 @@
   readonly voters: readonly string[];
   readonly dialect: UpstreamDialect;
   readonly sendUsageReport: SendUsageReport;
+  readonly sendCapacityOrder: SendCapacityOrder;
   readonly clock: Clock;
   readonly wallClock: WallClock;
   readonly metrics: Metrics;
@@ -94,6 +99,7 @@
   const runs = createRunPort(world, client, dialect, clock, wake);
   const orders = createWeightOrderPort(world, client, dialect, clock, wake);
   const reports = createUsageReportPort(world, options.sendUsageReport, clock, wake);
+  const capacity = createCapacityOrderPort(world, options.sendCapacityOrder, clock, wake);
   const events = createEventLog(world, log, clock, options.takeDroppedLines);
 
   const openStorage = (folder: string) =>
@@ -117,6 +123,7 @@
     storage.value,
     orders,
     reports,
+    capacity,
     runs,
     calls,
     proposals,
@@ -140,7 +147,7 @@
     proposals,
     dispose: async () => {
       driver?.dispose();
-      [calls, runs, orders, reports, client].forEach((port) => port.dispose());
+      [calls, runs, orders, reports, capacity, client].forEach((port) => port.dispose());
       await Promise.all([peers.value.dispose(), storage.value.dispose()]);
     },
   });
--- a/src/infrastructure/settings/common/fleetSettings.ts
+++ b/src/infrastructure/settings/common/fleetSettings.ts
@@ -15,6 +15,8 @@
 export interface FleetSettings {
   /** Null where no usage is reported. */
   readonly metering: MeteringSettings | null;
+  /** Whether upstreams may be ordered. */
+  readonly ordersCapacity: boolean;
   /** Name under which this daemon gives orders. */
   readonly holder: string;
   /** How many voters the log shall have, once there are so many control daemons. */
@@ -28,6 +30,7 @@
 /** The settings of an installation without duties. */
 export const noFleet: FleetSettings = {
   metering: null,
+  ordersCapacity: false,
   holder: '',
   voterCount: 0,
   jobRetentionMilliseconds: defaultJobRetentionMilliseconds,
--- /dev/null
+++ b/src/service/capacity/common/capacityPlan.ts
@@ -0,0 +1,39 @@
+/**
+ * How many reclaimable upstreams a service shall have in each availability zone: enough that all items
+ * that were asked for at once have a place. They are spread over the zones, so that the loss of all of one
+ * zone leaves most of them, and cheaper zones come first.
+ */
+import type { ScalingDeclaration } from '../../declaration/common/declaration.js';
+
+/** What is there without reclaimable upstreams. */
+export interface SteadyCapacity {
+  /** Upstreams by availability zone. */
+  readonly byZone: ReadonlyMap<string, number>;
+  /** Requests that all of them run at once. */
+  readonly places: number;
+  /** Requests that one upstream runs at once. */
+  readonly placesEach: number;
+}
+
+const byPrice = ({ zonePrices }: ScalingDeclaration): string[] =>
+  Object.keys(zonePrices).sort((first, second) => zonePrices[first]! - zonePrices[second]!);
+
+/** The count for each zone of the service, zero included. */
+export const planCapacity = (
+  scaling: ScalingDeclaration,
+  steady: SteadyCapacity,
+  demand: number,
+): ReadonlyMap<string, number> => {
+  const zones = byPrice(scaling);
+  const counts = new Map(zones.map((zone) => [zone, 0]));
+  const roomIn = (zone: string): number =>
+    scaling.maximum - (steady.byZone.get(zone) ?? 0) - counts.get(zone)!;
+  let missing = Math.max(0, Math.ceil((demand - steady.places) / steady.placesEach));
+  let open = zones;
+  while (missing > 0 && open.length > 0) {
+    open = open.filter((zone) => roomIn(zone) > 0);
+    open.slice(0, missing).forEach((zone) => counts.set(zone, counts.get(zone)! + 1));
+    missing -= Math.min(missing, open.length);
+  }
+  return counts;
+};
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -11,6 +11,7 @@
 } from '../../../infrastructure/tables/common/tick.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
 import { createDemandSystem } from '../../admission/common/demandSystem.js';
+import { createCapacitySystem } from '../../capacity/common/capacitySystem.js';
 import {
   createPublicationSystem,
   insertSettings,
@@ -32,6 +33,7 @@
 import { createAssignmentSystem } from '../../jobs/common/assignmentSystem.js';
 import { createForgetSystem } from '../../jobs/common/forgetSystem.js';
 import { createJobReadSystem } from '../../jobs/common/jobReads.js';
+import { createMoveSystem } from '../../jobs/common/moveSystem.js';
 import { createListingSystem } from '../../jobs/common/listItems.js';
 import { createRunSystem } from '../../jobs/common/runSystem.js';
 import { createSavingSystem } from '../../jobs/common/saveTexts.js';
@@ -112,8 +114,10 @@
   createForgetSystem,
   createWeightSystem,
   createAssignmentSystem,
+  createMoveSystem,
   createJobReadSystem,
   createMeteringSystem,
+  createCapacitySystem,
 ];
 
 /** The systems of each profile in the order in which they run in each round of a tick. */
--- a/src/service/declaration/common/declaration.ts
+++ b/src/service/declaration/common/declaration.ts
@@ -51,12 +51,27 @@
   readonly itemLifetimeMilliseconds: Milliseconds | null;
 }
 
+/** How many upstreams of a service may be ordered, and what they cost. */
+export interface ScalingDeclaration {
+  /** Bounds in each availability zone, of both kinds of upstreams together. */
+  readonly minimum: number;
+  readonly maximum: number;
+  /** From an order until the upstream serves. */
+  readonly startMilliseconds: Milliseconds;
+  /** Price of an upstream that may be reclaimed, as a share of that of another; null where there is none. */
+  readonly reclaimablePrice: number | null;
+  /** Price of an upstream by availability zone. */
+  readonly zonePrices: Readonly<Record<string, number>>;
+}
+
 export interface ServiceDeclaration {
   readonly name: string;
   readonly maximumConnections: number;
   /** Requests that an engine runs at once; null for plain services. */
   readonly engineSlots: number | null;
   readonly models: readonly string[];
+  /** Null where no upstreams are ordered. */
+  readonly scaling: ScalingDeclaration | null;
 }
 
 export interface WorkspaceDeclaration {
--- a/src/service/declaration/test/common/declaration.test.ts
+++ b/src/service/declaration/test/common/declaration.test.ts
@@ -23,7 +23,9 @@
 const declaration = (columns: Partial<Declaration> = {}): Declaration => ({
   version: 1,
   routes: [route()],
-  services: [{ name: 'yard-app', maximumConnections: 100, engineSlots: null, models: [] }],
+  services: [
+    { name: 'yard-app', maximumConnections: 100, engineSlots: null, models: [], scaling: null },
+  ],
   workspaces: [{ name: 'yard', keys: ['key-1'], priority: null }],
   limits: {
     maximumHeaderBytes: 16_384,
--- a/src/service/events/common/eventBudget.ts
+++ b/src/service/events/common/eventBudget.ts
@@ -32,6 +32,7 @@
   EventKind.RunNotTaken,
   EventKind.RunFailed,
   EventKind.RunBroken,
+  EventKind.RunMoved,
   EventKind.RunSilent,
   EventKind.ItemListed,
 ]);
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -57,9 +57,11 @@
   RunNotTaken: 'runNotTaken',
   RunFailed: 'runFailed',
   RunBroken: 'runBroken',
+  RunMoved: 'runMoved',
   RunSilent: 'runSilent',
   WeightOrderEnded: 'weightOrderEnded',
   DutyEnded: 'dutyEnded',
+  CapacityOrdered: 'capacityOrdered',
   BodyLost: 'bodyLost',
 } as const;
 export type EventKind = ValueOf<typeof EventKind>;
--- a/src/service/forwarding/common/callSystem.ts
+++ b/src/service/forwarding/common/callSystem.ts
@@ -32,6 +32,10 @@
   return deadlineAfter(now, Math.min(remaining - answerMilliseconds, allowed));
 };
 
+/** Own calls keep their place in the queue until their own deadline, as nobody else could take them. */
+const offerDeadlineOf = (arrived: ArrivedCall, route: RouteRow, now: Instant): Instant =>
+  arrived.isOwn ? never : deadlineAfter(now, route.objectiveMilliseconds * offerShare);
+
 const emptyCall = (arrived: ArrivedCall, now: Instant): CallRow => ({
   id: arrived.id,
   requestId: arrived.requestId,
@@ -40,6 +44,7 @@
   service: '',
   state: CallState.Waiting,
   arrivedAt: now,
+  isOwn: arrived.isOwn,
   isIdempotent: false,
   maximumAttempts: 1,
   attempts: 0,
@@ -68,7 +73,7 @@
     service: drawService(world, route),
     isIdempotent: route.kind === RouteKind.Idempotent,
     maximumAttempts: route.maximumAttempts,
-    offerDeadline: deadlineAfter(now, route.objectiveMilliseconds * offerShare),
+    offerDeadline: offerDeadlineOf(arrived, route, now),
     silenceMilliseconds: route.objectiveMilliseconds * silenceShare,
     callDeadline: callDeadlineOf(arrived, route, now),
     backoffDeadline: now,
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -49,6 +49,8 @@
   readonly state: CallState;
   /** When it came. */
   readonly arrivedAt: Instant;
+  /** Whether the system itself makes it, for which callers do not wait. */
+  readonly isOwn: boolean;
   readonly isIdempotent: boolean;
   readonly maximumAttempts: number;
   /** Sends that may have run. */
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -29,6 +29,9 @@
 /** Before a call that was not taken is offered again. */
 const backoffMilliseconds = 15;
 
+/** Share of the slots of an upstream that calls of the system itself leave to callers. */
+const callerShare = 0.15;
+
 const lowestServerError = 500;
 
 const isPreferred = (row: RegistrationRow, call: CallRow, now: Instant): boolean =>
@@ -43,11 +46,15 @@
   return lightest[world.random.below(Math.max(1, lightest.length))];
 };
 
+/** Slots for which a send competes; own calls leave some to those for which callers wait. */
+const slotsFor = (call: CallRow, { slots }: RegistrationRow): number =>
+  call.isOwn ? Math.max(1, slots - Math.ceil(slots * callerShare)) : slots;
+
 /** Chooses the least loaded upstream; one that failed or was tried only where there is no other. */
 const chooseUpstream = (world: World, call: CallRow, now: Instant): RegistrationRow | undefined => {
   const rows = world.registrations
     .where('service', call.service)
-    .filter((row) => row.ownRunning < row.slots);
+    .filter((row) => row.ownRunning < slotsFor(call, row));
   const preferred = rows.filter((row) => isPreferred(row, call, now));
   const untried = rows.filter((row) => row.id !== call.tried.at(-1));
   const nextBest = untried.length > 0 ? untried : rows;
--- /dev/null
+++ b/src/service/forwarding/test/common/callerShare.test.ts
@@ -0,0 +1,64 @@
+import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
+import { createFleetCore, type FleetCore } from '../../../../../standins/virtual/fleetCore.js';
+import {
+  testDeclarationCommand,
+  testEngine,
+} from '../../../../../standins/virtual/fleetFixture.js';
+import { CallState, type CallId } from '../../common/forwardingTables.js';
+
+const slots = 6;
+
+const arrive = (core: FleetCore, id: string, isOwn: boolean): void => {
+  core.world.arrivedCalls.append({
+    id: asBrand<CallId>(id),
+    requestId: id,
+    host: 'yard.example',
+    path: '/score/x',
+    key: null,
+    remaining: 2_000,
+    isOwn,
+  });
+  core.settle();
+};
+
+const stateOf = (core: FleetCore, id: string): CallState | undefined =>
+  core.world.calls.get(asBrand<CallId>(id))?.state;
+
+test('calls of the system itself leave slots of an upstream to calls that somebody waits for', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({
+    registration: testEngine('e1', { service: 'yard-app', slots, models: [] }),
+    isDirect: false,
+  });
+  core.settle();
+
+  Array.from({ length: 10 }, (_, number) => arrive(core, `own-${number}`, true));
+  const running = Array.from({ length: 10 }, (_, number) => stateOf(core, `own-${number}`)).filter(
+    (state) => state === CallState.Running,
+  );
+  t.is(running.length, 5);
+
+  arrive(core, 'caller', false);
+  t.is(stateOf(core, 'caller'), CallState.Running);
+});
+
+test('calls of the system itself wait for a slot and keep their place', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({
+    registration: testEngine('e1', { service: 'yard-app', slots: 1, models: [] }),
+    isDirect: false,
+  });
+  core.settle();
+  arrive(core, 'own-1', true);
+  arrive(core, 'own-2', true);
+  core.runFor(200);
+  t.is(stateOf(core, 'own-2'), CallState.Waiting);
+
+  const [send] = core.world.sends.where('call', 'own-1');
+  core.world.sendFacts.append({ kind: 'answered', send: send!.id, status: 200 });
+  core.settle();
+  t.is(stateOf(core, 'own-2'), CallState.Running);
+});
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -12,6 +12,8 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
+import { expectedVersionOf, freeSlots, servesVersion } from './engineChoice.js';
+import { slowEngines } from './enginePace.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
 
 /** How long an engine may take until its first event: the reading of a prompt and its own queue. */
@@ -37,29 +39,6 @@
   first.job.submittedAt - second.job.submittedAt ||
   (second.item.expectedTokens ?? 0) - (first.item.expectedTokens ?? 0);
 
-/**
- * Whether an engine holds a version that the job allows. One that was ordered to load another is asked
- * once it should hold that one; it refuses an item that expects a version which it does not hold.
- */
-const servesVersion = (world: World, row: RegistrationRow, job: JobRow, now: Instant): boolean => {
-  const order = world.weightOrders.get(row.id);
-  if (order?.model === job.model) {
-    const mayHold = order.loadedDeadline <= now && row.avoidDeadline <= now;
-    return mayHold && order.version >= job.minimumVersion;
-  }
-  const held = row.models.find(({ name }) => name === job.model);
-  return held !== undefined && held.version >= job.minimumVersion;
-};
-
-/** The version that an engine must hold although its reports do not show it yet. */
-const expectedVersionOf = (world: World, row: RegistrationRow, job: JobRow): number | null => {
-  const order = world.weightOrders.get(row.id);
-  return order?.model === job.model ? order.version : null;
-};
-
-const freeSlots = (world: World, row: RegistrationRow): number =>
-  row.slots - world.runs.count('upstream', row.id);
-
 const mostFree = (world: World, rows: readonly RegistrationRow[]): RegistrationRow | undefined =>
   rows.reduce<RegistrationRow | undefined>(
     (best, row) =>
@@ -84,10 +63,12 @@
   now: Instant,
 ): RegistrationRow | undefined => {
   const { job, route } = candidate;
+  const service = drawService(world, route);
+  const slow = slowEngines(world, service);
   const free = world.registrations
-    .where('service', drawService(world, route))
+    .where('service', service)
     .filter((row) => servesVersion(world, row, job, now) && freeSlots(world, row) > 0);
-  const trusted = free.filter((row) => row.avoidDeadline <= now);
+  const trusted = free.filter((row) => row.avoidDeadline <= now && !slow.has(row.id));
   const rows = trusted.length > 0 ? trusted : free;
   return engineOfGroup(world, candidate, rows) ?? mostFree(world, rows);
 };
@@ -118,6 +99,7 @@
   world.runs.change(run.id, {
     state: RunState.Running,
     upstream: engine.id,
+    progressedAt: Number.NEGATIVE_INFINITY,
     expectedVersion: expectedVersionOf(world, engine, candidate.job),
     start: run.start + 1,
     progressDeadline: deadlineAfter(now, firstEventMilliseconds),
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -85,6 +85,8 @@
   readonly failures: number;
   /** When a waiting run may be given to an upstream again. */
   readonly backoffDeadline: Instant;
+  /** When its engine last showed progress at this start; before its first, negative infinity. */
+  readonly progressedAt: Instant;
   /** Until when a running one must show progress. */
   readonly progressDeadline: Instant;
   /** When the item is given up. */
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -4,12 +4,7 @@
  * after its last whole event at another upstream.
  */
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
-import {
-  deadlineAfter,
-  never,
-  type Instant,
-  type Milliseconds,
-} from '../../../base/common/time.js';
+import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { leadershipOf } from '../../consensus/common/lease.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
@@ -26,8 +21,10 @@
   type RunFact,
   type RunRow,
 } from './jobTables.js';
+import { notePace } from './enginePace.js';
 import { cancelScoring, listItem } from './listItems.js';
 import { saveText } from './saveTexts.js';
+import { avoidUpstream, recordRun, stopRunning } from './runChanges.js';
 import { beginScoring } from './scoring.js';
 
 /** How long a run may be silent: several pauses between events and the reading of a long prompt. */
@@ -36,18 +33,12 @@
 /** How often the beginning of a long text is kept in the log. */
 const saveMilliseconds = 1_200;
 
-/** Before an item whose run ended is offered again. */
-const backoffMilliseconds = 40;
-
 /** Before an item that an upstream did not take is offered again; a load ends to within this time. */
 const notTakenMilliseconds = 120;
 
 /** An upstream that did not take an item gets nothing for this time where another one can run it. */
 const notTakenAvoidMilliseconds = 100;
 
-/** An upstream at which a run broke gets nothing new for this time where another one can run it. */
-const avoidMilliseconds = 1_500;
-
 const lifeDeadlineOf = (world: World, job: JobRow, now: Instant): Instant => {
   const route = findRoute(world, job.host, job.path);
   if (route === undefined || route.itemLifetimeMilliseconds === null) return never;
@@ -71,6 +62,7 @@
     saveDeadline: deadlineAfter(now, saveMilliseconds),
     failures: 0,
     backoffDeadline: now,
+    progressedAt: Number.NEGATIVE_INFINITY,
     progressDeadline: never,
     lifeDeadline,
     call: null,
@@ -93,30 +85,6 @@
     world.runs.remove(run.id);
   });
 
-const stopRunning = (
-  world: World,
-  run: RunRow,
-  columns: Partial<Omit<RunRow, 'id'>>,
-  now: Instant,
-): void => {
-  world.runs.change(run.id, {
-    state: RunState.Waiting,
-    upstream: null,
-    backoffDeadline: deadlineAfter(now, backoffMilliseconds),
-    ...columns,
-  });
-};
-
-const avoidUpstream = (
-  world: World,
-  run: RunRow,
-  now: Instant,
-  duration: Milliseconds = avoidMilliseconds,
-): void => {
-  const avoidDeadline = deadlineAfter(now, duration);
-  if (run.upstream !== null) world.registrations.change(run.upstream, { avoidDeadline });
-};
-
 const joinText = (first: string, events: readonly string[], hadEvents: boolean): string => {
   if (events.length === 0) return first;
   const added = events.join('\n');
@@ -154,13 +122,6 @@
 const maximumFailuresOf = (world: World, job: JobRow): number =>
   findRoute(world, job.host, job.path)?.maximumAttempts ?? 1;
 
-/** Records what became of a run, with the events that its text has by then. */
-const record = (world: World, kind: EventKind, run: RunRow, reason: string): void =>
-  world.events.append({
-    kind,
-    subject: { item: run.id, upstream: run.upstream, reason, events: run.events },
-  });
-
 type Context = [World, RunRow, JobRow, Instant];
 
 const giveUp = (world: World, run: RunRow): void =>
@@ -168,9 +129,11 @@
 
 const handlers: HandlerTable<RunFact, void, Context> = {
   progress: (fact, world, run, job, now) => {
+    notePace(world, run, fact.text.length, now);
     const progressDeadline = deadlineAfter(now, progressMilliseconds);
     const columns = withEvents(run, fact.text, fact.versions);
-    const changed = world.runs.change(run.id, { ...columns, progressDeadline })!;
+    const progress = { ...columns, progressedAt: now, progressDeadline };
+    const changed = world.runs.change(run.id, progress)!;
     if (now >= run.saveDeadline && isAllowed(world, job, columns.versions)) {
       saveText(world, changed, deadlineAfter(now, saveMilliseconds));
     }
@@ -186,19 +149,19 @@
   },
   broken: (fact, world, run, job, now) => {
     const columns = withEvents(run, fact.text, fact.versions);
-    record(world, EventKind.RunBroken, { ...run, events: columns.events }, fact.reason);
+    recordRun(world, EventKind.RunBroken, { ...run, events: columns.events }, fact.reason);
     avoidUpstream(world, run, now);
     const kept = isAllowed(world, job, columns.versions) ? columns : fromTheStart;
     stopRunning(world, run, kept, now);
   },
   notRun: ({ reason }, world, run, _job, now) => {
-    record(world, EventKind.RunNotTaken, run, reason);
+    recordRun(world, EventKind.RunNotTaken, run, reason);
     avoidUpstream(world, run, now, notTakenAvoidMilliseconds);
     stopRunning(world, run, { backoffDeadline: deadlineAfter(now, notTakenMilliseconds) }, now);
   },
   failed: (_, world, run, job, now) => {
     const failures = run.failures + 1;
-    record(world, EventKind.RunFailed, run, `failure ${failures}`);
+    recordRun(world, EventKind.RunFailed, run, `failure ${failures}`);
     if (failures >= maximumFailuresOf(world, job)) giveUp(world, run);
     else stopRunning(world, run, { failures, ...fromTheStart }, now);
   },
@@ -218,7 +181,7 @@
 /** Leaves an upstream that has fallen silent; the text goes on elsewhere after what has come. */
 const leaveSilent = (world: World, run: RunRow, now: Instant): void => {
   world.metrics.count('runs.silent');
-  record(world, EventKind.RunSilent, run, 'no event in time');
+  recordRun(world, EventKind.RunSilent, run, 'no event in time');
   avoidUpstream(world, run, now);
   stopRunning(world, run, {}, now);
 };
--- /dev/null
+++ b/src/service/jobs/test/common/moves.test.ts
@@ -0,0 +1,91 @@
+import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
+import { createFleetCore, type FleetCore } from '../../../../../standins/virtual/fleetCore.js';
+import {
+  testDeclarationCommand,
+  testEngine,
+  testItem,
+  testJob,
+} from '../../../../../standins/virtual/fleetFixture.js';
+import type { UpstreamId } from '../../../world/common/identifiers.js';
+import { itemIdOf, RunState, type RunRow } from '../../common/jobTables.js';
+
+const reportMilliseconds = 200;
+const quickEvents = 5;
+const slowEvents = 2;
+
+const items = ['a', 'b', 'c'];
+
+const runOf = (core: FleetCore, item: string): RunRow => core.world.runs.get(itemIdOf('j', item))!;
+
+const engineOf = (core: FleetCore, item: string): string => String(runOf(core, item).upstream);
+
+/** One item on each of three engines. */
+const createCore = (): FleetCore => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  ['e1', 'e2', 'e3'].forEach((engine) =>
+    core.world.arrivedRegistrations.append({ registration: testEngine(engine), isDirect: false }),
+  );
+  core.settle();
+  core.propose(
+    'job',
+    testJob(
+      'j',
+      items.map((item) => testItem(item, `group-${item}`)),
+    ),
+  );
+  return core;
+};
+
+/** All runs make events; those on the slow engine fewer. */
+const makeEvents = (core: FleetCore, slow: string): void => {
+  core.runFor(reportMilliseconds);
+  items
+    .map((item) => runOf(core, item))
+    .filter(({ state }) => state === RunState.Running)
+    .forEach(({ id, start, upstream }) => {
+      const count = upstream === slow ? slowEvents : quickEvents;
+      core.world.runFacts.append({
+        kind: 'progress',
+        item: id,
+        start,
+        text: Array.from({ length: count }, () => 'x'),
+        versions: [1],
+      });
+    });
+  core.settle();
+};
+
+test('a run on an engine that is much slower than the others goes on at another one', (t) => {
+  const core = createCore();
+  const slow = engineOf(core, 'a');
+  for (let round = 0; round < 4; round += 1) makeEvents(core, slow);
+  const { events } = runOf(core, 'a');
+  core.runFor(reportMilliseconds);
+
+  t.not(engineOf(core, 'a'), slow);
+  t.is(runOf(core, 'a').state, RunState.Running);
+  t.true(events > 0);
+  t.is(runOf(core, 'a').events, events, 'it keeps what has come of its text');
+  t.is(runOf(core, 'a').start, 2);
+});
+
+test('engines that differ little keep their runs', (t) => {
+  const core = createCore();
+  for (let round = 0; round < 10; round += 1) makeEvents(core, 'none');
+  items.forEach((item) => t.is(runOf(core, item).start, 1));
+});
+
+test('a run stays on a slow engine while no other has a free place', (t) => {
+  const core = createCore();
+  const slow = engineOf(core, 'a');
+  ['e1', 'e2', 'e3']
+    .filter((engine) => engine !== slow)
+    .forEach((engine) =>
+      core.world.registrations.change(asBrand<UpstreamId>(engine), { slots: 1 }),
+    );
+  for (let round = 0; round < 6; round += 1) makeEvents(core, slow);
+  t.is(engineOf(core, 'a'), slow);
+  t.is(runOf(core, 'a').start, 1);
+});
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -14,6 +14,7 @@
   type FleetSettings,
 } from '../../../infrastructure/settings/common/fleetSettings.js';
 import type { AnyTable } from '../../../infrastructure/tables/common/table.js';
+import { createCapacityTables } from '../../capacity/common/capacityTables.js';
 import { createDemandTables } from '../../admission/common/demandTables.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
 import { createFreshnessTables } from '../../configuration/common/freshnessTables.js';
@@ -24,6 +25,7 @@
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
 import { createDeclarationTables } from '../../declaration/common/declarationTables.js';
 import { createForwardingTables } from '../../forwarding/common/forwardingTables.js';
+import { createPaceTables } from '../../jobs/common/enginePace.js';
 import { createJobReadTables } from '../../jobs/common/jobReads.js';
 import { createJobTables } from '../../jobs/common/jobTables.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
@@ -62,9 +64,11 @@
   ...createRegistryTables(),
   ...createForwardingTables(),
   ...createJobTables(),
+  ...createPaceTables(),
   ...createJobReadTables(),
   ...createVersionTables(),
   ...createMeteringTables(),
+  ...createCapacityTables(),
 });
 export type Tables = ReturnType<typeof createTables>;
 
--- a/standins/virtual/fleetFixture.ts
+++ b/standins/virtual/fleetFixture.ts
@@ -55,8 +55,20 @@
     },
   ],
   services: [
-    { name: 'yard-app', maximumConnections: 100, engineSlots: null, models: [] },
-    { name: 'planner', maximumConnections: 100, engineSlots: 2, models: ['m0', 'm1'] },
+    { name: 'yard-app', maximumConnections: 100, engineSlots: null, models: [], scaling: null },
+    {
+      name: 'planner',
+      maximumConnections: 100,
+      engineSlots: 2,
+      models: ['m0', 'm1'],
+      scaling: {
+        minimum: 1,
+        maximum: 3,
+        startMilliseconds: 4_000,
+        reclaimablePrice: 0.2,
+        zonePrices: { z1: 1, z2: 0.9, z3: 1.2 },
+      },
+    },
   ],
   workspaces: [{ name: 'yard', keys: ['key-1'], priority: null }],
   limits: {
