Log who asks for votes and why a vote is refused; explore changes of voters

Ruled out: logs that lag (equal indices), a lost message, slow syncs (under 15 ms), the refusal after a start (it had run out).

--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -4,7 +4,7 @@
  * leader whose lease holds, refuse both, so that leases rest on a quorum that keeps to them.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import type { HandlerTable, Member } from '../../../base/common/handlers.js';
+import type { HandlerTable, Member, ValueOf } from '../../../base/common/handlers.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
@@ -53,8 +53,15 @@
     world.members.change(id, { hasGrantedVote: isSelf }),
   );
 
+const namesOfMembers = (world: World): string =>
+  [...world.members.rows()].map(({ id }) => id).join(',');
+
 const askForVotes = (world: World, term: number, isPreVote: boolean): void => {
   const { lastIndex, lastTerm, hasJoined } = replicaOf(world);
+  world.events.append({
+    kind: EventKind.VotesAsked,
+    subject: { term, isPreVote, lastTerm, lastIndex, voters: namesOfMembers(world) },
+  });
   const message = {
     kind: 'voteRequested',
     term,
@@ -170,13 +177,17 @@
 
 type VoteRequest = Member<ConsensusMessage, 'voteRequested'>;
 
-/** Whether this daemon may vote for the sender, whose log must hold what its own holds. */
-const isUpToDate = (world: World, request: VoteRequest): boolean => {
-  const { lastIndex, lastTerm } = replicaOf(world);
-  if (!mayVoteFor(world, request.isNew)) return false;
-  if (request.lastTerm !== lastTerm) return request.lastTerm > lastTerm;
-  return request.lastIndex >= lastIndex;
-};
+/** Why a vote was refused. */
+export const VoteRefusal = {
+  /** It has heard of a leader, or holds a lease itself, so recently that the lease may still hold. */
+  KeepsToLeader: 'keepsToLeader',
+  /** One of the two has lost its disk and not caught up; see the module `joining`. */
+  NotJoined: 'notJoined',
+  LogBehind: 'logBehind',
+  TermPassed: 'termPassed',
+  VotedForAnother: 'votedForAnother',
+} as const;
+export type VoteRefusal = ValueOf<typeof VoteRefusal>;
 
 const keepsToLeader = (world: World, now: Instant): boolean => {
   const { state, voteRefusalDeadline, leaseDeadline } = replicaOf(world);
@@ -184,24 +195,67 @@
   return holdsLease || now < voteRefusalDeadline;
 };
 
-const grantsPreVote = (world: World, request: VoteRequest): boolean =>
-  request.term > replicaOf(world).term && isUpToDate(world, request);
+/** Whether the log of the sender holds what its own holds. */
+const isLogBehind = (world: World, request: VoteRequest): boolean => {
+  const { lastIndex, lastTerm } = replicaOf(world);
+  if (request.lastTerm !== lastTerm) return request.lastTerm < lastTerm;
+  return request.lastIndex < lastIndex;
+};
+
+const isTermPassed = (world: World, request: VoteRequest): boolean => {
+  const { term } = replicaOf(world);
+  return request.isPreVote ? request.term <= term : request.term < term;
+};
+
+const hasVotedForAnother = (world: World, request: VoteRequest, candidate: DaemonRow): boolean => {
+  const { term, votedFor, state } = replicaOf(world);
+  if (request.isPreVote || request.term > term) return false;
+  return state !== ReplicaState.Follower || (votedFor !== null && votedFor !== candidate.id);
+};
 
-const grantsVote = (
+/** Why this daemon does not vote for the sender, or null where it does. */
+const findRefusal = (
   world: World,
   request: VoteRequest,
   candidate: DaemonRow,
   now: Instant,
-): boolean => {
-  followHigherTerm(world, request.term, now);
-  const { term, votedFor, state } = replicaOf(world);
-  if (request.term < term || state !== ReplicaState.Follower) return false;
-  if (votedFor !== null && votedFor !== candidate.id) return false;
-  if (!isUpToDate(world, request)) return false;
+): VoteRefusal | null => {
+  const isMet: readonly (readonly [VoteRefusal, boolean])[] = [
+    [VoteRefusal.KeepsToLeader, keepsToLeader(world, now)],
+    [VoteRefusal.TermPassed, isTermPassed(world, request)],
+    [VoteRefusal.VotedForAnother, hasVotedForAnother(world, request, candidate)],
+    [VoteRefusal.NotJoined, !mayVoteFor(world, request.isNew)],
+    [VoteRefusal.LogBehind, isLogBehind(world, request)],
+  ];
+  return isMet.find(([, holds]) => holds)?.[0] ?? null;
+};
+
+const giveVote = (world: World, candidate: DaemonRow, now: Instant): void => {
+  const { term, votedFor } = replicaOf(world);
   if (votedFor === null) moveToTerm(world, term, candidate.id);
   join(world);
   changeReplica(world, { electionDeadline: electionDeadlineAfter(world, now) });
-  return true;
+};
+
+const recordVote = (
+  world: World,
+  request: VoteRequest,
+  candidate: DaemonRow,
+  refusal: VoteRefusal | null,
+): void => {
+  const { term, lastTerm, lastIndex } = replicaOf(world);
+  world.events.append({
+    kind: EventKind.VoteDecided,
+    subject: {
+      candidate: candidate.id,
+      askedTerm: request.term,
+      isPreVote: request.isPreVote,
+      refusal: refusal ?? 'none',
+      term,
+      lastTerm,
+      lastIndex,
+    },
+  });
 };
 
 /** What a voter does with the messages of elections. */
@@ -212,9 +266,12 @@
   voteRequested: (request, world, candidate, now) => {
     if (!takesPart(world) || !world.members.has(candidate.id)) return;
     const { isPreVote } = request;
-    const grants = (): boolean =>
-      isPreVote ? grantsPreVote(world, request) : grantsVote(world, request, candidate, now);
-    const granted = !keepsToLeader(world, now) && grants();
+    const isNewTerm = !isPreVote && !keepsToLeader(world, now);
+    if (isNewTerm) followHigherTerm(world, request.term, now);
+    const refusal = findRefusal(world, request, candidate, now);
+    if (refusal === null && !isPreVote) giveVote(world, candidate, now);
+    recordVote(world, request, candidate, refusal);
+    const granted = refusal === null;
     const term = granted ? request.term : replicaOf(world).term;
     sendOnceSynced(world, candidate.id, { kind: 'voteAnswered', term, isPreVote, granted });
   },
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -5,6 +5,7 @@
 import { asBrand } from '../../../base/common/brand.js';
 import { never, type Instant } from '../../../base/common/time.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import {
@@ -60,6 +61,14 @@
 export const canVote = (world: World): boolean =>
   world.self.roles.includes(Role.Control) && world.self.dataFolder !== undefined;
 
+const recordVoting = (world: World, isVoting: boolean): void => {
+  const { term, lastIndex, votersIndex } = replicaOf(world);
+  world.events.append({
+    kind: EventKind.VotingChanged,
+    subject: { isVoting, term, lastIndex, votersIndex },
+  });
+};
+
 /** Goes on as a voter with the entries that this daemon has followed, which it writes to its disk. */
 export const becomeVoter = (world: World, now: Instant): void => {
   const { commitIndex } = replicaOf(world);
@@ -75,6 +84,7 @@
   });
   if (entries.length > 0) requestWrite(world, { kind: 'entries', entries });
   adoptVoters(world);
+  recordVoting(world, true);
 };
 
 /** Goes on as a learner, with the entries that are certainly agreed. */
@@ -93,6 +103,7 @@
     followDeadline: now,
     relay: null,
   });
+  recordVoting(world, false);
 };
 
 /** Acts on what another daemon says of the voters: one that was voted out does not ask for votes. */
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -35,6 +35,12 @@
   BatchAcknowledged: 'batchAcknowledged',
   LeadershipTaken: 'leadershipTaken',
   LeadershipLost: 'leadershipLost',
+  /** A voter asks for votes, or before that whether it would get them. */
+  VotesAsked: 'votesAsked',
+  /** A voter grants or refuses its vote. */
+  VoteDecided: 'voteDecided',
+  /** A daemon ceases to vote, or begins to. */
+  VotingChanged: 'votingChanged',
   StorageFailed: 'storageFailed',
   OrderEnded: 'orderEnded',
   BatchWithdrawn: 'batchWithdrawn',
