--- a/src/base/common/random.ts
+++ b/src/base/common/random.ts
@@ -4,6 +4,7 @@
  */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { hashOfText, mixBits } from './hash.js';
 
 /** A generator of random whole numbers. */
 export interface Random {
@@ -11,12 +12,22 @@
   readonly below: (bound: number) => number;
 }
 
-/** Creates a generator from a seed of 32 bits. */
+/**
+ * Creates a generator from a seed of 32 bits. The first numbers of xoroshiro128+ follow its seed, so the
+ * seed is mixed: near seeds give unlike numbers.
+ */
 export const createRandom = (seed: number): Random => {
-  const generator = xoroshiro128plus(seed);
+  const generator = xoroshiro128plus(mixBits(seed));
   return { below: (bound) => uniformInt(generator, 0, bound - 1) };
 };
 
+/**
+ * Creates the generator of one start of one daemon. Daemons that start in the same millisecond draw
+ * different numbers, as elections rest on their not asking for votes at the same time.
+ */
+export const createRandomOf = (name: string, incarnation: number): Random =>
+  createRandom(hashOfText(`${name}/${incarnation}`));
+
 /** One element of a list that is not empty. */
 export const pickOne = <Value>(random: Random, values: readonly Value[]): Value | undefined =>
   values.length === 0 ? undefined : values[random.below(values.length)];
--- a/src/daemon/fleet/node/fleetDaemon.ts
+++ b/src/daemon/fleet/node/fleetDaemon.ts
@@ -4,7 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
-import { createRandom } from '../../../base/common/random.js';
+import { createRandomOf } from '../../../base/common/random.js';
 import type { Clock, WallClock } from '../../../base/common/time.js';
 import type { Log } from '../../../infrastructure/log/node/log.js';
 import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
@@ -71,7 +71,6 @@
 
 export type FleetDaemonError = ListenError | StorageError;
 
-const seedBound = 2 ** 31;
 /** The tree of an installation that is steered by declarations alone. */
 const emptyTree = treeSchema.parse({ policy: {}, services: {}, workspaces: {} });
 
@@ -82,7 +81,7 @@
   const { deployment, self, fleet, voters, dialect, clock, wallClock, metrics, log } = options;
   const incarnation = wallClock();
   const stamps = createHybridLogicalClock(wallClock);
-  const random = createRandom(incarnation % seedBound);
+  const random = createRandomOf(self.name, incarnation);
   const { world, ticker } = createCore(
     { deployment, self, tree: emptyTree, incarnation, random, metrics, voters, fleet, wallClock },
     clock(),
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -6,7 +6,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import { createEmitter, type Event } from '../../../base/common/emitter.js';
-import { createRandom } from '../../../base/common/random.js';
+import { createRandomOf } from '../../../base/common/random.js';
 import { delay, waitAtMost } from '../../../base/node/delay.js';
 import { monotonicClock, wallClock } from '../../../base/node/monotonicClock.js';
 import type { Log } from '../../../infrastructure/log/node/log.js';
@@ -91,8 +91,6 @@
     ? { write: () => {}, dispose: () => Promise.resolve() }
     : createTimelineWriter(resolve(folder, deployment.eventFolder), name);
 
-const seedBound = 2 ** 31;
-
 const openWithSettings = async (
   options: DaemonOptions,
   self: DaemonSettings,
@@ -102,7 +100,7 @@
   const metrics = openMetrics(options);
   const writer = openEventWriter(options);
   const stamps = createHybridLogicalClock(wallClock);
-  const random = createRandom(incarnation % seedBound);
+  const random = createRandomOf(self.name, incarnation);
   const { world, ticker } = createCore(
     { deployment, self, tree, incarnation, random, metrics },
     monotonicClock(),
--- a/src/service/events/common/eventBudget.ts
+++ b/src/service/events/common/eventBudget.ts
@@ -3,6 +3,7 @@
  * low, only a fixed share of the requests is logged, the same requests in every process, and when it is
  * used up none. Lines on changes of what the process believes are always written.
  */
+import { hashOfText } from '../../../base/common/hash.js';
 import type { Instant } from '../../../base/common/time.js';
 import { EventKind, type RecordedEvent } from './eventKind.js';
 
@@ -37,19 +38,8 @@
   EventKind.ItemListed,
 ]);
 
-/** FNV-1a over 32 bits: the same number for an identifier in every process. */
-const hashOf = (text: string): number => {
-  const prime = 16_777_619;
-  const offset = 2_166_136_261;
-  return [...text].reduce(
-    // eslint-disable-next-line no-bitwise -- the hash is defined by bit operations
-    (hash, character) => Math.imul(hash ^ character.charCodeAt(0), prime) >>> 0,
-    offset,
-  );
-};
-
 const isSampled = ({ subject }: RecordedEvent): boolean =>
-  hashOf(String(subject.request ?? subject.item ?? '')) % sampleShare === 0;
+  hashOfText(String(subject.request ?? subject.item ?? '')) % sampleShare === 0;
 
 /** The budget of one process. */
 export interface EventBudget {
