End a lease with the leader that held it: no waiting after restarts and orderly stops

A daemon that has led and does not any more says so in its heartbeats (endedTerm): it stepped down, or its log shows after a start that it led in its term. It never leads in that term again, so the word stays true however late it comes; a voter that refuses for that leader stops waiting. A leader that is stopped resigns where the others can elect one of them. The wait before a new leader's first order is as it was. Ruled out: shorter leases (renewals across regions and pauses of processes need them); comparing incarnations (a delayed heartbeat of a process whose clock was ahead could end a lease that holds).

--- a/src/service/consensus/common/consensusTiming.ts
+++ b/src/service/consensus/common/consensusTiming.ts
@@ -19,6 +19,12 @@
 /** Voters wait up to this much longer before they ask for votes, each for another time. */
 export const electionSpreadMilliseconds = 700;
 
+/**
+ * Voters that know that the lease of their leader has ended wait up to this time before they ask for votes:
+ * ten rounds of an election between regions, so that they seldom ask together.
+ */
+export const electionAfterEndMilliseconds = 300;
+
 /** The longest time from the loss of a leader until a proposal is accepted, where no vote is split. */
 export const failoverBoundMilliseconds =
   electionMinimumMilliseconds + electionSpreadMilliseconds + electionRoundsMilliseconds;
--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -77,6 +77,7 @@
 export const becomeFollower = (world: World, now: Instant): void => {
   const { state, term } = replicaOf(world);
   if (state === ReplicaState.Leader) {
+    changeReplica(world, { endedTerm: term });
     world.events.append({ kind: EventKind.LeadershipLost, subject: { term } });
   }
   changeReplica(world, {
--- a/src/service/consensus/common/replicaSystem.ts
+++ b/src/service/consensus/common/replicaSystem.ts
@@ -40,6 +40,8 @@
     syncedSequence: 0,
     electionDeadline: never,
     voteRefusalDeadline: Number.NEGATIVE_INFINITY,
+    refusesFor: null,
+    endedTerm: 0,
     currentAsOf: Number.NEGATIVE_INFINITY,
     followDeadline: mayVote ? never : now,
     relay: null,
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -53,6 +53,10 @@
   readonly electionDeadline: Instant;
   /** Until when it refuses to vote, as a leader has been heard of. */
   readonly voteRefusalDeadline: Instant;
+  /** The leader for whose lease it refuses to vote; null where that is not known. */
+  readonly refusesFor: DaemonId | null;
+  /** The last term in which this daemon has led and does not lead any more; 0 for none. */
+  readonly endedTerm: number;
   readonly leaseDeadline: Instant;
   /** From when on this leader may give orders; `never` for others. */
   readonly orderDeadline: Instant;
--- a/src/service/consensus/common/replication.ts
+++ b/src/service/consensus/common/replication.ts
@@ -137,6 +137,7 @@
   if (replicaOf(world).state !== ReplicaState.Follower) becomeFollower(world, now);
   changeReplica(world, {
     leader: leader.id,
+    refusesFor: leader.id,
     electionDeadline: electionDeadlineAfter(world, now),
     voteRefusalDeadline: deadlineAfter(now, electionMinimumMilliseconds),
   });
--- a/src/service/consensus/common/storageFacts.ts
+++ b/src/service/consensus/common/storageFacts.ts
@@ -7,6 +7,7 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { electionDeadlineAfterEnd, loggedLeaderOf } from './endedLeadership.js';
 import { electionMinimumMilliseconds } from './consensusTiming.js';
 import {
   changeReplica,
@@ -28,6 +29,20 @@
       world.outgoingMessages.append({ to, message });
     });
 
+/** Recalls from the log who led in the present term; where it was this daemon, its lease has ended. */
+const recallLeader = (world: World, now: Instant): void => {
+  const { term } = replicaOf(world);
+  const leader = loggedLeaderOf(world, term);
+  changeReplica(world, { refusesFor: leader });
+  if (leader !== world.self.name) return;
+  changeReplica(world, {
+    refusesFor: null,
+    endedTerm: term,
+    voteRefusalDeadline: Number.NEGATIVE_INFINITY,
+    electionDeadline: electionDeadlineAfterEnd(world, now),
+  });
+};
+
 const handlers: HandlerTable<StorageFact, void, [World, Instant]> = {
   recovered: ({ state }, world, now) => {
     if (replicaOf(world).state !== ReplicaState.Recovering) return;
@@ -50,6 +65,7 @@
         ? Number.NEGATIVE_INFINITY
         : deadlineAfter(now, electionMinimumMilliseconds),
     });
+    recallLeader(world, now);
     adoptVoters(world);
     if (!world.members.has(asBrand<DaemonId>(world.self.name))) becomeLearner(world, now);
   },
--- a/src/service/consensus/common/voterSystem.ts
+++ b/src/service/consensus/common/voterSystem.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps the number of voters: the leader removes a voter that has fallen silent where a learner can take
  * its place, adds learners while voters are missing, and replaces voters that retire. One change is agreed
- * before the next begins. A leader that retires itself resigns, and its successor removes it.
+ * before the next begins. A leader that retires itself resigns, and its successor removes it; one that is
+ * stopped resigns too, so that nobody waits for the end of its lease.
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
@@ -10,7 +11,7 @@
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
-import { becomeFollower } from './election.js';
+import { becomeFollower, otherMembers, quorumSize } from './election.js';
 import { changeReplica, replicaOf } from './replicaLog.js';
 import { isCurrentLeader, type ReplicaRow } from './replicaTables.js';
 import { areVotersCaughtUp, isRetiring } from './retirement.js';
@@ -79,12 +80,26 @@
   });
 };
 
-/** Leaves the lead to another voter, once a successor of this one holds the log. */
+/** Leaves the lead to another voter, and tells the voters at once. */
+const resign = (world: World, now: Instant): void => {
+  becomeFollower(world, now);
+  changeReplica(world, { electionDeadline: deadlineAfter(now, resignationMilliseconds) });
+  otherMembers(world).forEach(({ id }) => world.daemons.change(id, { heartbeatDeadline: now }));
+};
+
+/** Resigns once a successor of this voter holds the log. */
 const resignIfRetiring = (world: World, now: Instant): void => {
   const isReplaced = world.members.size() > world.fleet.voterCount;
   if (!isReplaced || !isRetiringVoter(world, world.self.name) || !areVotersCaughtUp(world)) return;
-  becomeFollower(world, now);
-  changeReplica(world, { electionDeadline: deadlineAfter(now, resignationMilliseconds) });
+  resign(world, now);
+};
+
+/** Whether the other voters can elect one of them without this daemon. */
+const canElectAnother = (world: World): boolean => {
+  const alive = otherMembers(world).filter(
+    ({ id }) => world.daemons.get(id)?.state === DaemonState.Alive,
+  );
+  return alive.length >= quorumSize(world);
 };
 
 /** Creates the system of voters. */
@@ -100,7 +115,12 @@
     run: (now) => {
       const hasChanges = changes.map((reader) => reader.take().length > 0).includes(true);
       const replica = replicaOf(world);
-      if (!hasChanges || !isCurrentLeader(replica, now) || !isSettled(replica)) return;
+      if (!isCurrentLeader(replica, now) || !isSettled(replica)) return;
+      if (world.isLeaving() && canElectAnother(world)) {
+        resign(world, now);
+        return;
+      }
+      if (!hasChanges) return;
       const voters = world.proposals.size() === 0 ? nextVoters(world) : undefined;
       if (voters !== undefined) propose(world, voters, now);
       else resignIfRetiring(world, now);
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -63,7 +63,7 @@
 
 type Introduction = Pick<
   Extract<MembershipMessage, { kind: 'heartbeat' }>,
-  'member' | 'controlDaemons' | 'voters' | 'departures'
+  'member' | 'controlDaemons' | 'voters' | 'departures' | 'endedTerm'
 >;
 
 /** What a heartbeat says of this daemon and of control daemons, where daemons announce themselves. */
@@ -77,11 +77,13 @@
   const departures = recentDepartures(world, now);
   if (!world.members.has(asBrand(world.self.name))) return { member, controlDaemons, departures };
   const names = [...world.members.rows()].map(({ id }) => id);
+  const { votersIndex, endedTerm } = replicaOf(world);
   return {
     member,
     controlDaemons,
     departures,
-    voters: { index: replicaOf(world).votersIndex, names },
+    voters: { index: votersIndex, names },
+    endedTerm,
   };
 };
 
--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -33,6 +33,8 @@
   member: memberSchema.optional(),
   /** The voters of the log as a voter knows them, and the index of the change that made them so. */
   voters: z.object({ index: z.number(), names: z.array(z.string()) }).optional(),
+  /** The last term in which the sender, a voter, has led and does not lead any more; 0 for none. */
+  endedTerm: z.number().optional(),
   /** Upstreams that have left lately, as a control daemon was told. */
   departures: z.array(departureSchema).optional(),
   /** Control daemons that the sender knows, for receivers that do not. */
--- a/standins/virtual/controlHistory.ts
+++ b/standins/virtual/controlHistory.ts
@@ -5,6 +5,8 @@
 import { RowReader } from '../../src/infrastructure/tables/common/rowReader.js';
 import type { ProposalId } from '../../src/service/consensus/common/consensusTables.js';
 import { mayActAsLeader } from '../../src/service/consensus/common/lease.js';
+import { replicaOf } from '../../src/service/consensus/common/replicaLog.js';
+import { isCurrentLeader } from '../../src/service/consensus/common/replicaTables.js';
 import type { VirtualContext, VirtualInstallation, VirtualPort } from './virtualInstallation.js';
 
 /** What was seen. */
@@ -31,6 +33,10 @@
       .runningNames()
       .filter((name) => mayActAsLeader(running.daemon(name).core.world, running.now()));
     if (acting.length > 1) violations.push(`${acting.join(' and ')} may act at ${running.now()}`);
+    const leading = running
+      .runningNames()
+      .filter((name) => isCurrentLeader(replicaOf(running.daemon(name).core.world), running.now()));
+    if (leading.length > 1) violations.push(`${leading.join(' and ')} lead at ${running.now()}`);
   };
 
   const checkEntry = (daemon: string, index: number, proposal: ProposalId): void => {
