Order places for half as many items again as are asked for; keep orders over a change of leader

A new leader counted the demand anew and lowered the orders of the one before it (count 2 to 1 at 35.4 s).

--- a/src/service/capacity/common/capacitySystem.ts
+++ b/src/service/capacity/common/capacitySystem.ts
@@ -38,6 +38,12 @@
 /** Beyond the start of an upstream, until one that has not come is ordered again. */
 const arrivalMarginMilliseconds = 4_000;
 
+/**
+ * Places that there shall be for each item asked for at once. Engines that load a version or leave give none
+ * for seconds, and a trainer that catches up has two jobs open; a place costs far less than an item that is late.
+ */
+const placesForItem = 1.5;
+
 const clockId: CapacityClockRow['id'] = asBrand('capacityClock');
 
 interface ScaledService extends ServiceDeclaration {
@@ -62,19 +68,18 @@
     .flatMap((state) => world.runs.where('state', state))
     .filter((run) => asksForService(world, run, service)).length;
 
-const noteDemand = (world: World, service: string, now: Instant): number => {
+const noteDemand = (world: World, service: string, now: Instant): CapacityDemandRow => {
   const id: CapacityDemandRow['id'] = asBrand(service);
   const before = world.capacityDemands.get(id);
   const present = presentDemand(world, service);
   const isOver = before === undefined || before.rotationDeadline <= now;
-  const after = world.capacityDemands.put({
+  return world.capacityDemands.put({
     id,
     service,
     peak: Math.max(present, isOver ? 0 : before.peak),
-    earlierPeak: isOver ? (before?.peak ?? 0) : before.earlierPeak,
+    earlierPeak: isOver ? (before?.peak ?? null) : before.earlierPeak,
     rotationDeadline: isOver ? deadlineAfter(now, peakMilliseconds) : before.rotationDeadline,
   });
-  return Math.max(after.peak, after.earlierPeak);
 };
 
 const upstreamsOf = (world: World, service: string): RegistrationRow[] =>
@@ -133,10 +138,14 @@
 const planService = (world: World, service: ScaledService, now: Instant): void => {
   const rows = upstreamsOf(world, service.name);
   const present = countByZone(rows.filter(({ isReclaimable }) => isReclaimable));
-  const demand = noteDemand(world, service.name, now);
-  planCapacity(service.scaling, steadyOf(rows, service), demand).forEach((count, zone) =>
-    putOrder(world, service, zone, count, present.get(zone) ?? 0, now),
-  );
+  const { peak, earlierPeak } = noteDemand(world, service.name, now);
+  const demand = Math.ceil(Math.max(peak, earlierPeak ?? 0) * placesForItem);
+  planCapacity(service.scaling, steadyOf(rows, service), demand).forEach((count, zone) => {
+    const there = present.get(zone) ?? 0;
+    // A new leader has not seen the demand for which its predecessor ordered.
+    const least = earlierPeak === null ? there : 0;
+    putOrder(world, service, zone, Math.max(count, least), there, now);
+  });
 };
 
 const record = (world: World, row: CapacityOrderRow, outcome: string): void =>
--- a/src/service/capacity/common/capacityTables.ts
+++ b/src/service/capacity/common/capacityTables.ts
@@ -31,7 +31,8 @@
   readonly id: Brand<'capacityDemand'>;
   readonly service: string;
   readonly peak: number;
-  readonly earlierPeak: number;
+  /** Null in the first stretch of a leader. */
+  readonly earlierPeak: number | null;
   readonly rotationDeadline: Instant;
 }
 
