Use texts of earlier jobs again, begin spare groups last, leave silent engines sooner

- An engine is silent after 0.9 s between events and 1.5 s before the first (2 and 3 before), unless it has accepted to load weights; one whose reports fail to come gets items only where no other has a place; slow engines are remembered for 8 s in place of 3.
- An item that comes again goes on after what is agreed of its text, or is listed at once where it is whole, if the versions are allowed (earlierText.ts).
- Of the groups beyond those that the trainer waits for, the ones with the longest expected items begin last.

Tests: silence.test.ts, earlierText.test.ts.

--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -1,7 +1,7 @@
 /**
  * Gives waiting runs to engines with free slots. One daemon assigns all runs, so slots are not booked
- * twice. Routes go by their priority, older jobs first, and in a job the longest items; items of a group go to one engine, which
- * then reads their prompt once.
+ * twice. Routes go by their priority, then groups that are waited for, older jobs, and the longest items.
+ * Items of a group go to one engine, which then reads their prompt once.
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
@@ -10,14 +10,15 @@
 import { drawService, findRoute } from '../../declaration/common/findRoute.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { isOverdue } from '../../registry/common/registrySystem.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { expectedVersionOf, freeSlots, servesVersion } from './engineChoice.js';
 import { slowEngines } from './enginePace.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
 
-/** How long an engine may take until its first event: the reading of a prompt and its own queue. */
-const firstEventMilliseconds = 3_000;
+/** How long an engine may take until its first event: the reading of a prompt takes tens of milliseconds. */
+const firstEventMilliseconds = 1_500;
 
 interface Candidate {
   readonly run: RunRow;
@@ -36,6 +37,7 @@
 
 const compareCandidates = (first: Candidate, second: Candidate): number =>
   first.route.priority - second.route.priority ||
+  Number(first.run.isSpare) - Number(second.run.isSpare) ||
   first.job.submittedAt - second.job.submittedAt ||
   (second.item.expectedTokens ?? 0) - (first.item.expectedTokens ?? 0);
 
@@ -68,7 +70,9 @@
   const free = world.registrations
     .where('service', service)
     .filter((row) => servesVersion(world, row, job, now) && freeSlots(world, row) > 0);
-  const trusted = free.filter((row) => row.avoidDeadline <= now && !slow.has(row.id));
+  const trusted = free.filter(
+    (row) => row.avoidDeadline <= now && !slow.has(row.id) && !isOverdue(row, now),
+  );
   const rows = trusted.length > 0 ? trusted : free;
   return engineOfGroup(world, candidate, rows) ?? mostFree(world, rows);
 };
--- a/src/service/jobs/common/enginePace.ts
+++ b/src/service/jobs/common/enginePace.ts
@@ -28,8 +28,8 @@
 /** Weight of a sample; an engine with eight texts gives about forty samples a second. */
 const sampleWeight = 0.15;
 
-/** After this time without texts an engine is tried again. */
-const retentionMilliseconds = 3_000;
+/** After this time without texts an engine is tried again; slow ones stay slow for several seconds. */
+const retentionMilliseconds = 8_000;
 
 /** An engine is slow that takes so many times as long as the median of its service. */
 const slowFactor = 1.8;
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -65,6 +65,8 @@
   readonly id: ItemId;
   readonly job: JobId;
   readonly group: string;
+  /** Whether its trainer can do without its group; see the module `spareGroups`. */
+  readonly isSpare: boolean;
   readonly state: RunState;
   /** Rises with each start on an upstream; facts of earlier starts are dropped. */
   readonly start: number;
@@ -154,11 +156,12 @@
     indices: { state: (row) => row.state },
     deadlines: {},
   }),
-  jobItems: createTable<JobItemRow, 'unlisted' | 'job'>({
+  jobItems: createTable<JobItemRow, 'unlisted' | 'job' | 'item'>({
     name: 'jobItems',
     indices: {
       unlisted: (row) => (row.isListed ? undefined : row.job),
       job: (row) => row.job,
+      item: (row) => row.item,
     },
     deadlines: {},
   }),
--- a/src/service/jobs/common/moveSystem.ts
+++ b/src/service/jobs/common/moveSystem.ts
@@ -6,18 +6,15 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
-import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
+import { isSingleVersion } from './allowedVersions.js';
 import { freeSlots, servesVersion } from './engineChoice.js';
 import { slowEngines } from './enginePace.js';
 import { RunState, type JobRow, type RunRow } from './jobTables.js';
 import { avoidUpstream, recordRun, stopRunning } from './runChanges.js';
 
-const mayMove = (world: World, job: JobRow): boolean =>
-  findRoute(world, job.host, job.path)?.isSingleVersion === false;
-
 interface Place {
   readonly engine: RegistrationRow;
   free: number;
@@ -44,7 +41,7 @@
 
 const moveRun = (world: World, run: RunRow, places: readonly Place[], now: Instant): void => {
   const job = world.jobs.get(run.job);
-  if (job === undefined || !mayMove(world, job)) return;
+  if (job === undefined || isSingleVersion(world, job)) return;
   const place = takePlace(world, places, job, now);
   if (place === undefined) return;
   place.free -= 1;
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -21,14 +21,23 @@
   type RunFact,
   type RunRow,
 } from './jobTables.js';
+import { allowsVersions } from './allowedVersions.js';
+import { findBeginning, findWholeText } from './earlierText.js';
 import { notePace } from './enginePace.js';
 import { cancelScoring, listItem } from './listItems.js';
 import { saveText } from './saveTexts.js';
 import { avoidUpstream, recordRun, stopRunning } from './runChanges.js';
 import { beginScoring } from './scoring.js';
+import { spareGroupsOf } from './spareGroups.js';
 
-/** How long a run may be silent: several pauses between events and the reading of a long prompt. */
-const progressMilliseconds = 2_000;
+/** How long a run may be silent: twenty pauses between events, or three on an engine eight times as slow. */
+const progressMilliseconds = 900;
+
+/** How long an engine that loads weights may keep its runs waiting beyond the time of the load. */
+const loadSlackMilliseconds = 1_500;
+
+/** After this time a run is looked at again whose engine loads. */
+const loadCheckMilliseconds = 300;
 
 /** How often the beginning of a long text is kept in the log. */
 const saveMilliseconds = 1_200;
@@ -45,20 +54,49 @@
   return now + (job.submittedAt + route.itemLifetimeMilliseconds - world.wallNow());
 };
 
-const insertRun = (world: World, item: JobItemRow, lifeDeadline: Instant, now: Instant): void => {
-  world.runs.put({
+const fromTheStart = {
+  events: 0,
+  text: '',
+  versions: [],
+  savedEvents: 0,
+  savedCharacters: 0,
+} as const;
+
+/** The text from which a run goes on, and how much of it this job has kept. */
+const beginningOf = (
+  world: World,
+  job: JobRow,
+  item: JobItemRow,
+): Pick<RunRow, 'events' | 'text' | 'versions' | 'savedEvents' | 'savedCharacters'> => {
+  if (item.saved !== null) {
+    const { events, text } = item.saved;
+    return { ...item.saved, savedEvents: events, savedCharacters: text.length };
+  }
+  return { ...fromTheStart, ...findBeginning(world, job, item) };
+};
+
+interface RunsOfJob {
+  readonly job: JobRow;
+  readonly lifeDeadline: Instant;
+  readonly spareGroups: ReadonlySet<string>;
+}
+
+const insertRun = (
+  world: World,
+  item: JobItemRow,
+  { job, lifeDeadline, spareGroups }: RunsOfJob,
+  now: Instant,
+): void => {
+  const run = world.runs.put({
     id: item.id,
     job: item.job,
     group: item.group,
+    isSpare: spareGroups.has(item.group),
     state: RunState.Waiting,
     start: 0,
     upstream: null,
     expectedVersion: null,
-    events: item.saved?.events ?? 0,
-    text: item.saved?.text ?? '',
-    versions: item.saved?.versions ?? [],
-    savedEvents: item.saved?.events ?? 0,
-    savedCharacters: item.saved?.text.length ?? 0,
+    ...beginningOf(world, job, item),
     saveDeadline: deadlineAfter(now, saveMilliseconds),
     failures: 0,
     backoffDeadline: now,
@@ -69,14 +107,21 @@
     scoreFailures: 0,
     rescoreDeadline: never,
   });
+  const whole = findWholeText(world, job, item);
+  if (whole === undefined) return;
+  const { text, versions } = whole;
+  beginScoring(world, world.runs.change(run.id, { text, versions })!);
 };
 
 const insertRuns = (world: World, job: JobRow, now: Instant): void => {
-  const lifeDeadline = lifeDeadlineOf(world, job, now);
-  world.jobItems
-    .where('unlisted', job.id)
-    .filter(({ id }) => !world.runs.has(id))
-    .forEach((item) => insertRun(world, item, lifeDeadline, now));
+  const missing = world.jobItems.where('unlisted', job.id).filter(({ id }) => !world.runs.has(id));
+  if (missing.length === 0) return;
+  const runs: RunsOfJob = {
+    job,
+    lifeDeadline: lifeDeadlineOf(world, job, now),
+    spareGroups: spareGroupsOf(world, job),
+  };
+  missing.forEach((item) => insertRun(world, item, runs, now));
 };
 
 const removeRuns = (world: World, runs: readonly RunRow[]): void =>
@@ -104,21 +149,6 @@
   ),
 });
 
-/** Whether the versions of a text are among those that its job allows. */
-const isAllowed = (world: World, job: JobRow, versions: readonly number[]): boolean => {
-  const isSingle = findRoute(world, job.host, job.path)?.isSingleVersion ?? false;
-  if (isSingle && versions.length > 1) return false;
-  return versions.every((version) => version >= job.minimumVersion);
-};
-
-const fromTheStart = {
-  events: 0,
-  text: '',
-  versions: [],
-  savedEvents: 0,
-  savedCharacters: 0,
-} as const;
-
 const maximumFailuresOf = (world: World, job: JobRow): number =>
   findRoute(world, job.host, job.path)?.maximumAttempts ?? 1;
 
@@ -134,13 +164,13 @@
     const columns = withEvents(run, fact.text, fact.versions);
     const progress = { ...columns, progressedAt: now, progressDeadline };
     const changed = world.runs.change(run.id, progress)!;
-    if (now >= run.saveDeadline && isAllowed(world, job, columns.versions)) {
+    if (now >= run.saveDeadline && allowsVersions(world, job, columns.versions)) {
       saveText(world, changed, deadlineAfter(now, saveMilliseconds));
     }
   },
   whole: (fact, world, run, job, now) => {
     const columns = withEvents(run, fact.text, fact.versions);
-    if (!isAllowed(world, job, columns.versions)) {
+    if (!allowsVersions(world, job, columns.versions)) {
       world.metrics.count('runs.versionNotAllowed');
       stopRunning(world, run, fromTheStart, now);
       return;
@@ -151,7 +181,7 @@
     const columns = withEvents(run, fact.text, fact.versions);
     recordRun(world, EventKind.RunBroken, { ...run, events: columns.events }, fact.reason);
     avoidUpstream(world, run, now);
-    const kept = isAllowed(world, job, columns.versions) ? columns : fromTheStart;
+    const kept = allowsVersions(world, job, columns.versions) ? columns : fromTheStart;
     stopRunning(world, run, kept, now);
   },
   notRun: ({ reason }, world, run, _job, now) => {
@@ -178,8 +208,20 @@
   dispatchByKind<RunFact, void, Context>(handlers, fact, world, run, job, now);
 };
 
+/** Whether the engine of a run has accepted to load weights and may not have done so yet. */
+const isLoading = (world: World, { upstream }: RunRow, now: Instant): boolean => {
+  const order = upstream === null ? undefined : world.weightOrders.get(upstream);
+  const isAccepted = order !== undefined && order.loadedDeadline !== never;
+  return isAccepted && now < order.loadedDeadline + loadSlackMilliseconds;
+};
+
 /** Leaves an upstream that has fallen silent; the text goes on elsewhere after what has come. */
 const leaveSilent = (world: World, run: RunRow, now: Instant): void => {
+  if (isLoading(world, run, now)) {
+    const progressDeadline = deadlineAfter(now, loadCheckMilliseconds);
+    world.runs.change(run.id, { progressDeadline });
+    return;
+  }
   world.metrics.count('runs.silent');
   recordRun(world, EventKind.RunSilent, run, 'no event in time');
   avoidUpstream(world, run, now);
--- /dev/null
+++ b/src/service/jobs/test/common/earlierText.test.ts
@@ -0,0 +1,141 @@
+import test from 'ava';
+import { createFleetCore, type FleetCore } from '../../../../../standins/virtual/fleetCore.js';
+import {
+  testDeclarationCommand,
+  testEngine,
+  testItem,
+  testJob,
+} from '../../../../../standins/virtual/fleetFixture.js';
+import { ItemResult } from '../../common/jobCommands.js';
+import { itemIdOf, RunState, type RunRow } from '../../common/jobTables.js';
+
+const createCore = (): FleetCore => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  return core;
+};
+
+const runOf = (core: FleetCore, job: string, item: string): RunRow | undefined =>
+  core.world.runs.get(itemIdOf(job, item));
+
+/** A first job in which one item is whole and another has begun, ended by its trainer. */
+const leaveFirstJob = (core: FleetCore, version: number): void => {
+  core.propose('first', testJob('first', [testItem('whole'), testItem('begun')]));
+  core.propose('listed', {
+    kind: 'itemsListed',
+    job: 'first',
+    results: [
+      {
+        item: 'whole',
+        result: ItemResult.Completed,
+        text: 'x\ny',
+        versions: [version],
+        score: null,
+      },
+    ],
+  });
+  core.propose('saved', {
+    kind: 'textsSaved',
+    job: 'first',
+    saved: [{ item: 'begun', after: 0, events: 2, text: 'p\nq', versions: [version] }],
+  });
+  core.propose('end', { kind: 'jobEnded', job: 'first' });
+};
+
+const comeAgain = (core: FleetCore, minimumVersion: number): void =>
+  core.propose(
+    'second',
+    testJob('second', [testItem('whole'), testItem('begun'), testItem('new')], { minimumVersion }),
+  );
+
+test('an item that comes again goes on after what an earlier job left of its text', (t) => {
+  const core = createCore();
+  leaveFirstJob(core, 2);
+  comeAgain(core, 2);
+  t.like(runOf(core, 'second', 'begun'), {
+    events: 2,
+    text: 'p\nq',
+    versions: [2],
+    savedEvents: 0,
+  });
+  t.like(runOf(core, 'second', 'new'), { events: 0, text: '' });
+});
+
+test('a whole text of an earlier job is listed without another run', (t) => {
+  const core = createCore();
+  leaveFirstJob(core, 2);
+  comeAgain(core, 2);
+  const [result] = core.world.jobResults.where('job', 'second');
+  t.like(result, { item: 'whole', result: ItemResult.Completed, text: 'x\ny', versions: [2] });
+});
+
+test('texts of versions that the later job does not allow are not used', (t) => {
+  const core = createCore();
+  leaveFirstJob(core, 1);
+  comeAgain(core, 2);
+  t.like(runOf(core, 'second', 'begun'), { events: 0, text: '' });
+  t.like(runOf(core, 'second', 'whole'), { state: RunState.Waiting, text: '' });
+});
+
+test('an item of another workspace has no text to go on from', (t) => {
+  const core = createCore();
+  leaveFirstJob(core, 2);
+  core.propose('other', testJob('other', [testItem('begun')], { workspace: 'depot' }));
+  t.like(runOf(core, 'other', 'begun'), { events: 0, text: '' });
+});
+
+test('what goes on from an earlier job is kept whole for another leader', (t) => {
+  const core = createCore();
+  leaveFirstJob(core, 2);
+  comeAgain(core, 2);
+  core.world.arrivedRegistrations.append({
+    registration: testEngine('e1', { models: [{ name: 'm0', version: 2 }] }),
+    isDirect: false,
+  });
+  core.settle();
+  const { id } = runOf(core, 'second', 'begun')!;
+  core.runFor(1_300);
+  core.world.runFacts.append({
+    kind: 'progress',
+    item: id,
+    start: runOf(core, 'second', 'begun')!.start,
+    text: ['r'],
+    versions: [2],
+  });
+  core.settle();
+  t.deepEqual(core.world.jobItems.get(id)?.saved, { events: 3, text: 'p\nq\nr', versions: [2] });
+});
+
+test('the groups with the longest items beyond those that are waited for come last', (t) => {
+  const core = createCore();
+  const item = (name: string, group: string, expectedTokens: number) => ({
+    ...testItem(name, group),
+    expectedTokens,
+  });
+  core.propose('first', testJob('first', [item('again', 'g0', 900)], { groupCount: 1 }));
+  core.propose('end', { kind: 'jobEnded', job: 'first' });
+  core.propose(
+    'second',
+    testJob(
+      'second',
+      [
+        item('again', 'g0', 900),
+        item('a', 'g1', 500),
+        item('b', 'g1', 10),
+        item('c', 'g2', 300),
+        item('d', 'g3', 200),
+      ],
+      { groupCount: 3 },
+    ),
+  );
+  const spare = core.world.runs.where('job', 'second').filter(({ isSpare }) => isSpare);
+  t.deepEqual([...new Set(spare.map(({ group }) => group))], ['g1']);
+
+  core.world.arrivedRegistrations.append({
+    registration: testEngine('e1', { slots: 3 }),
+    isDirect: false,
+  });
+  core.settle();
+  const running = core.world.runs.where('state', RunState.Running).map(({ group }) => group);
+  t.deepEqual(running.sort(), ['g0', 'g2', 'g3']);
+});
--- /dev/null
+++ b/src/service/jobs/test/common/silence.test.ts
@@ -0,0 +1,76 @@
+import test from 'ava';
+import { createFleetCore, type FleetCore } from '../../../../../standins/virtual/fleetCore.js';
+import {
+  testDeclarationCommand,
+  testEngine,
+  testItem,
+  testJob,
+} from '../../../../../standins/virtual/fleetFixture.js';
+import { itemIdOf, RunState, type RunRow } from '../../common/jobTables.js';
+
+/** The pause between events that the users' sheets allow for a stream, several times over. */
+const silentMilliseconds = 1_000;
+const loadMilliseconds = 900;
+
+const runOf = (core: FleetCore): RunRow => core.world.runs.get(itemIdOf('j', 'a'))!;
+
+const report = (core: FleetCore, engine: string): void => {
+  core.world.arrivedRegistrations.append({
+    registration: testEngine(engine, { sequence: core.now() }),
+    isDirect: false,
+  });
+  core.settle();
+};
+
+/** One run that has made an event. */
+const createCore = (engines: readonly string[]): FleetCore => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  engines.forEach((engine) => report(core, engine));
+  core.propose('job', testJob('j', [testItem('a')]));
+  const { id, start } = runOf(core);
+  core.world.runFacts.append({ kind: 'progress', item: id, start, text: ['x'], versions: [1] });
+  core.settle();
+  return core;
+};
+
+test('a text goes on elsewhere once its engine has been silent for many pauses', (t) => {
+  const core = createCore(['e1', 'e2']);
+  const before = runOf(core);
+  core.runFor(silentMilliseconds);
+  t.not(runOf(core).upstream, before.upstream);
+  t.like(runOf(core), { events: 1, text: 'x', start: before.start + 1 });
+});
+
+test('a text waits for an engine that loads weights, for as long as a load may take', (t) => {
+  const core = createCore(['e1']);
+  const { start } = runOf(core);
+  core.propose('version', { kind: 'versionNamed', model: 'm0', version: 2 });
+  const [order] = [...core.world.weightOrders.rows()];
+  core.world.weightOrderFacts.append({
+    upstream: order!.id,
+    order: order!.order,
+    kind: 'accepted',
+  });
+  core.runFor(silentMilliseconds + loadMilliseconds);
+  t.like(runOf(core), { start, state: RunState.Running });
+  core.runFor(2_000);
+  t.is(runOf(core).state, RunState.Waiting);
+});
+
+test('an engine whose reports fail to come gets new items only where no other has a place', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  ['e1', 'e2'].forEach((engine) => report(core, engine));
+  core.runFor(2_500);
+  report(core, 'e2');
+  core.propose(
+    'job',
+    testJob(
+      'j',
+      ['a', 'b', 'c'].map((item) => testItem(item, item)),
+    ),
+  );
+  const engines = core.world.runs.where('job', 'j').map(({ upstream }) => String(upstream));
+  t.deepEqual(engines.sort(), ['e1', 'e2', 'e2']);
+});
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -22,6 +22,9 @@
 /** Reports come about every second and may be late by some; four missed ones end a row. */
 const silenceMilliseconds = 5_000;
 
+/** Since when an upstream has not reported that gets new work only where no other can do it. */
+const overdueMilliseconds = 2_200;
+
 /** Other daemons are told of a departure for this long: several heartbeats, as one may be lost. */
 const tellingMilliseconds = 3_000;
 
@@ -34,6 +37,10 @@
   draining: silenceMilliseconds,
 };
 
+/** Whether the reports of an upstream have failed to come: it may have ended without a word. */
+export const isOverdue = ({ reportDeadline }: RegistrationRow, now: Instant): boolean =>
+  reportDeadline - silenceMilliseconds + overdueMilliseconds < now;
+
 const hasLeft = (world: World, { upstream, startedAt }: Registration): boolean => {
   const departure = world.upstreamDepartures.get(asBrand<UpstreamId>(upstream));
   return departure !== undefined && startedAt <= departure.startedAt;
