Score texts in the order in which their items run

Own calls carry an urgency: priority of the route, spare or not, age of the job. Calls of callers go first as before. callerShare.test.ts has the order as a test, which fails without it. Ruled out: more places for scoring (the share left to callers is for callers' latency, and stays).

--- a/src/service/forwarding/common/callSystem.ts
+++ b/src/service/forwarding/common/callSystem.ts
@@ -45,6 +45,7 @@
   state: CallState.Waiting,
   arrivedAt: now,
   isOwn: arrived.isOwn,
+  urgency: arrived.urgency,
   isIdempotent: false,
   maximumAttempts: 1,
   attempts: 0,
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -13,6 +13,12 @@
 export type CallId = Brand<'call'>;
 export type SendId = Brand<'send'>;
 
+/**
+ * The order in which calls of the system itself get upstreams: numbers compared one after the other, lower ones
+ * first. Calls of callers have none and go before all of them.
+ */
+export type CallUrgency = readonly number[];
+
 /** A request as a port has decoded it. */
 export interface ArrivedCall {
   readonly id: CallId;
@@ -25,6 +31,7 @@
   readonly remaining: Milliseconds | null;
   /** Whether the system itself makes the call, for which no key is needed. */
   readonly isOwn: boolean;
+  readonly urgency: CallUrgency;
 }
 
 export const CallState = {
@@ -51,6 +58,7 @@
   readonly arrivedAt: Instant;
   /** Whether the system itself makes it, for which callers do not wait. */
   readonly isOwn: boolean;
+  readonly urgency: CallUrgency;
   readonly isIdempotent: boolean;
   readonly maximumAttempts: number;
   /** Sends that may have run. */
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -95,9 +95,18 @@
   if (upstream !== undefined) send(world, call, upstream, now);
 };
 
+const compareUrgency = ({ urgency: first }: CallRow, { urgency: second }: CallRow): number => {
+  const position = first.findIndex((value, index) => value !== second[index]);
+  if (position < 0) return first.length - second.length;
+  return first[position]! - (second[position] ?? Number.NEGATIVE_INFINITY);
+};
+
+/** Offers waiting calls: those of callers as they came, then own ones by their urgency. */
 const offerAll = (world: World, now: Instant): void =>
   [...world.calls.values('waiting')].forEach((service) =>
-    world.calls.where('waiting', service).forEach((call) => offer(world, call, now)),
+    [...world.calls.where('waiting', service)]
+      .sort(compareUrgency)
+      .forEach((call) => offer(world, call, now)),
   );
 
 const avoid = (world: World, { upstream }: SendRow, now: Instant): void => {
--- a/src/service/forwarding/test/common/callerShare.test.ts
+++ b/src/service/forwarding/test/common/callerShare.test.ts
@@ -9,7 +9,12 @@
 
 const slots = 6;
 
-const arrive = (core: FleetCore, id: string, isOwn: boolean): void => {
+const arrive = (
+  core: FleetCore,
+  id: string,
+  isOwn: boolean,
+  urgency: readonly number[] = [],
+): void => {
   core.world.arrivedCalls.append({
     id: asBrand<CallId>(id),
     requestId: id,
@@ -18,6 +23,7 @@
     key: null,
     remaining: 2_000,
     isOwn,
+    urgency,
   });
   core.settle();
 };
@@ -62,3 +68,26 @@
   core.settle();
   t.is(stateOf(core, 'own-2'), CallState.Running);
 });
+
+test('a slot goes to a call that somebody waits for, then to the most urgent call of the system', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({
+    registration: testEngine('e1', { service: 'yard-app', slots: 1, models: [] }),
+    isDirect: false,
+  });
+  core.settle();
+  arrive(core, 'running', true, [0, 0, 1]);
+  arrive(core, 'late', true, [1, 0, 1]);
+  arrive(core, 'spare', true, [0, 1, 1]);
+  arrive(core, 'urgent', true, [0, 0, 2]);
+  arrive(core, 'caller', false);
+
+  const order = ['running', 'caller', 'urgent', 'spare', 'late'];
+  order.forEach((id) => {
+    t.is(stateOf(core, id), CallState.Running, id);
+    const [send] = core.world.sends.where('call', id);
+    core.world.sendFacts.append({ kind: 'answered', send: send!.id, status: 200 });
+    core.settle();
+  });
+});
--- a/src/service/jobs/common/scoring.ts
+++ b/src/service/jobs/common/scoring.ts
@@ -5,7 +5,11 @@
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
-import { CallState, type CallId } from '../../forwarding/common/forwardingTables.js';
+import {
+  CallState,
+  type CallId,
+  type CallUrgency,
+} from '../../forwarding/common/forwardingTables.js';
 import type { World } from '../../world/common/world.js';
 import { ItemResult, type Scorer } from './jobCommands.js';
 import { RunState, type RunRow, type ScoreFact } from './jobTables.js';
@@ -17,6 +21,13 @@
 /** Before a scoring request that no upstream answered is made again. */
 const rescoreMilliseconds = 150;
 
+/** Texts are scored in the order in which runs get engines, as a short plain service may be the bound. */
+const urgencyOf = (world: World, run: RunRow): CallUrgency => {
+  const job = world.jobs.get(run.job);
+  const route = job === undefined ? undefined : findRoute(world, job.host, job.path);
+  return [route?.priority ?? 0, Number(run.isSpare), job?.submittedAt ?? 0];
+};
+
 const callScorer = (world: World, run: RunRow, scorer: Scorer): void => {
   const id = world.identifiers.next<CallId>('call');
   world.runs.change(run.id, { state: RunState.Scoring, upstream: null, call: id });
@@ -28,6 +39,7 @@
     key: null,
     remaining: null,
     isOwn: true,
+    urgency: urgencyOf(world, run),
   });
 };
 
