Take the control daemons of settings that have changed

Cause: a hang-up signal said in the log that settings had changed and changed nothing; a daemon whose first three control daemons are all replaced would find no other.

--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -119,6 +119,10 @@
 export const createDaemonSystem = (world: World): System => ({
   name: 'daemon',
   run: (now) => {
+    world.namedDaemons
+      .takeAll()
+      .filter(({ name }) => !world.daemons.has(asBrand(name)))
+      .forEach((member) => insertMember(world, member, now));
     world.daemons.takeDue('suspicion', now).forEach((daemon) => suspect(world, daemon));
     world.daemons.takeDue('heartbeat', now).forEach((daemon) => sendHeartbeat(world, daemon, now));
   },
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -8,6 +8,7 @@
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import type { WorkClass } from '../../configuration/common/tree.js';
 import { UpstreamState, type Announcement } from '../../protocol/common/upstreamProtocol.js';
+import type { Member } from './membershipMessages.js';
 import { poolOf } from '../../traffic/common/flowTables.js';
 import type { DaemonId, ServiceName, UpstreamId } from '../../world/common/identifiers.js';
 
@@ -130,6 +131,8 @@
       bulk: (row) => (hasFreeBulkSlot(row) ? poolsOfUpstream(row) : undefined),
     },
   }),
+  /** Daemons that the settings name, where these have changed since the start. */
+  namedDaemons: createRowQueue<Member>('namedDaemons', RowReader.System),
   arrivedAnnouncements: createRowQueue<ArrivedAnnouncement>(
     'arrivedAnnouncements',
     RowReader.System,
