Explain requests, items and jobs from the log lines of all processes

explain read event files of installations with a tree alone; the log lines that every process writes could only be searched by hand. It now takes log files, also compressed and in any order, and leads from an identifier of a request, item, job, upstream, declaration or window to how it ended, where its time went, and what processes came to believe in that time. Tests: explainLogs.test.ts.

--- a/src/command/explain/node/explainCommand.ts
+++ b/src/command/explain/node/explainCommand.ts
@@ -1,26 +1,62 @@
 /**
- * `shallotquay explain ID FOLDER`: tells from the event files why a request was refused or failed.
+ * `shallotquay explain ID PATH...`: tells from event files, or from the log files of all processes, what
+ * became of a request, an item, a job, an upstream, a declaration or a window.
  */
+import { statSync } from 'node:fs';
+import { Result } from 'neverthrow';
+import { readLogFile } from '../../../infrastructure/log/node/logFile.js';
+import {
+  mergeTimelines,
+  type TimelineEvent,
+} from '../../../infrastructure/timeline/common/timelineEvent.js';
+import { explainLog } from '../../../service/timeline/common/explainLog.js';
 import { explainRequest } from '../../../service/timeline/common/explainRequest.js';
 import { ExitCode } from '../../main/common/exitCode.js';
 import type { RegisterSubcommand, SubcommandContext } from '../../main/node/subcommand.js';
 import { readMergedTimeline } from '../../timeline/node/timelineCommand.js';
 
 const exampleText = `
-Example:
-  shallotquay explain request-gp-north-1.1-7 data/kestrelkloof/events`;
+A folder holds the event files of an installation with a settings tree; every
+other path is a log file, also one compressed by gzip, in any order.
+
+Examples:
+  shallotquay explain request-gp-north-1.1-7 data/kestrelkloof/events
+  shallotquay explain e88e75ad17764416 store-1.log store-2.log front-1.log.gz`;
+
+type Explain = (events: readonly TimelineEvent[], id: string) => readonly string[] | undefined;
+
+interface Source {
+  readonly events: readonly TimelineEvent[];
+  readonly explain: Explain;
+}
+
+const isFolder = (path: string): boolean =>
+  Result.fromThrowable(() => statSync(path).isDirectory())().unwrapOr(false);
+
+const readLogs = (paths: readonly string[]): Result<Source, { readonly message: string }> =>
+  Result.combine(paths.map(readLogFile)).map((files) => ({
+    events: mergeTimelines(files.map(({ events }) => events)),
+    explain: explainLog,
+  }));
+
+const readSource = (paths: readonly string[]): Result<Source, { readonly message: string }> => {
+  const [first] = paths;
+  if (paths.length > 1 || first === undefined || !isFolder(first)) return readLogs(paths);
+  return readMergedTimeline(first).map((events) => ({ events, explain: explainRequest }));
+};
 
 const fail = (message: string, context: SubcommandContext): void => {
   context.writeError(`${message}\n`);
   context.setExitCode(ExitCode.InvalidInput);
 };
 
-const explain = (request: string, folder: string, context: SubcommandContext): void =>
-  readMergedTimeline(folder).match(
-    (events) => {
-      const lines = explainRequest(events, request);
+const explain = (id: string, paths: readonly string[], context: SubcommandContext): void =>
+  readSource(paths).match(
+    (source) => {
+      const lines = source.explain(source.events, id);
       if (lines === undefined) {
-        fail(`No event in ${folder} names ${request}; check the identifier and folder.`, context);
+        const places = paths.join(', ');
+        fail(`No line in ${places} names ${id}; check the identifier and the paths.`, context);
       } else context.writeOutput(`${lines.join('\n')}\n`);
     },
     (error) => fail(error.message, context),
@@ -30,9 +66,11 @@
 export const registerExplainCommand: RegisterSubcommand = (program, context) => {
   program
     .command('explain')
-    .description('tell why a request was refused, failed or answered as it was')
-    .argument('<id>', 'identifier of the request')
-    .argument('<folder>', 'folder of the event files, as in the setting eventFolder')
+    .description(
+      'tell what became of a request, an item, a job, an upstream, a declaration, a window',
+    )
+    .argument('<id>', 'identifier of what is to be explained; an item is JOB/ITEM')
+    .argument('<paths...>', 'folder of event files, or log files of processes')
     .addHelpText('after', exampleText)
-    .action((request: string, folder: string) => explain(request, folder, context));
+    .action((id: string, paths: readonly string[]) => explain(id, paths, context));
 };
--- /dev/null
+++ b/src/command/explain/test/node/explainLogs.test.ts
@@ -0,0 +1,117 @@
+/** The command explain over log files of several processes. */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Readable } from 'node:stream';
+import { gzipSync } from 'node:zlib';
+import test, { type ExecutionContext } from 'ava';
+import { ExitCode } from '../../../main/common/exitCode.js';
+import { runProgram } from '../../../main/node/program.js';
+
+const run = async (argv: readonly string[]) => {
+  const written = { output: '', error: '' };
+  const exitCode = await runProgram(argv, {
+    standardInput: Readable.from([]),
+    writeOutput: (text) => {
+      written.output += text;
+    },
+    writeError: (text) => {
+      written.error += text;
+    },
+  });
+  return { exitCode, ...written };
+};
+
+const lineOf = (time: number, hostname: string, event: string, subject: object): string =>
+  JSON.stringify({ level: 30, time, pid: 7, hostname, name: 'shallotquay', event, ...subject });
+
+const request = { request: 'r1', service: 'app' };
+const frontLines = [
+  lineOf(5_000, 'front-1', 'callAdmitted', { ...request, remainingMilliseconds: 900 }),
+  lineOf(5_200, 'front-1', 'callRefused', {
+    ...request,
+    refusal: 'noUpstream',
+    tookMilliseconds: 200,
+  }),
+  lineOf(4_500, 'front-1', 'registrationChanged', {
+    upstream: 'w1',
+    state: 'gone',
+    service: 'app',
+  }),
+  lineOf(4_400, 'front-1', 'registrationChanged', {
+    upstream: 'x1',
+    state: 'gone',
+    service: 'other',
+  }),
+  'a line of another program',
+];
+
+const storeLines = [
+  lineOf(1_000, 'store-1', 'jobAccepted', { job: 'j', items: 2, minimumVersion: 1 }),
+  lineOf(1_500, 'store-1', 'runStarted', { item: 'j/a', upstream: 'e1', afterEvent: 0 }),
+  lineOf(2_500, 'store-1', 'runSilent', {
+    item: 'j/a',
+    upstream: 'e1',
+    reason: 'no event in time',
+  }),
+  lineOf(2_600, 'store-2', 'runStarted', { item: 'j/a', upstream: 'e2', afterEvent: 9 }),
+  lineOf(5_600, 'store-2', 'scoringStarted', { item: 'j/a', request: 'score-a' }),
+  lineOf(6_000, 'store-2', 'itemListed', { item: 'j/a', result: 'dead', cause: 'scoringFailed' }),
+  lineOf(7_000, 'store-2', 'jobEnded', { job: 'j' }),
+];
+
+/** The lines of one file stand out of order, those of the other are compressed, with text before them. */
+const createLogs = async (t: ExecutionContext): Promise<readonly string[]> => {
+  const folder = await mkdtemp(join(tmpdir(), 'logs-'));
+  t.teardown(() => rm(folder, { recursive: true }));
+  const [front, store] = [join(folder, 'front.log'), join(folder, 'store.log.gz')];
+  await writeFile(front, frontLines.join('\n'));
+  const collected = storeLines.map((line) => `   3.21 collector ${line}\n`).join('');
+  await writeFile(store, gzipSync(collected));
+  return [front, store];
+};
+
+test('explain leads from a refused request to the upstream that left before it', async (t) => {
+  const { exitCode, output } = await run(['explain', 'r1', ...(await createLogs(t))]);
+  t.is(exitCode, ExitCode.Success);
+  t.regex(output, /r1 is a request\.\nIt was refused on front-1 after 200 ms: noUpstream/);
+  t.regex(output, /No upstream was asked\./);
+  const context = output.slice(0, output.indexOf('Its lines:'));
+  t.regex(context, /registrationChanged.*w1/);
+  t.notRegex(context, /x1/, 'an upstream of another service is no cause');
+});
+
+test('explain tells where the time of an item went and why it is dead', async (t) => {
+  const { output } = await run(['explain', 'j/a', ...(await createLogs(t))]);
+  t.regex(output, /listed as dead: its scoring request failed as often/);
+  t.regex(
+    output,
+    /Its time: 4\.00 s on an engine, 0\.60 s waiting for a place, 0\.40 s being scored/,
+  );
+  t.regex(output, /The lead changed while it ran: store-1, store-2\./);
+  t.regex(output, /runSilent at e1: no event in time\./);
+});
+
+test('explain tells of a job which of its items came last', async (t) => {
+  const { output } = await run(['explain', 'j', ...(await createLogs(t))]);
+  t.regex(output, /j is a job\.\nIt has 2 items; the lines of 1 that were listed are here\./);
+  t.regex(output, /It was ended after 6\.00 s\./);
+  t.regex(output, /j\/a after 5\.00 s/);
+});
+
+test('explain shows the lines of an upstream', async (t) => {
+  const { output } = await run(['explain', 'e2', ...(await createLogs(t))]);
+  t.regex(output, /e2 is an upstream\.\nIts lines:\n.*runStarted/);
+});
+
+test('explain refuses an identifier that no line names and a file that is no log', async (t) => {
+  const [front, store] = (await createLogs(t)) as [string, string];
+  const unknown = await run(['explain', 'r2', front, store]);
+  t.is(unknown.exitCode, ExitCode.InvalidInput);
+  t.regex(unknown.error, /names r2; check the identifier and the paths/);
+  const damaged = `${store}-cut.gz`;
+  await writeFile(damaged, 'not compressed');
+  const unreadable = await run(['explain', 'r1', damaged]);
+  t.is(unreadable.exitCode, ExitCode.InvalidInput);
+  t.regex(unreadable.error, /check the path, its permissions and that it is whole/);
+});
--- a/src/service/events/common/eventBudget.ts
+++ b/src/service/events/common/eventBudget.ts
@@ -35,6 +35,7 @@
   EventKind.RunBroken,
   EventKind.RunMoved,
   EventKind.RunSilent,
+  EventKind.ScoringStarted,
   EventKind.ItemListed,
 ]);
 
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -58,6 +58,8 @@
   SendEnded: 'sendEnded',
   JobAccepted: 'jobAccepted',
   JobEnded: 'jobEnded',
+  /** A text is whole, and its scoring request goes out. */
+  ScoringStarted: 'scoringStarted',
   ItemListed: 'itemListed',
   RunStarted: 'runStarted',
   RunNotTaken: 'runNotTaken',
--- a/src/service/jobs/common/listItems.ts
+++ b/src/service/jobs/common/listItems.ts
@@ -1,6 +1,7 @@
 /**
  * Proposes results to the log. Results of one tick and one job go together.
  */
+import type { ValueOf } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
@@ -11,7 +12,23 @@
 /** A leader that can't have a result agreed within this time has lost its lease long before. */
 const proposalMilliseconds = 10_000;
 
-type Ending = Pick<ListedItem, 'result' | 'score'>;
+/** Why an item is listed as dead. */
+export const DeathCause = {
+  /** Engines failed it as often as its route allows. */
+  EnginesFailed: 'enginesFailed',
+  /** An engine said that it can never be done. */
+  Impossible: 'impossible',
+  /** Its scoring request failed as often as its route allows. */
+  ScoringFailed: 'scoringFailed',
+  /** Its time was over. */
+  TimeOver: 'timeOver',
+} as const;
+export type DeathCause = ValueOf<typeof DeathCause>;
+
+/** How an item ends: with its score, or dead for a reason. */
+type Ending =
+  | { readonly result: typeof ItemResult.Completed; readonly score: string | null }
+  | { readonly result: typeof ItemResult.Dead; readonly cause: DeathCause };
 
 /** Cancels the scoring request of a run, so that it is not sent again. */
 export const cancelScoring = (world: World, { call }: RunRow): void => {
@@ -19,12 +36,13 @@
 };
 
 /** Queues the result of a run for the next proposal. */
-export const listItem = (world: World, run: RunRow, { result, score }: Ending): void => {
+export const listItem = (world: World, run: RunRow, ending: Ending): void => {
+  const { result } = ending;
+  const isComplete = result === ItemResult.Completed;
   const item = world.jobItems.get(run.id);
   cancelScoring(world, run);
   world.runs.change(run.id, { state: RunState.Proposed, upstream: null, call: null });
   if (item === undefined) return;
-  const isComplete = result === ItemResult.Completed;
   world.itemResults.append({
     job: run.job,
     listed: {
@@ -32,12 +50,19 @@
       result,
       text: isComplete ? run.text : '',
       versions: isComplete ? [...run.versions] : [],
-      score,
+      score: isComplete ? ending.score : null,
     },
   });
   world.events.append({
     kind: EventKind.ItemListed,
-    subject: { item: run.id, result, versions: run.versions.join(','), failures: run.failures },
+    subject: {
+      item: run.id,
+      result,
+      cause: isComplete ? 'none' : ending.cause,
+      versions: run.versions.join(','),
+      failures: run.failures,
+      scoreFailures: run.scoreFailures,
+    },
   });
 };
 
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -24,7 +24,7 @@
 import { allowsVersions } from './allowedVersions.js';
 import { findBeginning, findWholeText } from './earlierText.js';
 import { notePace } from './enginePace.js';
-import { cancelScoring, listItem } from './listItems.js';
+import { cancelScoring, DeathCause, listItem } from './listItems.js';
 import { saveText } from './saveTexts.js';
 import { avoidUpstream, recordRun, stopRunning } from './runChanges.js';
 import { beginScoring } from './scoring.js';
@@ -154,8 +154,8 @@
 
 type Context = [World, RunRow, JobRow, Instant];
 
-const giveUp = (world: World, run: RunRow): void =>
-  listItem(world, run, { result: ItemResult.Dead, score: null });
+const giveUp = (world: World, run: RunRow, cause: DeathCause): void =>
+  listItem(world, run, { result: ItemResult.Dead, cause });
 
 const handlers: HandlerTable<RunFact, void, Context> = {
   progress: (fact, world, run, job, now) => {
@@ -192,10 +192,10 @@
   failed: (_, world, run, job, now) => {
     const failures = run.failures + 1;
     recordRun(world, EventKind.RunFailed, run, `failure ${failures}`);
-    if (failures >= maximumFailuresOf(world, job)) giveUp(world, run);
+    if (failures >= maximumFailuresOf(world, job)) giveUp(world, run, DeathCause.EnginesFailed);
     else stopRunning(world, run, { failures, ...fromTheStart }, now);
   },
-  impossible: (_, world, run) => giveUp(world, run),
+  impossible: (_, world, run) => giveUp(world, run, DeathCause.Impossible),
 };
 
 const takeFact = (world: World, fact: RunFact, now: Instant): void => {
@@ -260,7 +260,7 @@
         .forEach((job) => seeToJob(world, job, now));
     }
     ledTerm = term;
-    world.runs.takeDue('life', now).forEach((run) => giveUp(world, run));
+    world.runs.takeDue('life', now).forEach((run) => giveUp(world, run, DeathCause.TimeOver));
     world.runs.takeDue('progress', now).forEach((run) => leaveSilent(world, run, now));
   };
 
--- a/src/service/jobs/common/scoring.ts
+++ b/src/service/jobs/common/scoring.ts
@@ -5,6 +5,7 @@
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
+import { EventKind } from '../../events/common/eventKind.js';
 import {
   CallState,
   type CallId,
@@ -13,7 +14,7 @@
 import type { World } from '../../world/common/world.js';
 import { ItemResult, type Scorer } from './jobCommands.js';
 import { RunState, type RunRow, type ScoreFact } from './jobTables.js';
-import { listItem } from './listItems.js';
+import { DeathCause, listItem } from './listItems.js';
 
 const lowestSuccess = 200;
 const lowestRedirect = 300;
@@ -31,6 +32,10 @@
 const callScorer = (world: World, run: RunRow, scorer: Scorer): void => {
   const id = world.identifiers.next<CallId>('call');
   world.runs.change(run.id, { state: RunState.Scoring, upstream: null, call: id });
+  world.events.append({
+    kind: EventKind.ScoringStarted,
+    subject: { item: run.id, request: scorer.requestId, scoreFailures: run.scoreFailures },
+  });
   world.arrivedCalls.append({
     id,
     requestId: scorer.requestId,
@@ -68,7 +73,7 @@
     rescoreDeadline: deadlineAfter(now, rescoreMilliseconds),
   })!;
   if (scoreFailures < maximumScoreFailures(world, run)) return;
-  listItem(world, changed, { result: ItemResult.Dead, score: null });
+  listItem(world, changed, { result: ItemResult.Dead, cause: DeathCause.ScoringFailed });
 };
 
 const takeScore = (world: World, fact: ScoreFact, now: Instant): void => {
