--- a/src/service/consensus/test/common/endedLeadership.test.ts
+++ b/src/service/consensus/test/common/endedLeadership.test.ts
@@ -16,8 +16,11 @@
 import {
   electionAfterEndMilliseconds,
   electionMinimumMilliseconds,
+  leaseMilliseconds,
+  orderWaitMilliseconds,
 } from '../../common/consensusTiming.js';
 import { hearOfEndedTerm } from '../../common/endedLeadership.js';
+import { mayActAsLeader } from '../../common/lease.js';
 import { replicaOf } from '../../common/replicaLog.js';
 import { isCurrentLeader } from '../../common/replicaTables.js';
 
@@ -29,7 +32,7 @@
 const restartMilliseconds = 100;
 const roundsMilliseconds = 250;
 
-const create = (seed: number): VirtualInstallation => {
+const create = (seed: number, latency = latencyMilliseconds): VirtualInstallation => {
   const deployment = createTestDeployment(3, 3);
   const installation = createVirtualInstallation({
     deployment: {
@@ -42,7 +45,7 @@
     profile: Profile.Declaration,
     fleet: { ...noFleet, voterCount: 3 },
     voters: (_, incarnation) => (incarnation === 1 ? voters : []),
-    latency: () => latencyMilliseconds,
+    latency: () => latency,
   });
   installation.runFor(settleMilliseconds);
   return installation;
@@ -132,3 +135,30 @@
   t.is(replicaOf(worldOf(installation, leader)).endedTerm, 0);
   t.true(timeToLeader(installation) > electionAfterEndMilliseconds + roundsMilliseconds);
 });
+
+test('a new leader gives no order until the lease and the orders of the one before have run out', (t) => {
+  const installation = create(10);
+  const leader = leaderOf(installation)!;
+  installation.stop(leader);
+  installation.runFor(restartMilliseconds);
+  installation.start(leader);
+  timeToLeader(installation);
+  const world = worldOf(installation, leaderOf(installation)!);
+  const elected = installation.events().findLast(({ kind }) => kind === 'leadershipTaken')!;
+  installation.runFor(elected.at + orderWaitMilliseconds - installation.now() - stepMilliseconds);
+  t.false(mayActAsLeader(world, installation.now()));
+  installation.runFor(2 * stepMilliseconds);
+  t.true(mayActAsLeader(world, installation.now()));
+});
+
+test('a lease is counted from the sending of the renewal, not from its answer', (t) => {
+  const slowMilliseconds = 200;
+  const installation = create(11, slowMilliseconds);
+  const longest = leaseMilliseconds - 2 * slowMilliseconds;
+  const world = worldOf(installation, leaderOf(installation)!);
+  for (let step = 0; step < 100; step += 1) {
+    installation.runFor(stepMilliseconds);
+    const left = replicaOf(world).leaseDeadline - installation.now();
+    t.true(left <= longest, `${left} of ${longest}`);
+  }
+});
