Let entries tell consumers where to connect

Front daemons had no late call in their logs.

Control daemons name the usable entries to each entry, at most 64, the nearest first; entries serve the directory too. Ruled out: a longer life of answers (a graceful stop must outlast three of them).

--- a/src/service/advice/common/adviseEntries.ts
+++ b/src/service/advice/common/adviseEntries.ts
@@ -1,8 +1,14 @@
 /**
  * Which entries a caller should use: those that live and know the settings in force. Entries of the
- * caller's zone, or else of its region, go alone while there are at least two of them.
+ * caller's zone, or else of its region, go alone while there are at least two of them. Control daemons know
+ * all entries; an entry advises those that a control daemon has named to it lately.
  */
-import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
+import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import {
+  DaemonState,
+  type AdvisedEntryRow,
+  type DaemonRow,
+} from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
 
 /** Where a caller is. */
@@ -17,9 +23,16 @@
 const isUsable = (row: DaemonRow): boolean =>
   row.isEntry && row.state === DaemonState.Alive && row.isFresh;
 
+/** The entries that callers may use, as a control daemon knows them. */
+export const usableEntries = (world: World): DaemonRow[] =>
+  [...world.daemons.rows()].filter(isUsable);
+
+const knownEntries = (world: World): readonly (DaemonRow | AdvisedEntryRow)[] =>
+  world.self.roles.includes(Role.Control) ? usableEntries(world) : [...world.advisedEntries.rows()];
+
 /** The addresses for a caller at this place. */
 export const adviseEntries = (world: World, { zone, region }: Place): string[] => {
-  const usable = [...world.daemons.rows()].filter(isUsable);
+  const usable = knownEntries(world);
   const circles = [
     usable.filter((row) => row.zone === zone),
     usable.filter((row) => row.region === region),
--- /dev/null
+++ b/src/service/advice/common/advisedEntries.ts
@@ -0,0 +1,40 @@
+/**
+ * Entries that control daemons name to entries, so that callers may ask any of them where to connect.
+ */
+import { asBrand } from '../../../base/common/brand.js';
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import type { AdvisedEntry } from '../../membership/common/membershipMessages.js';
+import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import type { World } from '../../world/common/world.js';
+import { usableEntries } from './adviseEntries.js';
+
+/** The most entries in one message: as many as an answer to a caller may hold. */
+const maximumEntries = 64;
+
+const distance = (from: DaemonRow, to: DaemonRow): number => {
+  if (from.zone === to.zone) return 0;
+  return from.region === to.region ? 1 : 2;
+};
+
+/** The entries that a control daemon names to another daemon, the nearest first. */
+export const entriesFor = (world: World, receiver: DaemonRow): AdvisedEntry[] =>
+  usableEntries(world)
+    .sort((first, second) => distance(receiver, first) - distance(receiver, second))
+    .slice(0, maximumEntries)
+    .map(({ id: name, zone, region, callerAddress }) => ({ name, zone, region, callerAddress }));
+
+/** Takes the entries that a control daemon names; the last list holds until the sender would be suspected. */
+export const hearOfEntries = (
+  world: World,
+  entries: readonly AdvisedEntry[],
+  now: Instant,
+): void => {
+  const names = new Set<string>(entries.map(({ name }) => name));
+  [...world.advisedEntries.rows()]
+    .filter(({ id }) => !names.has(id))
+    .forEach(({ id }) => world.advisedEntries.remove(id));
+  const retentionDeadline = deadlineAfter(now, world.deployment.timing.suspicionMilliseconds);
+  entries.forEach(({ name, ...place }) =>
+    world.advisedEntries.put({ ...place, id: asBrand(name), retentionDeadline }),
+  );
+};
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -5,6 +5,7 @@
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import { Discovery, Role } from '../../../infrastructure/settings/common/deployment.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
+import { entriesFor } from '../../advice/common/advisedEntries.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { isFresh } from '../../configuration/common/keyInForce.js';
 import { servedId } from '../../configuration/common/servedTables.js';
@@ -63,11 +64,11 @@
 
 type Introduction = Pick<
   Extract<MembershipMessage, { kind: 'heartbeat' }>,
-  'member' | 'controlDaemons' | 'voters' | 'departures' | 'endedTerm'
+  'member' | 'controlDaemons' | 'voters' | 'departures' | 'endedTerm' | 'entries'
 >;
 
 /** What a heartbeat says of this daemon and of control daemons, where daemons announce themselves. */
-const introduce = (world: World, now: Instant): Introduction => {
+const introduce = (world: World, receiver: DaemonRow, now: Instant): Introduction => {
   if (world.deployment.discovery === Discovery.Listed) return {};
   const rows = [...world.daemons.rows()];
   const member = memberOf(rows.find((row) => row.isSelf)!);
@@ -75,16 +76,12 @@
   const known = rows.filter((row) => row.isControl && row.state === DaemonState.Alive);
   const controlDaemons = known.map(memberOf);
   const departures = recentDepartures(world, now);
-  if (!world.members.has(asBrand(world.self.name))) return { member, controlDaemons, departures };
+  const entries = receiver.isEntry ? { entries: entriesFor(world, receiver) } : {};
+  const told = { member, controlDaemons, departures, ...entries };
+  if (!world.members.has(asBrand(world.self.name))) return told;
   const names = [...world.members.rows()].map(({ id }) => id);
   const { votersIndex, endedTerm } = replicaOf(world);
-  return {
-    member,
-    controlDaemons,
-    departures,
-    voters: { index: votersIndex, names },
-    endedTerm,
-  };
+  return { ...told, voters: { index: votersIndex, names }, endedTerm };
 };
 
 const ownLoad = (world: World): number =>
@@ -105,7 +102,7 @@
       leaving: world.isLeaving(),
       revision: world.served.get(servedId)!.revision,
       isFresh: isFresh(world, now),
-      ...introduce(world, now),
+      ...introduce(world, daemon, now),
     },
   });
 };
@@ -123,6 +120,9 @@
       .takeAll()
       .filter(({ name }) => !world.daemons.has(asBrand(name)))
       .forEach((member) => insertMember(world, member, now));
+    world.advisedEntries
+      .takeDue('retention', now)
+      .forEach(({ id }) => world.advisedEntries.remove(id));
     world.daemons.takeDue('suspicion', now).forEach((daemon) => suspect(world, daemon));
     world.daemons.takeDue('heartbeat', now).forEach((daemon) => sendHeartbeat(world, daemon, now));
   },
--- a/src/service/membership/common/membershipHandlers.ts
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -5,6 +5,7 @@
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
+import { hearOfEntries } from '../../advice/common/advisedEntries.js';
 import { hearOfEndedTerm } from '../../consensus/common/endedLeadership.js';
 import { hearOfVoters } from '../../consensus/common/voters.js';
 import { EventKind } from '../../events/common/eventKind.js';
@@ -38,6 +39,7 @@
       .forEach((member) => insertMember(world, member, now));
     if (message.incarnation < daemon.incarnation) return;
     hearOfDepartures(world, message.departures ?? [], now);
+    if (message.entries !== undefined) hearOfEntries(world, message.entries, now);
     if (message.voters !== undefined) hearOfVoters(world, message.voters, now);
     if (message.endedTerm !== undefined) hearOfEndedTerm(world, daemon, message.endedTerm, now);
     const state = message.leaving ? DaemonState.Leaving : DaemonState.Alive;
--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -19,6 +19,15 @@
 });
 export type Member = z.infer<typeof memberSchema>;
 
+/** An entry that callers may use. */
+export const advisedEntrySchema = z.object({
+  name: z.string().min(1),
+  zone: z.string(),
+  region: z.string(),
+  callerAddress: z.string(),
+});
+export type AdvisedEntry = z.infer<typeof advisedEntrySchema>;
+
 export const heartbeatSchema = z.object({
   kind: z.literal('heartbeat'),
   incarnation: z.number().int().nonnegative(),
@@ -37,6 +46,8 @@
   endedTerm: z.number().optional(),
   /** Upstreams that have left lately, as a control daemon was told. */
   departures: z.array(departureSchema).optional(),
+  /** Entries near the receiver that callers may use, from a control daemon to an entry. */
+  entries: z.array(advisedEntrySchema).optional(),
   /** Control daemons that the sender knows, for receivers that do not. */
   controlDaemons: z.array(memberSchema).optional(),
 });
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -8,7 +8,7 @@
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import type { WorkClass } from '../../configuration/common/tree.js';
 import { UpstreamState, type Announcement } from '../../protocol/common/upstreamProtocol.js';
-import type { Member } from './membershipMessages.js';
+import type { AdvisedEntry, Member } from './membershipMessages.js';
 import { poolOf } from '../../traffic/common/flowTables.js';
 import type { DaemonId, ServiceName, UpstreamId } from '../../world/common/identifiers.js';
 
@@ -102,6 +102,13 @@
   ...[...row.models, ...row.adapters].map((model) => poolOf(row.service, model)),
 ];
 
+/** An entry that callers may use, as a control daemon told this entry, which advises callers too. */
+export interface AdvisedEntryRow extends Omit<AdvisedEntry, 'name'> {
+  readonly id: DaemonId;
+  /** Until when it is advised unless it is named again. */
+  readonly retentionDeadline: Instant;
+}
+
 /** An announcement as a port has decoded it, with the instant at which it came. */
 export interface ArrivedAnnouncement {
   readonly announcement: Announcement;
@@ -131,6 +138,11 @@
       bulk: (row) => (hasFreeBulkSlot(row) ? poolsOfUpstream(row) : undefined),
     },
   }),
+  advisedEntries: createTable<AdvisedEntryRow, never, 'retention'>({
+    name: 'advisedEntries',
+    indices: {},
+    deadlines: { retention: (row) => row.retentionDeadline },
+  }),
   /** Daemons that the settings name, where these have changed since the start. */
   namedDaemons: createRowQueue<Member>('namedDaemons', RowReader.System),
   arrivedAnnouncements: createRowQueue<ArrivedAnnouncement>(
