--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -4,7 +4,7 @@
  * leader whose lease holds, refuse both, so that leases rest on a quorum that keeps to them.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import type { HandlerTable, Member, ValueOf } from '../../../base/common/handlers.js';
+import type { HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
@@ -12,7 +12,7 @@
 import type { World } from '../../world/common/world.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import { electionMinimumMilliseconds, orderWaitMilliseconds } from './consensusTiming.js';
-import { join, mayVoteFor, votesNeeded } from './joining.js';
+import { join, votesNeeded } from './joining.js';
 import {
   appendEntry,
   changeReplica,
@@ -24,6 +24,7 @@
   withoutLeadership,
 } from './replicaLog.js';
 import { ReplicaState, type MemberRow } from './replicaTables.js';
+import { findRefusal, keepsToLeader, recordVote } from './votes.js';
 
 /** The other voters. */
 export const otherMembers = (world: World): MemberRow[] =>
@@ -176,61 +177,6 @@
     onElectionDeadline[state](world, now);
   });
 
-type VoteRequest = Member<ConsensusMessage, 'voteRequested'>;
-
-/** Why a vote was refused. */
-export const VoteRefusal = {
-  /** It has heard of a leader, or holds a lease itself, so recently that the lease may still hold. */
-  KeepsToLeader: 'keepsToLeader',
-  /** One of the two has lost its disk and not caught up; see the module `joining`. */
-  NotJoined: 'notJoined',
-  LogBehind: 'logBehind',
-  TermPassed: 'termPassed',
-  VotedForAnother: 'votedForAnother',
-} as const;
-export type VoteRefusal = ValueOf<typeof VoteRefusal>;
-
-const keepsToLeader = (world: World, now: Instant): boolean => {
-  const { state, voteRefusalDeadline, leaseDeadline } = replicaOf(world);
-  const holdsLease = state === ReplicaState.Leader && now < leaseDeadline;
-  return holdsLease || now < voteRefusalDeadline;
-};
-
-/** Whether the log of the sender holds what its own holds. */
-const isLogBehind = (world: World, request: VoteRequest): boolean => {
-  const { lastIndex, lastTerm } = replicaOf(world);
-  if (request.lastTerm !== lastTerm) return request.lastTerm < lastTerm;
-  return request.lastIndex < lastIndex;
-};
-
-const isTermPassed = (world: World, request: VoteRequest): boolean => {
-  const { term } = replicaOf(world);
-  return request.isPreVote ? request.term <= term : request.term < term;
-};
-
-const hasVotedForAnother = (world: World, request: VoteRequest, candidate: DaemonRow): boolean => {
-  const { term, votedFor, state } = replicaOf(world);
-  if (request.isPreVote || request.term > term) return false;
-  return state !== ReplicaState.Follower || (votedFor !== null && votedFor !== candidate.id);
-};
-
-/** Why this daemon does not vote for the sender, or null where it does. */
-const findRefusal = (
-  world: World,
-  request: VoteRequest,
-  candidate: DaemonRow,
-  now: Instant,
-): VoteRefusal | null => {
-  const isMet: readonly (readonly [VoteRefusal, boolean])[] = [
-    [VoteRefusal.KeepsToLeader, keepsToLeader(world, now)],
-    [VoteRefusal.TermPassed, isTermPassed(world, request)],
-    [VoteRefusal.VotedForAnother, hasVotedForAnother(world, request, candidate)],
-    [VoteRefusal.NotJoined, !mayVoteFor(world, request.isNew)],
-    [VoteRefusal.LogBehind, isLogBehind(world, request)],
-  ];
-  return isMet.find(([, holds]) => holds)?.[0] ?? null;
-};
-
 const giveVote = (world: World, candidate: DaemonRow, now: Instant): void => {
   const { term, votedFor } = replicaOf(world);
   if (votedFor === null) moveToTerm(world, term, candidate.id);
@@ -238,27 +184,6 @@
   changeReplica(world, { electionDeadline: electionDeadlineAfter(world, now) });
 };
 
-const recordVote = (
-  world: World,
-  request: VoteRequest,
-  candidate: DaemonRow,
-  refusal: VoteRefusal | null,
-): void => {
-  const { term, lastTerm, lastIndex } = replicaOf(world);
-  world.events.append({
-    kind: EventKind.VoteDecided,
-    subject: {
-      candidate: candidate.id,
-      askedTerm: request.term,
-      isPreVote: request.isPreVote,
-      refusal: refusal ?? 'none',
-      term,
-      lastTerm,
-      lastIndex,
-    },
-  });
-};
-
 /** What a voter does with the messages of elections. */
 export const electionHandlers: Pick<
   HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]>,
--- a/src/service/jobs/common/runChanges.ts
+++ b/src/service/jobs/common/runChanges.ts
@@ -12,6 +12,15 @@
 /** An upstream at which a run broke gets nothing new for this time where another one can run it. */
 const avoidMilliseconds = 1_500;
 
+/** Columns of a run whose text begins anew. */
+export const fromTheStart = {
+  events: 0,
+  text: '',
+  versions: [],
+  savedEvents: 0,
+  savedCharacters: 0,
+} as const;
+
 /** Takes a run from its engine; it waits for another one. */
 export const stopRunning = (
   world: World,
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -13,22 +13,14 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import { ItemResult } from './jobCommands.js';
-import {
-  JobState,
-  RunState,
-  type JobItemRow,
-  type JobRow,
-  type RunFact,
-  type RunRow,
-} from './jobTables.js';
+import { JobState, RunState, type JobRow, type RunFact, type RunRow } from './jobTables.js';
 import { allowsVersions } from './allowedVersions.js';
-import { findBeginning, findWholeText } from './earlierText.js';
 import { notePace } from './enginePace.js';
 import { cancelScoring, DeathCause, listItem } from './listItems.js';
-import { saveText } from './saveTexts.js';
-import { avoidUpstream, recordRun, stopRunning } from './runChanges.js';
+import { saveMilliseconds, saveText } from './saveTexts.js';
+import { insertRuns } from './insertRuns.js';
+import { avoidUpstream, fromTheStart, recordRun, stopRunning } from './runChanges.js';
 import { beginScoring } from './scoring.js';
-import { spareGroupsOf } from './spareGroups.js';
 
 /** How long a run may be silent: twenty pauses between events, or three on an engine eight times as slow. */
 const progressMilliseconds = 900;
@@ -39,91 +31,12 @@
 /** After this time a run is looked at again whose engine loads. */
 const loadCheckMilliseconds = 300;
 
-/** How often the beginning of a long text is kept in the log. */
-const saveMilliseconds = 1_200;
-
 /** Before an item that an upstream did not take is offered again; a load ends to within this time. */
 const notTakenMilliseconds = 120;
 
 /** An upstream that did not take an item gets nothing for this time where another one can run it. */
 const notTakenAvoidMilliseconds = 100;
 
-const lifeDeadlineOf = (world: World, job: JobRow, now: Instant): Instant => {
-  const route = findRoute(world, job.host, job.path);
-  if (route === undefined || route.itemLifetimeMilliseconds === null) return never;
-  return now + (job.submittedAt + route.itemLifetimeMilliseconds - world.wallNow());
-};
-
-const fromTheStart = {
-  events: 0,
-  text: '',
-  versions: [],
-  savedEvents: 0,
-  savedCharacters: 0,
-} as const;
-
-/** The text from which a run goes on, and how much of it this job has kept. */
-const beginningOf = (
-  world: World,
-  job: JobRow,
-  item: JobItemRow,
-): Pick<RunRow, 'events' | 'text' | 'versions' | 'savedEvents' | 'savedCharacters'> => {
-  if (item.saved !== null) {
-    const { events, text } = item.saved;
-    return { ...item.saved, savedEvents: events, savedCharacters: text.length };
-  }
-  return { ...fromTheStart, ...findBeginning(world, job, item) };
-};
-
-interface RunsOfJob {
-  readonly job: JobRow;
-  readonly lifeDeadline: Instant;
-  readonly spareGroups: ReadonlySet<string>;
-}
-
-const insertRun = (
-  world: World,
-  item: JobItemRow,
-  { job, lifeDeadline, spareGroups }: RunsOfJob,
-  now: Instant,
-): void => {
-  const run = world.runs.put({
-    id: item.id,
-    job: item.job,
-    group: item.group,
-    isSpare: spareGroups.has(item.group),
-    state: RunState.Waiting,
-    start: 0,
-    upstream: null,
-    expectedVersion: null,
-    ...beginningOf(world, job, item),
-    saveDeadline: deadlineAfter(now, saveMilliseconds),
-    failures: 0,
-    backoffDeadline: now,
-    progressedAt: Number.NEGATIVE_INFINITY,
-    progressDeadline: never,
-    lifeDeadline,
-    call: null,
-    scoreFailures: 0,
-    rescoreDeadline: never,
-  });
-  const whole = findWholeText(world, job, item);
-  if (whole === undefined) return;
-  const { text, versions } = whole;
-  beginScoring(world, world.runs.change(run.id, { text, versions })!);
-};
-
-const insertRuns = (world: World, job: JobRow, now: Instant): void => {
-  const missing = world.jobItems.where('unlisted', job.id).filter(({ id }) => !world.runs.has(id));
-  if (missing.length === 0) return;
-  const runs: RunsOfJob = {
-    job,
-    lifeDeadline: lifeDeadlineOf(world, job, now),
-    spareGroups: spareGroupsOf(world, job),
-  };
-  missing.forEach((item) => insertRun(world, item, runs, now));
-};
-
 const removeRuns = (world: World, runs: readonly RunRow[]): void =>
   runs.forEach((run) => {
     cancelScoring(world, run);
--- a/src/service/jobs/common/saveTexts.ts
+++ b/src/service/jobs/common/saveTexts.ts
@@ -10,6 +10,9 @@
 
 const proposalMilliseconds = 5_000;
 
+/** How often the beginning of a long text is kept in the log. */
+export const saveMilliseconds = 1_200;
+
 /** The events of a run that were not saved before; each event is one line or more. */
 const unsavedText = ({ savedEvents, savedCharacters, text }: RunRow): string =>
   savedEvents === 0 ? text : text.slice(savedCharacters + 1);
