--- a/src/command/explain/test/node/explainLogs.test.ts
+++ b/src/command/explain/test/node/explainLogs.test.ts
@@ -43,6 +43,8 @@
     state: 'gone',
     service: 'other',
   }),
+  lineOf(4_600, 'front-1', 'daemonStarted', { node: 'front-1' }),
+  lineOf(4_700, 'front-2', 'daemonStarted', { node: 'front-2' }),
   'a line of another program',
 ];
 
@@ -79,6 +81,8 @@
   const context = output.slice(0, output.indexOf('Its lines:'));
   t.regex(context, /registrationChanged.*w1/);
   t.notRegex(context, /x1/, 'an upstream of another service is no cause');
+  t.regex(context, /front-1 daemonStarted/);
+  t.notRegex(context, /front-2/, 'what another process knows of upstreams is no cause');
 });
 
 test('explain tells where the time of an item went and why it is dead', async (t) => {
--- a/src/daemon/fleet/node/eventLog.ts
+++ b/src/daemon/fleet/node/eventLog.ts
@@ -4,7 +4,7 @@
 import type { Clock, Instant } from '../../../base/common/time.js';
 import type { Log } from '../../../infrastructure/log/node/log.js';
 import { createEventBudget } from '../../../service/events/common/eventBudget.js';
-import type { RecordedEvent } from '../../../service/events/common/eventKind.js';
+import { EventKind, type RecordedEvent } from '../../../service/events/common/eventKind.js';
 import type { World } from '../../../service/world/common/world.js';
 
 /** The port; `drain` is run after each tick. */
@@ -41,7 +41,7 @@
     if (overBudget + queueFull === 0) return;
     world.metrics.count('log.linesDropped', overBudget, { reason: 'budget' });
     world.metrics.count('log.linesDropped', queueFull, { reason: 'queueFull' });
-    log.warn({ event: 'linesDropped', overBudget, queueFull });
+    log.warn({ event: EventKind.LinesDropped, overBudget, queueFull });
   };
 
   return {
--- a/src/service/events/common/eventBudget.ts
+++ b/src/service/events/common/eventBudget.ts
@@ -7,8 +7,8 @@
 import type { Instant } from '../../../base/common/time.js';
 import { EventKind, type RecordedEvent } from './eventKind.js';
 
-/** Bytes a second for lines on requests; an eighth of a megabit on links of 42 Mbit/s and more. */
-export const budgetBytesPerSecond = 16 * 1024;
+/** Bytes a second for lines on requests: a hundredth of a link of 42 Mbit/s, the slowest of the users' sheets. */
+export const budgetBytesPerSecond = 48 * 1024;
 
 /** Bytes that may be saved up for bursts: eight seconds. */
 const burstBytes = 8 * budgetBytesPerSecond;
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -71,6 +71,8 @@
   DutyEnded: 'dutyEnded',
   CapacityOrdered: 'capacityOrdered',
   BodyLost: 'bodyLost',
+  /** Log lines were left out, over the budget or because nobody read them. */
+  LinesDropped: 'linesDropped',
 } as const;
 export type EventKind = ValueOf<typeof EventKind>;
 
--- a/src/service/timeline/common/explainLog.ts
+++ b/src/service/timeline/common/explainLog.ts
@@ -27,16 +27,23 @@
 /** Changes of belief this long before the begin of a story may be its cause. */
 const contextMilliseconds = 10_000;
 
-/** Changes of what processes believe. */
-const contextKinds: ReadonlySet<string> = new Set<string>([
+/** Changes that concern every process. */
+const commonKinds: ReadonlySet<string> = new Set<string>([
   EventKind.LeadershipTaken,
   EventKind.LeadershipLost,
-  EventKind.PeerSuspected,
-  EventKind.PeerAlive,
   EventKind.VotingChanged,
   EventKind.StorageFailed,
+]);
+
+/** Changes that concern the process which records them. */
+const ownKinds: ReadonlySet<string> = new Set<string>([
+  EventKind.DaemonStarted,
+  EventKind.DaemonLeaving,
+  EventKind.PeerSuspected,
+  EventKind.PeerAlive,
   EventKind.DeclarationInForce,
   EventKind.RegistrationChanged,
+  EventKind.LinesDropped,
 ]);
 
 const startOf = (events: Events): number => events[0]!.stamp.wall;
@@ -53,23 +60,28 @@
 const upstreams = (own: Events): ReadonlySet<unknown> =>
   new Set(own.map(({ subject }) => subject.upstream).filter((upstream) => upstream !== undefined));
 
-/** Whether a change concerns the upstreams or services of a story, or all processes. */
-const concerns = ({ kind, subject }: TimelineEvent, own: Events): boolean =>
+const isOfUpstreams = ({ kind, subject }: TimelineEvent, own: Events): boolean =>
   kind !== EventKind.RegistrationChanged ||
   services(own).has(subject.service) ||
   upstreams(own).has(subject.upstream);
 
+/** Whether a change may be a cause of a story: a common one, or one of its processes and upstreams. */
+const concerns = (event: TimelineEvent, own: Events): boolean =>
+  commonKinds.has(event.kind) ||
+  (ownKinds.has(event.kind) &&
+    own.some(({ process }) => process === event.process) &&
+    isOfUpstreams(event, own));
+
 const contextOf = (events: Events, own: Events): string[] => {
   const context = events.filter(
     (event) =>
-      contextKinds.has(event.kind) &&
       event.stamp.wall >= startOf(own) - contextMilliseconds &&
       event.stamp.wall <= endOf(own) &&
       concerns(event, own),
   );
   return context.length === 0
-    ? ['No process changed its view of leaders, daemons or these upstreams in that time.']
-    : ['What processes came to believe in that time:', ...context.map(formatEvent)];
+    ? ['Its processes changed no view of leaders, daemons or these upstreams in that time.']
+    : ['What its processes came to believe in that time:', ...context.map(formatEvent)];
 };
 
 const isRefusalKind = (value: unknown): value is CallRefusalKind =>
