Change voters only with those that answer now, and tell only of agreed changes

- A change is proposed only where enough of the voters after it have answered a renewal of the last 0.6 s, those that it adds counted.
- Heartbeats tell of voters only once their change is agreed.
Ruled out: the elections themselves (both voters refuse truly).

--- a/src/service/consensus/common/voterSystem.ts
+++ b/src/service/consensus/common/voterSystem.ts
@@ -11,6 +11,7 @@
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { renewalMilliseconds } from './consensusTiming.js';
 import { becomeFollower, otherMembers, quorumSize } from './election.js';
 import { changeReplica, replicaOf } from './replicaLog.js';
 import { isCurrentLeader, type ReplicaRow } from './replicaTables.js';
@@ -21,6 +22,22 @@
 /** A voter that has resigned asks for no votes while the others elect: several election timeouts. */
 const resignationMilliseconds = 5_000;
 
+/**
+ * A voter counts for a change if it has answered a renewal that was sent so lately: two renewals and a round
+ * between regions. One that is lost falls out of the count long before it is suspected.
+ */
+const answerMilliseconds = 2 * renewalMilliseconds + 100;
+
+/** Whether these voters would agree on a change: enough of them answer the leader now, or are added by it. */
+const canAgree = (world: World, voters: readonly string[], now: Instant): boolean => {
+  const answering = otherMembers(world).filter(
+    ({ id, renewedAt }) =>
+      voters.includes(id) && deadlineAfter(renewedAt, answerMilliseconds) >= now,
+  );
+  const added = voters.filter((name) => !world.members.has(asBrand<DaemonId>(name)));
+  return 1 + answering.length + added.length > voters.length / 2;
+};
+
 const isSettled = ({ votersIndex, commitIndex }: ReplicaRow): boolean => votersIndex <= commitIndex;
 
 const learnersOf = (world: World): DaemonRow[] =>
@@ -122,8 +139,8 @@
       }
       if (!hasChanges) return;
       const voters = world.proposals.size() === 0 ? nextVoters(world) : undefined;
-      if (voters !== undefined) propose(world, voters, now);
-      else resignIfRetiring(world, now);
+      if (voters === undefined) resignIfRetiring(world, now);
+      else if (canAgree(world, voters, now)) propose(world, voters, now);
     },
   };
 };
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -80,8 +80,10 @@
   const told = { member, controlDaemons, departures, ...entries };
   if (!world.members.has(asBrand(world.self.name))) return told;
   const names = [...world.members.rows()].map(({ id }) => id);
-  const { votersIndex, endedTerm } = replicaOf(world);
-  return { ...told, voters: { index: votersIndex, names }, endedTerm };
+  const { votersIndex, commitIndex, endedTerm } = replicaOf(world);
+  // A change that is not agreed may be taken back, so nobody is told of it.
+  const voters = votersIndex <= commitIndex ? { voters: { index: votersIndex, names } } : {};
+  return { ...told, ...voters, endedTerm };
 };
 
 const ownLoad = (world: World): number =>
