--- a/src/command/explain/test/node/explainLogs.test.ts
+++ b/src/command/explain/test/node/explainLogs.test.ts
@@ -2,25 +2,10 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { Readable } from 'node:stream';
 import { gzipSync } from 'node:zlib';
 import test, { type ExecutionContext } from 'ava';
 import { ExitCode } from '../../../main/common/exitCode.js';
-import { runProgram } from '../../../main/node/program.js';
-
-const run = async (argv: readonly string[]) => {
-  const written = { output: '', error: '' };
-  const exitCode = await runProgram(argv, {
-    standardInput: Readable.from([]),
-    writeOutput: (text) => {
-      written.output += text;
-    },
-    writeError: (text) => {
-      written.error += text;
-    },
-  });
-  return { exitCode, ...written };
-};
+import { runCommand as run } from '../../../main/test/node/runCommand.js';
 
 const lineOf = (time: number, hostname: string, event: string, subject: object): string =>
   JSON.stringify({ level: 30, time, pid: 7, hostname, name: 'shallotquay', event, ...subject });
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -22,7 +22,10 @@
 /** Reports come about every second and may be late by some; four missed ones end a row. */
 const silenceMilliseconds = 5_000;
 
-/** Since when an upstream has not reported that gets new work only where no other can do it. */
+/**
+ * An upstream that has not reported for this time gets new work only where no other can do it: reports come
+ * about every 1.2 s, so one was missed and the next one is late.
+ */
 const overdueMilliseconds = 2_200;
 
 /** Other daemons are told of a departure for this long: several heartbeats, as one may be lost. */
