--- a/src/infrastructure/log/test/node/log.test.ts
+++ b/src/infrastructure/log/test/node/log.test.ts
@@ -65,6 +65,17 @@
     ),
   );
 
+test('disposal ends in bounded time although the reader has stalled', async (t) => {
+  const connection = await openUnreadConnection();
+  const lines = createQueuedLog('test', 'info', connection.fd);
+  for (let line = 0; line < 10_000; line += 1) lines.log.info('x'.repeat(1_000));
+  const startedAt = performance.now();
+  await lines.dispose();
+  const tookMilliseconds = performance.now() - startedAt;
+  connection.close();
+  t.true(tookMilliseconds < 2_000, `${tookMilliseconds} ms`);
+});
+
 test('lines that wait are written before the log is disposed of', async (t) => {
   const folder = mkdtempSync(join(tmpdir(), 'log-'));
   const file = join(folder, 'lines');
@@ -73,7 +84,7 @@
   const poolIsFree = occupyThreadPool();
   lines.log.info('first');
   lines.log.info('last');
-  lines.dispose();
+  await lines.dispose();
   const written = readFileSync(file, 'utf8').trim().split('\n');
   await poolIsFree;
   closeSync(descriptor);
