Exchange heartbeats with a few contacts instead of all daemons

Cause: each daemon sent heartbeats to every other one twice a second, and those of control daemons carried all control daemons and up to 64 entries each time; every control daemon sent each report of an upstream to every daemon. The traffic of a daemon rose with the number of daemons (worked out for 161 entries and 30 control daemons: over 19,000 heartbeats a second).

An entry now contacts three control daemons near it and the leader. Control daemons exchange heartbeats with each other and with the entries that contact them. Lists of control daemons, entries and upstreams have a version and are sent to a daemon that asks for them only if it holds another version. Reports of upstreams that changed nothing travel in heartbeats; changes and departures are sent at once, over the control daemons to the entries.

--- a/src/service/advice/common/advisedEntries.ts
+++ b/src/service/advice/common/advisedEntries.ts
@@ -39,3 +39,11 @@
     world.advisedEntries.put({ ...fields, id: asBrand(name), retentionDeadline }),
   );
 };
+
+/** Extends the advised entries while the list from which they were taken has not changed. */
+export const extendAdvisedEntries = (world: World, now: Instant): void => {
+  const retentionDeadline = deadlineAfter(now, world.deployment.timing.suspicionMilliseconds);
+  [...world.advisedEntries.rows()].forEach(({ id }) =>
+    world.advisedEntries.change(id, { retentionDeadline }),
+  );
+};
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -8,6 +8,7 @@
 import type { HandlerTable, UnionMember } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import { distanceTo } from '../../membership/common/contacts.js';
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -33,15 +34,10 @@
 
 const relayCandidatesOf = (world: World): DaemonRow[] => {
   const isRelayCandidate = (row: DaemonRow): boolean =>
-    !row.isSelf && (hasFullLog(world) ? row.isVoter : row.isControl);
+    !row.isSelf && row.isContact && (hasFullLog(world) ? row.isVoter : row.isControl);
   return [...world.daemons.rows()].filter(isRelayCandidate);
 };
 
-const distanceTo = (world: World, row: DaemonRow): number => {
-  if (row.zone === world.self.zone) return 0;
-  return row.region === world.self.region ? 1 : 2;
-};
-
 /**
  * Selects a random daemon among the nearest ones that are not suspected. The current relay is
  * selected again only if there is no other candidate.
--- /dev/null
+++ b/src/service/membership/common/contacts.ts
@@ -0,0 +1,129 @@
+/**
+ * Selects the daemons with which a daemon exchanges heartbeats, if daemons announce themselves.
+ * Control daemons exchange them with each other and with the entries that contacted them; an entry
+ * contacts a few control daemons near it, and the leader. The heartbeats of a daemon therefore do
+ * not increase with the number of entries. Runs when a daemon changes its state or location, or
+ * when the leader changes.
+ */
+import { hashText, mixBits } from '../../../base/common/hash.js';
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { Discovery, Role } from '../../../infrastructure/settings/common/deployment.js';
+import { replicaOf } from '../../consensus/common/replicaLog.js';
+import type { DaemonId } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+import { DaemonState, type DaemonRow } from './membershipTables.js';
+
+/**
+ * Control daemons that an entry contacts. One that is lost or slow to answer then leaves two, whose
+ * knowledge of the entry and of upstreams is current.
+ */
+const contactsPerEntry = 3;
+
+/** Whether a daemon in a state has recently sent a heartbeat. */
+const isHeardFromByState: Readonly<Record<DaemonState, boolean>> = {
+  unknown: false,
+  alive: true,
+  suspected: false,
+  leaving: true,
+};
+
+const isControlDaemon = (world: World): boolean => world.self.roles.includes(Role.Control);
+
+/** Returns the distance from this daemon: 0 in its zone, 1 in its region, 2 elsewhere. */
+export const distanceTo = (world: World, { zone, region }: DaemonRow): number => {
+  if (zone === world.self.zone) return 0;
+  return region === world.self.region ? 1 : 2;
+};
+
+/** Spreads the entries of a zone over its control daemons; the same pair has the same rank. */
+const pairRankOf = (world: World, row: DaemonRow): number =>
+  mixBits(hashText(`${world.self.name}/${row.id}`));
+
+interface RankedDaemon {
+  readonly row: DaemonRow;
+  readonly distance: number;
+  readonly pairRank: number;
+}
+
+/** Returns the control daemons by preference: responsive ones first, then the nearest. */
+const rankControlDaemons = (world: World): DaemonRow[] =>
+  [...world.daemons.rows()]
+    .filter((row) => row.isControl && !row.isSelf)
+    .map((row): RankedDaemon => ({
+      row,
+      distance: distanceTo(world, row),
+      pairRank: pairRankOf(world, row),
+    }))
+    .sort(
+      (first, second) =>
+        Number(first.row.state === DaemonState.Suspected) -
+          Number(second.row.state === DaemonState.Suspected) ||
+        first.distance - second.distance ||
+        first.pairRank - second.pairRank,
+    )
+    .map(({ row }) => row);
+
+/** A suspected control daemon stays a contact, so that its recovery is noticed. */
+const selectContactsOfEntry = (world: World): ReadonlySet<DaemonId> => {
+  const ranked = rankControlDaemons(world);
+  const suspected = ranked.filter(({ state }) => state === DaemonState.Suspected);
+  const { leader } = replicaOf(world);
+  return new Set([
+    ...[...ranked.slice(0, contactsPerEntry), ...suspected].map(({ id }) => id),
+    ...(leader === null ? [] : [leader]),
+  ]);
+};
+
+const selectContactsOfControlDaemon = (world: World): ReadonlySet<DaemonId> =>
+  new Set(
+    [...world.daemons.rows()]
+      .filter(({ isControl, state }) => isControl || isHeardFromByState[state])
+      .map(({ id }) => id),
+  );
+
+const selectContacts = (world: World): ReadonlySet<DaemonId> => {
+  if (world.deployment.discovery === Discovery.Listed)
+    return new Set([...world.daemons.rows()].map(({ id }) => id));
+  return isControlDaemon(world)
+    ? selectContactsOfControlDaemon(world)
+    : selectContactsOfEntry(world);
+};
+
+/** Columns of a daemon that becomes a contact: it gets a heartbeat now and time to answer. */
+const newContactColumns = (world: World, now: Instant): Partial<Omit<DaemonRow, 'id'>> => ({
+  isContact: true,
+  heartbeatDeadline: now,
+  suspicionDeadline: deadlineAfter(now, world.deployment.timing.suspicionMilliseconds),
+});
+
+/** Marks the contacts of this daemon in the table `daemons`. */
+export const updateContacts = (world: World, now: Instant): void => {
+  const contacts = selectContacts(world);
+  [...world.daemons.rows()]
+    .filter(({ id, isContact }) => isContact !== contacts.has(id))
+    .forEach(({ id, isContact }) =>
+      world.daemons.change(id, isContact ? { isContact: false } : newContactColumns(world, now)),
+    );
+};
+
+/**
+ * Selects the control daemon from which this daemon receives the membership lists: the preferred
+ * one among the contacts that are heard from, if possible one with current settings, because one
+ * that lost contact with the leader may have lost contact with others too.
+ */
+export const selectListSource = (world: World): DaemonRow | undefined => {
+  const heard = rankControlDaemons(world).filter(
+    ({ isContact, state }) => isContact && isHeardFromByState[state],
+  );
+  return heard.find(({ isFresh }) => isFresh) ?? heard[0];
+};
+
+/** Returns the entries that contact this control daemon and are not control daemons themselves. */
+export const listFollowingEntries = (world: World): DaemonRow[] =>
+  [...world.daemons.rows()].filter(
+    ({ isSelf, isControl, isContact }) => !isSelf && !isControl && isContact,
+  );
+
+/** Returns the other control daemons. */
+export const listOtherControlDaemons = (world: World): DaemonRow[] =>
+  [...world.daemons.rows()].filter(({ isSelf, isControl }) => !isSelf && isControl);
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -1,99 +1,89 @@
 /**
- * Sends heartbeats to the other daemons, and marks daemons whose heartbeats stop as suspected. It
- * also inserts daemons that are named by changed settings, and removes expired advised entries.
+ * Exchanges heartbeats with the contacts of this daemon, and marks contacts whose heartbeats stop
+ * as suspected. It also inserts daemons that are named by changed settings, and removes expired
+ * advised entries.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
+import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import { Discovery, Role } from '../../../infrastructure/settings/common/deployment.js';
+import { createDerivedChanges } from '../../../infrastructure/tables/common/derivedChanges.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { selectEntriesFor } from '../../advice/common/advisedEntries.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { hasFreshSettings } from '../../configuration/common/keyChecks.js';
 import { servedId } from '../../configuration/common/servedTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { listOwnReports } from '../../registry/common/registrations.js';
 import { recentDepartures } from '../../registry/common/registrySystem.js';
 import { RequestState } from '../../traffic/common/trafficTables.js';
-import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
-import type { Member, MembershipMessage } from './membershipMessages.js';
+import { selectListSource, updateContacts } from './contacts.js';
+import { insertMember } from './daemonRows.js';
+import {
+  createListChanges,
+  createListsFor,
+  createMember,
+  increaseListsVersion,
+  ownListsVersionOf,
+} from './membershipLists.js';
+import type { MembershipMessage } from './membershipMessages.js';
 import { DaemonState, type DaemonRow } from './membershipTables.js';
 
-const createDaemonRow = (world: World, member: Member, now: Instant): DaemonRow => {
-  const isSelf = member.name === world.self.name;
-  return {
-    id: asBrand<DaemonId>(member.name),
-    label: member.label ?? '',
-    zone: member.zone,
-    region: member.region,
-    callerAddress: member.callerAddress,
-    peerAddress: member.peerAddress,
-    isVoter: world.initialVoters.includes(member.name),
-    isControl: member.roles.includes(Role.Control),
-    isEntry: member.roles.includes(Role.Entry),
-    isSelf,
-    state: isSelf ? DaemonState.Alive : DaemonState.Unknown,
-    incarnation: isSelf ? world.incarnation : 0,
-    load: 0,
-    revision: 0,
-    isFresh: false,
-    suspicionDeadline: isSelf
-      ? never
-      : deadlineAfter(now, world.deployment.timing.suspicionMilliseconds),
-    heartbeatDeadline: now,
-  };
-};
+type Heartbeat = Extract<MembershipMessage, { kind: 'heartbeat' }>;
 
-/** Inserts every daemon of the settings into the table; called once, before the first tick. */
-export const insertDaemons = (world: World, now: Instant): void =>
-  world.deployment.daemons.forEach((member) => {
-    world.daemons.put(createDaemonRow(world, member, now));
-  });
+/** Asks the receiver for its lists if it is the list source, or if there is none yet. */
+const createListRequest = (world: World, receiver: DaemonRow): Pick<Heartbeat, 'heldLists'> => {
+  const source = selectListSource(world);
+  const isAsked = receiver.isControl && (source === undefined || source.id === receiver.id);
+  return isAsked ? { heldLists: receiver.appliedLists } : {};
+};
 
-/** Inserts a daemon that announced itself or was named by another daemon, and returns its row. */
-export const insertMember = (world: World, member: Member, now: Instant): DaemonRow =>
-  world.daemons.put(createDaemonRow(world, member, now));
+const createListFields = (
+  world: World,
+  receiver: DaemonRow,
+): Pick<Heartbeat, 'listsVersion' | 'lists'> => {
+  const listsVersion = ownListsVersionOf(world);
+  const isOutdated = receiver.heldLists !== null && receiver.heldLists !== listsVersion;
+  return isOutdated ? { listsVersion, lists: createListsFor(world, receiver) } : { listsVersion };
+};
 
-const createMember = (row: DaemonRow): Member => ({
-  name: row.id,
-  ...(row.label === '' ? {} : { label: row.label }),
-  zone: row.zone,
-  region: row.region,
-  roles: [...(row.isEntry ? [Role.Entry] : []), ...(row.isControl ? [Role.Control] : [])],
-  callerAddress: row.callerAddress,
-  peerAddress: row.peerAddress,
-});
+const createVoterFields = (world: World): Pick<Heartbeat, 'voters' | 'endedTerm'> => {
+  if (!world.members.has(asBrand(world.self.name))) return {};
+  const names = [...world.members.rows()].map(({ id }) => id);
+  const { votersIndex, commitIndex, endedTerm } = replicaOf(world);
+  // A change that is not committed can be reverted, so heartbeats do not include it.
+  return votersIndex <= commitIndex
+    ? { voters: { index: votersIndex, names }, endedTerm }
+    : { endedTerm };
+};
 
-type HeartbeatDetails = Pick<
-  Extract<MembershipMessage, { kind: 'heartbeat' }>,
-  'member' | 'controlDaemons' | 'voters' | 'departures' | 'endedTerm' | 'entries'
->;
+/** Creates the fields of a heartbeat that only control daemons send. */
+const createControlFields = (world: World, receiver: DaemonRow, now: Instant) => {
+  const departures = recentDepartures(world, now);
+  const reports = receiver.isControl ? listOwnReports(world, now) : [];
+  return {
+    ...(departures.length === 0 ? {} : { departures }),
+    ...(reports.length === 0 ? {} : { reports }),
+    ...createListFields(world, receiver),
+    ...createVoterFields(world),
+  };
+};
 
 /**
- * Creates the fields of a heartbeat that describe this daemon, the control daemons and the voters.
- * Returns no fields if the settings list all daemons.
+ * Creates the fields of a heartbeat that describe this daemon and what it knows. Returns no fields
+ * if the settings list all daemons.
  */
 const createHeartbeatDetails = (
   world: World,
   receiver: DaemonRow,
   now: Instant,
-): HeartbeatDetails => {
+): Partial<Heartbeat> => {
   if (world.deployment.discovery === Discovery.Listed) return {};
-  const rows = [...world.daemons.rows()];
-  const member = createMember(rows.find((row) => row.isSelf)!);
-  if (!world.self.roles.includes(Role.Control)) return { member };
-  const aliveControlDaemons = rows.filter(
-    (row) => row.isControl && row.state === DaemonState.Alive,
-  );
-  const controlDaemons = aliveControlDaemons.map(createMember);
-  const departures = recentDepartures(world, now);
-  const entries = receiver.isEntry ? { entries: selectEntriesFor(world, receiver) } : {};
-  const details = { member, controlDaemons, departures, ...entries };
-  if (!world.members.has(asBrand(world.self.name))) return details;
-  const names = [...world.members.rows()].map(({ id }) => id);
-  const { votersIndex, commitIndex, endedTerm } = replicaOf(world);
-  // A change that is not committed can be reverted, so heartbeats do not include it.
-  const voters = votersIndex <= commitIndex ? { voters: { index: votersIndex, names } } : {};
-  return { ...details, ...voters, endedTerm };
+  const self = world.daemons.get(asBrand(world.self.name))!;
+  return {
+    member: createMember(self),
+    ...createListRequest(world, receiver),
+    ...(self.isControl ? createControlFields(world, receiver, now) : {}),
+  };
 };
 
 const computeOwnLoad = (world: World): number =>
@@ -125,17 +115,31 @@
 };
 
 /** Creates the system that sends heartbeats and suspects daemons. */
-export const createDaemonSystem = (world: World): System => ({
-  name: 'daemon',
-  run: (now) => {
-    world.namedDaemons
-      .takeAll()
-      .filter(({ name }) => !world.daemons.has(asBrand(name)))
-      .forEach((member) => insertMember(world, member, now));
-    world.advisedEntries
-      .takeDue('retention', now)
-      .forEach(({ id }) => world.advisedEntries.remove(id));
-    world.daemons.takeDue('suspicion', now).forEach((daemon) => markSuspected(world, daemon));
-    world.daemons.takeDue('heartbeat', now).forEach((daemon) => sendHeartbeat(world, daemon, now));
-  },
-});
+export const createDaemonSystem = (world: World): System => {
+  const isControl = world.self.roles.includes(Role.Control);
+  const listChanges = createListChanges(world);
+  const contactChanges = [
+    createDerivedChanges(world.daemons, ({ state, zone, region }) => [state, zone, region].join()),
+    createDerivedChanges(world.replica, ({ leader }) => leader ?? undefined),
+  ];
+
+  return {
+    name: 'daemon',
+    run: (now) => {
+      world.namedDaemons
+        .takeAll()
+        .filter(({ name }) => !world.daemons.has(asBrand(name)))
+        .forEach((member) => insertMember(world, member, now));
+      world.advisedEntries
+        .takeDue('retention', now)
+        .forEach(({ id }) => world.advisedEntries.remove(id));
+      world.daemons.takeDue('suspicion', now).forEach((daemon) => markSuspected(world, daemon));
+      if (listChanges.take() && isControl) increaseListsVersion(world);
+      if (contactChanges.map((changes) => changes.take()).includes(true))
+        updateContacts(world, now);
+      world.daemons
+        .takeDue('heartbeat', now)
+        .forEach((daemon) => sendHeartbeat(world, daemon, now));
+    },
+  };
+};
--- a/src/service/membership/common/membershipHandlers.ts
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -2,16 +2,14 @@
  * Handlers for the messages of membership: heartbeats and relayed announcements of upstreams.
  */
 import type { HandlerTable, UnionMember } from '../../../base/common/handlers.js';
-import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
-import { handleAdvisedEntries } from '../../advice/common/advisedEntries.js';
 import { handleEndedTerm } from '../../consensus/common/endedLeadership.js';
 import { handleVoters } from '../../consensus/common/voters.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { handleDepartures } from '../../registry/common/registrySystem.js';
 import type { World } from '../../world/common/world.js';
-import { insertMember } from './daemonSystem.js';
+import { handleLists, handleListsVersion } from './membershipLists.js';
 import type { MembershipMessage } from './membershipMessages.js';
 import { DaemonState, type DaemonRow } from './membershipTables.js';
 
@@ -31,18 +29,32 @@
         callerAddress: member.callerAddress,
       };
 
+/** Handles the lists of a heartbeat. The versions of an earlier incarnation mean nothing now. */
+const handleListFields = (
+  world: World,
+  sender: DaemonRow,
+  { incarnation, lists, listsVersion }: UnionMember<MembershipMessage, 'heartbeat'>,
+  now: Instant,
+): void => {
+  const isNewIncarnation = incarnation > sender.incarnation;
+  if (isNewIncarnation) world.daemons.change(sender.id, { appliedLists: 0 });
+  if (lists !== undefined) handleLists(world, sender, lists, now);
+  else if (listsVersion !== undefined && !isNewIncarnation)
+    handleListsVersion(world, sender, listsVersion, now);
+};
+
 export const membershipHandlers: HandlerTable<
   MembershipMessage,
   void,
   [World, DaemonRow, Instant]
 > = {
   heartbeat: (message, world, daemon, now) => {
-    (message.controlDaemons ?? [])
-      .filter((member) => !world.daemons.has(asBrand(member.name)))
-      .forEach((member) => insertMember(world, member, now));
     if (message.incarnation < daemon.incarnation) return;
     handleDepartures(world, message.departures ?? [], now);
-    if (message.entries !== undefined) handleAdvisedEntries(world, message.entries, now);
+    (message.reports ?? []).forEach((registration) =>
+      world.arrivedRegistrations.append({ registration, isDirect: false }),
+    );
+    handleListFields(world, daemon, message, now);
     if (message.voters !== undefined) handleVoters(world, message.voters, now);
     if (message.endedTerm !== undefined) handleEndedTerm(world, daemon, message.endedTerm, now);
     const state = message.leaving ? DaemonState.Leaving : DaemonState.Alive;
@@ -52,6 +64,7 @@
       load: message.load,
       revision: message.revision,
       isFresh: message.isFresh,
+      heldLists: message.heldLists ?? null,
       ...memberColumnsOf(message),
       isVoter:
         world.deployment.discovery === Discovery.Listed
--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -4,7 +4,7 @@
  */
 import { z } from 'zod';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
-import { departureSchema } from '../../registry/common/registryTables.js';
+import { departureSchema, registrationSchema } from '../../registry/common/registryTables.js';
 import { announcementSchema } from '../../protocol/common/upstreamProtocol.js';
 
 /** Schema of the description that a daemon sends of itself: its location, roles and addresses. */
@@ -29,6 +29,22 @@
 });
 export type AdvisedEntry = z.infer<typeof advisedEntrySchema>;
 
+/**
+ * Schema of the lists that a control daemon sends to the daemons that ask it for them. They are
+ * sent whole, and only if their version differs from the one that the receiver holds.
+ */
+export const membershipListsSchema = z.object({
+  /** Increases with each change of the lists during one incarnation of the sender. */
+  version: z.number().int().positive(),
+  /** Control daemons that are alive, including the sender. */
+  controlDaemons: z.array(memberSchema),
+  /** Entry daemons near the receiver, which it advises to callers; sent to entry daemons. */
+  entries: z.array(advisedEntrySchema).optional(),
+  /** Registered upstreams, without their models; sent to entry daemons. */
+  registrations: z.array(registrationSchema).optional(),
+});
+export type MembershipLists = z.infer<typeof membershipListsSchema>;
+
 export const heartbeatSchema = z.object({
   kind: z.literal('heartbeat'),
   incarnation: z.number().int().nonnegative(),
@@ -47,13 +63,17 @@
   endedTerm: z.number().optional(),
   /** Recent departures of upstreams; sent by control daemons. */
   departures: z.array(departureSchema).optional(),
+  /** Version of the sender's lists; sent by control daemons. */
+  listsVersion: z.number().int().positive().optional(),
+  /** The lists of the sender, if the receiver asks for them and holds another version. */
+  lists: membershipListsSchema.optional(),
   /**
-   * Entry daemons near the receiver, which it advises to callers; sent by a control daemon to an
-   * entry daemon.
+   * Version of the receiver's lists that the sender holds, or 0; present if the sender asks the
+   * receiver for its lists.
    */
-  entries: z.array(advisedEntrySchema).optional(),
-  /** Control daemons that are alive, for receivers that do not know them. */
-  controlDaemons: z.array(memberSchema).optional(),
+  heldLists: z.number().int().nonnegative().optional(),
+  /** Recent reports that upstreams sent to the sender; sent to control daemons. */
+  reports: z.array(registrationSchema).optional(),
 });
 
 export const upstreamAnnouncedSchema = z.object({
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -1,6 +1,7 @@
 /**
  * Tables of the daemons of the installation and of the upstreams that have announced themselves.
  */
+import { asBrand, type Brand } from '../../../base/common/brand.js';
 import type { ValueOf } from '../../../base/common/handlers.js';
 import { never, type Instant } from '../../../base/common/time.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
@@ -45,12 +46,27 @@
   readonly revision: number;
   /** Whether its last heartbeat reported that its settings are up to date. */
   readonly isFresh: boolean;
+  /** Whether this daemon exchanges heartbeats with it. */
+  readonly isContact: boolean;
+  /** Version of its lists that this daemon holds; 0 for none. */
+  readonly appliedLists: number;
+  /** Version of the lists of this daemon that it holds; null if it does not ask for them. */
+  readonly heldLists: number | null;
   /** Time at which it becomes suspected unless a heartbeat is received. */
   readonly suspicionDeadline: Instant;
   /** Time at which the next heartbeat is sent to it. */
   readonly heartbeatDeadline: Instant;
 }
 
+const isHeartbeatPartner = ({ isSelf, isContact }: DaemonRow): boolean => !isSelf && isContact;
+
+/** Version of the lists that this daemon sends to the daemons that ask for them. */
+export interface OwnListsRow {
+  readonly id: Brand<'ownLists'>;
+  readonly version: number;
+}
+export const ownListsId: OwnListsRow['id'] = asBrand('ownLists');
+
 /** Announcement of an upstream, with its remaining time converted to a deadline. */
 export interface UpstreamRow extends Omit<Announcement, 'upstream' | 'remaining' | 'service'> {
   readonly id: UpstreamId;
@@ -131,8 +147,10 @@
     indices: { state: (row) => row.state },
     deadlines: {
       suspicion: (row) =>
-        row.isSelf || row.state === DaemonState.Suspected ? never : row.suspicionDeadline,
-      heartbeat: (row) => (row.isSelf ? never : row.heartbeatDeadline),
+        isHeartbeatPartner(row) && row.state !== DaemonState.Suspected
+          ? row.suspicionDeadline
+          : never,
+      heartbeat: (row) => (isHeartbeatPartner(row) ? row.heartbeatDeadline : never),
     },
   }),
   upstreams: createTable<UpstreamRow, 'service', 'announcement' | 'breaker', WorkClass>({
@@ -147,6 +165,7 @@
       bulk: (row) => (hasFreeBulkSlot(row) ? poolsOfUpstream(row) : undefined),
     },
   }),
+  ownLists: createTable<OwnListsRow>({ name: 'ownLists', indices: {}, deadlines: {} }),
   advisedEntries: createTable<AdvisedEntryRow, never, 'retention'>({
     name: 'advisedEntries',
     indices: {},
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -11,7 +11,7 @@
 import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
 import { jobReadHandlers } from '../../jobs/common/jobReads.js';
 import { registryHandlers } from '../../registry/common/registrySystem.js';
-import { insertMember } from '../../membership/common/daemonSystem.js';
+import { insertMember } from '../../membership/common/daemonRows.js';
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import { bodyHandlers } from '../../rollout/common/bodyHandlers.js';
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -1,50 +1,46 @@
 /**
- * Handles registration reports and departures of upstreams, and broadcasts those received directly
- * from an upstream to the other daemons. An outdated report is ignored; a report of a new start at
- * an address removes the row of the previous start. Runs each tick, and removes registrations whose
- * reports stop.
+ * Handles registration reports and departures of upstreams. The control daemon that receives a
+ * change from an upstream sends it to the other control daemons, and each of them to the entries
+ * that contact it. Runs each tick, and removes registrations whose reports stop.
  */
 import { asBrand } from '../../../base/common/brand.js';
 import type { HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
+import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { listFollowingEntries, listOtherControlDaemons } from '../../membership/common/contacts.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { applyRegistration, RegistrationDifference } from './applyRegistration.js';
+import { reportTimeoutMilliseconds } from './registrations.js';
 import type {
   ReceivedDeparture,
+  ReceivedRegistration,
   Departure,
-  Registration,
   RegistrationRow,
-  RegistrationState,
   RegistryMessage,
 } from './registryTables.js';
 
-/**
- * Reports arrive about every second and may be delayed; four missed reports remove the
- * registration.
- */
-const reportTimeoutMilliseconds = 5_000;
-
 /**
  * An upstream that has not reported for this time receives new work only if no other upstream can
  * run it. Reports arrive about every 1.2 s, so one report was missed and the next one is late.
  */
 const overdueThresholdMilliseconds = 2_200;
 
+/**
+ * Time for which heartbeats repeat a report of an upstream: two heartbeats, because one may be
+ * lost, and less than the interval of the reports.
+ */
+const repeatMilliseconds = 1_100;
+
 /** Time for which heartbeats repeat a departure: several heartbeats, because one may be lost. */
 const announcementMilliseconds = 3_000;
 
 /** Late reports of a departed upstream arrive within this time. */
 const departureRetentionMilliseconds = 20_000;
 
-/** Time for which a registration is kept without a further report, by its state. */
-const reportTimeoutsByState: Readonly<Record<RegistrationState, number>> = {
-  ready: reportTimeoutMilliseconds,
-  draining: reportTimeoutMilliseconds,
-};
-
 /**
  * Whether the reports of an upstream are overdue; it may have stopped without announcing its
  * departure.
@@ -52,73 +48,52 @@
 export const isOverdue = ({ reportDeadline }: RegistrationRow, now: Instant): boolean =>
   reportDeadline - reportTimeoutMilliseconds + overdueThresholdMilliseconds < now;
 
-const hasDeparted = (world: World, { upstream, startedAt }: Registration): boolean => {
-  const departure = world.upstreamDepartures.get(asBrand<UpstreamId>(upstream));
-  return departure !== undefined && startedAt <= departure.startedAt;
-};
-
-const isOutdated = (registration: Registration, existing: RegistrationRow): boolean => {
-  if (registration.startedAt !== existing.startedAt)
-    return registration.startedAt < existing.startedAt;
-  return registration.sequence < existing.sequence;
-};
+const sendToFollowingEntries = (world: World, message: RegistryMessage): void =>
+  listFollowingEntries(world).forEach(({ id: to }) =>
+    world.outgoingMessages.append({ to, message }),
+  );
 
-const removeEarlierStarts = (world: World, row: RegistrationRow): void =>
-  world.registrations
-    .where('address', row.address)
-    .filter((other) => other.id !== row.id && other.startedAt < row.startedAt)
-    .forEach((other) => world.registrations.remove(other.id));
+const sendToControlDaemons = (world: World, message: RegistryMessage): void =>
+  listOtherControlDaemons(world).forEach(({ id: to }) =>
+    world.outgoingMessages.append({ to, message }),
+  );
 
-const isReplaced = (world: World, registration: Registration): boolean =>
-  world.registrations
-    .where('address', registration.address)
-    .some(
-      (other) => other.id !== registration.upstream && other.startedAt > registration.startedAt,
-    );
+const isControlDaemon = (world: World): boolean => world.self.roles.includes(Role.Control);
 
-const recordRegistrationChange = (
+/**
+ * Sends a changed registration to the daemons to which this one is the first to report it.
+ * Unchanged reports travel in heartbeats.
+ */
+const sendDifference = (
   world: World,
-  row: RegistrationRow,
-  previous?: RegistrationRow,
+  { registration, isDirect }: ReceivedRegistration,
+  difference: RegistrationDifference,
 ): void => {
-  if (previous?.state === row.state && previous.startedAt === row.startedAt) return;
-  const { id, state, address, service } = row;
-  world.events.append({
-    kind: EventKind.RegistrationChanged,
-    subject: { upstream: id, state, address, service },
-  });
+  if (difference === RegistrationDifference.None) return;
+  const message = { kind: 'upstreamRegistered', registration } as const;
+  if (isDirect) sendToControlDaemons(world, message);
+  const isForEntries = difference === RegistrationDifference.Routing && isControlDaemon(world);
+  if (isForEntries) sendToFollowingEntries(world, message);
 };
 
-const handleRegistration = (world: World, registration: Registration, now: Instant): void => {
-  const { upstream, ...fields } = registration;
-  const id = asBrand<UpstreamId>(upstream);
-  const existing = world.registrations.get(id);
-  if (existing !== undefined && isOutdated(registration, existing)) return;
-  if (hasDeparted(world, registration) || isReplaced(world, registration)) return;
-  const isSameStart = existing?.startedAt === registration.startedAt;
-  const row = world.registrations.put({
-    ...fields,
-    id,
-    reportDeadline: deadlineAfter(now, reportTimeoutsByState[registration.state]),
-    avoidDeadline: isSameStart ? existing.avoidDeadline : Number.NEGATIVE_INFINITY,
-    ownRunning: existing?.ownRunning ?? 0,
-  });
-  removeEarlierStarts(world, row);
-  recordRegistrationChange(world, row, existing);
+const handleRegistration = (world: World, received: ReceivedRegistration, now: Instant): void => {
+  const difference = applyRegistration(world, received.registration, now);
+  if (received.isDirect) {
+    const id = asBrand<UpstreamId>(received.registration.upstream);
+    const repeatDeadline = deadlineAfter(now, repeatMilliseconds);
+    world.registrations.change(id, { repeatDeadline });
+  }
+  sendDifference(world, received, difference);
 };
 
-const otherDaemons = (world: World): DaemonRow[] =>
-  [...world.daemons.rows()].filter(({ isSelf }) => !isSelf);
-
-const broadcastRegistration = (world: World, registration: Registration): void =>
-  otherDaemons(world).forEach(({ id: to }) =>
-    world.outgoingMessages.append({ to, message: { kind: 'upstreamRegistered', registration } }),
-  );
-
-const handleDeparture = (world: World, { upstream, startedAt }: Departure, now: Instant): void => {
+/** Handles a departure; one that is new to a control daemon is sent on to its entries. */
+const handleDeparture = (world: World, departure: Departure, now: Instant): void => {
+  const { upstream, startedAt } = departure;
   const id = asBrand<UpstreamId>(upstream);
   const existing = world.upstreamDepartures.get(id);
   if (existing !== undefined && existing.startedAt >= startedAt) return;
+  if (isControlDaemon(world))
+    sendToFollowingEntries(world, { kind: 'upstreamDeparted', departure });
   world.upstreamDepartures.put({
     id,
     startedAt,
@@ -164,11 +139,6 @@
   now: Instant,
 ): void => departures.forEach((departure) => handleDeparture(world, departure, now));
 
-const broadcastDeparture = (world: World, departure: Departure): void =>
-  otherDaemons(world).forEach(({ id: to }) =>
-    world.outgoingMessages.append({ to, message: { kind: 'upstreamDeparted', departure } }),
-  );
-
 /** Handlers of the registry messages that other daemons send, by `kind`. */
 export const registryHandlers: HandlerTable<RegistryMessage, void, [World, DaemonRow, Instant]> = {
   upstreamRegistered: ({ registration }, world) => {
@@ -181,13 +151,12 @@
 export const createRegistrySystem = (world: World): System => ({
   name: 'registry',
   run: (now) => {
-    world.arrivedRegistrations.takeAll().forEach(({ registration, isDirect }) => {
-      if (isDirect) broadcastRegistration(world, registration);
-      handleRegistration(world, registration, now);
-    });
+    world.arrivedRegistrations
+      .takeAll()
+      .forEach((received) => handleRegistration(world, received, now));
     world.arrivedDepartures.takeAll().forEach((received) => {
       const departure = resolveDeparture(world, received);
-      broadcastDeparture(world, departure);
+      sendToControlDaemons(world, { kind: 'upstreamDeparted', departure });
       handleDeparture(world, departure, now);
     });
     world.upstreamDepartures
--- a/src/service/registry/common/registryTables.ts
+++ b/src/service/registry/common/registryTables.ts
@@ -1,8 +1,8 @@
 /**
  * The tables and messages of the registry: upstreams that have registered with a control daemon,
  * and recent departures. There is one registration row per upstream identifier, for its latest
- * start. The rows are not replicated through the log; control daemons broadcast registrations and
- * departures.
+ * start. The rows are not replicated through the log; control daemons exchange registrations and
+ * departures, and send them to the entries that contact them.
  */
 import { z } from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
@@ -49,16 +49,13 @@
 });
 export type Departure = z.infer<typeof departureSchema>;
 
-/** Broadcast by a control daemon to the other daemons when an upstream reports to it. */
+/** Sent when the report of an upstream differs from its previous one. */
 export const upstreamRegisteredSchema = z.object({
   kind: z.literal('upstreamRegistered'),
   registration: registrationSchema,
 });
 
-/**
- * Broadcast by a control daemon immediately after a departure; its heartbeats repeat it for a
- * while.
- */
+/** Sent by a control daemon immediately after a departure; its heartbeats repeat it for a while. */
 export const upstreamDepartedSchema = z.object({
   kind: z.literal('upstreamDeparted'),
   departure: departureSchema,
@@ -73,6 +70,10 @@
   readonly id: UpstreamId;
   /** Time at which the row is removed unless another report arrives. */
   readonly reportDeadline: Instant;
+  /** Time until which heartbeats repeat the report that the upstream sent to this daemon. */
+  readonly repeatDeadline: Instant;
+  /** Whether it is in the list of the daemon from which this one receives its lists. */
+  readonly isListed: boolean;
   /** Time until which, after a failure, new work goes to other upstreams if they can run it. */
   readonly avoidDeadline: Instant;
   /** Number of requests of this daemon that are running on the upstream. */
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -12,6 +12,7 @@
 import type { Tree } from '../../src/service/configuration/common/tree.js';
 import { createCore, type Core, type Profile } from '../../src/service/core/common/core.js';
 import type { RecordedEvent } from '../../src/service/events/common/eventKind.js';
+import type { Message } from '../../src/service/messages/common/message.js';
 import type { DaemonId } from '../../src/service/world/common/identifiers.js';
 import { createVirtualDisk, createVirtualStoragePort, type VirtualDisk } from './virtualDisk.js';
 import { createVirtualTime } from './virtualTime.js';
@@ -58,6 +59,8 @@
   readonly initiallyStopped?: readonly string[];
   /** Duration of a disk sync. */
   readonly syncDelay?: Milliseconds;
+  /** Observes each message between daemons when it is sent. */
+  readonly onDidSendMessage?: (from: string, to: string, message: Message) => void;
   /** Creates the fake ports of each daemon process. */
   readonly ports?: readonly ((context: VirtualContext) => VirtualPort)[];
 }
@@ -135,6 +138,7 @@
 
   const sendMessages = (daemon: VirtualDaemon): void =>
     daemon.core.world.outgoingMessages.takeAll().forEach(({ to, message }) => {
+      options.onDidSendMessage?.(daemon.name, to, message);
       if (cutLinks.has(linkKeyOf(daemon.name, to))) return;
       time.schedule(latency(daemon.name, to), () =>
         runWhenThawed(to, () => deliverMessage(daemon.name, to, message)),
