Bound answers without end, and keep errors out of responses in progress

Causes, each shown by a test that failed on: - An engine that dripped bytes without an event kept its item for ever, since any bytes extended the deadline for progress; an engine that sent no end of an event or of a body kept it too. Only complete events are progress now, on both clients, and an event, a text and an answer have maximum sizes (4 tests). - Calls on declared routes collected answers without end in memory until the route's timeout, and interim responses without end were not bounded (4 tests: ended after the route's 3,025 ms, now within half of it). The memory for collected answers is a setting of the process, maximumCollectedBytes; the largest answer is abandoned. - The own interface passed endless bodies on (18 MB in 10 s in the test). It resets them at maximumAnswerBytes, 256 MiB by default (3 tests). - Bytes that are no request, sent by a client while its stream ran, put the whole head of an error into that stream. The connection is reset instead (1 test). Ruled out, by tests that passed before: a stream that broke off after its first event is never followed by another engine's answer, and never ends as complete; endless heads end by the parser's limit on both clients.

--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -20,6 +20,7 @@
   type SendRow,
 } from '../../../service/forwarding/common/forwardingTables.js';
 import type { World } from '../../../service/world/common/world.js';
+import { createAnswerCollector } from './answerCollector.js';
 import { readHeaders, type UpstreamClient } from './upstreamClient.js';
 import {
   ResponseClass,
@@ -72,6 +73,7 @@
   const pendingCalls = new Map<CallId, PendingCall>();
   const hostByCall = new Map<CallId, string>();
   const openSends = new Map<SendId, OpenSend>();
+  const collector = createAnswerCollector(world.deployment.limits);
   const callChanges = world.calls.createChangeReader(RowReader.Port);
   const sendChanges = world.sends.createChangeReader(RowReader.Port);
 
@@ -86,9 +88,9 @@
     return pending;
   };
 
-  const recordResponse = (send: SendRow, head: ResponseHead, chunks: readonly Buffer[]): void => {
+  const recordResponse = (send: SendRow, head: ResponseHead, body: Buffer): void => {
     const openSend = openSends.get(send.id);
-    if (openSend !== undefined) openSend.answer = { ...head, body: Buffer.concat(chunks) };
+    if (openSend !== undefined) openSend.answer = { ...head, body };
     report({ kind: 'answered', send: send.id, status: head.status });
   };
 
@@ -102,22 +104,28 @@
       report({ kind: 'broken', send: send.id, reason: 'response does not belong to the request' });
       return;
     }
-    const chunks: Buffer[] = [];
     let hasEnded = false;
     const reportBroken = (reason: string): void => {
       if (hasEnded) return;
       hasEnded = true;
       report({ kind: 'broken', send: send.id, reason });
     };
-    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    const answer = collector.open((reason) => {
+      reportBroken(reason);
+      response.destroy();
+    });
+    response.on('data', answer.add);
     response.on('error', (error) => reportBroken(error.message));
-    response.on('close', () => reportBroken('connection closed before the end of the response'));
+    response.on('close', () => {
+      answer.discard();
+      reportBroken('connection closed before the end of the response');
+    });
     response.on('end', () => {
       if (hasEnded || !response.complete) return;
       hasEnded = true;
       if (dialect.classifyResponse(head, call.requestId) === ResponseClass.NotRun) {
         report({ kind: 'notRun', send: send.id, reason: `status ${head.status}` });
-      } else recordResponse(send, head, chunks);
+      } else recordResponse(send, head, answer.take());
     });
   };
 
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -33,6 +33,9 @@
 /** Idle connections kept per upstream; surplus connections are closed after their response. */
 const maximumIdleConnections = 8;
 
+/** Responses before the final one, such as 103, that a request may get; a browser expects one. */
+const maximumInterimResponses = 16;
+
 /** Connection error codes that imply that no byte of the request was written. */
 const connectFailureCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
@@ -69,11 +72,21 @@
         if (isClosed) response.destroy();
         else listener.onDidReceiveResponse(response);
       });
-      outgoing.once('error', (error) => {
+      const fail = (reason: string, isNotRun: boolean): void => {
         if (isClosed) return;
         isClosed = true;
+        listener.onDidFail(reason, isNotRun);
+      };
+      outgoing.once('error', (error) => {
         const code = errorCodeOf(error);
-        listener.onDidFail(code, connectFailureCodes.has(code));
+        fail(code, connectFailureCodes.has(code));
+      });
+      let interimResponses = 0;
+      outgoing.on('information', () => {
+        interimResponses += 1;
+        if (interimResponses <= maximumInterimResponses) return;
+        fail('too many interim responses', false);
+        outgoing.destroy();
       });
       outgoing.end(target.content.body ?? undefined);
       return {
--- a/src/daemon/front/node/httpServer.ts
+++ b/src/daemon/front/node/httpServer.ts
@@ -45,8 +45,19 @@
   );
 };
 
+/** Internal property of node:http that holds the response in progress on a connection. */
+const currentResponseProperty = '_httpMessage';
+
+/** Whether bytes of a response may already have been written to a connection. */
+const hasResponseInProgress = (socket: Duplex): boolean =>
+  Boolean((socket as unknown as Record<string, unknown>)[currentResponseProperty]);
+
+/**
+ * Answers bytes that are no request. While a response is in progress, the connection is reset
+ * instead: the client would take an error for a part of that response.
+ */
 const handleClientError = (error: NodeJS.ErrnoException, socket: Duplex): void => {
-  if (!socket.writable) {
+  if (!socket.writable || hasResponseInProgress(socket)) {
     socket.destroy();
     return;
   }
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -73,7 +73,13 @@
 
     response.on('data', (chunk: Buffer) => {
       reader.push(chunk);
-      if (clock() - reportedAt < progressIntervalMilliseconds) return;
+      if (!reader.isWithinLimits()) {
+        finish(false, 'event or text exceeds its maximum size');
+        response.destroy();
+        return;
+      }
+      // Bytes without a complete event are no progress, or a stalled engine could keep a run.
+      if (!reader.hasEvents() || clock() - reportedAt < progressIntervalMilliseconds) return;
       reportedAt = clock();
       report({ kind: 'progress', item, start, ...reader.take() });
     });
--- a/src/daemon/jobs/node/textEventReader.ts
+++ b/src/daemon/jobs/node/textEventReader.ts
@@ -17,10 +17,20 @@
   readonly push: (chunk: Uint8Array) => void;
   /** Returns and clears the complete events received since the last call. */
   readonly take: () => TextPart;
+  /** Whether events have been received since the last call of `take`. */
+  readonly hasEvents: () => boolean;
   /** Whether the event identifiers were consecutive so far. */
   readonly isInOrder: () => boolean;
+  /** Whether the event that is being received, and the whole text, are within their limits. */
+  readonly isWithinLimits: () => boolean;
 }
 
+/** Maximum bytes between two events, which includes comments. Events have some hundred bytes. */
+const maximumEventBytes = 256 * 1024;
+
+/** Maximum bytes of one start of a run; a text of the longest item has below 100 KB. */
+const maximumTextBytes = 16 * 1024 * 1024;
+
 /**
  * Creates a reader. `previousEventCount` is the number of events received by earlier starts of the
  * run, `initialVersion` the weight version named by the response headers, and `weightVersionField`
@@ -37,9 +47,12 @@
   let eventCount = previousEventCount;
   let currentVersion = initialVersion;
   let isOrdered = true;
+  let bytesSinceEvent = 0;
+  let totalBytes = 0;
 
   const parser = createParser({
     onEvent: ({ id, data }) => {
+      bytesSinceEvent = 0;
       if (Number(id) !== eventCount + 1) isOrdered = false;
       if (!isOrdered) return;
       eventCount += 1;
@@ -52,7 +65,13 @@
   });
 
   return {
-    push: (chunk) => parser.feed(decoder.decode(chunk, { stream: true })),
+    push: (chunk) => {
+      totalBytes += chunk.length;
+      bytesSinceEvent += chunk.length;
+      parser.feed(decoder.decode(chunk, { stream: true }));
+    },
+    hasEvents: () => events.length > 0,
+    isWithinLimits: () => bytesSinceEvent <= maximumEventBytes && totalBytes <= maximumTextBytes,
     take: () => {
       const part = { text: events, versions: [...versions] };
       events = [];
--- a/src/daemon/upstream/node/responseObserver.ts
+++ b/src/daemon/upstream/node/responseObserver.ts
@@ -27,6 +27,8 @@
 /** Observes one response. */
 export interface ResponseObserver {
   readonly write: (chunk: Uint8Array) => void;
+  /** Whether the event that is being received is within its limit; it may never end. */
+  readonly isWithinLimits: () => boolean;
   /** Called when the upstream has closed the response normally; returns whether it is complete. */
   readonly end: () => boolean;
 }
@@ -81,12 +83,19 @@
   });
 };
 
+/** Maximum bytes between two events, which includes comments. Events have some hundred bytes. */
+const maximumEventBytes = 1024 * 1024;
+
 const observeEventStream = (attempt: AttemptId, report: Report): ResponseObserver => {
   const decoder = new TextDecoder();
   const counter = createTokenCounter(attempt, report);
   let isComplete = false;
+  let bytesSinceEvent = 0;
+  let hasEvents = false;
 
   const handleEvent = (data: string): void => {
+    bytesSinceEvent = 0;
+    hasEvents = true;
     if (data === streamEndMarker) {
       isComplete = true;
       return;
@@ -102,10 +111,14 @@
   const parser = createParser({ onEvent: (event) => handleEvent(event.data) });
   return {
     write: (bytes) => {
+      hasEvents = false;
+      bytesSinceEvent += bytes.length;
       parser.feed(decoder.decode(bytes, { stream: true }));
       counter.flush();
-      report({ kind: 'progress', attempt });
+      // Bytes without an event are no progress, or a stalled engine could keep a request for ever.
+      if (hasEvents) report({ kind: 'progress', attempt });
     },
+    isWithinLimits: () => bytesSinceEvent <= maximumEventBytes,
     end: () => isComplete,
   };
 };
@@ -130,6 +143,7 @@
       if (length <= maximumObservedBytes) chunks.push(bytes);
       report({ kind: 'progress', attempt });
     },
+    isWithinLimits: () => true,
     end: () => {
       parseChunk(Buffer.concat(chunks).toString('utf8')).map(handleBody);
       return true;
@@ -139,6 +153,7 @@
 
 const observeOpaque = (attempt: AttemptId, report: Report): ResponseObserver => ({
   write: () => report({ kind: 'progress', attempt }),
+  isWithinLimits: () => true,
   end: () => true,
 });
 
--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -72,6 +72,9 @@
 
 const minimumServerErrorStatus = 500;
 
+/** Responses before the final one, such as 103, that a request may get. */
+const maximumInterimResponses = 16;
+
 const isRefusedBeforeRunning = (response: Dispatcher.ResponseData): boolean =>
   response.statusCode === engineRefusalStatus &&
   response.headers[engineRefusalHeader] !== undefined;
@@ -99,34 +102,59 @@
     wake();
   };
 
+  /** Ends an attempt whose upstream sends bytes that are no answer, or no end of one. */
+  const abandon = (attempt: AttemptRow, controller: AbortController, reason: string): void => {
+    if (controller.signal.aborted) return;
+    report({ kind: 'broken', attempt: attempt.id, reason });
+    controller.abort();
+  };
+
   const send = (
     content: RequestContent,
     attempt: AttemptRow,
     address: string,
-    signal: AbortSignal,
-  ): Promise<Dispatcher.ResponseData> =>
-    agent.request({
+    controller: AbortController,
+  ): Promise<Dispatcher.ResponseData> => {
+    let interimResponses = 0;
+    return agent.request({
       origin: address,
       path: content.path,
       method: content.method,
       headers: { ...content.headers, [attemptHeader]: attempt.id },
       body: content.body,
-      signal,
+      signal: controller.signal,
+      onInfo: () => {
+        interimResponses += 1;
+        if (interimResponses > maximumInterimResponses)
+          abandon(attempt, controller, 'too many interim responses');
+      },
     });
+  };
 
   const pipe = async (
     response: Dispatcher.ResponseData,
     attempt: AttemptRow,
     kind: UpstreamKind,
     sink: ResponseSink,
+    controller: AbortController,
   ): Promise<void> => {
+    let receivedBytes = 0;
     const observer = createResponseObserver(detectFormat(response, kind), attempt.id, report);
     sink.writeHead(response.statusCode, selectResponseHeaders(response));
     report({ kind: 'answerStarted', attempt: attempt.id, status: response.statusCode });
 
     for await (const chunk of response.body) {
-      observer.write(chunk as Uint8Array);
-      sink.write(chunk as Uint8Array);
+      const bytes = chunk as Uint8Array;
+      receivedBytes += bytes.length;
+      observer.write(bytes);
+      if (
+        receivedBytes > world.deployment.limits.maximumAnswerBytes ||
+        !observer.isWithinLimits()
+      ) {
+        abandon(attempt, controller, 'response or event exceeds its maximum size');
+        return;
+      }
+      sink.write(bytes);
       await sink.waitForDrain();
     }
     if (observer.end()) report({ kind: 'answerEnded', attempt: attempt.id });
@@ -143,6 +171,7 @@
     attempt: AttemptRow,
     kind: UpstreamKind,
     exchange: Exchange,
+    controller: AbortController,
   ): Promise<void> => {
     if (isRefusedBeforeRunning(response)) {
       await response.body.dump();
@@ -155,7 +184,7 @@
       report({ kind: 'broken', attempt: attempt.id, reason });
       return;
     }
-    await pipe(response, attempt, kind, exchange.openSink(attempt.id));
+    await pipe(response, attempt, kind, exchange.openSink(attempt.id), controller);
   };
 
   const reportFailure = (attempt: AttemptRow, error: unknown): void => {
@@ -179,8 +208,8 @@
     controllers.set(attempt.id, controller);
     try {
       const { content } = exchange;
-      const response = await send(content, attempt, upstream.address, controller.signal);
-      await handleResponse(response, attempt, upstream.kind, exchange);
+      const response = await send(content, attempt, upstream.address, controller);
+      await handleResponse(response, attempt, upstream.kind, exchange, controller);
     } catch (error) {
       if (!controller.signal.aborted) reportFailure(attempt, error);
     } finally {
--- a/src/infrastructure/settings/common/deployment.ts
+++ b/src/infrastructure/settings/common/deployment.ts
@@ -54,6 +54,18 @@
 export const limitsSchema = z.strictObject({
   maximumBodyBytes: z.number().int().positive().default(1_048_576),
   maximumHeaderBytes: z.number().int().positive().default(16_384),
+  /** Size at which the answer of an upstream is abandoned, because it may never end. */
+  maximumAnswerBytes: z
+    .number()
+    .int()
+    .positive()
+    .default(256 * 1024 * 1024),
+  /** Memory for all answers that are collected until they are complete. */
+  maximumCollectedBytes: z
+    .number()
+    .int()
+    .positive()
+    .default(64 * 1024 * 1024),
 });
 
 export const timingSchema = z.strictObject({
