--- a/proof/scenario/actions.ts
+++ b/proof/scenario/actions.ts
@@ -2,7 +2,7 @@
  * The actions of scenario steps: the schema of each action, and the lookup table of handlers that apply
  * them to the system under test.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
 import { putEdit, withdrawKeyEdit } from '../../standins/virtual/settingsEdits.js';
 import { digestOf } from '../../standins/virtual/testDeployment.js';
--- a/proof/scenario/conditions.ts
+++ b/proof/scenario/conditions.ts
@@ -2,7 +2,7 @@
  * The conditions that scenario steps wait for, expect or forbid: the schema of each condition, and the
  * lookup table of handlers that evaluate them. Conditions only read the state of the run.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { asBrand } from '../../src/base/common/brand.js';
 import { dispatchByKind, type HandlerTable } from '../../src/base/common/handlers.js';
 import { servedId } from '../../src/service/configuration/common/servedTables.js';
--- a/proof/scenario/scenario.ts
+++ b/proof/scenario/scenario.ts
@@ -5,7 +5,7 @@
 import { readdirSync } from 'node:fs';
 import { basename, join } from 'node:path';
 import { err, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { checkDocument } from '../../src/infrastructure/settings/common/checkDocument.js';
 import {
   createSettingsError,
--- a/src/daemon/fleet/node/votersFile.ts
+++ b/src/daemon/fleet/node/votersFile.ts
@@ -6,7 +6,7 @@
 import { closeSync, fsyncSync, mkdirSync, openSync, readFileSync, writeSync } from 'node:fs';
 import { join } from 'node:path';
 import { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const votersSchema = z.array(z.string());
 
--- a/src/daemon/front/node/callerRoutes.ts
+++ b/src/daemon/front/node/callerRoutes.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto';
 import { Hono, type Context } from 'hono';
 import { err, ok, Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { rankAddresses } from '../../../service/advice/common/advice.js';
 import {
   chatCompletionsPath,
--- a/src/daemon/peers/node/peerPort.ts
+++ b/src/daemon/peers/node/peerPort.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, connect, type Socket } from 'node:net';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { asBrand } from '../../../base/common/brand.js';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import { deadlineAfter, never, type Clock, type Milliseconds } from '../../../base/common/time.js';
--- a/src/daemon/rollout/node/bodyFile.ts
+++ b/src/daemon/rollout/node/bodyFile.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from 'node:crypto';
 import { open, rm, type FileHandle } from 'node:fs/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Result } from 'neverthrow';
 import type { BodyId } from '../../../service/world/common/identifiers.js';
 import type { StoredBody } from '../common/bodyStore.js';
--- a/src/daemon/rollout/node/sampleExchanges.ts
+++ b/src/daemon/rollout/node/sampleExchanges.ts
@@ -3,7 +3,7 @@
  * the lot, which the port of bodies keeps in memory while the lot runs on this daemon.
  */
 import { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { completionsPath } from '../../../service/protocol/common/engineProtocol.js';
 import type { LotRow } from '../../../service/rollout/common/ledgerRows.js';
 import { promptBodyIdOf } from '../../../service/rollout/common/putLot.js';
--- a/src/infrastructure/log/node/logFile.ts
+++ b/src/infrastructure/log/node/logFile.ts
@@ -6,7 +6,7 @@
 import { readFileSync } from 'node:fs';
 import { gunzipSync } from 'node:zlib';
 import { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { TimelineEvent } from '../../timeline/common/timelineEvent.js';
 
 /** A log line that records an event; all other columns form the subject of the event. */
--- a/src/infrastructure/settings/common/deployment.ts
+++ b/src/infrastructure/settings/common/deployment.ts
@@ -3,7 +3,7 @@
  * addresses, availability zones and roles. All daemons read the same file and find their own entry
  * by name. Names of settings include their unit.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
 
 /** The roles of a daemon. */
--- a/src/infrastructure/timeline/common/timelineEvent.ts
+++ b/src/infrastructure/timeline/common/timelineEvent.ts
@@ -2,7 +2,7 @@
  * Timeline events, in which each process records its decisions. Stamps of a hybrid logical clock
  * allow merging the events of all processes into one order that is consistent with causality.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const stampSchema = z.object({
   /** Milliseconds since the Unix epoch; not less than that of any previously seen stamp. */
--- a/src/service/admission/common/demandMessages.ts
+++ b/src/service/admission/common/demandMessages.ts
@@ -2,7 +2,7 @@
  * The message in which an entry reports the demand of its workspaces to the other entries, and its
  * handler. A report replaces the previous report of the same sender.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import type { HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
--- a/src/service/advice/common/advisedEntries.ts
+++ b/src/service/advice/common/advisedEntries.ts
@@ -3,7 +3,11 @@
  * request address advice from any entry.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
+import {
+  computeSuspicionTimeout,
+  maximumIntervalMilliseconds,
+} from '../../membership/common/contacts.js';
 import type { AdvisedEntry } from '../../membership/common/membershipMessages.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
@@ -24,7 +28,11 @@
     .slice(0, maximumEntries)
     .map(({ id: name, zone, region, callerAddress }) => ({ name, zone, region, callerAddress }));
 
-/** Replaces the advised entries by a received list, which is valid for the suspicion timeout. */
+/** Advised entries are kept as long as the control daemon that listed them is not suspected. */
+const retentionMillisecondsOf = (world: World): Milliseconds =>
+  computeSuspicionTimeout(world, maximumIntervalMilliseconds);
+
+/** Replaces the advised entries by a received list, which is valid until the sender would be suspected. */
 export const handleAdvisedEntries = (
   world: World,
   entries: readonly AdvisedEntry[],
@@ -34,7 +42,7 @@
   [...world.advisedEntries.rows()]
     .filter(({ id }) => !names.has(id))
     .forEach(({ id }) => world.advisedEntries.remove(id));
-  const retentionDeadline = deadlineAfter(now, world.deployment.timing.suspicionMilliseconds);
+  const retentionDeadline = deadlineAfter(now, retentionMillisecondsOf(world));
   entries.forEach(({ name, ...fields }) =>
     world.advisedEntries.put({ ...fields, id: asBrand(name), retentionDeadline }),
   );
@@ -42,7 +50,7 @@
 
 /** Extends the advised entries while the list from which they were taken has not changed. */
 export const extendAdvisedEntries = (world: World, now: Instant): void => {
-  const retentionDeadline = deadlineAfter(now, world.deployment.timing.suspicionMilliseconds);
+  const retentionDeadline = deadlineAfter(now, retentionMillisecondsOf(world));
   [...world.advisedEntries.rows()].forEach(({ id }) =>
     world.advisedEntries.change(id, { retentionDeadline }),
   );
--- a/src/service/configuration/common/configurationCommands.ts
+++ b/src/service/configuration/common/configurationCommands.ts
@@ -3,7 +3,7 @@
  * The content digest distinguishes a resent request from a different request with the same
  * identifier.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { keySchema } from './tree.js';
 
 const editFields = {
--- a/src/service/configuration/common/tree.ts
+++ b/src/service/configuration/common/tree.ts
@@ -3,7 +3,7 @@
  * service and a workspace may each define policies and inherit those that they don't override.
  * Names of durations include their unit.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
 
 /** Scheduling class of the requests of a workspace. */
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -3,7 +3,7 @@
  * folders of this layer. Every daemon that receives the topic of a command applies it in log order.
  * Replicated state changes only through commands.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
 import {
   keyIssueSchema,
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -3,7 +3,7 @@
  * a reading of one daemon's monotonic clock, in milliseconds, that is echoed back to the same
  * daemon. No other daemon may compare it with its own clock.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { commandSchema } from './command.js';
 import { logEntrySchema } from './logEntry.js';
 
--- a/src/service/consensus/common/durableState.ts
+++ b/src/service/consensus/common/durableState.ts
@@ -3,7 +3,7 @@
  * and the state after a restart is the result of replaying them. Every storage implementation must
  * use this module for the replay.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import { logEntrySchema, type LogEntry } from './logEntry.js';
 
--- a/src/service/consensus/common/logEntry.ts
+++ b/src/service/consensus/common/logEntry.ts
@@ -1,7 +1,7 @@
 /**
  * Schema of entries of the replicated log, used for storage and for messages.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { commandSchema } from './command.js';
 
 /** A log entry. Indices start at 1 and have no gaps. */
--- a/src/service/consensus/common/voterCommands.ts
+++ b/src/service/consensus/common/voterCommands.ts
@@ -3,7 +3,7 @@
  * before it and every quorum after it share a voter. A change takes effect as soon as it is in the
  * log. A retiring daemon is replaced by such changes.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const votersSetSchema = z.object({
   kind: z.literal('votersSet'),
--- a/src/service/declaration/common/declarationCommands.ts
+++ b/src/service/declaration/common/declarationCommands.ts
@@ -1,7 +1,7 @@
 /**
  * The replicated command that sets a declaration.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Declaration } from './declaration.js';
 
 /** Replaces the declaration as a whole; the highest version is in force. */
--- a/src/service/dispatch/common/quarantine.ts
+++ b/src/service/dispatch/common/quarantine.ts
@@ -4,7 +4,7 @@
  * suspects of this daemon to the same upstream, so requests that merely ran at the same time as the
  * cause of a crash are distinguished from it.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { asBrand } from '../../../base/common/brand.js';
 import type { HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
--- a/src/service/jobs/common/jobCommands.ts
+++ b/src/service/jobs/common/jobCommands.ts
@@ -2,7 +2,7 @@
  * Schemas of the replicated commands of batch jobs. A job is accepted once with all its items,
  * each result is listed at a position that never changes, and the job ends once.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
 
 export const ItemResult = {
--- a/src/service/jobs/common/jobReadMessages.ts
+++ b/src/service/jobs/common/jobReadMessages.ts
@@ -2,7 +2,7 @@
  * Messages by which a daemon that does not hold the replicated jobs reads results and item bodies
  * from the leader.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { listedItemSchema } from './jobCommands.js';
 
 const count = z.number().int().nonnegative();
--- a/src/service/membership/common/contacts.ts
+++ b/src/service/membership/common/contacts.ts
@@ -6,12 +6,17 @@
  * when the leader changes.
  */
 import { hashText, mixBits } from '../../../base/common/hash.js';
-import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import {
+  deadlineAfter,
+  millisecondsPerSecond,
+  type Instant,
+  type Milliseconds,
+} from '../../../base/common/time.js';
 import { Discovery, Role } from '../../../infrastructure/settings/common/deployment.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
-import { DaemonState, type DaemonRow } from './membershipTables.js';
+import { contactGroup, DaemonState, type DaemonRow } from './membershipTables.js';
 
 /**
  * Control daemons that an entry contacts. One that is lost or slow to answer then leaves two, whose
@@ -19,6 +24,15 @@
  */
 const contactsPerEntry = 3;
 
+/** Heartbeats that a daemon sends in a second; with more contacts, each gets fewer. */
+const heartbeatsPerSecond = 24;
+
+/**
+ * Longest interval of heartbeats. Reports of upstreams travel in heartbeats, and a registration
+ * must survive the loss of one of them.
+ */
+export const maximumIntervalMilliseconds: Milliseconds = 1_500;
+
 /** Whether a daemon in a state has recently sent a heartbeat. */
 const isHeardFromByState: Readonly<Record<DaemonState, boolean>> = {
   unknown: false,
@@ -106,6 +120,36 @@
     );
 };
 
+/** Returns the interval of heartbeats to contacts other than the leader. */
+export const computeHeartbeatInterval = (world: World): Milliseconds => {
+  const { discovery, timing } = world.deployment;
+  if (discovery === Discovery.Listed) return timing.heartbeatMilliseconds;
+  const evenInterval =
+    (world.daemons.count('contact', contactGroup) * millisecondsPerSecond) / heartbeatsPerSecond;
+  return Math.max(
+    timing.heartbeatMilliseconds,
+    Math.min(evenInterval, maximumIntervalMilliseconds),
+  );
+};
+
+/**
+ * Returns the interval of heartbeats to a daemon. The leader replaces voters and assigns work, so
+ * what it knows must be recent.
+ */
+export const computeIntervalTo = (world: World, receiver: DaemonRow): Milliseconds =>
+  receiver.id === replicaOf(world).leader
+    ? world.deployment.timing.heartbeatMilliseconds
+    : computeHeartbeatInterval(world);
+
+/**
+ * Returns the time without a heartbeat after which a daemon is suspected that sends one in each
+ * interval.
+ */
+export const computeSuspicionTimeout = (world: World, interval: Milliseconds): Milliseconds => {
+  const { suspicionMilliseconds, heartbeatMilliseconds } = world.deployment.timing;
+  return suspicionMilliseconds * Math.max(1, interval / heartbeatMilliseconds);
+};
+
 /**
  * Selects the control daemon from which this daemon receives the membership lists: the preferred
  * one among the contacts that are heard from, if possible one with current settings, because one
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -16,7 +16,7 @@
 import { recentDepartures } from '../../registry/common/registrySystem.js';
 import { RequestState } from '../../traffic/common/trafficTables.js';
 import type { World } from '../../world/common/world.js';
-import { selectListSource, updateContacts } from './contacts.js';
+import { computeIntervalTo, selectListSource, updateContacts } from './contacts.js';
 import { insertMember } from './daemonRows.js';
 import {
   createListChanges,
@@ -81,6 +81,7 @@
   const self = world.daemons.get(asBrand(world.self.name))!;
   return {
     member: createMember(self),
+    intervalMilliseconds: computeIntervalTo(world, receiver),
     ...createListRequest(world, receiver),
     ...(self.isControl ? createControlFields(world, receiver, now) : {}),
   };
@@ -91,9 +92,9 @@
   world.requests.count('state', RequestState.Running);
 
 const sendHeartbeat = (world: World, daemon: DaemonRow, now: Instant): void => {
-  const { heartbeatMilliseconds } = world.deployment.timing;
+  const intervalMilliseconds = computeIntervalTo(world, daemon);
   world.daemons.change(daemon.id, {
-    heartbeatDeadline: deadlineAfter(now, heartbeatMilliseconds),
+    heartbeatDeadline: deadlineAfter(now, intervalMilliseconds),
   });
   world.outgoingMessages.append({
     to: daemon.id,
--- a/src/service/membership/common/membershipHandlers.ts
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -9,6 +9,7 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import { handleDepartures } from '../../registry/common/registrySystem.js';
 import type { World } from '../../world/common/world.js';
+import { computeSuspicionTimeout } from './contacts.js';
 import { handleLists, handleListsVersion } from './membershipLists.js';
 import type { MembershipMessage } from './membershipMessages.js';
 import { DaemonState, type DaemonRow } from './membershipTables.js';
@@ -70,7 +71,13 @@
         world.deployment.discovery === Discovery.Listed
           ? daemon.isVoter
           : message.voters?.names.includes(daemon.id) === true,
-      suspicionDeadline: deadlineAfter(now, world.deployment.timing.suspicionMilliseconds),
+      suspicionDeadline: deadlineAfter(
+        now,
+        computeSuspicionTimeout(
+          world,
+          message.intervalMilliseconds ?? world.deployment.timing.heartbeatMilliseconds,
+        ),
+      ),
     });
     if (daemon.state === state) return;
     world.events.append({ kind: EventKind.PeerAlive, subject: { daemon: daemon.id, state } });
--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -2,7 +2,7 @@
  * Schemas of the messages in which daemons describe themselves and relay announcements of
  * upstreams.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { departureSchema, registrationSchema } from '../../registry/common/registryTables.js';
 import { announcementSchema } from '../../protocol/common/upstreamProtocol.js';
@@ -55,6 +55,8 @@
   revision: z.number().int().nonnegative(),
   /** Whether the sender knows that its settings are up to date. */
   isFresh: z.boolean(),
+  /** Time until the next heartbeat of the sender to the receiver, if it is not the usual one. */
+  intervalMilliseconds: z.number().positive().optional(),
   /** Description of the sender; present if daemons announce themselves. */
   member: memberSchema.optional(),
   /** Voters of the log as known to the sender, and the log index of their last change. */
--- a/src/service/membership/common/membershipTables.ts
+++ b/src/service/membership/common/membershipTables.ts
@@ -60,6 +60,9 @@
 
 const isHeartbeatPartner = ({ isSelf, isContact }: DaemonRow): boolean => !isSelf && isContact;
 
+/** The only value of the index of contacts. */
+export const contactGroup = 'contact';
+
 /** Version of the lists that this daemon sends to the daemons that ask for them. */
 export interface OwnListsRow {
   readonly id: Brand<'ownLists'>;
@@ -142,9 +145,12 @@
 }
 
 export const createMembershipTables = () => ({
-  daemons: createTable<DaemonRow, 'state', 'suspicion' | 'heartbeat'>({
+  daemons: createTable<DaemonRow, 'state' | 'contact', 'suspicion' | 'heartbeat'>({
     name: 'daemons',
-    indices: { state: (row) => row.state },
+    indices: {
+      state: (row) => row.state,
+      contact: (row) => (isHeartbeatPartner(row) ? contactGroup : undefined),
+    },
     deadlines: {
       suspicion: (row) =>
         isHeartbeatPartner(row) && row.state !== DaemonState.Suspected
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -3,7 +3,7 @@
  * remaining milliseconds. The schemas validate received messages; the peer port encodes and decodes
  * them.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { workspaceDemandSchema } from '../../admission/common/demandMessages.js';
 import { upstreamCrashedSchema } from '../../dispatch/common/quarantine.js';
 import {
--- a/src/service/metering/common/meteringCommands.ts
+++ b/src/service/metering/common/meteringCommands.ts
@@ -3,7 +3,7 @@
  * replicated state once. The leader freezes a window before its first report, so that every report
  * of the window is identical.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const window = z.number().int().nonnegative();
 const counts = z.record(z.string(), z.number().int().nonnegative());
--- a/src/service/orders/common/orderCommands.ts
+++ b/src/service/orders/common/orderCommands.ts
@@ -2,7 +2,7 @@
  * The replicated commands about orders to upstreams. An order is committed to the log as an intent
  * before it is sent, and closed in the log once its result is known.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { orderSchema } from '../../protocol/common/engineProtocol.js';
 
 const orderIdentifier = z.string().min(1);
--- a/src/service/protocol/common/engineProtocol.ts
+++ b/src/service/protocol/common/engineProtocol.ts
@@ -4,7 +4,7 @@
  * generated its tokens. These schemas validate server-sent events and JSON bodies of engines on
  * receipt.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const chatCompletionsPath = '/v1/chat/completions';
 export const completionsPath = '/v1/completions';
--- a/src/service/protocol/common/operatorProtocol.ts
+++ b/src/service/protocol/common/operatorProtocol.ts
@@ -3,7 +3,7 @@
  * as `Authorization: Bearer KEY`. Edits contain a request identifier, so that a resend is not
  * applied twice.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { treeChangeSchema } from '../../configuration/common/configurationCommands.js';
 
 export const OperatorPath = {
--- a/src/service/protocol/common/platformProtocol.ts
+++ b/src/service/protocol/common/platformProtocol.ts
@@ -2,7 +2,7 @@
  * HTTP protocols of the platform: the weight store, orders of upstreams by availability zone, and
  * usage reports. These schemas validate the JSON bodies on receipt.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /**
  * Path of usage reports: one per closed window and workspace; a resend repeats the same figures.
--- a/src/service/protocol/common/trainerProtocol.ts
+++ b/src/service/protocol/common/trainerProtocol.ts
@@ -2,7 +2,7 @@
  * HTTP protocol of trainers, which open a lot for a training step and fetch its batches by cursor.
  * These schemas validate the JSON bodies on receipt. Times are remaining milliseconds.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const lotsPath = '/v1/lots';
 
--- a/src/service/protocol/common/upstreamProtocol.ts
+++ b/src/service/protocol/common/upstreamProtocol.ts
@@ -2,7 +2,7 @@
  * HTTP protocol of upstreams: each upstream posts an announcement to the entries and renews it
  * before it expires. These schemas validate the JSON bodies on receipt.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
 
 /** Path on an entry to which upstreams post announcements. */
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -9,7 +9,11 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { EventKind } from '../../events/common/eventKind.js';
-import { listFollowingEntries, listOtherControlDaemons } from '../../membership/common/contacts.js';
+import {
+  computeHeartbeatInterval,
+  listFollowingEntries,
+  listOtherControlDaemons,
+} from '../../membership/common/contacts.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -29,14 +33,11 @@
  */
 const overdueThresholdMilliseconds = 2_200;
 
-/**
- * Time for which heartbeats repeat a report of an upstream: two heartbeats, because one may be
- * lost, and less than the interval of the reports.
- */
-const repeatMilliseconds = 1_100;
+/** Heartbeats that repeat a report of an upstream: two, because one may be lost, and some slack. */
+const repeatIntervals = 2.2;
 
 /** Time for which heartbeats repeat a departure: several heartbeats, because one may be lost. */
-const announcementMilliseconds = 3_000;
+const announcementMilliseconds = 5_000;
 
 /** Late reports of a departed upstream arrive within this time. */
 const departureRetentionMilliseconds = 20_000;
@@ -80,7 +81,7 @@
   const difference = applyRegistration(world, received.registration, now);
   if (received.isDirect) {
     const id = asBrand<UpstreamId>(received.registration.upstream);
-    const repeatDeadline = deadlineAfter(now, repeatMilliseconds);
+    const repeatDeadline = deadlineAfter(now, repeatIntervals * computeHeartbeatInterval(world));
     world.registrations.change(id, { repeatDeadline });
   }
   sendDifference(world, received, difference);
--- a/src/service/registry/common/registryTables.ts
+++ b/src/service/registry/common/registryTables.ts
@@ -4,7 +4,7 @@
  * start. The rows are not replicated through the log; control daemons exchange registrations and
  * departures, and send them to the entries that contact them.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
 import type { Instant } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
--- a/src/service/rollout/common/bodyMessages.ts
+++ b/src/service/rollout/common/bodyMessages.ts
@@ -2,7 +2,7 @@
  * The messages that daemons exchange to replicate and read bodies: the texts of samples and the
  * prompts of lots.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Requests that the receiver write a body to its disk. */
 export const bodyOfferedSchema = z.object({
--- a/src/service/rollout/common/ledgerCommands.ts
+++ b/src/service/rollout/common/ledgerCommands.ts
@@ -2,7 +2,7 @@
  * The commands of the ledger: the replicated log entries that change lots, samples and batches. One
  * command carries many samples, so that the log grows by a few bytes per sample.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
 import { spanSchema } from '../../protocol/common/trainerProtocol.js';
 
--- a/src/service/weights/common/versionCommands.ts
+++ b/src/service/weights/common/versionCommands.ts
@@ -1,7 +1,7 @@
 /**
  * The replicated command with which a trainer names a new weight version of a model.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const versionNamedSchema = z.object({
   kind: z.literal('versionNamed'),
--- a/standins/engine/engineEncoding.ts
+++ b/standins/engine/engineEncoding.ts
@@ -2,7 +2,7 @@
  * The message encoding of the model engine stand-in: parses JSON request bodies and builds JSON
  * answers and server-sent events.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   chatCompletionsPath,
   resumeOffsetField,
--- a/standins/hostile/hostileServer.ts
+++ b/standins/hostile/hostileServer.ts
@@ -20,7 +20,7 @@
 export type HostileAnswer = ValueOf<typeof HostileAnswer>;
 
 interface Script {
-  readonly start: (requestId: string) => string;
+  readonly start: (identity: readonly string[]) => string;
   /** Sent repeatedly. */
   readonly repeated: string;
 }
@@ -30,10 +30,8 @@
 
 const filler = 'x'.repeat(16 * 1024);
 const chunkOf = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
-const headOf = (requestId: string, ...lines: readonly string[]): string =>
-  ['HTTP/1.1 200 OK', `request-id: ${requestId}`, 'response-stamp: stamp', ...lines, '', ''].join(
-    '\r\n',
-  );
+const headOf = (identity: readonly string[], ...lines: readonly string[]): string =>
+  ['HTTP/1.1 200 OK', ...identity, ...lines, '', ''].join('\r\n');
 
 const scripts: Readonly<Record<HostileAnswer, Script>> = {
   endlessHead: {
@@ -41,19 +39,20 @@
     repeated: `x-filler: ${'y'.repeat(1_000)}\r\n`,
   },
   endlessInterim: { start: () => '', repeated: 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n' },
-  endlessBody: { start: (id) => headOf(id, 'connection: close'), repeated: filler },
+  endlessBody: { start: (identity) => headOf(identity, 'connection: close'), repeated: filler },
   endlessChunks: {
-    start: (id) => headOf(id, 'transfer-encoding: chunked'),
+    start: (identity) => headOf(identity, 'transfer-encoding: chunked'),
     repeated: chunkOf(filler),
   },
   endlessEvent: {
-    start: (id) =>
-      headOf(id, 'content-type: text/event-stream', 'transfer-encoding: chunked') +
+    start: (identity) =>
+      headOf(identity, 'content-type: text/event-stream', 'transfer-encoding: chunked') +
       chunkOf('data: '),
     repeated: chunkOf(filler),
   },
   endlessComments: {
-    start: (id) => headOf(id, 'content-type: text/event-stream', 'transfer-encoding: chunked'),
+    start: (identity) =>
+      headOf(identity, 'content-type: text/event-stream', 'transfer-encoding: chunked'),
     repeated: chunkOf(': still here\n\n'),
   },
   noise: { start: () => '', repeated: '\u0000\u0001 no answer \r\n' },
@@ -67,10 +66,15 @@
   readonly openConnections: () => number;
 }
 
-const requestIdPattern = /request-id: ([^\r\n]+)/i;
+/** Returns the head lines that make a response count as the answer to a request. */
+export type CreateIdentity = (request: string) => readonly string[];
 
-const answerWithoutEnd = (socket: Socket, { start, repeated }: Script, request: string): void => {
-  socket.write(start(requestIdPattern.exec(request)?.[1] ?? ''));
+const answerWithoutEnd = (
+  socket: Socket,
+  { start, repeated }: Script,
+  identity: readonly string[],
+): void => {
+  socket.write(start(identity));
   const timer = setInterval(() => {
     if (socket.writable && !socket.writableNeedDrain) socket.write(repeated);
   }, writeIntervalMilliseconds);
@@ -78,14 +82,19 @@
 };
 
 /** Starts the server on a free port of the loopback interface. */
-export const startHostileServer = async (answer: HostileAnswer): Promise<HostileServer> => {
+export const startHostileServer = async (
+  answer: HostileAnswer,
+  createIdentity: CreateIdentity = () => [],
+): Promise<HostileServer> => {
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     sockets.add(socket);
     // The client ends the connection by a reset, which is the expected end.
     socket.on('error', () => sockets.delete(socket));
     socket.on('close', () => sockets.delete(socket));
-    socket.once('data', (bytes) => answerWithoutEnd(socket, scripts[answer], bytes.toString()));
+    socket.once('data', (bytes) =>
+      answerWithoutEnd(socket, scripts[answer], createIdentity(bytes.toString())),
+    );
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
--- a/standins/trainer/trainerProtocol.ts
+++ b/standins/trainer/trainerProtocol.ts
@@ -2,7 +2,7 @@
  * The HTTP protocol between the trainer stand-in and the entries: paths, status codes and message
  * schemas of lots and batches.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The path to which lots are posted; their batches are below it. */
 export const lotsPath = '/v1/lots';
