Send fewer heartbeats to contacts that stand by, and send due ones together

An entry sends heartbeats each 500 ms to its list source and the leader only, and each 1.5 s to the contacts that would replace the source; heartbeats due within 50 ms go out in one tick.

--- a/src/service/membership/common/contacts.ts
+++ b/src/service/membership/common/contacts.ts
@@ -132,15 +132,6 @@
   );
 };
 
-/**
- * Returns the interval of heartbeats to a daemon. The leader replaces voters and assigns work, so
- * what it knows must be recent.
- */
-export const computeIntervalTo = (world: World, receiver: DaemonRow): Milliseconds =>
-  receiver.id === replicaOf(world).leader
-    ? world.deployment.timing.heartbeatMilliseconds
-    : computeHeartbeatInterval(world);
-
 /**
  * Returns the time without a heartbeat after which a daemon is suspected that sends one in each
  * interval.
@@ -162,6 +153,26 @@
   return heard.find(({ isFresh }) => isFresh) ?? heard[0];
 };
 
+/** Returns the interval of an entry's heartbeats, by what it expects from the contact. */
+const computeIntervalOfEntry = (world: World, receiver: DaemonRow): Milliseconds =>
+  selectListSource(world)?.id === receiver.id
+    ? world.deployment.timing.heartbeatMilliseconds
+    : maximumIntervalMilliseconds;
+
+/**
+ * Returns the interval of heartbeats to a daemon. The leader replaces voters and assigns work, so
+ * what it knows must be recent. An entry sends fewer heartbeats to the contacts that only stand by
+ * to replace its list source.
+ */
+export const computeIntervalTo = (world: World, receiver: DaemonRow): Milliseconds => {
+  const { discovery, timing } = world.deployment;
+  const isShort = discovery === Discovery.Listed || receiver.id === replicaOf(world).leader;
+  if (isShort) return timing.heartbeatMilliseconds;
+  return isControlDaemon(world)
+    ? computeHeartbeatInterval(world)
+    : computeIntervalOfEntry(world, receiver);
+};
+
 /** Returns the entries that contact this control daemon and are not control daemons themselves. */
 export const listFollowingEntries = (world: World): DaemonRow[] =>
   [...world.daemons.rows()].filter(
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -87,6 +87,9 @@
   };
 };
 
+/** Heartbeats that are due within this time are sent together, which saves wake-ups. */
+const heartbeatAlignmentMilliseconds = 50;
+
 const computeOwnLoad = (world: World): number =>
   world.requests.count('state', RequestState.Waiting) +
   world.requests.count('state', RequestState.Running);
@@ -139,7 +142,7 @@
       if (contactChanges.map((changes) => changes.take()).includes(true))
         updateContacts(world, now);
       world.daemons
-        .takeDue('heartbeat', now)
+        .takeDue('heartbeat', deadlineAfter(now, heartbeatAlignmentMilliseconds))
         .forEach((daemon) => sendHeartbeat(world, daemon, now));
     },
   };
