Announce changed lists and leaving daemons without waiting for a heartbeat

Cause, found by reading: with intervals of up to 1.5 s, an entry that is being stopped was advised to callers for up to 3 s longer than before, which is most of the time for which it serves on. Changed lists now reach the daemons that ask for them within 150 ms, and a leaving daemon sends heartbeats to all contacts at once. The test (twelve entries, none advises the leaving one after 400 ms) is new.

--- a/src/service/membership/common/contacts.ts
+++ b/src/service/membership/common/contacts.ts
@@ -41,7 +41,8 @@
   leaving: true,
 };
 
-const isControlDaemon = (world: World): boolean => world.self.roles.includes(Role.Control);
+/** Whether this daemon is a control daemon. */
+export const isControlDaemon = (world: World): boolean => world.self.roles.includes(Role.Control);
 
 /** Returns the distance from this daemon: 0 in its zone, 1 in its region, 2 elsewhere. */
 export const distanceTo = (world: World, { zone, region }: DaemonRow): number => {
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -5,7 +5,7 @@
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import { Discovery, Role } from '../../../infrastructure/settings/common/deployment.js';
+import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
 import { createDerivedChanges } from '../../../infrastructure/tables/common/derivedChanges.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
@@ -16,7 +16,12 @@
 import { recentDepartures } from '../../registry/common/registrySystem.js';
 import { RequestState } from '../../traffic/common/trafficTables.js';
 import type { World } from '../../world/common/world.js';
-import { computeIntervalTo, selectListSource, updateContacts } from './contacts.js';
+import {
+  computeIntervalTo,
+  isControlDaemon,
+  selectListSource,
+  updateContacts,
+} from './contacts.js';
 import { insertMember } from './daemonRows.js';
 import {
   createListChanges,
@@ -113,6 +118,22 @@
   });
 };
 
+/** Sends the next heartbeats to these daemons by `deadline`, if they are not due before. */
+const advanceHeartbeats = (world: World, daemons: Iterable<DaemonRow>, deadline: Instant): void =>
+  [...daemons].forEach(({ id, heartbeatDeadline }) =>
+    world.daemons.change(id, { heartbeatDeadline: Math.min(heartbeatDeadline, deadline) }),
+  );
+
+/** Changes of the lists within this time are sent together. */
+const listDelayMilliseconds = 150;
+
+/** Makes changed lists reach the daemons that ask for them before their next usual heartbeat. */
+const announceLists = (world: World, now: Instant): void => {
+  increaseListsVersion(world);
+  const receivers = [...world.daemons.rows()].filter(({ heldLists }) => heldLists !== null);
+  advanceHeartbeats(world, receivers, deadlineAfter(now, listDelayMilliseconds));
+};
+
 const markSuspected = (world: World, daemon: DaemonRow): void => {
   world.daemons.change(daemon.id, { state: DaemonState.Suspected });
   world.events.append({ kind: EventKind.PeerSuspected, subject: { daemon: daemon.id } });
@@ -120,13 +141,15 @@
 
 /** Creates the system that sends heartbeats and suspects daemons. */
 export const createDaemonSystem = (world: World): System => {
-  const isControl = world.self.roles.includes(Role.Control);
+  const isControl = isControlDaemon(world);
   const listChanges = createListChanges(world);
   const contactChanges = [
     createDerivedChanges(world.daemons, ({ state, zone, region }) => [state, zone, region].join()),
     createDerivedChanges(world.replica, ({ leader }) => leader ?? undefined),
   ];
 
+  let hasAnnouncedLeaving = false;
+
   return {
     name: 'daemon',
     run: (now) => {
@@ -138,7 +161,11 @@
         .takeDue('retention', now)
         .forEach(({ id }) => world.advisedEntries.remove(id));
       world.daemons.takeDue('suspicion', now).forEach((daemon) => markSuspected(world, daemon));
-      if (listChanges.take() && isControl) increaseListsVersion(world);
+      if (listChanges.take() && isControl) announceLists(world, now);
+      if (world.isLeaving() && !hasAnnouncedLeaving) {
+        hasAnnouncedLeaving = true;
+        advanceHeartbeats(world, world.daemons.rows(), now);
+      }
       if (contactChanges.map((changes) => changes.take()).includes(true))
         updateContacts(world, now);
       world.daemons
--- a/src/service/membership/common/membershipLists.ts
+++ b/src/service/membership/common/membershipLists.ts
@@ -26,6 +26,7 @@
   createDerivedChanges,
   type DerivedChanges,
 } from '../../../infrastructure/tables/common/derivedChanges.js';
+import { isControlDaemon } from './contacts.js';
 import { insertMember } from './daemonRows.js';
 import type { Member, MembershipLists } from './membershipMessages.js';
 import { DaemonState, ownListsId, type DaemonRow } from './membershipTables.js';
@@ -122,7 +123,7 @@
   version: number,
   now: Instant,
 ): void => {
-  if (source.appliedLists !== version || world.self.roles.includes(Role.Control)) return;
+  if (source.appliedLists !== version || isControlDaemon(world)) return;
   extendAdvisedEntries(world, now);
   extendRegistrations(world, now);
 };
--- a/src/service/membership/test/common/heartbeatCost.test.ts
+++ b/src/service/membership/test/common/heartbeatCost.test.ts
@@ -174,3 +174,18 @@
   t.false(world.registrations.has(asBrand('e99')));
   t.is(world.registrations.size(), engines);
 });
+
+test('a leaving entry is no longer advised by any entry after a short time', (t) => {
+  const { installation } = createFleet(12);
+  const leaving = installation.daemon('d9').core.world;
+  const advisers = (): string[] =>
+    installation
+      .runningNames()
+      .filter((name) => isEntry(name) && name !== 'd9')
+      .filter((name) => installation.daemon(name).core.world.advisedEntries.has(asBrand('d9')));
+  t.true(advisers().length > 0);
+  leaving.setLeaving();
+  installation.wake('d9');
+  installation.runFor(400);
+  t.deepEqual(advisers(), []);
+});
--- a/src/service/registry/common/registrations.ts
+++ b/src/service/registry/common/registrations.ts
@@ -30,29 +30,16 @@
     '|',
   );
 
+/** Returns the columns of a row that its upstream reported. */
 const createRegistration = ({
   id,
-  service,
-  address,
-  zone,
-  state,
-  slots,
-  isReclaimable,
-  models,
-  startedAt,
-  sequence,
-}: RegistrationRow): Registration => ({
-  upstream: id,
-  service,
-  address,
-  zone,
-  state,
-  slots,
-  isReclaimable,
-  models,
-  startedAt,
-  sequence,
-});
+  reportDeadline: _reportDeadline,
+  repeatDeadline: _repeatDeadline,
+  avoidDeadline: _avoidDeadline,
+  isListed: _isListed,
+  ownRunning: _ownRunning,
+  ...reported
+}: RegistrationRow): Registration => ({ upstream: id, ...reported });
 
 /** Returns the reports that upstreams recently sent to this daemon. */
 export const listOwnReports = (world: World, now: Instant): Registration[] =>
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -7,10 +7,10 @@
 import type { HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import {
   computeHeartbeatInterval,
+  isControlDaemon,
   listFollowingEntries,
   listOtherControlDaemons,
 } from '../../membership/common/contacts.js';
@@ -59,11 +59,9 @@
     world.outgoingMessages.append({ to, message }),
   );
 
-const isControlDaemon = (world: World): boolean => world.self.roles.includes(Role.Control);
-
 /**
- * Sends a changed registration to the daemons to which this one is the first to report it.
- * Unchanged reports travel in heartbeats.
+ * Sends a changed registration on: to the other control daemons if the upstream itself reported it
+ * here, and to the entries that contact this control daemon. Unchanged reports travel in heartbeats.
  */
 const sendDifference = (
   world: World,
