Do not confirm a learner as current from a relay with undelivered entries

A relay compared what it had sent with its delivered index only, so one that was behind its learner confirmed it as current although it knew of committed entries that neither had. It compares with its commit index too now.

--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -97,7 +97,7 @@
 };
 
 const sendLearnerBatch = (world: World, learner: FollowingLearnerRow, now: Instant): void => {
-  const { term, leader, deliveredIndex } = replicaOf(world);
+  const { term, leader, deliveredIndex, commitIndex } = replicaOf(world);
   const last = Math.min(deliveredIndex, learner.sentIndex + maximumEntriesPerMessage);
   const entries = entriesBetween(world, learner.sentIndex + 1, last);
   const throughIndex = Math.max(learner.sentIndex, last);
@@ -111,8 +111,9 @@
       entries: entries.filter((entry) => shouldReceive(learner, entry)),
       throughIndex,
       askedAt: learner.askedAt,
-      // A partial batch has no age, because it does not include the latest entries.
-      age: throughIndex >= deliveredIndex ? stalenessOf(world, now) : null,
+      // A partial batch has no age, because it does not include the latest entries. A relay that
+      // is behind its learner may know of committed entries that it has not delivered yet.
+      age: throughIndex >= Math.max(deliveredIndex, commitIndex) ? stalenessOf(world, now) : null,
     },
   });
   world.followingLearners.change(learner.id, { sentIndex: throughIndex });
