Send a repeated request on a connection that has not carried it

What callers saw: a call that an upstream answered with a 500 and that was sent to it again got the copy of that 500 as the answer to its second send. An item was dead after one failure and two copies of it, and so was an item whose reward call failed once.

Cause: a response counts if it names the request, and a copy of the answer to an earlier send of the same request names it too. The repeat went out on the pooled connection on which the copy was still to arrive.

Change: the client remembers which ids a connection has carried and gives a repeat at that upstream a connection of its own while an idle connection has carried its id.

Weighed: closing each connection whose answer may be followed by a copy costs a new connection for each request; a new id for each send isn't allowed, since the id is the caller's.

--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -3,7 +3,6 @@
  * complete, and passes the selected response to the submitter of the call. It reports what happens
  * to a send in `sendFacts`; which send counts is decided by systems.
  */
-import type { IncomingMessage } from 'node:http';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { remainingUntil, type Clock } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
@@ -21,7 +20,8 @@
 } from '../../../service/forwarding/common/forwardingTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createAnswerCollector } from './answerCollector.js';
-import { readHeaders, type UpstreamClient } from './upstreamClient.js';
+import { createNamedSender, type OwnedResponse } from './ownedAnswers.js';
+import type { UpstreamClient } from './upstreamClient.js';
 import {
   ResponseClass,
   type ResponseHead,
@@ -74,6 +74,7 @@
   const hostByCall = new Map<CallId, string>();
   const openSends = new Map<SendId, OpenSend>();
   const collector = createAnswerCollector(world.deployment.limits);
+  const sendNamed = createNamedSender(client, dialect, world.metrics, 'call');
   const callChanges = world.calls.createChangeReader(RowReader.Port);
   const sendChanges = world.sends.createChangeReader(RowReader.Port);
 
@@ -94,16 +95,8 @@
     report({ kind: 'answered', send: send.id, status: head.status });
   };
 
-  const isResponseToRequest = (head: ResponseHead, requestId: string): boolean =>
-    dialect.classifyResponse(head, requestId) !== ResponseClass.Foreign;
-
-  const handleResponse = (send: SendRow, call: CallRow, response: IncomingMessage): void => {
-    const head: ResponseHead = { status: response.statusCode ?? 0, headers: readHeaders(response) };
-    if (!isResponseToRequest(head, call.requestId)) {
-      response.destroy();
-      report({ kind: 'broken', send: send.id, reason: 'response does not belong to the request' });
-      return;
-    }
+  const handleResponse = (send: SendRow, owned: OwnedResponse): void => {
+    const { head, message: response } = owned;
     let hasEnded = false;
     const reportBroken = (reason: string): void => {
       if (hasEnded) return;
@@ -123,7 +116,7 @@
     response.on('end', () => {
       if (hasEnded || !response.complete) return;
       hasEnded = true;
-      if (dialect.classifyResponse(head, call.requestId) === ResponseClass.NotRun) {
+      if (owned.class === ResponseClass.NotRun) {
         report({ kind: 'notRun', send: send.id, reason: `status ${head.status}` });
       } else recordResponse(send, head, answer.take());
     });
@@ -148,9 +141,14 @@
       lastEventId: null,
       expectedVersion: null,
     });
-    const target = { address: upstream.address, content: pending.content, headers };
-    const connection = client.send(target, {
-      onDidReceiveResponse: (response) => handleResponse(send, call, response),
+    const target = {
+      address: upstream.address,
+      content: pending.content,
+      headers,
+      requestId: call.requestId,
+    };
+    const connection = sendNamed(target, {
+      onDidReceiveResponse: (response) => handleResponse(send, response),
       onDidFail: (reason, isNotRun) =>
         report({ kind: isNotRun ? 'notRun' : 'broken', send: send.id, reason }),
     });
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -1,9 +1,11 @@
 /**
  * HTTP client for requests to upstreams. It uses node:http instead of undici because the parser of
  * node:http is part of the runtime and needs less memory. A connection carries one request at a
- * time.
+ * time, and no request identifier twice, because the copy of an earlier response would name the
+ * repeated request too.
  */
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
 import type { Headers, RequestContent } from './upstreamDialect.js';
@@ -13,6 +15,8 @@
   readonly address: string;
   readonly content: RequestContent;
   readonly headers: Headers;
+  /** Identifier that the response names; null gives the request a connection of its own. */
+  readonly requestId: string | null;
 }
 
 /** Callbacks of a request; either `onDidReceiveResponse` or `onDidFail` is called first. */
@@ -33,6 +37,12 @@
 /** Idle connections kept per upstream; surplus connections are closed after their response. */
 const maximumIdleConnections = 8;
 
+/**
+ * Number of the newest request identifiers that are remembered of a connection. The copy of an older
+ * response arrives during one of so many later requests, which closes the connection.
+ */
+const maximumCarriedIdentifiers = 128;
+
 /** Responses before the final one, such as 103, that a request may get; a browser expects one. */
 const maximumInterimResponses = 16;
 
@@ -50,12 +60,37 @@
     scheduling: 'lifo',
   });
 
-  const createRequest = ({ address, content, headers }: UpstreamRequest): ClientRequest => {
+  /** Opens a connection for each request and closes it after the response. */
+  const singleUseAgent = new Agent({ keepAlive: false });
+  const carriedBySocket = new WeakMap<Socket, Set<string>>();
+
+  const rememberCarried = (socket: Socket, requestId: string): void => {
+    const carried = carriedBySocket.get(socket) ?? new Set();
+    carriedBySocket.set(socket, carried.add(requestId));
+    const [oldest] = carried;
+    if (carried.size > maximumCarriedIdentifiers && oldest !== undefined) carried.delete(oldest);
+  };
+
+  const freeSocketsOf = (address: string): readonly Socket[] => {
+    const { host, port } = splitAddress(address);
+    return agent.freeSockets[agent.getName({ host, port })] ?? [];
+  };
+
+  const selectAgent = ({ address, requestId }: UpstreamRequest): Agent => {
+    if (requestId === null) return singleUseAgent;
+    const isRepeated = freeSocketsOf(address).some((socket) =>
+      carriedBySocket.get(socket)?.has(requestId),
+    );
+    return isRepeated ? singleUseAgent : agent;
+  };
+
+  const createRequest = (target: UpstreamRequest): ClientRequest => {
+    const { address, content, headers } = target;
     const { host, port } = splitAddress(address);
     const { method, path, body } = content;
     const length = body === null ? {} : { 'content-length': String(body.length) };
     return request({
-      agent,
+      agent: selectAgent(target),
       host,
       port,
       method,
@@ -68,6 +103,9 @@
     send: (target, listener) => {
       const outgoing = createRequest(target);
       let isClosed = false;
+      outgoing.once('socket', (socket) => {
+        if (target.requestId !== null) rememberCarried(socket, target.requestId);
+      });
       outgoing.once('response', (response) => {
         if (isClosed) response.destroy();
         else listener.onDidReceiveResponse(response);
@@ -97,11 +135,12 @@
       };
     },
     closeIdleConnections: (address) => {
-      const { host, port } = splitAddress(address);
-      const idleSockets = agent.freeSockets[agent.getName({ host, port })] ?? [];
-      idleSockets.forEach((socket) => socket.destroy());
+      freeSocketsOf(address).forEach((socket) => socket.destroy());
+    },
+    dispose: () => {
+      agent.destroy();
+      singleUseAgent.destroy();
     },
-    dispose: () => agent.destroy(),
   };
 };
 
--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -67,6 +67,8 @@
 export interface UpstreamDialect {
   readonly createHeaders: (envelope: RequestEnvelope) => Headers;
   readonly classifyResponse: (head: ResponseHead, requestId: string) => ResponseClass;
+  /** Why a foreign response does not belong to the request; for metrics and logs. */
+  readonly describeForeign: (head: ResponseHead, requestId: string) => string;
   /** The signature of the upstream; null if the response has none. */
   readonly readSignature: (head: ResponseHead) => string | null;
   /** The weight version named by the headers; null if they name none. */
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -14,12 +14,9 @@
   type RunRow,
 } from '../../../service/jobs/common/jobTables.js';
 import type { World } from '../../../service/world/common/world.js';
-import { readHeaders, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
-import {
-  ResponseClass,
-  type ResponseHead,
-  type UpstreamDialect,
-} from '../../forwarding/node/upstreamDialect.js';
+import { createNamedSender, type OwnedClass } from '../../forwarding/node/ownedAnswers.js';
+import type { UpstreamClient } from '../../forwarding/node/upstreamClient.js';
+import type { ResponseHead, UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
 import { createTextEventReader } from './textEventReader.js';
 
 /** Sends runs to engines; `drain` runs after each tick. */
@@ -46,6 +43,7 @@
   wake: () => void,
 ): RunPort => {
   const openRuns = new Map<ItemId, OpenRun>();
+  const sendNamed = createNamedSender(client, dialect, world.metrics, 'run');
   const changes = world.runs.createChangeReader(RowReader.Port);
 
   const report: Report = (fact) => {
@@ -97,7 +95,7 @@
   };
 
   const responseHandlers: Readonly<
-    Record<ResponseClass, (run: RunRow, head: ResponseHead, response: IncomingMessage) => void>
+    Record<OwnedClass, (run: RunRow, head: ResponseHead, response: IncomingMessage) => void>
   > = {
     ran: readText,
     notRun: ({ id: item, start }, head, response) => {
@@ -112,11 +110,6 @@
       discardBody(response);
       report({ kind: 'impossible', item, start });
     },
-    foreign: ({ id: item, start }, head, response) => {
-      response.destroy();
-      const reason = `response with status ${head.status} does not belong to the request`;
-      report({ kind: 'broken', item, start, text: [], versions: [], reason });
-    },
   };
 
   const startRun = (run: RunRow): void => {
@@ -145,13 +138,11 @@
       headers: jobItem.headers,
       body: jobItem.body,
     };
-    const connection = client.send(
-      { address: upstream.address, content, headers },
+    const connection = sendNamed(
+      { address: upstream.address, content, headers, requestId: jobItem.item },
       {
-        onDidReceiveResponse: (response) => {
-          const head = { status: response.statusCode ?? 0, headers: readHeaders(response) };
-          responseHandlers[dialect.classifyResponse(head, jobItem.item)](run, head, response);
-        },
+        onDidReceiveResponse: (response) =>
+          responseHandlers[response.class](run, response.head, response.message),
         onDidFail: (reason, isNotRun) =>
           report(
             isNotRun
--- a/standins/hostile/portFixture.ts
+++ b/standins/hostile/portFixture.ts
@@ -45,13 +45,18 @@
   const { world, now } = core;
   core.propose('declare', { ...testDeclarationCommand(), declaration });
   const upstreams = [
-    { id: 'e1', service: 'yard-app', address: appAddress },
-    { id: 'e2', service: 'planner', address: engineAddress },
+    { id: 'e1', service: 'yard-app', address: appAddress, models: [] },
+    {
+      id: 'e2',
+      service: 'planner',
+      address: engineAddress,
+      models: [{ name: 'm0', version: 1 }],
+    },
   ];
-  upstreams.forEach(({ id, service, address }) => {
+  upstreams.forEach(({ id, address, ...columns }) => {
     if (address === undefined) return;
     world.arrivedRegistrations.append({
-      registration: testEngine(id, { service, address, slots }),
+      registration: testEngine(id, { ...columns, address, slots }),
       isDirect: false,
     });
   });
