Give each weight order a connection of its own

What operators saw: nothing yet; found by test. An order's response names no request, so the late copy of a 200 to an item or call on the pooled connection told that the engine holds the version, and its runs were sent there early.

Change: a request without an id gets its own connection, which carries nothing else. Orders are few: at most one an engine and version.

Weighed: a Request-Id on orders and a required echo. The page of the protocol does not say that orders are echoed, and without the echo no order would ever count as accepted.

Evidence: "a late copy of a response to an item does not tell that a weight order holds" failed before (the order went out on connection 0, which had carried the item).

--- a/src/daemon/duties/node/weightOrderPort.ts
+++ b/src/daemon/duties/node/weightOrderPort.ts
@@ -56,7 +56,8 @@
     const { path, headers, body } = dialect.encodeOrder(order, world.fleet.holder);
     const content = { method: 'POST', path, headers, body: Buffer.from(body) };
     const connection = client.send(
-      { address: upstream.address, content, headers: {}, requestId: order.order },
+      // The pooled connections may still deliver copies of responses to calls and items.
+      { address: upstream.address, content, headers: {}, requestId: null },
       {
         onDidReceiveResponse: (response) => handleResponse(order, response),
         onDidFail: (_, isNotRun) => report(order, isNotRun ? 'refused' : 'unknown'),
