Take a text as whole only if its end is marked or confirmed

What callers saw: a result `completed` with part of the text, or with none. An engine that wrote its answer without length (the body ends with the connection) and was cut there by FIN or RST made a text that counted as whole; a marked end within an event, or without any event, counted as well.

Cause: response.complete is true for an answer without length as soon as the connection has ended. node:http finishes the message on ECONNRESET too, so a reset looked complete as well; only the order of two callbacks hid it for calls. The reader of events dropped a cut event silently.

Change: a text whose end is not marked (no length, no chunks) is continued after its last event; a start that brings no further event confirms it. The engine is not avoided for it. A text that ends within an event, or has none, is broken.

Weighed: to treat each answer without length as broken never ends where a service always writes so; to ask for a marked end has the same fault. The protocol lets any worker resume after the last event.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -144,6 +144,13 @@
   };
 };
 
+/**
+ * Whether a response marks its end by a length or a last chunk. If not, it ends with its connection,
+ * and nothing tells whether it was cut.
+ */
+export const marksItsEnd = ({ headers }: IncomingMessage): boolean =>
+  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+
 /** Response headers by lower-case name; repeated headers are joined with commas. */
 export const readHeaders = (response: IncomingMessage): Record<string, string> =>
   Object.fromEntries(
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -15,9 +15,9 @@
 } from '../../../service/jobs/common/jobTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createNamedSender, type OwnedClass } from '../../forwarding/node/ownedAnswers.js';
-import type { UpstreamClient } from '../../forwarding/node/upstreamClient.js';
+import { marksItsEnd, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { ResponseHead, UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
-import { createTextEventReader } from './textEventReader.js';
+import { createTextEventReader, type TextPart } from './textEventReader.js';
 
 /** Sends runs to engines; `drain` runs after each tick. */
 export interface RunPort extends Disposable {
@@ -34,6 +34,21 @@
 /** Minimum interval between two progress reports of a run. */
 const progressIntervalMilliseconds = 200;
 
+type TextEnd = 'whole' | 'unconfirmed' | 'broken';
+
+interface ReceivedText extends TextPart {
+  readonly item: ItemId;
+  readonly start: number;
+}
+
+const createEndFact: Readonly<
+  Record<TextEnd, (received: ReceivedText, reason: string) => RunFact>
+> = {
+  whole: (received) => ({ kind: 'whole', ...received }),
+  unconfirmed: (received) => ({ kind: 'unconfirmed', ...received }),
+  broken: (received, reason) => ({ kind: 'broken', ...received, reason }),
+};
+
 /** Creates the port. `wake` requests a tick. */
 export const createRunPort = (
   world: World,
@@ -61,18 +76,24 @@
     let isFinished = false;
     let reportedAt = clock();
 
-    const finish = (isComplete: boolean, reason: string): void => {
+    const finish = (kind: TextEnd, reason: string): void => {
       if (isFinished) return;
       isFinished = true;
-      const received = { item, start, ...reader.take() };
-      if (isComplete && reader.isInOrder()) report({ kind: 'whole', ...received });
-      else report({ kind: 'broken', ...received, reason });
+      report(createEndFact[kind]({ item, start, ...reader.take() }, reason));
+    };
+
+    /** A text that has no event, or stops within one, isn't whole however its response ended. */
+    const classifyEnd = (): TextEnd => {
+      const isUnbroken = response.complete && reader.isInOrder() && reader.isBetweenEvents();
+      if (!isUnbroken || reader.eventCount() === 0) return 'broken';
+      const isConfirmed = marksItsEnd(response) || reader.eventCount() === run.events;
+      return isConfirmed ? 'whole' : 'unconfirmed';
     };
 
     response.on('data', (chunk: Buffer) => {
       reader.push(chunk);
       if (!reader.isWithinLimits()) {
-        finish(false, 'event or text exceeds its maximum size');
+        finish('broken', 'event or text exceeds its maximum size');
         response.destroy();
         return;
       }
@@ -81,11 +102,9 @@
       reportedAt = clock();
       report({ kind: 'progress', item, start, ...reader.take() });
     });
-    response.on('error', (error) => finish(false, error.message));
-    response.on('close', () => finish(false, 'connection closed before the end of the text'));
-    response.on('end', () =>
-      finish(response.complete, 'incomplete response or events out of order'),
-    );
+    response.on('error', (error) => finish('broken', error.message));
+    response.on('close', () => finish('broken', 'connection closed before the end of the text'));
+    response.on('end', () => finish(classifyEnd(), 'incomplete response or events out of order'));
   };
 
   /** Discards the body of a response without text, so that its connection can be reused. */
--- a/src/daemon/jobs/node/textEventReader.ts
+++ b/src/daemon/jobs/node/textEventReader.ts
@@ -21,6 +21,10 @@
   readonly hasEvents: () => boolean;
   /** Whether the event identifiers were consecutive so far. */
   readonly isInOrder: () => boolean;
+  /** Whether the bytes so far end after a whole event; if not, an event was cut. */
+  readonly isBetweenEvents: () => boolean;
+  /** Number of events of the text, including those before this start. */
+  readonly eventCount: () => number;
   /** Whether the event that is being received, and the whole text, are within their limits. */
   readonly isWithinLimits: () => boolean;
 }
@@ -31,6 +35,12 @@
 /** Maximum bytes of one start of a run; a text of the longest item has below 100 KB. */
 const maximumTextBytes = 16 * 1024 * 1024;
 
+/** A blank line, which ends an event, at the end of a text. */
+const blankLinePattern = /(?:\r\n|\r|\n){2}$/;
+
+/** Characters of the longest blank line. */
+const blankLineLength = 4;
+
 /**
  * Creates a reader. `previousEventCount` is the number of events received by earlier starts of the
  * run, `initialVersion` the weight version named by the response headers, and `weightVersionField`
@@ -49,6 +59,7 @@
   let isOrdered = true;
   let bytesSinceEvent = 0;
   let totalBytes = 0;
+  let tail = '';
 
   const parser = createParser({
     onEvent: ({ id, data }) => {
@@ -68,7 +79,9 @@
     push: (chunk) => {
       totalBytes += chunk.length;
       bytesSinceEvent += chunk.length;
-      parser.feed(decoder.decode(chunk, { stream: true }));
+      const text = decoder.decode(chunk, { stream: true });
+      tail = `${tail}${text}`.slice(-blankLineLength);
+      parser.feed(text);
     },
     hasEvents: () => events.length > 0,
     isWithinLimits: () => bytesSinceEvent <= maximumEventBytes && totalBytes <= maximumTextBytes,
@@ -79,5 +92,7 @@
       return part;
     },
     isInOrder: () => isOrdered,
+    isBetweenEvents: () => tail === '' || blankLinePattern.test(tail),
+    eventCount: () => eventCount,
   };
 };
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -117,6 +117,15 @@
       readonly text: readonly string[];
       readonly versions: readonly number[];
     }
+  /**
+   * The stream ended with its connection after a whole event, which may have cut it; a start that
+   * brings no further event confirms that the text is complete.
+   */
+  | {
+      readonly kind: 'unconfirmed';
+      readonly text: readonly string[];
+      readonly versions: readonly number[];
+    }
   /** The stream broke; `text` contains only complete events. */
   | {
       readonly kind: 'broken';
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -77,6 +77,21 @@
 const abandonItem = (world: World, run: RunRow, cause: ItemFailureCause): void =>
   queueItemResult(world, run, { result: ItemResult.Dead, cause });
 
+/** Requeues a run with the text received so far, or without it if the job does not allow it. */
+const continueText = (
+  world: World,
+  run: RunRow,
+  job: JobRow,
+  { text, versions }: { readonly text: readonly string[]; readonly versions: readonly number[] },
+  reason: string,
+  now: Instant,
+): void => {
+  const columns = textColumnsWithEvents(run, text, versions);
+  recordRunEvent(world, EventKind.RunBroken, { ...run, events: columns.events }, reason);
+  const isAllowed = isVersionSetAllowed(world, job, columns.versions);
+  requeueRun(world, run, isAllowed ? columns : emptyTextColumns, now);
+};
+
 const runFactHandlers: HandlerTable<RunFact, void, RunContext> = {
   progress: (fact, world, run, job, now) => {
     recordEnginePace(world, run, fact.text.length, now);
@@ -97,14 +112,11 @@
     }
     startScoring(world, world.runs.change(run.id, columns)!);
   },
+  unconfirmed: (fact, world, run, job, now) =>
+    continueText(world, run, job, fact, 'response without a marked end', now),
   broken: (fact, world, run, job, now) => {
-    const columns = textColumnsWithEvents(run, fact.text, fact.versions);
-    recordRunEvent(world, EventKind.RunBroken, { ...run, events: columns.events }, fact.reason);
     avoidUpstream(world, run, now);
-    const keptColumns = isVersionSetAllowed(world, job, columns.versions)
-      ? columns
-      : emptyTextColumns;
-    requeueRun(world, run, keptColumns, now);
+    continueText(world, run, job, fact, fact.reason, now);
   },
   notRun: ({ reason }, world, run, _job, now) => {
     recordRunEvent(world, EventKind.RunNotStarted, run, reason);
