Count only answers of 500 as failed attempts of an item

What callers saw: an item was `dead` before it had `attempts` answers of 500.

Cause: each status that is no success and has no meaning of its own (404, 408, 429, 502, 503, 504) was classified as a failed attempt.

Change: such a status is `inconclusive`: the run is broken and starts again. So that an engine that answers nothing else is not asked without pause, the delay doubles with each start in a row that brought no event, from 40 ms to 1 s.

Evidence: platform/test/foreignItemAnswers.test.ts, "an item is not dead because engines answer ..." failed for all six statuses before: 'dead' after 3 starts. A guard that three answers of 500 make an item dead passed before and after.

--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -47,6 +47,8 @@
   Failed: 'failed',
   /** The request can never succeed. */
   Impossible: 'impossible',
+  /** Another status, which does not tell whether the request ran or could succeed. */
+  Inconclusive: 'inconclusive',
 } as const;
 export type ResponseClass = (typeof ResponseClass)[keyof typeof ResponseClass];
 
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -125,6 +125,10 @@
       discardBody(response);
       report({ kind: 'failed', item, start });
     },
+    inconclusive: ({ id: item, start }, { status }, response) => {
+      discardBody(response);
+      report({ kind: 'broken', item, start, text: [], versions: [], reason: `status ${status}` });
+    },
     impossible: ({ id: item, start }, _, response) => {
       discardBody(response);
       report({ kind: 'impossible', item, start });
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -86,6 +86,8 @@
   readonly saveDeadline: Instant;
   /** Number of failures that upstreams reported explicitly. */
   readonly failures: number;
+  /** Number of starts in a row that broke without an event. */
+  readonly fruitlessStarts: number;
   /** Time from which a waiting run can be assigned to an upstream. */
   readonly backoffDeadline: Instant;
   /** Time of the last progress report on this start; negative infinity before the first. */
--- a/src/service/jobs/common/runChanges.ts
+++ b/src/service/jobs/common/runChanges.ts
@@ -9,6 +9,13 @@
 /** Delay before a requeued run can be assigned again. */
 const backoffMilliseconds = 40;
 
+/** Maximum delay before a run whose starts keep breaking without an event is assigned again. */
+const maximumBackoffMilliseconds = 1_000;
+
+/** Delay before a run is assigned again; doubles with each start in a row without an event. */
+export const computeBackoff = (fruitlessStarts: number): Milliseconds =>
+  Math.min(backoffMilliseconds * 2 ** fruitlessStarts, maximumBackoffMilliseconds);
+
 /** Time for which new runs avoid an upstream on which a run broke, if another can run them. */
 const avoidanceMilliseconds = 1_500;
 
@@ -31,7 +38,7 @@
   world.runs.change(run.id, {
     state: RunState.Waiting,
     upstream: null,
-    backoffDeadline: deadlineAfter(now, backoffMilliseconds),
+    backoffDeadline: deadlineAfter(now, computeBackoff(0)),
     ...columns,
   });
 };
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -20,7 +20,13 @@
 import { cancelScoring, ItemFailureCause, queueItemResult } from './listItems.js';
 import { saveIntervalMilliseconds, queueUnsavedText } from './saveTexts.js';
 import { insertRuns } from './insertRuns.js';
-import { avoidUpstream, emptyTextColumns, recordRunEvent, requeueRun } from './runChanges.js';
+import {
+  avoidUpstream,
+  computeBackoff,
+  emptyTextColumns,
+  recordRunEvent,
+  requeueRun,
+} from './runChanges.js';
 import { startScoring } from './scoring.js';
 
 /**
@@ -89,7 +95,10 @@
   const columns = textColumnsWithEvents(run, text, versions);
   recordRunEvent(world, EventKind.RunBroken, { ...run, events: columns.events }, reason);
   const isAllowed = isVersionSetAllowed(world, job, columns.versions);
-  requeueRun(world, run, isAllowed ? columns : emptyTextColumns, now);
+  const fruitlessStarts = text.length === 0 ? run.fruitlessStarts + 1 : 0;
+  const backoffDeadline = deadlineAfter(now, computeBackoff(run.fruitlessStarts));
+  const keptColumns = isAllowed ? columns : emptyTextColumns;
+  requeueRun(world, run, { ...keptColumns, fruitlessStarts, backoffDeadline }, now);
 };
 
 const runFactHandlers: HandlerTable<RunFact, void, RunContext> = {
@@ -97,7 +106,7 @@
     recordEnginePace(world, run, fact.text.length, now);
     const progressDeadline = deadlineAfter(now, progressTimeoutMilliseconds);
     const columns = textColumnsWithEvents(run, fact.text, fact.versions);
-    const progress = { ...columns, lastProgressAt: now, progressDeadline };
+    const progress = { ...columns, fruitlessStarts: 0, lastProgressAt: now, progressDeadline };
     const updatedRun = world.runs.change(run.id, progress)!;
     if (now >= run.saveDeadline && isVersionSetAllowed(world, job, columns.versions)) {
       queueUnsavedText(world, updatedRun, deadlineAfter(now, saveIntervalMilliseconds));
