Count only answers of 500 as failed reward calls

What callers saw: an item was `dead` though its reward call had fewer than `attempts` answers of 500.

Cause: each status from 500 up counted (502, 503, 504), and a call whose row was gone counted as one failure.

Change: the dialect says which answer states that the run failed; the fact of the send carries it (hasFailed), the call counts it, and a call without a row counts nothing. Retries of calls still follow any status from 500 up.

callerShare.test.ts names the new field of the fact; nothing else of it changed.

--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -89,10 +89,11 @@
     return pending;
   };
 
-  const recordResponse = (send: SendRow, head: ResponseHead, body: Buffer): void => {
+  const recordResponse = (send: SendRow, { head, ...owned }: OwnedResponse, body: Buffer): void => {
     const openSend = openSends.get(send.id);
     if (openSend !== undefined) openSend.answer = { ...head, body };
-    report({ kind: 'answered', send: send.id, status: head.status });
+    const hasFailed = owned.class === ResponseClass.Failed;
+    report({ kind: 'answered', send: send.id, status: head.status, hasFailed });
   };
 
   const handleResponse = (send: SendRow, owned: OwnedResponse): void => {
@@ -118,7 +119,7 @@
       hasEnded = true;
       if (owned.class === ResponseClass.NotRun) {
         report({ kind: 'notRun', send: send.id, reason: `status ${head.status}` });
-      } else recordResponse(send, head, answer.take());
+      } else recordResponse(send, owned, answer.take());
     });
   };
 
--- a/src/service/forwarding/common/callSystem.ts
+++ b/src/service/forwarding/common/callSystem.ts
@@ -50,7 +50,7 @@
   isIdempotent: false,
   maximumAttempts: 1,
   attempts: 0,
-  serverErrorCount: 0,
+  failureCount: 0,
   triedUpstreams: [],
   offerDeadline: never,
   silenceMilliseconds: never,
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -64,8 +64,8 @@
   readonly maximumAttempts: number;
   /** Number of sends that may have run. */
   readonly attempts: number;
-  /** Number of sends that an upstream answered with a server error. */
-  readonly serverErrorCount: number;
+  /** Number of sends that an upstream answered with the failure of its run. */
+  readonly failureCount: number;
   /** Upstreams to which the call was sent, in order. */
   readonly triedUpstreams: readonly UpstreamId[];
   /** Time until which the call waits for its first upstream. */
@@ -123,7 +123,13 @@
 /** The result of a send, as reported by the port. */
 export type SendFact =
   /** A complete answer that identifies itself as the answer to this request. */
-  | { readonly kind: 'answered'; readonly send: SendId; readonly status: number }
+  | {
+      readonly kind: 'answered';
+      readonly send: SendId;
+      readonly status: number;
+      /** Whether the upstream states that it ran the request and failed. */
+      readonly hasFailed: boolean;
+    }
   /** The request certainly did not run. */
   | { readonly kind: 'notRun'; readonly send: SendId; readonly reason: string }
   /** The request may have run, and no usable answer was received. */
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -141,14 +141,14 @@
 };
 
 const sendFactHandlers: HandlerTable<SendFact, void, [World, CallRow, SendRow, Instant]> = {
-  answered: ({ status }, world, call, row, now) => {
+  answered: ({ status, hasFailed }, world, call, row, now) => {
     countMeteredRequest(world, call.workspace);
-    const isFailure = status >= minimumServerErrorStatus;
+    const isServerError = status >= minimumServerErrorStatus;
     const updatedCall = world.calls.change(call.id, {
       attempts: call.attempts + 1,
-      serverErrorCount: call.serverErrorCount + (isFailure ? 1 : 0),
+      failureCount: call.failureCount + Number(hasFailed),
     })!;
-    if (isFailure && canRetry(updatedCall)) {
+    if (isServerError && canRetry(updatedCall)) {
       endSend(world, row, { outcome: SendOutcome.Failed, reason: `status ${status}` }, now);
       scheduleRetry(world, updatedCall, 0, now);
       return;
--- a/src/service/forwarding/test/common/callerShare.test.ts
+++ b/src/service/forwarding/test/common/callerShare.test.ts
@@ -64,7 +64,12 @@
   t.is(readCallState(core, 'own-2'), CallState.Waiting);
 
   const [send] = core.world.sends.where('call', 'own-1');
-  core.world.sendFacts.append({ kind: 'answered', send: send!.id, status: 200 });
+  core.world.sendFacts.append({
+    kind: 'answered',
+    send: send!.id,
+    status: 200,
+    hasFailed: false,
+  });
   core.settle();
   t.is(readCallState(core, 'own-2'), CallState.Running);
 });
@@ -87,7 +92,12 @@
   order.forEach((id) => {
     t.is(readCallState(core, id), CallState.Running, id);
     const [send] = core.world.sends.where('call', id);
-    core.world.sendFacts.append({ kind: 'answered', send: send!.id, status: 200 });
+    core.world.sendFacts.append({
+      kind: 'answered',
+      send: send!.id,
+      status: 200,
+      hasFailed: false,
+    });
     core.settle();
   });
 });
--- a/src/service/jobs/common/scoring.ts
+++ b/src/service/jobs/common/scoring.ts
@@ -67,7 +67,7 @@
   return route?.maximumAttempts ?? 1;
 };
 
-/** Counts the failures that upstreams answered and retries until the attempts are used up. */
+/** Adds the failures that upstreams stated and retries until the attempts are used up. */
 const handleScoringFailure = (world: World, run: RunRow, failures: number, now: Instant): void => {
   const scoreFailures = run.scoreFailures + failures;
   const updatedRun = world.runs.change(run.id, {
@@ -87,7 +87,7 @@
   if (run === undefined) return;
   if (isSuccess(fact))
     queueItemResult(world, run, { result: ItemResult.Completed, score: fact.score });
-  else handleScoringFailure(world, run, world.calls.get(fact.call)?.serverErrorCount ?? 1, now);
+  else handleScoringFailure(world, run, world.calls.get(fact.call)?.failureCount ?? 0, now);
 };
 
 /** Handles a call that was refused without an answer: it is retried, and the text is kept. */
@@ -95,7 +95,7 @@
   const call = world.calls.get(id);
   if (call?.state !== CallState.Refused) return;
   const [run] = world.runs.where('call', id);
-  if (run !== undefined) handleScoringFailure(world, run, call.serverErrorCount, now);
+  if (run !== undefined) handleScoringFailure(world, run, call.failureCount, now);
 };
 
 /** Creates the system that handles scores and retries scoring requests. */
