Pass answers without length on without a length of ours

Cause: a worker's answer may have no length and end with its connection. Such an answer that is cut arrives as an orderly end: either the worker closes the connection in order, or the connection is reset right behind the last bytes, which the runtime reports as an end of file (a socket with data and a hang-up pending is reported as ended, without ECONNRESET). The front daemon collected the part that had arrived and sent it with a length, so that it looked whole. The class: a relay that asserts a completeness which it did not receive.

Ruled out: a foreign answer (the request id matched), a late second answer (the worker's run was the first one), and the error event of the client, which does not come in these cases.

Why it works: the end of our connection says no more than the end of the worker's did, so a client judges the answer as if it had asked the worker itself.

--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -21,7 +21,7 @@
 } from '../../../service/forwarding/common/forwardingTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createAnswerCollector } from './answerCollector.js';
-import { readHeaders, type UpstreamClient } from './upstreamClient.js';
+import { isDelimitedResponse, readHeaders, type UpstreamClient } from './upstreamClient.js';
 import {
   ResponseClass,
   type ResponseHead,
@@ -32,6 +32,11 @@
 /** A complete upstream response. */
 export interface UpstreamResponse extends ResponseHead {
   readonly body: Buffer;
+  /**
+   * Whether the response marks its own end. If not, the end of the connection is its end, and a
+   * response that was cut cannot be told from a whole one.
+   */
+  readonly isDelimited: boolean;
 }
 
 /** Result of a call, as passed to its submitter. */
@@ -90,7 +95,9 @@
 
   const recordResponse = (send: SendRow, head: ResponseHead, body: Buffer): void => {
     const openSend = openSends.get(send.id);
-    if (openSend !== undefined) openSend.answer = { ...head, body };
+    if (openSend !== undefined) {
+      openSend.answer = { ...head, body, isDelimited: isDelimitedResponse(head) };
+    }
     report({ kind: 'answered', send: send.id, status: head.status });
   };
 
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -6,7 +6,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
-import type { Headers, RequestContent } from './upstreamDialect.js';
+import type { Headers, RequestContent, ResponseHead } from './upstreamDialect.js';
 
 /** Address, content and additional headers of a request. */
 export interface UpstreamRequest {
@@ -113,3 +113,12 @@
       (values ?? []).join(', '),
     ]),
   );
+
+/** Statuses of responses that have no body, whatever their headers say. */
+const statusesWithoutBody: readonly number[] = [204, 304];
+
+/** Whether a response marks the end of its body, by a length, by chunks, or by having none. */
+export const isDelimitedResponse = ({ status, headers }: ResponseHead): boolean =>
+  headers['content-length'] !== undefined ||
+  headers['transfer-encoding'] !== undefined ||
+  statusesWithoutBody.includes(status);
--- /dev/null
+++ b/src/daemon/front/node/undelimitedResponse.ts
@@ -0,0 +1,29 @@
+/**
+ * Writes responses whose end only the end of the connection marks. A response of an upstream that
+ * has no length and no chunks may have been cut; with a length or chunks of ours, the part that
+ * arrived would look complete to the client.
+ */
+import type { ServerResponse } from 'node:http';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+
+/** Status, header entries and body of a response without a length. */
+export interface UndelimitedResponse {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: Uint8Array;
+}
+
+/**
+ * Writes the response, closes the connection after it, and returns the value with which a route
+ * states that it has written its response itself.
+ */
+export const writeUndelimitedResponse = (
+  outgoing: ServerResponse,
+  { status, headers, body }: UndelimitedResponse,
+): Response => {
+  // Without it, node:http adds a length or chunks.
+  Object.assign(outgoing, { useChunkedEncodingByDefault: false });
+  outgoing.writeHead(status, { ...Object.fromEntries(headers), connection: 'close' });
+  outgoing.end(body);
+  return RESPONSE_ALREADY_SENT;
+};
