--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
-import type { Headers, RequestContent } from './upstreamDialect.js';
+import type { Headers, RequestContent, ResponseHead } from './upstreamDialect.js';
 
 /** Address, content and additional headers of a request. */
 export interface UpstreamRequest {
@@ -144,13 +144,6 @@
   };
 };
 
-/**
- * Whether a response marks its end by a length or a last chunk. If not, it ends with its connection,
- * and nothing tells whether it was cut.
- */
-export const marksItsEnd = ({ headers }: IncomingMessage): boolean =>
-  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-
 /** Response headers by lower-case name; repeated headers are joined with commas. */
 export const readHeaders = (response: IncomingMessage): Record<string, string> =>
   Object.fromEntries(
@@ -159,3 +152,12 @@
       (values ?? []).join(', '),
     ]),
   );
+
+/** Statuses of responses that have no body, whatever their headers say. */
+const statusesWithoutBody: readonly number[] = [204, 304];
+
+/** Whether a response marks the end of its body, by a length, by chunks, or by having none. */
+export const isDelimitedResponse = ({ status, headers }: ResponseHead): boolean =>
+  headers['content-length'] !== undefined ||
+  headers['transfer-encoding'] !== undefined ||
+  statusesWithoutBody.includes(status);
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -15,7 +15,7 @@
 } from '../../../service/jobs/common/jobTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createNamedSender, type OwnedClass } from '../../forwarding/node/ownedAnswers.js';
-import { marksItsEnd, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
+import { isDelimitedResponse, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { ResponseHead, UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
 import { createTextEventReader, type TextPart } from './textEventReader.js';
 
@@ -86,7 +86,7 @@
     const classifyEnd = (): TextEnd => {
       const isUnbroken = response.complete && reader.isInOrder() && reader.isBetweenEvents();
       if (!isUnbroken || reader.eventCount() === 0) return 'broken';
-      const isConfirmed = marksItsEnd(response) || reader.eventCount() === run.events;
+      const isConfirmed = isDelimitedResponse(head) || reader.eventCount() === run.events;
       return isConfirmed ? 'whole' : 'unconfirmed';
     };
 
