Require three starts to confirm a text without a marked end

An answer without length that is reset right behind its last bytes arrives as an orderly end, so an engine that breaks off so twice, the second time before its next event, confirmed a text that was cut.

Change: three starts in a row without an event confirm it; the system that owns the run counts them, the port only tells how a response ended. A start that had reported progress counts as one with events. The backoff of starts without an event takes the same care.

Evidence: "an answer without length that is cut before its next event does not confirm a text" failed with one confirmation: three events of six, completed.

--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -86,8 +86,7 @@
     const classifyEnd = (): TextEnd => {
       const isUnbroken = response.complete && reader.isInOrder() && reader.isBetweenEvents();
       if (!isUnbroken || reader.eventCount() === 0) return 'broken';
-      const isConfirmed = isDelimitedResponse(head) || reader.eventCount() === run.events;
-      return isConfirmed ? 'whole' : 'unconfirmed';
+      return isDelimitedResponse(head) ? 'whole' : 'unconfirmed';
     };
 
     response.on('data', (chunk: Buffer) => {
--- a/src/service/jobs/common/insertRuns.ts
+++ b/src/service/jobs/common/insertRuns.ts
@@ -58,6 +58,7 @@
     saveDeadline: deadlineAfter(now, saveIntervalMilliseconds),
     failures: 0,
     fruitlessStarts: 0,
+    confirmations: 0,
     backoffDeadline: now,
     lastProgressAt: Number.NEGATIVE_INFINITY,
     progressDeadline: never,
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -88,6 +88,8 @@
   readonly failures: number;
   /** Number of starts in a row that broke without an event. */
   readonly fruitlessStarts: number;
+  /** Number of starts in a row that ended regularly without an event, but without a marked end. */
+  readonly confirmations: number;
   /** Time from which a waiting run can be assigned to an upstream. */
   readonly backoffDeadline: Instant;
   /** Time of the last progress report on this start; negative infinity before the first. */
@@ -120,8 +122,8 @@
       readonly versions: readonly number[];
     }
   /**
-   * The stream ended with its connection after a whole event, which may have cut it; a start that
-   * brings no further event confirms that the text is complete.
+   * The stream ended with its connection after a whole event, which may have cut it; starts that
+   * bring no further event confirm that the text is complete.
    */
   | {
       readonly kind: 'unconfirmed';
--- a/src/service/jobs/common/runChanges.ts
+++ b/src/service/jobs/common/runChanges.ts
@@ -26,6 +26,7 @@
   versions: [],
   savedEvents: 0,
   savedCharacters: 0,
+  confirmations: 0,
 } as const;
 
 /** Detaches a run from its engine and lets it wait for another one; `columns` change with it. */
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -50,6 +50,12 @@
 /** Time for which new runs avoid an upstream that refused an item, if another can run them. */
 const refusalAvoidanceMilliseconds = 100;
 
+/**
+ * Starts without a further event, and without a marked end, after which a text counts as complete.
+ * A single one may have been cut before its first event.
+ */
+const neededConfirmations = 3;
+
 const removeRuns = (world: World, runs: readonly RunRow[]): void =>
   runs.forEach((run) => {
     cancelScoring(world, run);
@@ -83,19 +89,45 @@
 const abandonItem = (world: World, run: RunRow, cause: ItemFailureCause): void =>
   queueItemResult(world, run, { result: ItemResult.Dead, cause });
 
+interface ReceivedText {
+  readonly text: readonly string[];
+  readonly versions: readonly number[];
+}
+
+/** Whether the start of a run that ends with this fact brought events, now or with its progress. */
+const hasBroughtEvents = (run: RunRow, { text }: ReceivedText): boolean =>
+  text.length > 0 || Number.isFinite(run.lastProgressAt);
+
+/** Scores a complete text, or runs the item again if the job does not allow its weight versions. */
+const completeText = (
+  world: World,
+  run: RunRow,
+  job: JobRow,
+  { text, versions }: ReceivedText,
+  now: Instant,
+): void => {
+  const columns = textColumnsWithEvents(run, text, versions);
+  if (!isVersionSetAllowed(world, job, columns.versions)) {
+    world.metrics.count('runs.versionNotAllowed');
+    requeueRun(world, run, emptyTextColumns, now);
+    return;
+  }
+  startScoring(world, world.runs.change(run.id, columns)!);
+};
+
 /** Requeues a run with the text received so far, or without it if the job does not allow it. */
 const continueText = (
   world: World,
   run: RunRow,
   job: JobRow,
-  { text, versions }: { readonly text: readonly string[]; readonly versions: readonly number[] },
+  received: ReceivedText,
   reason: string,
   now: Instant,
 ): void => {
-  const columns = textColumnsWithEvents(run, text, versions);
+  const columns = textColumnsWithEvents(run, received.text, received.versions);
   recordRunEvent(world, EventKind.RunBroken, { ...run, events: columns.events }, reason);
   const isAllowed = isVersionSetAllowed(world, job, columns.versions);
-  const fruitlessStarts = text.length === 0 ? run.fruitlessStarts + 1 : 0;
+  const fruitlessStarts = hasBroughtEvents(run, received) ? 0 : run.fruitlessStarts + 1;
   const backoffDeadline = deadlineAfter(now, computeBackoff(run.fruitlessStarts));
   const keptColumns = isAllowed ? columns : emptyTextColumns;
   requeueRun(world, run, { ...keptColumns, fruitlessStarts, backoffDeadline }, now);
@@ -112,17 +144,13 @@
       queueUnsavedText(world, updatedRun, deadlineAfter(now, saveIntervalMilliseconds));
     }
   },
-  whole: (fact, world, run, job, now) => {
-    const columns = textColumnsWithEvents(run, fact.text, fact.versions);
-    if (!isVersionSetAllowed(world, job, columns.versions)) {
-      world.metrics.count('runs.versionNotAllowed');
-      requeueRun(world, run, emptyTextColumns, now);
-      return;
-    }
-    startScoring(world, world.runs.change(run.id, columns)!);
+  whole: (fact, world, run, job, now) => completeText(world, run, job, fact, now),
+  unconfirmed: (fact, world, run, job, now) => {
+    const confirmations = hasBroughtEvents(run, fact) ? 0 : run.confirmations + 1;
+    const updatedRun = world.runs.change(run.id, { confirmations })!;
+    if (confirmations >= neededConfirmations) completeText(world, updatedRun, job, fact, now);
+    else continueText(world, updatedRun, job, fact, 'response without a marked end', now);
   },
-  unconfirmed: (fact, world, run, job, now) =>
-    continueText(world, run, job, fact, 'response without a marked end', now),
   broken: (fact, world, run, job, now) => {
     avoidUpstream(world, run, now);
     continueText(world, run, job, fact, fact.reason, now);
--- a/standins/hostile/rawAnswers.ts
+++ b/standins/hostile/rawAnswers.ts
@@ -50,12 +50,6 @@
     framings[framing].encode(body),
   ].join('\r\n');
 
-/** Returns the head that an upstream of the platform sends with a 2xx response. */
-export const workerHeaders = ({ headers }: RawRequest): Record<string, string> => ({
-  'request-id': headers['request-id'] ?? '',
-  'response-stamp': `stamp-${headers['request-id'] ?? ''}`,
-});
-
 /** Where an answer is cut. */
 export const AnswerCut = {
   Empty: 'empty',
