Share a connection on the own interface only where answers name their attempt

What callers saw: the answer of another request. A plain upstream that answers twice, the second copy after the next request was written on the same connection, gave that copy to the next caller.

Cause: upstreamPort.ts pooled connections to all upstreams and compared nothing; engines are meant to echo the attempt, but the echo was never read, and our stand-in engine did not send it. undici drops an idle connection that receives bytes only if they come before the next request is written.

Change: upstreamConnections.ts shares connections to an upstream while its latest answer named its attempt; any other request has a connection of its own. An answer on a shared connection that names no attempt or another one is foreign: counted, and the attempt is broken. A JSON body has to parse, so a copy within it no longer ends as a complete answer. The stand-in engine echoes.

Evidence, src/daemon/main/test/node/foreignAnswers.test.ts before: 7 failed, for example "a second copy 30 ms after a plain answer": 'answer to /depot/18' in place of 'answer to /depot/19'; "(inNextBody) of a plain answer": 'anHTTP/1.1 200 Sta'. After: all pass, and no answer of a plain upstream is lost. The guards for cut answers passed before and after.

--- a/src/daemon/main/test/node/brokenStreams.test.ts
+++ b/src/daemon/main/test/node/brokenStreams.test.ts
@@ -10,42 +10,13 @@
   HostileAnswer,
   startHostileServer,
 } from '../../../../../standins/hostile/hostileServer.js';
-import {
-  UpstreamKind,
-  UpstreamState,
-} from '../../../../service/protocol/common/upstreamProtocol.js';
+import { UpstreamKind } from '../../../../service/protocol/common/upstreamProtocol.js';
 import type { Daemon } from '../../node/daemon.js';
-import { openTestDaemon, waitForUpstreams } from './testDaemon.js';
+import { announceUpstream, openTestDaemon, waitForUpstreams } from './testDaemon.js';
 
 const limits = { maximumAnswerBytes: 256 * 1_024 };
 const maximumEventLimitBytes = 1024 * 1024;
 
-const announce = (daemon: Daemon, upstream: string, address: string, kind: UpstreamKind): void => {
-  const isEngine = kind === UpstreamKind.Engine;
-  daemon.world.arrivedAnnouncements.append({
-    announcement: {
-      upstream,
-      kind,
-      service: isEngine ? 'model' : 'depot',
-      address: `http://${address}`,
-      zone: 'z1',
-      incarnation: 1,
-      state: UpstreamState.Serving,
-      models: isEngine ? ['model'] : [],
-      adapters: [],
-      weightVersion: null,
-      reclaimable: false,
-      checksFencing: false,
-      resumesStreams: false,
-      slots: 4,
-      running: 0,
-      remaining: 60_000,
-    },
-    isDirect: true,
-  });
-  daemon.wake();
-};
-
 const streamBody = JSON.stringify({
   model: 'model',
   messages: [{ role: 'user', content: 'hello' }],
@@ -132,8 +103,8 @@
       `HTTP/1.1 500 Oops\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
     );
   });
-  announce(daemon, 'breaking', breaking, UpstreamKind.Engine);
-  announce(daemon, 'failing', failing, UpstreamKind.Engine);
+  announceUpstream(daemon, 'breaking', breaking, UpstreamKind.Engine);
+  announceUpstream(daemon, 'failing', failing, UpstreamKind.Engine);
   await waitForUpstreams(daemon, 2);
 
   const exchanges = Array.from({ length: 12 }, () => sendRaw(t, daemon, chatRequest()));
@@ -163,7 +134,7 @@
   const streaming = await startServer(t, (socket) => {
     socket.write(streamHead + chunkOf(eventText));
   });
-  announce(daemon, 'streaming', streaming, UpstreamKind.Engine);
+  announceUpstream(daemon, 'streaming', streaming, UpstreamKind.Engine);
   await waitForUpstreams(daemon, 1);
   const { socket, received, closed } = sendRaw(t, daemon, chatRequest());
   await waitFor(() => received().includes('one'));
@@ -184,7 +155,7 @@
     t.teardown(daemon.dispose);
     const server = await startHostileServer(answer);
     t.teardown(server.dispose);
-    announce(daemon, 'hostile', server.address, UpstreamKind.Engine);
+    announceUpstream(daemon, 'hostile', server.address, UpstreamKind.Engine);
     await waitForUpstreams(daemon, 1);
     const { received, closed } = sendRaw(t, daemon, chatRequest());
     await Promise.race([closed, waitFor(() => received().includes('"error"')), delay(10_000)]);
--- /dev/null
+++ b/src/daemon/main/test/node/foreignAnswers.test.ts
@@ -0,0 +1,190 @@
+/**
+ * Answers of upstreams that come twice, name another attempt, or are cut, as callers of a daemon see
+ * them over real sockets.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import test, { type ExecutionContext } from 'ava';
+import {
+  AnswerCut,
+  ConnectionEnd,
+  CopyMoment,
+  createRepeatingAnswer,
+  cutAnswer,
+  encodeAnswer,
+  endConnection,
+  Framing,
+  type RawAnswer,
+} from '../../../../../standins/hostile/rawAnswers.js';
+import {
+  startRawServer,
+  type AnswerRequest,
+  type RawRequest,
+  type RawServer,
+} from '../../../../../standins/hostile/rawServer.js';
+import { attemptHeader } from '../../../../service/protocol/common/engineProtocol.js';
+import { UpstreamKind } from '../../../../service/protocol/common/upstreamProtocol.js';
+import type { Daemon } from '../../node/daemon.js';
+import {
+  announceUpstream,
+  openTestDaemon,
+  sendRequest,
+  waitForUpstreams,
+  type ReadResponse,
+} from './testDaemon.js';
+
+const openUpstream = async (
+  t: ExecutionContext,
+  kind: UpstreamKind,
+  answer: AnswerRequest,
+): Promise<{ readonly daemon: Daemon; readonly server: RawServer }> => {
+  const daemon = await openTestDaemon();
+  t.teardown(daemon.dispose);
+  const server = await startRawServer(answer);
+  t.teardown(server.dispose);
+  announceUpstream(daemon, 'raw', server.address, kind);
+  await waitForUpstreams(daemon, 1);
+  return { daemon, server };
+};
+
+/** The response, or null if the daemon ended it early. */
+const tryRequest = (daemon: Daemon, path: string, body = '{}'): Promise<ReadResponse | null> =>
+  sendRequest(daemon, path, body, { key: 'key-one' }).catch(() => null);
+
+const plainAnswer = (request: RawRequest, columns: Partial<RawAnswer> = {}): RawAnswer => ({
+  status: 200,
+  headers: { 'content-type': 'text/plain' },
+  body: `answer to ${request.path}`,
+  framing: Framing.Length,
+  ...columns,
+});
+
+const namedAnswer = (request: RawRequest, columns: Partial<RawAnswer> = {}): RawAnswer => ({
+  status: 200,
+  headers: {
+    'content-type': 'application/json',
+    [attemptHeader]: request.headers[attemptHeader] ?? '',
+  },
+  body: JSON.stringify({ choices: [{ message: { content: request.body } }], tokens: 1 }),
+  framing: Framing.Length,
+  ...columns,
+});
+
+const chatBody = (content: string): string =>
+  JSON.stringify({ model: 'model', messages: [{ role: 'user', content }], max_tokens: 8 });
+
+const requests = 12;
+/** A lost answer of an engine costs its breaker's pause. */
+const engineRequests = 3;
+const pauses = [0, 1, 3, 10, 30];
+
+Object.values(CopyMoment).forEach((moment) =>
+  test(`a second copy (${moment}) of a plain answer reaches no other caller`, async (t) => {
+    const { daemon } = await openUpstream(
+      t,
+      UpstreamKind.Plain,
+      createRepeatingAnswer(moment, (request) => encodeAnswer(plainAnswer(request))),
+    );
+    for (let number = 0; number < requests; number += 1) {
+      const path = `/depot/${number}`;
+      const response = await tryRequest(daemon, path);
+      if (response?.status === 200) t.is(response.text, `answer to ${path}`);
+    }
+  }),
+);
+
+pauses.forEach((pause) =>
+  test(`a second copy ${pause} ms after a plain answer reaches no other caller`, async (t) => {
+    const { daemon } = await openUpstream(t, UpstreamKind.Plain, (request, socket) => {
+      const bytes = encodeAnswer(plainAnswer(request));
+      setTimeout(() => socket.write(bytes), 5);
+      setTimeout(() => socket.write(bytes), 5 + pause);
+    });
+    let answered = 0;
+    for (let number = 0; number < requests * 2; number += 1) {
+      const path = `/depot/${number}`;
+      const response = await tryRequest(daemon, path);
+      if (response?.status === 200) {
+        t.is(response.text, `answer to ${path}`);
+        answered += 1;
+      }
+    }
+    t.is(answered, requests * 2, 'a second copy costs no answer');
+  }),
+);
+
+Object.values(CopyMoment).forEach((moment) =>
+  test(`a second copy (${moment}) of an engine's answer reaches no other caller`, async (t) => {
+    const { daemon, server } = await openUpstream(
+      t,
+      UpstreamKind.Engine,
+      createRepeatingAnswer(moment, (request) => encodeAnswer(namedAnswer(request))),
+    );
+    for (let number = 0; number < engineRequests; number += 1) {
+      const response = await tryRequest(daemon, '/v1/chat/completions', chatBody(`c${number}`));
+      if (response?.status === 200) t.true(response.text.includes(`c${number}`), response.text);
+    }
+    t.true(server.requests.length >= engineRequests);
+  }),
+);
+
+test('an engine that names attempts in its answers keeps its connection', async (t) => {
+  const { daemon, server } = await openUpstream(t, UpstreamKind.Engine, (request, socket) => {
+    socket.write(encodeAnswer(namedAnswer(request)));
+  });
+  for (let number = 0; number < requests; number += 1)
+    await tryRequest(daemon, '/v1/chat/completions', chatBody(`c${number}`));
+  const connections = new Set(server.requests.map(({ connection }) => connection));
+  t.true(connections.size <= 2, `${connections.size} connections`);
+});
+
+test('an engine whose answers name no attempt gets a connection for each request', async (t) => {
+  const { daemon, server } = await openUpstream(t, UpstreamKind.Engine, (request, socket) => {
+    const headers = { 'content-type': 'application/json' };
+    socket.write(encodeAnswer(namedAnswer(request, { headers })));
+  });
+  for (let number = 0; number < requests; number += 1) {
+    const response = await tryRequest(daemon, '/v1/chat/completions', chatBody(`c${number}`));
+    t.is(response?.status, 200);
+  }
+  t.is(new Set(server.requests.map(({ connection }) => connection)).size, requests);
+});
+
+test('an answer that names another attempt is no answer', async (t) => {
+  const { daemon } = await openUpstream(t, UpstreamKind.Engine, (request, socket) => {
+    const headers = { 'content-type': 'application/json', [attemptHeader]: 'another' };
+    socket.write(encodeAnswer(namedAnswer(request, { headers })));
+  });
+  const response = await tryRequest(daemon, '/v1/chat/completions', chatBody('c'));
+  t.not(response?.status, 200);
+});
+
+const headCuts = Object.values(AnswerCut).filter(
+  (cut) => cut !== AnswerCut.InBody && cut !== AnswerCut.AfterHead,
+);
+const kinds = Object.values(UpstreamKind);
+
+kinds.forEach((kind) =>
+  Object.values(ConnectionEnd).forEach((end) =>
+    Object.values(Framing).forEach((framing) =>
+      test(`a caller gets no whole answer from one that is cut (${kind}, ${framing}, ${end})`, async (t) => {
+        const cuts = framing === Framing.Connection ? headCuts : Object.values(AnswerCut);
+        const isPlain = kind === UpstreamKind.Plain;
+        for (const cut of cuts) {
+          const { daemon } = await openUpstream(t, kind, (request, socket) => {
+            const answer = isPlain
+              ? plainAnswer(request, { framing })
+              : namedAnswer(request, { framing });
+            socket.write(cutAnswer(answer, cut));
+            endConnection[end](socket);
+          });
+          const path = isPlain ? '/depot/1' : '/v1/chat/completions';
+          const response = await Promise.race([
+            tryRequest(daemon, path, chatBody('c')),
+            delay(3_000, null),
+          ]);
+          t.not(response?.status, 200, `${cut}: ${response?.text ?? ''}`);
+        }
+      }),
+    ),
+  ),
+);
--- a/src/daemon/main/test/node/testDaemon.ts
+++ b/src/daemon/main/test/node/testDaemon.ts
@@ -8,6 +8,10 @@
   createTestDeployment,
   createTestTree,
 } from '../../../../../standins/virtual/testDeployment.js';
+import {
+  UpstreamKind,
+  UpstreamState,
+} from '../../../../service/protocol/common/upstreamProtocol.js';
 import { openDaemon, type Daemon } from '../../node/daemon.js';
 
 const ephemeralAddress = '127.0.0.1:0';
@@ -39,6 +43,38 @@
   return daemon._unsafeUnwrap();
 };
 
+/** Announces an upstream of the test tree at `address` (`host:port`). */
+export const announceUpstream = (
+  daemon: Daemon,
+  upstream: string,
+  address: string,
+  kind: UpstreamKind,
+): void => {
+  const isEngine = kind === UpstreamKind.Engine;
+  daemon.world.arrivedAnnouncements.append({
+    announcement: {
+      upstream,
+      kind,
+      service: isEngine ? 'model' : 'depot',
+      address: `http://${address}`,
+      zone: 'z1',
+      incarnation: 1,
+      state: UpstreamState.Serving,
+      models: isEngine ? ['model'] : [],
+      adapters: [],
+      weightVersion: null,
+      reclaimable: false,
+      checksFencing: false,
+      resumesStreams: false,
+      slots: 4,
+      running: 0,
+      remaining: 60_000,
+    },
+    isDirect: true,
+  });
+  daemon.wake();
+};
+
 /** Resolves when the daemon has at least `count` upstreams. */
 export const waitForUpstreams = async (daemon: Daemon, count: number): Promise<void> => {
   while (daemon.world.upstreams.size() < count) {
--- a/src/daemon/upstream/node/responseObserver.ts
+++ b/src/daemon/upstream/node/responseObserver.ts
@@ -41,6 +41,11 @@
   readonly tokens: number;
 }
 
+const parseJson = Result.fromThrowable(
+  (text: string): unknown => JSON.parse(text),
+  () => undefined,
+);
+
 const parseChunk = Result.fromThrowable(
   (text: string): EngineChunk => engineChunkSchema.parse(JSON.parse(text)),
   () => undefined,
@@ -145,8 +150,11 @@
     },
     isWithinLimits: () => true,
     end: () => {
-      parseChunk(Buffer.concat(chunks).toString('utf8')).map(handleBody);
-      return true;
+      if (length > maximumObservedBytes) return true;
+      const text = Buffer.concat(chunks).toString('utf8');
+      parseChunk(text).map(handleBody);
+      // A body that is cut, or holds bytes of another answer, is no JSON.
+      return length === 0 || parseJson(text).isOk();
     },
   };
 };
--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -2,11 +2,10 @@
  * Port to upstreams: sends the request of an attempt that reaches the state `writing`, pipes the
  * response to its sink, reports facts, and closes the connection when the attempt has ended.
  */
-import { Agent, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import {
-  attemptHeader,
   engineRefusalHeader,
   engineRefusalStatus,
 } from '../../../service/protocol/common/engineProtocol.js';
@@ -17,6 +16,7 @@
 import type { World } from '../../../service/world/common/world.js';
 import type { ResponseSink, Exchange, RequestContent } from '../../exchange/node/exchange.js';
 import { ResponseFormat, createResponseObserver } from './responseObserver.js';
+import { createUpstreamConnections } from './upstreamConnections.js';
 
 /** Sends the requests of attempts; `drain` runs after each tick. */
 export interface UpstreamPort extends AsyncDisposable {
@@ -27,9 +27,6 @@
 /** Finds the exchange of a request. */
 export type FindExchange = (request: RequestId) => Exchange | undefined;
 
-const connectTimeoutMilliseconds = 2_000;
-const noTimeout = 0;
-
 /** Response headers that are forwarded to the caller. */
 const forwardedResponseHeaderNames = [
   'content-type',
@@ -88,12 +85,7 @@
   findExchange: FindExchange,
   wake: () => void,
 ): UpstreamPort => {
-  const agent = new Agent({
-    connect: { timeout: connectTimeoutMilliseconds },
-    headersTimeout: noTimeout,
-    bodyTimeout: noTimeout,
-    pipelining: 1,
-  });
+  const connections = createUpstreamConnections(world.metrics);
   const changes = world.attempts.createChangeReader(RowReader.Port);
   const controllers = new Map<AttemptId, AbortController>();
 
@@ -114,13 +106,12 @@
     attempt: AttemptRow,
     address: string,
     controller: AbortController,
-  ): Promise<Dispatcher.ResponseData> => {
+  ): Promise<Dispatcher.ResponseData | null> => {
     let interimResponses = 0;
-    return agent.request({
-      origin: address,
+    return connections.send(address, attempt.id, {
       path: content.path,
       method: content.method,
-      headers: { ...content.headers, [attemptHeader]: attempt.id },
+      headers: content.headers,
       body: content.body,
       signal: controller.signal,
       onInfo: () => {
@@ -209,7 +200,8 @@
     try {
       const { content } = exchange;
       const response = await send(content, attempt, upstream.address, controller);
-      await handleResponse(response, attempt, upstream.kind, exchange, controller);
+      if (response === null) abandon(attempt, controller, 'answer of another request');
+      else await handleResponse(response, attempt, upstream.kind, exchange, controller);
     } catch (error) {
       if (!controller.signal.aborted) reportFailure(attempt, error);
     } finally {
@@ -237,7 +229,7 @@
     dispose: async () => {
       changes.dispose();
       controllers.forEach((controller) => controller.abort());
-      await agent.destroy();
+      await connections.dispose();
     },
   };
 };
--- a/standins/engine/engineRoutes.ts
+++ b/standins/engine/engineRoutes.ts
@@ -3,6 +3,7 @@
  */
 import { Hono, type Context } from 'hono';
 import {
+  attemptHeader,
   chatCompletionsPath,
   completionsPath,
   engineStatePath,
@@ -66,6 +67,14 @@
     return answeredOnSocket;
   };
 
+  application.use(async (context, next) => {
+    const attempt = context.req.header(attemptHeader);
+    if (attempt !== undefined) {
+      context.header(attemptHeader, attempt);
+      context.env.outgoing.setHeader(attemptHeader, attempt);
+    }
+    await next();
+  });
   application.post(chatCompletionsPath, handleCompletion);
   application.post(completionsPath, handleCompletion);
   application.get(engineStatePath, (context) => context.json(dependencies.orders.state()));
