End a send at once for an upgrade, or a status that is none

What callers saw: a call whose worker answered 101 waited until its timeout; a status under 200 or over 599 was passed on as an answer.

Cause: node:http emits neither 'response' nor 'error' for an upgrade, and takes any three digits for a status. `outgoing.once('error')` left a second error event without a listener, which would end the process.

Change: the client fails such a send, which may have run, and keeps listening for errors.

A second error event was not produced by any of these answers; the listener is kept as a precaution.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -49,6 +49,12 @@
 /** Connection error codes that imply that no byte of the request was written. */
 const connectFailureCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
+const minimumFinalStatus = 200;
+const maximumFinalStatus = 599;
+
+const isFinalStatus = (status = 0): boolean =>
+  status >= minimumFinalStatus && status <= maximumFinalStatus;
+
 const errorCodeOf = (error: Error): string =>
   'code' in error && typeof error.code === 'string' ? error.code : 'unknown';
 
@@ -106,16 +112,26 @@
       outgoing.once('socket', (socket) => {
         if (target.requestId !== null) rememberCarried(socket, target.requestId);
       });
-      outgoing.once('response', (response) => {
-        if (isClosed) response.destroy();
-        else listener.onDidReceiveResponse(response);
-      });
       const fail = (reason: string, isNotRun: boolean): void => {
         if (isClosed) return;
         isClosed = true;
         listener.onDidFail(reason, isNotRun);
       };
-      outgoing.once('error', (error) => {
+      outgoing.once('response', (response) => {
+        if (!isClosed && isFinalStatus(response.statusCode)) {
+          listener.onDidReceiveResponse(response);
+          return;
+        }
+        response.destroy();
+        fail(`status ${response.statusCode} is no final status`, false);
+      });
+      // Without this listener the request would only end at its deadline.
+      outgoing.once('upgrade', (_response, socket) => {
+        socket.destroy();
+        fail('upgrade that was not requested', false);
+      });
+      // A connection may report several errors; one without a listener ends the process.
+      outgoing.on('error', (error) => {
         const code = errorCodeOf(error);
         fail(code, connectFailureCodes.has(code));
       });
--- a/src/daemon/main/test/node/foreignAnswers.test.ts
+++ b/src/daemon/main/test/node/foreignAnswers.test.ts
@@ -72,6 +72,7 @@
 const chatBody = (content: string): string =>
   JSON.stringify({ model: 'model', messages: [{ role: 'user', content }], max_tokens: 8 });
 
+const kinds = Object.values(UpstreamKind);
 const requests = 12;
 /** A lost answer of an engine costs its breaker's pause. */
 const engineRequests = 3;
@@ -158,10 +159,30 @@
   t.not(response?.status, 200);
 });
 
+[99, 600, 999].forEach((status) =>
+  kinds.forEach((kind) =>
+    test(`a caller whose upstream (${kind}) answers with status ${status} gets an end`, async (t) => {
+      const { daemon, server } = await openUpstream(t, kind, (request, socket) => {
+        const line = `HTTP/1.1 ${String(status).padStart(3, '0')} Odd`;
+        socket.write(`${line}\r\n${attemptHeader}: ${request.headers[attemptHeader] ?? ''}\r\n`);
+        socket.write('content-length: 2\r\n\r\nok');
+      });
+      const path = kind === UpstreamKind.Plain ? '/depot/1' : '/v1/chat/completions';
+      const response = await Promise.race([
+        tryRequest(daemon, path, chatBody('c')),
+        delay(15_000, 'none'),
+      ]);
+      t.not(response, 'none');
+      t.true(server.requests.length > 0);
+      await delay(50);
+      t.is(server.openConnections(), 0, 'its connection is closed');
+    }),
+  ),
+);
+
 const headCuts = Object.values(AnswerCut).filter(
   (cut) => cut !== AnswerCut.InBody && cut !== AnswerCut.AfterHead,
 );
-const kinds = Object.values(UpstreamKind);
 
 kinds.forEach((kind) =>
   Object.values(ConnectionEnd).forEach((end) =>
