Pass plain answers without length on without an end of ours

What callers saw, on the own interface: a 200 with a part of the body, framed as whole. A plain upstream that wrote no length and stopped within its body, by FIN or by a reset, made a chunked answer with its last chunk.

Cause: the same as on the declared routes: the end of the upstream's connection is its only end, and the daemon put a marked end of its own behind it.

Change: such a body is written to the caller's connection without length or chunks and ends with it; an abandoned one is reset. Event streams and JSON bodies show their end themselves and stay as they were.

Evidence: three tests of foreignAnswers.test.ts failed before: cut by FIN and by reset gave "Transfer-Encoding: chunked ... 4 answ 0", and the whole answer came in chunks.

--- a/src/daemon/exchange/node/exchange.ts
+++ b/src/daemon/exchange/node/exchange.ts
@@ -19,8 +19,15 @@
 
 /** Receives the response of an upstream. */
 export interface ResponseSink {
-  /** Passes on the status and headers; called at most once, before `write`. */
-  readonly writeHead: (status: number, headers: Readonly<Record<string, string>>) => void;
+  /**
+   * Passes on the status and headers; called at most once, before `write`. If the response is not
+   * delimited, its end proves nothing, so it must not be passed on with an end of ours.
+   */
+  readonly writeHead: (
+    status: number,
+    headers: Readonly<Record<string, string>>,
+    isDelimited: boolean,
+  ) => void;
   readonly write: (chunk: Uint8Array) => void;
   /** Resolves when the sink accepts more bytes; immediately if its buffer is not full. */
   readonly waitForDrain: () => Promise<void>;
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
-import type { Headers, RequestContent, ResponseHead } from './upstreamDialect.js';
+import type { Headers, RequestContent } from './upstreamDialect.js';
 
 /** Address, content and additional headers of a request. */
 export interface UpstreamRequest {
@@ -173,7 +173,13 @@
 const statusesWithoutBody: readonly number[] = [204, 304];
 
 /** Whether a response marks the end of its body, by a length, by chunks, or by having none. */
-export const isDelimitedResponse = ({ status, headers }: ResponseHead): boolean =>
+export const isDelimitedResponse = ({
+  status,
+  headers,
+}: {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, unknown>>;
+}): boolean =>
   headers['content-length'] !== undefined ||
   headers['transfer-encoding'] !== undefined ||
   statusesWithoutBody.includes(status);
--- a/src/daemon/front/node/callerExchange.ts
+++ b/src/daemon/front/node/callerExchange.ts
@@ -1,11 +1,15 @@
 /**
  * Exchange of a caller's request: the upstream response is streamed to the caller, and a refusal
  * before the first byte becomes an error response. Response bytes are buffered in the stream until
- * the caller reads them.
+ * the caller reads them. A response that is not delimited is written to the caller's connection and
+ * ends with it.
  */
+import type { ServerResponse } from 'node:http';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import type { Refusal } from '../../../service/traffic/common/refusal.js';
 import type { ResponseSink, Exchange, RequestContent } from '../../exchange/node/exchange.js';
 import { createErrorResponse } from './errorResponse.js';
+import { startUndelimitedResponse } from './undelimitedResponse.js';
 
 /** An exchange and the response that it produces. */
 export interface CallerExchange {
@@ -16,7 +20,31 @@
 /** Bytes buffered for a slow caller before reading from the upstream pauses. */
 const maximumBufferedBytes = 256 * 1024;
 
-const createBodyStream = () => {
+/** Passes the body of a response on. */
+interface ResponseBody extends Pick<ResponseSink, 'write' | 'waitForDrain'> {
+  readonly end: () => void;
+  readonly abort: (reason: Refusal) => void;
+}
+
+const createUndelimitedBody = (outgoing: ServerResponse): ResponseBody => ({
+  write: (chunk) => {
+    outgoing.write(chunk);
+  },
+  waitForDrain: () => {
+    if (!outgoing.writableNeedDrain || outgoing.destroyed) return Promise.resolve();
+    return new Promise((resolve) => {
+      outgoing.once('drain', resolve).once('close', resolve);
+    });
+  },
+  end: () => {
+    outgoing.end();
+  },
+  abort: () => {
+    outgoing.destroy();
+  },
+});
+
+const createBodyStream = (): ResponseBody & { readonly stream: ReadableStream<Uint8Array> } => {
   let controller: ReadableStreamDefaultController<Uint8Array> | undefined;
   let resolveDrain: (() => void) | undefined;
 
@@ -60,9 +88,13 @@
   };
 };
 
-/** Creates the exchange of one request. */
-export const createCallerExchange = (content: RequestContent): CallerExchange => {
-  const body = createBodyStream();
+/** Creates the exchange of one request; `outgoing` is the connection of its caller. */
+export const createCallerExchange = (
+  content: RequestContent,
+  outgoing: ServerResponse,
+): CallerExchange => {
+  const bodyStream = createBodyStream();
+  let body: ResponseBody = bodyStream;
   let hasSentHead = false;
   let resolveResponse: (response: Response) => void;
   const response = new Promise<Response>((resolve) => {
@@ -70,12 +102,18 @@
   });
 
   const sink: ResponseSink = {
-    writeHead: (status, headers) => {
+    writeHead: (status, headers, isDelimited) => {
       hasSentHead = true;
-      resolveResponse(new Response(body.stream, { status, headers }));
+      if (isDelimited) {
+        resolveResponse(new Response(bodyStream.stream, { status, headers }));
+        return;
+      }
+      body = createUndelimitedBody(outgoing);
+      startUndelimitedResponse(outgoing, status, headers);
+      resolveResponse(RESPONSE_ALREADY_SENT);
     },
-    write: body.write,
-    waitForDrain: body.waitForDrain,
+    write: (chunk) => body.write(chunk),
+    waitForDrain: () => body.waitForDrain(),
   };
 
   const close = (refusal: Refusal | null): void => {
--- a/src/daemon/front/node/callerRoutes.ts
+++ b/src/daemon/front/node/callerRoutes.ts
@@ -93,8 +93,8 @@
   if (key !== null && containsKey(key, content)) {
     return Promise.resolve(createErrorResponse(createRefusal(RefusalKind.KeyInContent, true)));
   }
-  const { request, response } = submitter.submit(decoded, content);
   const { outgoing } = context.env;
+  const { request, response } = submitter.submit(decoded, content, outgoing);
   outgoing.once('close', () => {
     if (!outgoing.writableFinished) submitter.depart(request);
   });
--- a/src/daemon/front/node/submission.ts
+++ b/src/daemon/front/node/submission.ts
@@ -2,6 +2,7 @@
  * Submits decoded requests to the request table and returns their responses, which follow once
  * systems have processed the rows.
  */
+import type { ServerResponse } from 'node:http';
 import type { Clock, Instant } from '../../../base/common/time.js';
 import { createArrivedRow } from '../../../service/traffic/common/arrivedRequest.js';
 import type { ArrivedRequest, RequestRow } from '../../../service/traffic/common/trafficTables.js';
@@ -21,7 +22,12 @@
 
 /** Submits requests. */
 export interface Submitter {
-  readonly submit: (decoded: DecodedRequest, content: RequestContent) => Submission;
+  /** `outgoing` is the connection of the caller. */
+  readonly submit: (
+    decoded: DecodedRequest,
+    content: RequestContent,
+    outgoing: ServerResponse,
+  ) => Submission;
   /** Reports that the caller closed its connection before the response was complete. */
   readonly depart: (request: RequestId) => void;
 }
@@ -40,9 +46,9 @@
   clock: Clock,
   wake: () => void,
 ): Submitter => ({
-  submit: (decoded, content) => {
+  submit: (decoded, content, outgoing) => {
     const id = world.identifiers.next<RequestId>('request');
-    const { exchange, response } = createCallerExchange(content);
+    const { exchange, response } = createCallerExchange(content, outgoing);
     registry.add(id, exchange);
     world.requests.put(
       createArrivedRow({ ...decoded, id, sample: null, internalWorkspace: null }, clock()),
--- a/src/daemon/front/node/undelimitedResponse.ts
+++ b/src/daemon/front/node/undelimitedResponse.ts
@@ -13,6 +13,17 @@
   readonly body: Uint8Array;
 }
 
+/** Writes the head of a response that ends with its connection; the body is written to `outgoing`. */
+export const startUndelimitedResponse = (
+  outgoing: ServerResponse,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+): void => {
+  // Without it, node:http adds a length or chunks.
+  Object.assign(outgoing, { useChunkedEncodingByDefault: false });
+  outgoing.writeHead(status, { ...headers, connection: 'close' });
+};
+
 /**
  * Writes the response, closes the connection after it, and returns the value with which a route
  * states that it has written its response itself.
@@ -21,9 +32,7 @@
   outgoing: ServerResponse,
   { status, headers, body }: UndelimitedResponse,
 ): Response => {
-  // Without it, node:http adds a length or chunks.
-  Object.assign(outgoing, { useChunkedEncodingByDefault: false });
-  outgoing.writeHead(status, { ...Object.fromEntries(headers), connection: 'close' });
+  startUndelimitedResponse(outgoing, status, Object.fromEntries(headers));
   outgoing.end(body);
   return RESPONSE_ALREADY_SENT;
 };
--- a/src/daemon/main/test/node/foreignAnswers.test.ts
+++ b/src/daemon/main/test/node/foreignAnswers.test.ts
@@ -2,6 +2,8 @@
  * Answers of upstreams that come twice, name another attempt, or are cut, as callers of a daemon see
  * them over real sockets.
  */
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
 import {
@@ -50,6 +52,23 @@
 const tryRequest = (daemon: Daemon, path: string, body = '{}'): Promise<ReadResponse | null> =>
   sendRequest(daemon, path, body, { key: 'key-one' }).catch(() => null);
 
+/** All bytes of the response until the daemon closes the connection. */
+const readRaw = async (t: ExecutionContext, daemon: Daemon, path: string): Promise<string> => {
+  const [host, port] = daemon.callerAddress.split(':');
+  const socket = connect(Number(port), host);
+  t.teardown(() => socket.destroy());
+  let text = '';
+  socket.on('data', (bytes) => {
+    text += bytes.toString('latin1');
+  });
+  // A reset is one of the ends that the tests allow.
+  socket.on('error', () => {});
+  const closed = once(socket, 'close');
+  socket.write(`GET ${path} HTTP/1.1\r\nhost: test\r\nauthorization: Bearer key-one\r\n\r\n`);
+  await Promise.race([closed, delay(2_000)]);
+  return text;
+};
+
 const plainAnswer = (request: RawRequest, columns: Partial<RawAnswer> = {}): RawAnswer => ({
   status: 200,
   headers: { 'content-type': 'text/plain' },
@@ -209,3 +228,31 @@
     ),
   ),
 );
+
+const undelimitedEnds = Object.values(ConnectionEnd);
+
+undelimitedEnds.forEach((end) =>
+  test(`a plain answer without length that is cut (${end}) does not look whole to the caller`, async (t) => {
+    const { daemon } = await openUpstream(t, UpstreamKind.Plain, (request, socket) => {
+      socket.write(
+        cutAnswer(plainAnswer(request, { framing: Framing.Connection }), AnswerCut.InBody),
+      );
+      endConnection[end](socket);
+    });
+    const text = await readRaw(t, daemon, '/depot/1');
+    const [head = ''] = text.split('\r\n\r\n');
+    const isMarked = /content-length|transfer-encoding/i.test(head);
+    const hasEnded = text.endsWith('0\r\n\r\n') || /content-length/i.test(head);
+    t.false(head.includes(' 200 ') && isMarked && hasEnded, text);
+  }),
+);
+
+test('a plain answer without length reaches the caller whole, and ends with its connection', async (t) => {
+  const { daemon } = await openUpstream(t, UpstreamKind.Plain, (request, socket) => {
+    socket.end(encodeAnswer(plainAnswer(request, { framing: Framing.Connection })));
+  });
+  const text = await readRaw(t, daemon, '/depot/1');
+  t.true(text.startsWith('HTTP/1.1 200 '), text);
+  t.true(text.endsWith('\r\n\r\nanswer to /depot/1'), text);
+  t.true(/connection: close/i.test(text), text);
+});
--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -14,7 +14,8 @@
 import { AttemptState, type AttemptRow } from '../../../service/traffic/common/trafficTables.js';
 import type { AttemptId, RequestId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
-import type { ResponseSink, Exchange, RequestContent } from '../../exchange/node/exchange.js';
+import type { Exchange, RequestContent } from '../../exchange/node/exchange.js';
+import { isDelimitedResponse } from '../../forwarding/node/upstreamClient.js';
 import { ResponseFormat, createResponseObserver } from './responseObserver.js';
 import { createUpstreamConnections } from './upstreamConnections.js';
 
@@ -67,6 +68,14 @@
     : ResponseFormat.Opaque;
 };
 
+/** Whether a cut of the response can be seen; events and JSON bodies show their end themselves. */
+const hasVisibleEnd = (
+  { statusCode: status, headers }: Dispatcher.ResponseData,
+  format: ResponseFormat,
+  method: string,
+): boolean =>
+  format !== ResponseFormat.Opaque || method === 'HEAD' || isDelimitedResponse({ status, headers });
+
 const minimumServerErrorStatus = 500;
 
 /** Responses before the final one, such as 103, that a request may get. */
@@ -126,12 +135,15 @@
     response: Dispatcher.ResponseData,
     attempt: AttemptRow,
     kind: UpstreamKind,
-    sink: ResponseSink,
+    exchange: Exchange,
     controller: AbortController,
   ): Promise<void> => {
     let receivedBytes = 0;
-    const observer = createResponseObserver(detectFormat(response, kind), attempt.id, report);
-    sink.writeHead(response.statusCode, selectResponseHeaders(response));
+    const format = detectFormat(response, kind);
+    const observer = createResponseObserver(format, attempt.id, report);
+    const isDelimited = hasVisibleEnd(response, format, exchange.content.method);
+    const sink = exchange.openSink(attempt.id);
+    sink.writeHead(response.statusCode, selectResponseHeaders(response), isDelimited);
     report({ kind: 'answerStarted', attempt: attempt.id, status: response.statusCode });
 
     for await (const chunk of response.body) {
@@ -175,7 +187,7 @@
       report({ kind: 'broken', attempt: attempt.id, reason });
       return;
     }
-    await pipe(response, attempt, kind, exchange.openSink(attempt.id), controller);
+    await pipe(response, attempt, kind, exchange, controller);
   };
 
   const reportFailure = (attempt: AttemptRow, error: unknown): void => {
