Do not pass on a worker's 503 that does not say that the call has not run

What callers saw: a request that may run once only was answered 408, 429 or 503, which promise that it has not run and never will, though only a response with Not-Run states that (REFUSED).

Cause: each answer that names its request was passed on with its status.

Change: such an answer without the statement is a broken send: the call is tried again where its route allows, or ends with 502, without the worker's signature.

Evidence: three tests of platform/test/foreignAnswers.test.ts failed before: '408 | 429 | 503 r1 body of r1' in place of 'refused upstreamFailed'.

--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -126,6 +126,9 @@
       hasEnded = true;
       if (owned.class === ResponseClass.NotRun) {
         report({ kind: 'notRun', send: send.id, reason: `status ${head.status}` });
+      } else if (dialect.promisesNotRun(head.status)) {
+        const reason = `status ${head.status} without a statement that the request did not run`;
+        report({ kind: 'broken', send: send.id, reason });
       } else recordResponse(send, owned, answer.take());
     });
   };
--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -71,6 +71,11 @@
   readonly classifyResponse: (head: ResponseHead, requestId: string) => ResponseClass;
   /** Why a foreign response does not belong to the request; for metrics and logs. */
   readonly describeForeign: (head: ResponseHead, requestId: string) => string;
+  /**
+   * Whether callers read a status as the promise that their request has not run. A response with it
+   * that does not state so must not be passed on.
+   */
+  readonly promisesNotRun: (status: number) => boolean;
   /** The signature of the upstream; null if the response has none. */
   readonly readSignature: (head: ResponseHead) => string | null;
   /** The weight version named by the headers; null if they name none. */
