Give each order of the own interface a connection of its own

What operators saw: nothing yet; found by test. The late copy of the 200 to one order, on the pooled connection of undici, told that the next order was done, which the engine had refused with 409. A state that is read back could be that of an earlier moment in the same way.

Change: each request of the order port opens its connection and closes it.

Evidence: src/daemon/orders/test/node/orderPort.test.ts failed with the pool ('done' in place of 'refused') and passes now.

--- a/src/daemon/orders/node/orderPort.ts
+++ b/src/daemon/orders/node/orderPort.ts
@@ -51,6 +51,8 @@
 
   const createRequestOptions = () => ({
     dispatcher: agent,
+    // A shared connection may still deliver the copy of an earlier answer, which names no order.
+    reset: true,
     signal: AbortSignal.timeout(maximumOrderTransitMilliseconds),
     headers: { 'content-type': 'application/json' },
   });
