Let only inconclusive answers delay the next start of an item

What trainers would see: an item under which engines crashed in series waited for up to a second after the last crash, since the delay doubled with each start without an event, whatever ended the start.

Cause: the delay was meant for engines that answer something that tells nothing (404, an empty text), and was counted for each start that broke without an event.

Change: such an answer is a fact of its own (inconclusive); a connection that breaks keeps the short delay, because the item is owed and nothing was answered.

Evidence: "an item whose connections keep breaking is not delayed like one with odd answers" failed before: after two broken starts the item was still waiting after 100 ms; the bound on starts at an engine that answers nothing but an unknown status passes as before.

--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -34,7 +34,7 @@
 /** Minimum interval between two progress reports of a run. */
 const progressIntervalMilliseconds = 200;
 
-type TextEnd = 'whole' | 'unconfirmed' | 'broken';
+type TextEnd = 'whole' | 'unconfirmed' | 'inconclusive' | 'broken';
 
 interface ReceivedText extends TextPart {
   readonly item: ItemId;
@@ -46,6 +46,7 @@
 > = {
   whole: (received) => ({ kind: 'whole', ...received }),
   unconfirmed: (received) => ({ kind: 'unconfirmed', ...received }),
+  inconclusive: ({ item, start }, reason) => ({ kind: 'inconclusive', item, start, reason }),
   broken: (received, reason) => ({ kind: 'broken', ...received, reason }),
 };
 
@@ -85,7 +86,8 @@
     /** A text that has no event, or stops within one, isn't whole however its response ended. */
     const classifyEnd = (): TextEnd => {
       const isUnbroken = response.complete && reader.isInOrder() && reader.isBetweenEvents();
-      if (!isUnbroken || reader.eventCount() === 0) return 'broken';
+      if (!isUnbroken) return 'broken';
+      if (reader.eventCount() === 0) return 'inconclusive';
       return isDelimitedResponse(head) ? 'whole' : 'unconfirmed';
     };
 
@@ -103,7 +105,7 @@
     });
     response.on('error', (error) => finish('broken', error.message));
     response.on('close', () => finish('broken', 'connection closed before the end of the text'));
-    response.on('end', () => finish(classifyEnd(), 'incomplete response or events out of order'));
+    response.on('end', () => finish(classifyEnd(), 'incomplete response, or no events in order'));
   };
 
   /** Discards the body of a response without text, so that its connection can be reused. */
@@ -126,7 +128,7 @@
     },
     inconclusive: ({ id: item, start }, { status }, response) => {
       discardBody(response);
-      report({ kind: 'broken', item, start, text: [], versions: [], reason: `status ${status}` });
+      report({ kind: 'inconclusive', item, start, reason: `status ${status}` });
     },
     impossible: ({ id: item, start }, _, response) => {
       discardBody(response);
--- a/src/service/jobs/common/insertRuns.ts
+++ b/src/service/jobs/common/insertRuns.ts
@@ -57,7 +57,7 @@
     ...initialTextOf(world, job, item),
     saveDeadline: deadlineAfter(now, saveIntervalMilliseconds),
     failures: 0,
-    fruitlessStarts: 0,
+    inconclusiveAnswers: 0,
     confirmations: 0,
     backoffDeadline: now,
     lastProgressAt: Number.NEGATIVE_INFINITY,
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -86,8 +86,8 @@
   readonly saveDeadline: Instant;
   /** Number of failures that upstreams reported explicitly. */
   readonly failures: number;
-  /** Number of starts in a row that broke without an event. */
-  readonly fruitlessStarts: number;
+  /** Number of starts in a row that brought an inconclusive answer. */
+  readonly inconclusiveAnswers: number;
   /** Number of starts in a row that ended regularly without an event, but without a marked end. */
   readonly confirmations: number;
   /** Time from which a waiting run can be assigned to an upstream. */
@@ -137,6 +137,8 @@
       readonly versions: readonly number[];
       readonly reason: string;
     }
+  /** The upstream answered without an event, and its answer does not tell whether it failed. */
+  | { readonly kind: 'inconclusive'; readonly reason: string }
   /** The upstream certainly did not run the item. */
   | { readonly kind: 'notRun'; readonly reason: string }
   /** The upstream ran the item and answered with a failure. */
--- a/src/service/jobs/common/runChanges.ts
+++ b/src/service/jobs/common/runChanges.ts
@@ -9,12 +9,12 @@
 /** Delay before a requeued run can be assigned again. */
 const backoffMilliseconds = 40;
 
-/** Maximum delay before a run whose starts keep breaking without an event is assigned again. */
+/** Maximum delay before a run that gets nothing but inconclusive answers is assigned again. */
 const maximumBackoffMilliseconds = 1_000;
 
-/** Delay before a run is assigned again; doubles with each start in a row without an event. */
-export const computeBackoff = (fruitlessStarts: number): Milliseconds =>
-  Math.min(backoffMilliseconds * 2 ** fruitlessStarts, maximumBackoffMilliseconds);
+/** Delay before a run is assigned again; doubles with each inconclusive answer in a row. */
+export const computeBackoff = (inconclusiveAnswers: number): Milliseconds =>
+  Math.min(backoffMilliseconds * 2 ** inconclusiveAnswers, maximumBackoffMilliseconds);
 
 /** Time for which new runs avoid an upstream on which a run broke, if another can run them. */
 const avoidanceMilliseconds = 1_500;
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -127,10 +127,8 @@
   const columns = textColumnsWithEvents(run, received.text, received.versions);
   recordRunEvent(world, EventKind.RunBroken, { ...run, events: columns.events }, reason);
   const isAllowed = isVersionSetAllowed(world, job, columns.versions);
-  const fruitlessStarts = hasBroughtEvents(run, received) ? 0 : run.fruitlessStarts + 1;
-  const backoffDeadline = deadlineAfter(now, computeBackoff(run.fruitlessStarts));
   const keptColumns = isAllowed ? columns : emptyTextColumns;
-  requeueRun(world, run, { ...keptColumns, fruitlessStarts, backoffDeadline }, now);
+  requeueRun(world, run, { ...keptColumns, inconclusiveAnswers: 0 }, now);
 };
 
 const runFactHandlers: HandlerTable<RunFact, void, RunContext> = {
@@ -138,7 +136,7 @@
     recordEnginePace(world, run, fact.text.length, now);
     const progressDeadline = deadlineAfter(now, progressTimeoutMilliseconds);
     const columns = textColumnsWithEvents(run, fact.text, fact.versions);
-    const progress = { ...columns, fruitlessStarts: 0, lastProgressAt: now, progressDeadline };
+    const progress = { ...columns, inconclusiveAnswers: 0, lastProgressAt: now, progressDeadline };
     const updatedRun = world.runs.change(run.id, progress)!;
     if (now >= run.saveDeadline && isVersionSetAllowed(world, job, columns.versions)) {
       queueUnsavedText(world, updatedRun, deadlineAfter(now, saveIntervalMilliseconds));
@@ -155,6 +153,13 @@
     avoidUpstream(world, run, now);
     continueText(world, run, job, fact, fact.reason, now);
   },
+  inconclusive: ({ reason }, world, run, _job, now) => {
+    recordRunEvent(world, EventKind.RunBroken, run, reason);
+    avoidUpstream(world, run, now);
+    const backoffDeadline = deadlineAfter(now, computeBackoff(run.inconclusiveAnswers));
+    const inconclusiveAnswers = run.inconclusiveAnswers + 1;
+    requeueRun(world, run, { inconclusiveAnswers, backoffDeadline }, now);
+  },
   notRun: ({ reason }, world, run, _job, now) => {
     recordRunEvent(world, EventKind.RunNotStarted, run, reason);
     avoidUpstream(world, run, now, refusalAvoidanceMilliseconds);
--- a/src/service/jobs/test/common/runs.test.ts
+++ b/src/service/jobs/test/common/runs.test.ts
@@ -189,3 +189,24 @@
   t.is(core.world.jobItems.where('job', 'j').length, 0);
   t.true(core.world.jobs.has('k' as never));
 });
+
+test('an item whose connections keep breaking is not delayed like one with odd answers', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.propose('job', testJob('j', [testItem('a')]));
+  const id = itemIdOf('j', 'a');
+  Array.from({ length: 8 }, () => {
+    const { start, state } = core.world.runs.get(id)!;
+    core.world.runFacts.append({
+      kind: 'broken',
+      item: id,
+      start,
+      text: [],
+      versions: [],
+      reason: 'reset',
+    });
+    core.runFor(100);
+    return t.is(state, RunState.Running, `start ${start}`);
+  });
+});
