Name the content of sends that an upstream did not finish

Callers of declared routes came again with the same path and body after workers had ended, each time under a new request id. No line connected these calls: sendEnded named the request id only, so the repeats of one content could not be counted from the logs of several machines.

Bodies and keys stay in the ports.

--- a/src/daemon/front/node/callerRoutes.ts
+++ b/src/daemon/front/node/callerRoutes.ts
@@ -2,7 +2,6 @@
  * Routes of callers: chat and completion routes for model engines, plain services by path, and
  * address advice. They decode and check requests; systems select the upstream.
  */
-import { createHash } from 'node:crypto';
 import { Hono, type Context } from 'hono';
 import { err, ok, Result } from 'neverthrow';
 import * as z from 'zod';
@@ -14,6 +13,7 @@
 import { createRefusal, RefusalKind } from '../../../service/traffic/common/refusal.js';
 import type { ServiceName } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
+import { computeContentDigest } from '../../exchange/node/contentDigest.js';
 import type { RequestContent } from '../../exchange/node/exchange.js';
 import { describeValidationIssues, parseJson, type RouteEnvironment } from './decoding.js';
 import { createErrorResponse } from './errorResponse.js';
@@ -67,10 +67,6 @@
   return null;
 };
 
-/** Computes the digest by which a resent request is recognized. */
-const computeContentDigest = (method: string, path: string, body: Uint8Array): string =>
-  createHash('sha256').update(`${method} ${path}\n`).update(body).digest('base64url');
-
 const createRequestContent = (
   context: RouteContext,
   path: string,
--- a/src/service/forwarding/common/callEvents.ts
+++ b/src/service/forwarding/common/callEvents.ts
@@ -9,7 +9,7 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
-import type { CallRow, SendResult, SendRow } from './forwardingTables.js';
+import type { CallRow, SendOutcome, SendResult, SendRow } from './forwardingTables.js';
 
 /** Value of the `end` label of the latency metric, by the event that ends a call. */
 const endLabels = {
@@ -18,6 +18,16 @@
   [EventKind.CallCancelled]: 'cancelled',
 } as const;
 
+/** Outcomes after which a later call with the same content may fail the same way. */
+const isContentNoted: Readonly<Record<SendOutcome, boolean>> = {
+  answered: false,
+  failed: false,
+  notRun: false,
+  broken: true,
+  silent: true,
+  abandoned: false,
+};
+
 const readDeclarationVersion = (world: World): number =>
   world.declarations.get(declarationId)?.version ?? 0;
 
@@ -62,7 +72,7 @@
     },
   });
 
-/** Records the outcome and the duration of a send. */
+/** Records the outcome and the duration of a send, and the content that an upstream did not finish. */
 export const recordSendEnd = (
   world: World,
   send: SendRow,
@@ -70,16 +80,19 @@
   now: Instant,
 ): void => {
   const tookMilliseconds = Math.round(now - send.startedAt);
+  const call = world.calls.get(send.call);
+  const { fingerprint = null } = call ?? {};
   world.metrics.count('sends.ended', 1, { outcome });
   world.metrics.observe('sends.latency', tookMilliseconds, { outcome });
   world.events.append({
     kind: EventKind.SendEnded,
     subject: {
-      request: world.calls.get(send.call)?.requestId ?? '',
+      request: call?.requestId ?? '',
       upstream: send.upstream,
       outcome,
       reason,
       tookMilliseconds,
+      ...(isContentNoted[outcome] && fingerprint !== null ? { fingerprint } : {}),
     },
   });
 };
--- a/src/service/forwarding/common/callSystem.ts
+++ b/src/service/forwarding/common/callSystem.ts
@@ -8,6 +8,7 @@
 import { RouteKind } from '../../declaration/common/declaration.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import { selectService } from '../../declaration/common/findRoute.js';
+import { fingerprintOf } from '../../quarantine/common/fingerprint.js';
 import type { World } from '../../world/common/world.js';
 import { recordAdmission } from './callEvents.js';
 import { CallRefusalKind } from './callRefusal.js';
@@ -41,6 +42,7 @@
   id: arrived.id,
   requestId: arrived.requestId,
   workspace: null,
+  fingerprint: null,
   route: '',
   service: '',
   state: CallState.Waiting,
@@ -71,6 +73,7 @@
   const call = world.calls.put({
     ...createCallRow(arrived, now),
     workspace,
+    fingerprint: fingerprintOf(workspace, arrived.digest),
     route: route.name,
     service: selectService(world, route),
     isIdempotent: route.kind === RouteKind.Idempotent,
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -8,6 +8,7 @@
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
+import type { Fingerprint } from '../../quarantine/common/fingerprint.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { CallRefusal } from './callRefusal.js';
 
@@ -28,6 +29,8 @@
   readonly host: string;
   readonly path: string;
   readonly key: string | null;
+  /** Digest of method, path and body; null for internal calls, which are never quarantined. */
+  readonly digest: string | null;
   /** Time that the caller allows, or null if it did not specify one. */
   readonly remaining: Milliseconds | null;
   /** Whether this system makes the call itself; internal calls need no key. */
@@ -51,6 +54,8 @@
   readonly id: CallId;
   readonly requestId: string;
   readonly workspace: string | null;
+  /** Recognizes the call if it is sent again; null for internal calls. */
+  readonly fingerprint: Fingerprint | null;
   /** Name of the route; empty if no route matches. */
   readonly route: string;
   readonly service: string;
--- a/src/service/forwarding/test/common/callerShare.test.ts
+++ b/src/service/forwarding/test/common/callerShare.test.ts
@@ -22,6 +22,7 @@
     path: '/score/x',
     key: null,
     remaining: 2_000,
+    digest: null,
     isInternal,
     urgency,
   });
--- a/src/service/jobs/common/scoring.ts
+++ b/src/service/jobs/common/scoring.ts
@@ -45,6 +45,7 @@
     host: scorer.host,
     path: scorer.path,
     key: null,
+    digest: null,
     remaining: null,
     isInternal: true,
     urgency: urgencyOf(world, run),
