Take evidence for a crash on the product's own interface

Callers saw a request refused for ten minutes as quarantined although no upstream had ended: two live upstreams had cut its answer, sent more than the limit, or answered with an error status.

Cause: any attempt without a usable answer was recorded as a crash of its upstream, and the record was told to all daemons once, unacknowledged.

Now each of six runs, and one after them is answered.

The own interface now runs the mechanism of the declared routes with its own policy: two process ends, processes known by announcement and incarnation. dispatch/quarantine.ts, the table suspects and the message upstreamCrashed are gone. An engine that answers with an error status is no suspect. Within one request no attempt follows two broken ones at distinct upstreams, as before. An address that still accepts connections after a break lets routing use the upstream again at once; before the probe was heard, an innocent request would have avoided all upstreams that cut it for ten seconds.

Changes to tests and stand-ins: DirectOutcome.Crash now is the end of a process (the next announcement has a higher incarnation), and DirectOutcome.Cut what it was before; the assertions of the tests that use Crash are unchanged. The test of concurrent requests reads isQuarantined of crashRecords in place of two upstreams in suspects, which decides the same. Virtual upstreams have an address each and answer probes. Samples still have no digest and are exempt.

--- a/src/daemon/fleet/node/fleetDaemon.ts
+++ b/src/daemon/fleet/node/fleetDaemon.ts
@@ -31,7 +31,7 @@
 } from '../../duties/node/capacityOrderPort.js';
 import { createUsageReportPort, type SendUsageReport } from '../../duties/node/usageReportPort.js';
 import { createWeightOrderPort } from '../../duties/node/weightOrderPort.js';
-import { createAddressProbePort } from '../../forwarding/node/addressProbePort.js';
+import { createAddressProbePort } from '../../quarantine/node/addressProbePort.js';
 import { createCallPort, type CallPort } from '../../forwarding/node/callPort.js';
 import { createUpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -21,7 +21,8 @@
 } from '../../../service/forwarding/common/forwardingTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createAnswerCollector } from './answerCollector.js';
-import { connectionRefusedCode, readHeaders, type UpstreamClient } from './upstreamClient.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
+import { readHeaders, type UpstreamClient } from './upstreamClient.js';
 import {
   ResponseClass,
   type ResponseHead,
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -6,6 +6,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import type { Headers, RequestContent } from './upstreamDialect.js';
 
 /** Address, content and additional headers of a request. */
@@ -36,9 +37,6 @@
 /** Responses before the final one, such as 103, that a request may get; a browser expects one. */
 const maximumInterimResponses = 16;
 
-/** Connection error code that implies that nothing listens at the address. */
-export const connectionRefusedCode = 'ECONNREFUSED';
-
 /** Connection error codes that imply that no byte of the request was written. */
 const connectFailureCodes = new Set([connectionRefusedCode, 'EHOSTUNREACH', 'ENETUNREACH']);
 
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -44,6 +44,7 @@
 import { openPeerPort } from '../../peers/node/peerPort.js';
 import { openBodyStore } from '../../rollout/node/openBodyStore.js';
 import { createRolloutPorts } from '../../rollout/node/rolloutPorts.js';
+import { createAddressProbePort } from '../../quarantine/node/addressProbePort.js';
 import { createUpstreamPort } from '../../upstream/node/upstreamPort.js';
 import { createEventPort } from './eventPort.js';
 
@@ -117,6 +118,7 @@
   const findExchange = (request: Parameters<typeof registry.get>[0]) =>
     registry.get(request) ?? rolloutPorts.samples.find(request);
   const upstreamPort = createUpstreamPort(world, findExchange, wake);
+  const addressProbePort = createAddressProbePort(world, wake);
   const exchangePort = createExchangePort(world, registry);
   const orderPort = createOrderPort(world, monotonicClock, wake);
   const trainerRelay = createTrainerRelay(world);
@@ -155,6 +157,7 @@
     storagePort.value,
     orderPort,
     upstreamPort,
+    addressProbePort,
     exchangePort,
     editPort,
     rolloutPorts,
@@ -177,6 +180,7 @@
 
   const disposeAll = async (): Promise<void> => {
     driver?.dispose();
+    addressProbePort.dispose();
     await Promise.all([
       httpServer.value.dispose(),
       peerPort.value.dispose(),
--- a/src/daemon/forwarding/node/addressProbePort.ts
+++ b/src/daemon/quarantine/node/addressProbePort.ts
@@ -6,10 +6,15 @@
 import type { Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
-import type { AddressProbeRow } from '../../../service/quarantine/common/quarantineTables.js';
+import {
+  AddressState,
+  type AddressProbeRow,
+} from '../../../service/quarantine/common/quarantineTables.js';
 import type { UpstreamId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
-import { connectionRefusedCode } from './upstreamClient.js';
+
+/** Connection error code that implies that nothing listens at the address. */
+export const connectionRefusedCode = 'ECONNREFUSED';
 
 /** Time for a connection to be accepted or refused; several round trips between regions. */
 const connectTimeoutMilliseconds = 1_000;
@@ -27,17 +32,17 @@
   const startProbe = ({ id, address }: AddressProbeRow): void => {
     const socket = createConnection(splitAddress(address));
     sockets.set(id, socket);
-    const finish = (isRefused: boolean): void => {
+    const finish = (state: AddressState): void => {
       if (sockets.get(id) !== socket) return;
       sockets.delete(id);
       socket.destroy();
-      world.addressFacts.append({ address, isRefused });
+      world.addressFacts.append({ address, state });
       wake();
     };
-    socket.setTimeout(connectTimeoutMilliseconds, () => finish(false));
-    socket.once('connect', () => finish(false));
+    socket.setTimeout(connectTimeoutMilliseconds, () => finish(AddressState.Unclear));
+    socket.once('connect', () => finish(AddressState.Accepting));
     socket.on('error', (error: NodeJS.ErrnoException) =>
-      finish(error.code === connectionRefusedCode),
+      finish(error.code === connectionRefusedCode ? AddressState.Refusing : AddressState.Unclear),
     );
   };
 
--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -16,6 +16,7 @@
 import type { AttemptId, RequestId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
 import type { ResponseSink, Exchange, RequestContent } from '../../exchange/node/exchange.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import { ResponseFormat, createResponseObserver } from './responseObserver.js';
 
 /** Sends the requests of attempts; `drain` runs after each tick. */
@@ -43,7 +44,7 @@
 
 /** Connection error codes that imply that no byte of the request was written. */
 const connectFailureCodes = new Set([
-  'ECONNREFUSED',
+  connectionRefusedCode,
   'EHOSTUNREACH',
   'ENETUNREACH',
   'ENOTFOUND',
@@ -181,7 +182,7 @@
     if (hasEngineFailed(response, kind)) {
       await response.body.dump();
       const reason = `status ${response.statusCode}`;
-      report({ kind: 'broken', attempt: attempt.id, reason });
+      report({ kind: 'broken', attempt: attempt.id, reason, hasAnswered: true });
       return;
     }
     await pipe(response, attempt, kind, exchange.openSink(attempt.id), controller);
@@ -189,8 +190,10 @@
 
   const reportFailure = (attempt: AttemptRow, error: unknown): void => {
     const reason = errorCodeOf(error);
-    const kind = connectFailureCodes.has(reason) ? 'notRun' : 'broken';
-    report({ kind, attempt: attempt.id, reason });
+    const isConnectionRefused = reason === connectionRefusedCode;
+    if (connectFailureCodes.has(reason))
+      report({ kind: 'notRun', attempt: attempt.id, reason, isConnectionRefused });
+    else report({ kind: 'broken', attempt: attempt.id, reason });
   };
 
   const runAttempt = async (attempt: AttemptRow): Promise<void> => {
--- a/src/service/admission/common/admissionSystem.ts
+++ b/src/service/admission/common/admissionSystem.ts
@@ -8,8 +8,9 @@
 import { findKeyRefusal } from '../../configuration/common/keyChecks.js';
 import { effectivePolicy, WorkClass, type Policy } from '../../configuration/common/tree.js';
 import { addRetryCredit } from '../../dispatch/common/retryBudget.js';
-import { isQuarantined, suspectIdOf } from '../../dispatch/common/retryTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { isQuarantined } from '../../quarantine/common/crashRecords.js';
+import { fingerprintOf } from '../../quarantine/common/fingerprint.js';
 import { refuseRequest } from '../../traffic/common/endRequest.js';
 import { flowIdOf, laneIdOf } from '../../traffic/common/flowTables.js';
 import { createRefusal, RefusalKind } from '../../traffic/common/refusal.js';
@@ -60,11 +61,8 @@
   return allowedServices.includes(request.service!) ? undefined : RefusalKind.ServiceNotAllowed;
 };
 
-const checkQuarantine: AdmissionCheck = (world, request, workspace) => {
-  if (request.digest === undefined) return undefined;
-  const suspect = world.suspects.get(suspectIdOf(workspace, request.digest));
-  return isQuarantined(suspect) ? RefusalKind.Quarantined : undefined;
-};
+const checkQuarantine: AdmissionCheck = (world, { digest }, workspace) =>
+  isQuarantined(world, fingerprintOf(workspace, digest)) ? RefusalKind.Quarantined : undefined;
 
 /** Admission checks in order of precedence: the first refusal is returned to the caller. */
 const checks: readonly AdmissionCheck[] = [
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -41,7 +41,10 @@
 import { createScoringSystem } from '../../jobs/common/scoring.js';
 import { createMeteringSystem } from '../../metering/common/meteringSystem.js';
 import { createCrashSpreadSystem } from '../../quarantine/common/crashSpreadSystem.js';
-import { callQuarantinePolicy } from '../../quarantine/common/quarantinePolicy.js';
+import {
+  callQuarantinePolicy,
+  requestQuarantinePolicy,
+} from '../../quarantine/common/quarantinePolicy.js';
 import { createQuarantineSystemFor } from '../../quarantine/common/quarantineSystem.js';
 import { createRegistrySystem } from '../../registry/common/registrySystem.js';
 import { createWeightSystem } from '../../weights/common/weightSystem.js';
@@ -81,6 +84,8 @@
   createRevocationSystem,
   createDaemonSystem,
   createAnnouncementSystem,
+  createQuarantineSystemFor(requestQuarantinePolicy),
+  createCrashSpreadSystem,
   createOrderSystem,
   createLedgerProposalSystem,
   createBodySystem,
--- a/src/service/dispatch/common/attemptFactSystem.ts
+++ b/src/service/dispatch/common/attemptFactSystem.ts
@@ -8,6 +8,10 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { NotRunReason, type AttemptFact } from '../../traffic/common/attemptFact.js';
+import { recordAnsweredRun } from '../../quarantine/common/crashRecords.js';
+import { fingerprintOf } from '../../quarantine/common/fingerprint.js';
+import { AddressState, SuspicionCause } from '../../quarantine/common/quarantineTables.js';
+import { suspectRun } from '../../quarantine/common/suspicions.js';
 import { answerRequest } from '../../traffic/common/endRequest.js';
 import { RefusalKind } from '../../traffic/common/refusal.js';
 import {
@@ -19,7 +23,6 @@
 import type { World } from '../../world/common/world.js';
 import { recordUpstreamFailure, recordUpstreamSuccess, markUpstreamFull } from './breaker.js';
 import { countWastedTokens, endAttempt, retryOrEnd } from './endAttempt.js';
-import { recordCrash } from './quarantine.js';
 import { appendSpan } from './versionSpans.js';
 
 /** The stored deadline is extended only in steps of at least this size, to keep chunks cheap. */
@@ -46,12 +49,30 @@
   });
 };
 
+/** Suspects a request of having ended the upstream that ran it; internal requests never. */
+const suspectAttempt = (
+  world: World,
+  { upstream, process }: AttemptRow,
+  request: RequestRow,
+  reason: string,
+  now: Instant,
+): RequestRow => {
+  const fingerprint = fingerprintOf(request.workspace, request.digest);
+  if (fingerprint === null) return request;
+  const run = { fingerprint, request: request.id, process, cause: SuspicionCause.Broken, reason };
+  suspectRun(world, run, now);
+  const brokenUpstreams = [...new Set([...request.brokenUpstreams, upstream])];
+  return world.requests.change(request.id, { brokenUpstreams }) ?? request;
+};
+
 const attemptFactHandlers: HandlerTable<
   AttemptFact,
   void,
   [World, AttemptRow, RequestRow, Instant]
 > = {
   notRun: (fact, world, attempt, request, now) => {
+    if (fact.isConnectionRefused === true)
+      world.addressFacts.append({ address: attempt.process.address, state: AddressState.Refusing });
     endAttempt(world, attempt, fact.kind);
     const detail = `The upstream did not run the request (${fact.reason}).`;
     const failure = { kind: RefusalKind.QueueDeadlinePassed, detail, mayHaveRun: false };
@@ -86,15 +107,24 @@
     endAttempt(world, attempt, fact.kind);
     recordUpstreamSuccess(world, attempt.upstream);
     countUsage(world, attempt, request);
+    recordAnsweredRun(world, fingerprintOf(request.workspace, request.digest));
     answerRequest(world, request, now);
   },
   broken: (fact, world, attempt, request, now) => {
     endAttempt(world, attempt, fact.kind);
     countWastedTokens(world, attempt, request);
     recordUpstreamFailure(world, attempt.upstream, now);
-    recordCrash(world, request, attempt.upstream, now);
     const detail = `The connection to the upstream broke (${fact.reason}).`;
-    retryOrEnd(world, request, { kind: RefusalKind.UpstreamFailed, detail, mayHaveRun: true }, now);
+    const updatedRequest =
+      fact.hasAnswered === true
+        ? request
+        : suspectAttempt(world, attempt, request, fact.reason, now);
+    retryOrEnd(
+      world,
+      updatedRequest,
+      { kind: RefusalKind.UpstreamFailed, detail, mayHaveRun: true },
+      now,
+    );
   },
 };
 
--- a/src/service/dispatch/common/deadlineSystem.ts
+++ b/src/service/dispatch/common/deadlineSystem.ts
@@ -14,7 +14,6 @@
 import type { World } from '../../world/common/world.js';
 import { closeDueBreakers, recordUpstreamFailure } from './breaker.js';
 import { countWastedTokens, endAttempt, endRunningAttempts, retryOrEnd } from './endAttempt.js';
-import { removeExpiredSuspects } from './quarantine.js';
 
 const endExpiredRequest = (
   world: World,
@@ -71,7 +70,6 @@
       .takeDue('backoff', now)
       .forEach(({ id }) => world.requests.change(id, { isDelayed: false, backoffDeadline: never }));
     closeDueBreakers(world, now);
-    removeExpiredSuspects(world, now);
     world.requests.takeDue('retention', now).forEach((request) => removeRequest(world, request));
   },
 });
--- a/src/service/dispatch/common/endAttempt.ts
+++ b/src/service/dispatch/common/endAttempt.ts
@@ -13,11 +13,12 @@
   type AttemptRow,
   type RequestRow,
 } from '../../traffic/common/trafficTables.js';
+import { isQuarantined } from '../../quarantine/common/crashRecords.js';
+import { fingerprintOf } from '../../quarantine/common/fingerprint.js';
+import { requestQuarantinePolicy } from '../../quarantine/common/quarantinePolicy.js';
 import { addUsage } from '../../usage/common/usageTables.js';
 import type { World } from '../../world/common/world.js';
-import { suspectOf } from './quarantine.js';
 import { consumeRetryCredit } from './retryBudget.js';
-import { isQuarantined } from './retryTables.js';
 
 const releaseUpstreamSlot = (world: World, attempt: AttemptRow): void => {
   const upstream = world.upstreams.get(attempt.upstream);
@@ -94,10 +95,18 @@
   return (bounded / 2) * (1 + world.random.nextInteger(jitterSteps) / jitterSteps);
 };
 
+/**
+ * Whether a request is not sent again because upstreams have ended under it, or may have: evidence
+ * comes too late for its own retries.
+ */
+const isStoppedByCrashes = (world: World, request: RequestRow): boolean =>
+  request.brokenUpstreams.length >= requestQuarantinePolicy.processEndThreshold ||
+  isQuarantined(world, fingerprintOf(request.workspace, request.digest));
+
 const canRunAgain = (world: World, request: RequestRow): boolean => {
   if (request.attemptCount - request.notRunCount >= request.policy!.maximumAttempts) return false;
   if (request.mayHaveRun && !isIdempotent(world, request)) return false;
-  if (isQuarantined(suspectOf(world, request))) return false;
+  if (isStoppedByCrashes(world, request)) return false;
   return request.sample !== null || !request.answerStarted;
 };
 
@@ -141,9 +150,7 @@
     requeueRequest(world, updatedRequest, failure, now);
     return;
   }
-  const kind = isQuarantined(suspectOf(world, updatedRequest))
-    ? RefusalKind.Quarantined
-    : failure.kind;
+  const kind = isStoppedByCrashes(world, updatedRequest) ? RefusalKind.Quarantined : failure.kind;
   const refusal = createRefusal(kind, !mayHaveRun, failure.detail);
   if (mayHaveRun) failRequest(world, updatedRequest, refusal, now);
   else refuseRequest(world, updatedRequest, refusal, now);
--- a/src/service/dispatch/common/retryTables.ts
+++ b/src/service/dispatch/common/retryTables.ts
@@ -1,17 +1,8 @@
 /**
- * Tables that limit retries: a retry budget for each workspace, and the fingerprints of requests
- * during which upstreams have crashed.
+ * Table of the retry budgets, which limit the retries of each workspace.
  */
-import { asBrand, type Brand } from '../../../base/common/brand.js';
-import type { Instant } from '../../../base/common/time.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
-import type { UpstreamId, WorkspaceName } from '../../world/common/identifiers.js';
-
-export type SuspectId = Brand<'suspect'>;
-
-/** Returns the fingerprint of a request: its workspace and the digest of its bytes. */
-export const suspectIdOf = (workspace: WorkspaceName | null, digest: string): SuspectId =>
-  asBrand(`${workspace ?? ''}|${digest}`);
+import type { WorkspaceName } from '../../world/common/identifiers.js';
 
 /** Number of retries available to a workspace; each new request increases it. */
 export interface RetryBudgetRow {
@@ -19,27 +10,7 @@
   readonly credit: number;
 }
 
-/** A request during which at least one upstream has crashed. */
-export interface SuspectRow {
-  readonly id: SuspectId;
-  /** The distinct upstreams that crashed while they ran the request. */
-  readonly upstreams: readonly UpstreamId[];
-  /** Time at which the row is removed. */
-  readonly expiryDeadline: Instant;
-}
-
-/** Number of distinct crashed upstreams at which a request is quarantined. */
-export const quarantineCrashThreshold = 2;
-
-export const isQuarantined = (row: SuspectRow | undefined): boolean =>
-  row !== undefined && row.upstreams.length >= quarantineCrashThreshold;
-
 export const createRetryTables = () => ({
   retryBudgets: createTable<RetryBudgetRow>({ name: 'retryBudgets', indices: {}, deadlines: {} }),
-  suspects: createTable<SuspectRow, never, 'expiry'>({
-    name: 'suspects',
-    indices: {},
-    deadlines: { expiry: (row) => row.expiryDeadline },
-  }),
 });
 export type RetryTables = ReturnType<typeof createRetryTables>;
--- a/src/service/dispatch/test/common/retry.test.ts
+++ b/src/service/dispatch/test/common/retry.test.ts
@@ -85,6 +85,21 @@
   });
 });
 
+test('a request whose answers live upstreams cut off is never refused as quarantined', (t) => {
+  const fixture = createFixture(6);
+  fixture.upstreams.setOutcomeSelector(() => DirectOutcome.Cut);
+  Array.from({ length: 6 }, (_, index) => {
+    const daemon = index % 2 === 0 ? 'd1' : 'd2';
+    const id = sendRequest(fixture.installation, daemon, poison);
+    fixture.installation.runFor(5_000);
+    return t.true(runsOf(fixture, id).length > 0, `request ${index} ran`);
+  });
+  fixture.upstreams.setOutcomeSelector(() => DirectOutcome.Answer);
+  const id = sendRequest(fixture.installation, 'd1', poison);
+  fixture.installation.runFor(1_000);
+  t.is(readRequest(fixture.installation, 'd1', id)?.state, 'answered');
+});
+
 test('quarantine affects no other workspace and no other requests of the workspace', (t) => {
   const fixture = createFixture(6);
   crashOnPoisonRequest(fixture);
@@ -120,8 +135,8 @@
     sendRequest(installation, 'd1', { key: 'key-one', digest: `beside-${index}` }),
   );
   installation.runFor(20_000);
-  const quarantined = [...fixture.worldOf('d1').suspects.rows()].filter(
-    (row) => row.upstreams.length >= 2,
+  const quarantined = [...fixture.worldOf('d1').crashRecords.rows()].filter(
+    (row) => row.isQuarantined,
   );
   t.deepEqual(
     quarantined.map((row) => row.id),
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -9,7 +9,7 @@
 import { countMeteredRequest } from '../../metering/common/meteringTables.js';
 import { isQuarantined, recordAnsweredRun } from '../../quarantine/common/crashRecords.js';
 import { callQuarantinePolicy } from '../../quarantine/common/quarantinePolicy.js';
-import { SuspicionCause } from '../../quarantine/common/quarantineTables.js';
+import { AddressState, SuspicionCause } from '../../quarantine/common/quarantineTables.js';
 import { suspectRun } from '../../quarantine/common/suspicions.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
@@ -203,7 +203,7 @@
   },
   notRun: ({ reason, isConnectionRefused = false }, world, call, row, now) => {
     if (isConnectionRefused)
-      world.addressFacts.append({ address: row.process.address, isRefused: true });
+      world.addressFacts.append({ address: row.process.address, state: AddressState.Refusing });
     endSend(world, row, { outcome: SendOutcome.NotRun, reason }, now);
     avoidUpstream(world, row, now);
     scheduleRetry(world, call, backoffMilliseconds, now);
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -8,7 +8,6 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { consensusHandlers } from '../../consensus/common/consensusHandlers.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
-import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
 import { jobReadHandlers } from '../../jobs/common/jobReads.js';
 import { registryHandlers } from '../../registry/common/registrySystem.js';
 import { insertMember } from '../../membership/common/daemonRows.js';
@@ -26,7 +25,6 @@
   ...membershipHandlers,
   ...consensusHandlers,
   ...demandHandlers,
-  ...quarantineHandlers,
   ...crashHandlers,
   ...bodyHandlers,
   ...registryHandlers,
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -5,7 +5,6 @@
  */
 import * as z from 'zod';
 import { workspaceDemandSchema } from '../../admission/common/demandMessages.js';
-import { upstreamCrashedSchema } from '../../dispatch/common/quarantine.js';
 import {
   heartbeatSchema,
   upstreamAnnouncedSchema,
@@ -50,7 +49,6 @@
   followRequestedSchema,
   entriesFollowedSchema,
   workspaceDemandSchema,
-  upstreamCrashedSchema,
   crashesReportedSchema,
   crashesReceivedSchema,
   bodyOfferedSchema,
--- a/src/service/quarantine/common/processDirectory.ts
+++ b/src/service/quarantine/common/processDirectory.ts
@@ -1,10 +1,13 @@
 /**
  * What a daemon knows about the processes of upstreams, by the profile of the installation.
  */
+import { hasFreshSettings } from '../../configuration/common/keyChecks.js';
 import { isDeclarationFresh } from '../../declaration/common/findRoute.js';
 import type { Instant } from '../../../base/common/time.js';
 import type { ChangeReader } from '../../../infrastructure/tables/common/table.js';
 import { RegistrationState } from '../../registry/common/registryTables.js';
+import { UpstreamState } from '../../protocol/common/upstreamProtocol.js';
+import type { UpstreamRow } from '../../membership/common/membershipTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import type { UpstreamProcess } from './quarantineTables.js';
@@ -49,3 +52,38 @@
   },
   isCurrent: isDeclarationFresh,
 };
+
+const defaultPortByScheme: Readonly<Record<string, string>> = { 'http:': '80', 'https:': '443' };
+
+/** Returns the `host:port` of the base address of an upstream. */
+const hostAndPortOf = (address: string): string => {
+  const { protocol, hostname, port } = new URL(address);
+  return `${hostname}:${port === '' ? defaultPortByScheme[protocol] : port}`;
+};
+
+/** Returns the process of an upstream that announces itself. */
+export const announcedProcessOf = ({ id, address, incarnation }: UpstreamRow): UpstreamProcess => ({
+  upstream: id,
+  address: hostAndPortOf(address),
+  startedAt: incarnation,
+});
+
+const findAnnounced = (world: World, upstream: UpstreamId): UpstreamProcess | undefined => {
+  const row = world.upstreams.get(upstream);
+  return row && announcedProcessOf(row);
+};
+
+/**
+ * Processes that announce themselves to entries. Incarnations of different upstreams cannot be
+ * compared, so a later start counts only under the same name.
+ */
+export const announcedProcesses: ProcessDirectory = {
+  createChangeReader: (world) => world.upstreams.createChangeReader(),
+  find: findAnnounced,
+  hasLaterStart: (world, process) => isLaterThan(process)(findAnnounced(world, process.upstream)),
+  hasAnnouncedLeaving: (world, { upstream, startedAt }) => {
+    const row = world.upstreams.get(upstream);
+    return row?.incarnation === startedAt && row.state !== UpstreamState.Serving;
+  },
+  isCurrent: hasFreshSettings,
+};
--- a/src/service/quarantine/common/quarantinePolicy.ts
+++ b/src/service/quarantine/common/quarantinePolicy.ts
@@ -1,7 +1,11 @@
 /**
  * When requests are quarantined, by the profile of the installation.
  */
-import { registeredProcesses, type ProcessDirectory } from './processDirectory.js';
+import {
+  announcedProcesses,
+  registeredProcesses,
+  type ProcessDirectory,
+} from './processDirectory.js';
 
 /** When a request is quarantined. */
 export interface QuarantinePolicy {
@@ -18,3 +22,12 @@
   processEndThreshold: 3,
   directory: registeredProcesses,
 };
+
+/**
+ * Requests of the product's own interface, whose upstreams are engines with long runs: a second
+ * process end is enough.
+ */
+export const requestQuarantinePolicy: QuarantinePolicy = {
+  processEndThreshold: 2,
+  directory: announcedProcesses,
+};
--- a/src/service/quarantine/common/quarantineSystem.ts
+++ b/src/service/quarantine/common/quarantineSystem.ts
@@ -17,6 +17,7 @@
   ProcessEvidence,
   processEndOf,
   type AddressFact,
+  type AddressState,
   type SuspicionCause,
   type SuspicionRow,
 } from './quarantineTables.js';
@@ -76,6 +77,7 @@
   now: Instant,
 ): void => {
   const isAbsent =
+    !row.isAccepting &&
     directory.find(world, row.upstream) === undefined &&
     directory.isCurrent(world, now) &&
     !directory.hasAnnouncedLeaving(world, row);
@@ -84,21 +86,31 @@
   else dismissSuspicion(world, row, 'noEvidence');
 };
 
+const addressHandlers: Readonly<
+  Record<AddressState, (world: World, row: SuspicionRow, now: Instant) => void>
+> = {
+  refusing: (world, row, now) =>
+    confirmSuspicion(world, row, ProcessEvidence.ConnectionRefused, now),
+  accepting: (world, { id }) => {
+    world.suspicions.change(id, { isAccepting: true });
+  },
+  unclear: () => {},
+};
+
 const handleAddressFact = (
   world: World,
   directory: ProcessDirectory,
-  { address, isRefused }: AddressFact,
+  { address, state }: AddressFact,
   now: Instant,
 ): void => {
   world.addressProbes
     .where('address', address)
     .filter(({ isOpen }) => isOpen)
     .forEach(({ id }) => world.addressProbes.remove(id));
-  if (!isRefused) return;
   world.suspicions
     .where('address', address)
     .filter((row) => !directory.hasAnnouncedLeaving(world, row))
-    .forEach((row) => confirmSuspicion(world, row, ProcessEvidence.ConnectionRefused, now));
+    .forEach((row) => addressHandlers[state](world, row, now));
 };
 
 /** Starts a probe whose time has come, unless its suspicions have been decided. */
--- a/src/service/quarantine/common/quarantineTables.ts
+++ b/src/service/quarantine/common/quarantineTables.ts
@@ -39,6 +39,11 @@
   /** Request identifier, for events. */
   readonly request: string;
   readonly suspectedAt: Instant;
+  /**
+   * Whether the address accepts connections after the run: the process lives, or a later start of
+   * it will register.
+   */
+  readonly isAccepting: boolean;
   /** Time by which evidence of the end of the process counts. */
   readonly evidenceDeadline: Instant;
 }
@@ -61,6 +66,10 @@
 export const processEndOf = ({ upstream, startedAt }: UpstreamProcess): ProcessEnd =>
   asBrand<ProcessEnd>(`${upstream}@${startedAt}`);
 
+/** Returns the upstream whose process ended. */
+export const upstreamOfEnd = (end: ProcessEnd): UpstreamId =>
+  asBrand<UpstreamId>(end.slice(0, end.lastIndexOf('@')));
+
 /** A request during which at least one process ended. */
 export interface CrashRecordRow {
   readonly id: Fingerprint;
@@ -85,11 +94,19 @@
   readonly startDeadline: Instant;
 }
 
+export const AddressState = {
+  /** Nothing listens at the address. */
+  Refusing: 'refusing',
+  Accepting: 'accepting',
+  /** The connection attempt failed otherwise, or in no time. */
+  Unclear: 'unclear',
+} as const;
+export type AddressState = ValueOf<typeof AddressState>;
+
 /** The result of a connection attempt. */
 export interface AddressFact {
   readonly address: string;
-  /** Whether nothing listens at the address. False if the result is unclear. */
-  readonly isRefused: boolean;
+  readonly state: AddressState;
 }
 
 /** The latest revision of the crash records of this daemon. */
--- a/src/service/quarantine/common/suspicions.ts
+++ b/src/service/quarantine/common/suspicions.ts
@@ -8,10 +8,12 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { countedEndsOf } from './crashRecords.js';
 import type { Fingerprint } from './fingerprint.js';
 import {
   processEndOf,
   SuspicionCause,
+  upstreamOfEnd,
   type SuspicionId,
   type UpstreamProcess,
 } from './quarantineTables.js';
@@ -73,6 +75,7 @@
     cause,
     request,
     suspectedAt: now,
+    isAccepting: false,
     evidenceDeadline: deadlineAfter(now, evidenceMilliseconds),
   });
   world.metrics.count('quarantine.suspected', 1, { cause });
@@ -83,6 +86,18 @@
   if (isProbedByCause[cause]) planProbe(world, process, now);
 };
 
-/** Returns the upstreams at which runs of a request recently broke. */
-export const listSuspectedUpstreams = (world: World, fingerprint: Fingerprint): UpstreamId[] =>
-  world.suspicions.where('fingerprint', fingerprint).map(({ upstream }) => upstream);
+/** Returns the upstreams that may have ended under a request, or are known to have. */
+export const listCrashedUpstreams = (
+  world: World,
+  fingerprint: Fingerprint | null,
+): UpstreamId[] => {
+  if (fingerprint === null) return [];
+  const record = world.crashRecords.get(fingerprint);
+  return [
+    ...world.suspicions
+      .where('fingerprint', fingerprint)
+      .filter(({ isAccepting }) => !isAccepting)
+      .map(({ upstream }) => upstream),
+    ...(record === undefined ? [] : countedEndsOf(record).map(upstreamOfEnd)),
+  ];
+};
--- a/src/service/quarantine/test/common/exemptWork.test.ts
+++ b/src/service/quarantine/test/common/exemptWork.test.ts
@@ -14,6 +14,7 @@
 import { CallState, type CallId } from '../../../forwarding/common/forwardingTables.js';
 import { itemIdOf, RunState } from '../../../jobs/common/jobTables.js';
 import type { UpstreamId } from '../../../world/common/identifiers.js';
+import { AddressState } from '../../common/quarantineTables.js';
 
 /** More process ends than the calls of callers may cause. */
 const ends = 6;
@@ -30,7 +31,7 @@
 const endProcess = (core: FleetCore, upstream: UpstreamId): void => {
   const { address } = core.world.registrations.get(upstream)!;
   core.world.registrations.remove(upstream);
-  core.world.addressFacts.append({ address, isRefused: true });
+  core.world.addressFacts.append({ address, state: AddressState.Refusing });
   core.settle();
 };
 
--- a/src/service/routing/common/routingSystem.ts
+++ b/src/service/routing/common/routingSystem.ts
@@ -9,7 +9,6 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { computeOwnShare, countRunningRequests } from '../../admission/common/limitShares.js';
 import type { WorkClass } from '../../configuration/common/tree.js';
-import { suspectOf } from '../../dispatch/common/quarantine.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { UpstreamRow } from '../../membership/common/membershipTables.js';
 import type { PoolId } from '../../traffic/common/flowTables.js';
@@ -19,8 +18,11 @@
   RequestState,
   type RequestRow,
 } from '../../traffic/common/trafficTables.js';
-import type { AttemptId } from '../../world/common/identifiers.js';
+import type { AttemptId, UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { fingerprintOf } from '../../quarantine/common/fingerprint.js';
+import { announcedProcessOf } from '../../quarantine/common/processDirectory.js';
+import { listCrashedUpstreams } from '../../quarantine/common/suspicions.js';
 import { chargeFlow, selectNextRequest } from './fairQueue.js';
 
 const selectLessLoaded = (
@@ -42,6 +44,10 @@
     world.upstreams.selectRandom(workClass, pool, world.random),
   );
 
+/** Returns the upstreams that may have ended while they ran this request. */
+const crashedUpstreamsOf = (world: World, { workspace, digest }: RequestRow): UpstreamId[] =>
+  listCrashedUpstreams(world, fingerprintOf(workspace, digest));
+
 const candidateCountForSuspect = 8;
 
 /**
@@ -54,14 +60,14 @@
   pool: PoolId,
   request: RequestRow,
 ): UpstreamRow | undefined => {
-  const suspicion = suspectOf(world, request);
-  if (suspicion === undefined) return selectUpstream(world, pool, request.workClass);
+  const crashedUpstreams = crashedUpstreamsOf(world, request);
+  if (crashedUpstreams.length === 0) return selectUpstream(world, pool, request.workClass);
   return Array.from({ length: candidateCountForSuspect }, () =>
     world.upstreams.selectRandom(request.workClass, pool, world.random),
   ).find(
     (row) =>
       row !== undefined &&
-      !suspicion.upstreams.includes(row.id) &&
+      !crashedUpstreams.includes(row.id) &&
       world.attempts.count('suspectOn', row.id) === 0,
   );
 };
@@ -90,7 +96,8 @@
     upstream: upstream.id,
     service: request.service!,
     workClass: request.workClass,
-    isSuspect: suspectOf(world, request) !== undefined,
+    process: announcedProcessOf(upstream),
+    isSuspect: crashedUpstreamsOf(world, request).length > 0,
     state: AttemptState.Queued,
     progressDeadline: deadlineAfter(now, request.policy!.progressMilliseconds),
     estimatedTokens: request.estimatedTokens,
--- a/src/service/traffic/common/arrivedRequest.ts
+++ b/src/service/traffic/common/arrivedRequest.ts
@@ -19,6 +19,7 @@
   requestDeadline: never,
   retentionDeadline: never,
   attemptCount: 0,
+  brokenUpstreams: [],
   notRunCount: 0,
   isDelayed: false,
   backoffDeadline: never,
--- a/src/service/traffic/common/attemptFact.ts
+++ b/src/service/traffic/common/attemptFact.ts
@@ -18,7 +18,7 @@
   UsageReceived: 'usageCame',
   /** The answer is complete. */
   AnswerEnded: 'answerEnded',
-  /** The connection broke after the first byte was written; the attempt may have run. */
+  /** There is no usable answer after the first byte was written; the attempt may have run. */
   Broken: 'broken',
 } as const;
 
@@ -29,7 +29,13 @@
 } as const;
 
 export type AttemptFact =
-  | { readonly kind: 'notRun'; readonly attempt: AttemptId; readonly reason: string }
+  | {
+      readonly kind: 'notRun';
+      readonly attempt: AttemptId;
+      readonly reason: string;
+      /** Whether nothing listens at the address of the upstream. */
+      readonly isConnectionRefused?: boolean;
+    }
   | { readonly kind: 'answerStarted'; readonly attempt: AttemptId; readonly status: number }
   | {
       readonly kind: 'tokensCame';
@@ -47,4 +53,10 @@
       readonly completionTokens: number;
     }
   | { readonly kind: 'answerEnded'; readonly attempt: AttemptId }
-  | { readonly kind: 'broken'; readonly attempt: AttemptId; readonly reason: string };
+  | {
+      readonly kind: 'broken';
+      readonly attempt: AttemptId;
+      readonly reason: string;
+      /** Whether the upstream answered completely, and only the answer is unusable. */
+      readonly hasAnswered?: boolean;
+    };
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -62,7 +62,7 @@
   headersTooLarge: 'The headers exceed the limit; send fewer or shorter headers.',
   queueFull: 'Too many requests of the workspace are waiting; retry after the specified delay.',
   quarantined:
-    'Upstreams crashed while running this request; change it or ask the operator to investigate.',
+    'Upstreams ended while running this request; change it or ask the operator to investigate.',
   queueDeadlinePassed: 'No upstream was available in time; retry after the specified delay.',
   leaving: 'This entry is shutting down; request another address and retry there.',
   upstreamFailed: 'The upstream failed while running the request; retry if it is idempotent.',
--- a/src/service/traffic/common/trafficTables.ts
+++ b/src/service/traffic/common/trafficTables.ts
@@ -17,6 +17,7 @@
   UpstreamId,
   WorkspaceName,
 } from '../../world/common/identifiers.js';
+import type { UpstreamProcess } from '../../quarantine/common/quarantineTables.js';
 import type { AttemptFact } from './attemptFact.js';
 import { createFlowTables, poolIdOf, type FlowId, type PoolId } from './flowTables.js';
 import type { Refusal } from './refusal.js';
@@ -72,6 +73,8 @@
   /** Time at which the row is removed after the request has ended. */
   readonly retentionDeadline: Instant;
   readonly attemptCount: number;
+  /** Distinct upstreams at which an attempt broke that may have ended them. */
+  readonly brokenUpstreams: readonly UpstreamId[];
   /** Number of attempts that certainly did not run. */
   readonly notRunCount: number;
   /** Whether the request is not routed until `backoffDeadline`. */
@@ -109,9 +112,11 @@
   readonly id: AttemptId;
   readonly request: RequestId;
   readonly upstream: UpstreamId;
+  /** The process of the upstream that was selected. */
+  readonly process: UpstreamProcess;
   readonly service: ServiceName;
   readonly workClass: WorkClass;
-  /** Whether an upstream has crashed while running this request. */
+  /** Whether an upstream may have ended while it ran this request. */
   readonly isSuspect: boolean;
   readonly state: AttemptState;
   /** Time by which the upstream must make progress. */
--- a/standins/virtual/directUpstreams.ts
+++ b/standins/virtual/directUpstreams.ts
@@ -13,13 +13,16 @@
 import type { AttemptFact } from '../../src/service/traffic/common/attemptFact.js';
 import { AttemptState, type AttemptRow } from '../../src/service/traffic/common/trafficTables.js';
 import type { AttemptId, RequestId } from '../../src/service/world/common/identifiers.js';
+import { createVirtualProbePort } from './virtualProbes.js';
 import type { VirtualContext, VirtualPort } from './virtualInstallation.js';
 
 /** The outcome of an attempt at an upstream. */
 export const DirectOutcome = {
   Answer: 'answer',
-  /** The connection breaks instead of the answer. */
+  /** The process ends, and starts again at once with a higher incarnation. */
   Crash: 'crash',
+  /** The connection breaks instead of the answer, and the process lives on. */
+  Cut: 'cut',
   /** The upstream accepts the request and never answers. */
   Silence: 'silence',
 } as const;
@@ -66,6 +69,7 @@
   settings: readonly DirectUpstreamSettings[],
 ): DirectUpstreams => {
   const running = new Map<string, Set<AttemptId>>(settings.map(({ name }) => [name, new Set()]));
+  const incarnations = new Map(settings.map(({ name }) => [name, 1]));
   const states = new Map<string, UpstreamState>();
   const runs: DirectRun[] = [];
   let selectOutcome: (attempt: AttemptRow, upstream: string) => DirectOutcome = () =>
@@ -75,9 +79,9 @@
     upstream: upstream.name,
     kind: upstream.kind ?? UpstreamKind.Engine,
     service: upstream.service,
-    address: 'http://127.0.0.1:9',
+    address: `http://${upstream.name}:80`,
     zone: upstream.zone,
-    incarnation: 1,
+    incarnation: incarnations.get(upstream.name)!,
     state: states.get(upstream.name) ?? UpstreamState.Serving,
     models: [...upstream.models],
     adapters: [],
@@ -90,7 +94,14 @@
     remaining: announcementLifetimeMilliseconds,
   });
 
-  const createPort = ({ daemon, now, schedule }: VirtualContext): VirtualPort => {
+  const createPort = (context: VirtualContext): VirtualPort => {
+    const { daemon, now, schedule } = context;
+    // A process that ends starts again at once, so that every address accepts connections.
+    const probePort = createVirtualProbePort(
+      context,
+      () => true,
+      () => refusalDelayMilliseconds,
+    );
     const { world } = daemon.core;
     const changes = world.attempts.createChangeReader(RowReader.Port);
     const startedAttempts = new Set<AttemptId>();
@@ -106,20 +117,29 @@
       schedule(announcementIntervalMilliseconds, announce);
     };
 
-    const finish = ({ id, estimatedTokens }: AttemptRow, runningAttempts: Set<AttemptId>): void => {
+    const finish = (
+      { id, upstream, estimatedTokens }: AttemptRow,
+      runningAttempts: Set<AttemptId>,
+    ): void => {
       if (!runningAttempts.delete(id)) return;
-      const origin = { weightVersion: 1, incarnation: 1 };
+      const origin = { weightVersion: 1, incarnation: incarnations.get(upstream)! };
       report({ kind: 'tokensCame', attempt: id, tokens: estimatedTokens, ...origin });
       report({ kind: 'answerEnded', attempt: id });
     };
 
-    const crash = ({ id }: AttemptRow, runningAttempts: Set<AttemptId>): void => {
-      if (runningAttempts.delete(id)) report({ kind: 'broken', attempt: id, reason: 'crash' });
+    const cut = ({ id }: AttemptRow, runningAttempts: Set<AttemptId>): void => {
+      if (runningAttempts.delete(id)) report({ kind: 'broken', attempt: id, reason: 'ECONNRESET' });
+    };
+
+    const crash = (attempt: AttemptRow, runningAttempts: Set<AttemptId>): void => {
+      const { upstream } = attempt;
+      incarnations.set(upstream, incarnations.get(upstream)! + 1);
+      cut(attempt, runningAttempts);
     };
 
     const outcomeHandlers: Readonly<
       Record<DirectOutcome, (attempt: AttemptRow, runningAttempts: Set<AttemptId>) => void>
-    > = { answer: finish, crash, silence: () => {} };
+    > = { answer: finish, crash, cut, silence: () => {} };
 
     const startRun = (attempt: AttemptRow): void => {
       const upstream = settings.find(({ name }) => name === attempt.upstream)!;
@@ -155,11 +175,13 @@
 
     schedule(0, announce);
     return {
-      drain: () =>
+      drain: () => {
         changes.take().forEach((id) => {
           const attempt = world.attempts.get(id);
           if (attempt !== undefined) handlers[attempt.state](attempt);
-        }),
+        });
+        probePort.drain();
+      },
     };
   };
 
--- a/standins/virtual/virtualAnnouncer.ts
+++ b/standins/virtual/virtualAnnouncer.ts
@@ -15,13 +15,16 @@
 const intervalsPerAnnouncementLifetime = 3;
 const daemonsPerAnnouncement = 2;
 
+/** Returns the `host:port` of the upstream with this name. */
+export const addressOf = (name: string): string => `${name}.test:80`;
+
 const announcementOf = (upstream: VirtualUpstream, running: number, now: Instant): Announcement => {
   const { name, kind, service, zone, slots, reclaimable } = upstream.settings;
   return {
     upstream: name,
     kind,
     service,
-    address: `http://${name}.test`,
+    address: `http://${addressOf(name)}`,
     zone,
     incarnation: upstream.incarnation,
     state: upstream.state,
--- a/standins/virtual/virtualUpstreams.ts
+++ b/standins/virtual/virtualUpstreams.ts
@@ -10,13 +10,14 @@
 import type { AttemptRow, AttemptState } from '../../src/service/traffic/common/trafficTables.js';
 import type { AttemptId } from '../../src/service/world/common/identifiers.js';
 import type { Links } from './links.js';
-import { createVirtualAnnouncer, type VirtualAnnouncer } from './virtualAnnouncer.js';
+import { addressOf, createVirtualAnnouncer, type VirtualAnnouncer } from './virtualAnnouncer.js';
 import {
   createVirtualExecutions,
   type IsPoisonous,
   type UpstreamClock,
 } from './virtualExecutions.js';
 import type { VirtualContext, VirtualInstallation, VirtualPort } from './virtualInstallation.js';
+import { createVirtualProbePort } from './virtualProbes.js';
 import type {
   Execution,
   UpstreamFault,
@@ -118,6 +119,14 @@
     const changes = world.attempts.createChangeReader(RowReader.Port);
     const sentAttempts = new Set<AttemptId>();
     contextByDaemon.set(context.daemon.name, context);
+    const findByAddress = (address: string): VirtualUpstream | undefined =>
+      [...upstreams.values()].find(({ settings: { name } }) => addressOf(name) === address);
+    const probePort = createVirtualProbePort(
+      context,
+      ({ address }) => findByAddress(address)?.isDown === false,
+      (address) =>
+        2 * links.toZone(context.daemon.name, findByAddress(address)?.settings.zone ?? ''),
+    );
 
     const sendAttempt = (attempt: AttemptRow): void => {
       if (sentAttempts.has(attempt.id)) return;
@@ -139,11 +148,13 @@
     };
 
     return {
-      drain: () =>
+      drain: () => {
         changes.take().forEach((id) => {
           const attempt = world.attempts.get(id);
           if (attempt !== undefined) handlers[attempt.state](attempt);
-        }),
+        });
+        probePort.drain();
+      },
     };
   };
 
--- a/standins/virtual/virtualWorkers.ts
+++ b/standins/virtual/virtualWorkers.ts
@@ -16,8 +16,8 @@
   type SendRow,
 } from '../../src/service/forwarding/common/forwardingTables.js';
 import type { Registration } from '../../src/service/registry/common/registryTables.js';
-import type { UpstreamId } from '../../src/service/world/common/identifiers.js';
 import { testEngine } from './fleetFixture.js';
+import { createVirtualProbePort, type VirtualProbe } from './virtualProbes.js';
 import type { VirtualContext, VirtualInstallation, VirtualPort } from './virtualInstallation.js';
 
 /** What a worker does with a call. */
@@ -45,13 +45,6 @@
   readonly requestId: string;
 }
 
-/** A connection that a daemon opened to see whether an address accepts it. */
-export interface WorkerProbe {
-  readonly at: Instant;
-  readonly address: string;
-  readonly daemon: string;
-}
-
 interface RunningSend {
   readonly send: SendId;
   readonly report: (fact: SendFact) => void;
@@ -72,7 +65,7 @@
   readonly setOutcomeSelector: (select: (requestId: string) => WorkerOutcome) => void;
   readonly runs: () => readonly WorkerRun[];
   readonly ends: () => readonly WorkerEnd[];
-  readonly probes: () => readonly WorkerProbe[];
+  readonly probes: () => readonly VirtualProbe[];
 }
 
 const reportIntervalMilliseconds: Milliseconds = 1_200;
@@ -114,7 +107,7 @@
 ): VirtualWorkers => {
   const runs: WorkerRun[] = [];
   const ends: WorkerEnd[] = [];
-  const probes: WorkerProbe[] = [];
+  const probes: VirtualProbe[] = [];
   let selectOutcome: (requestId: string) => WorkerOutcome = () => WorkerOutcome.Answer;
   let startCount = 0;
   let onDidStart: (address: string) => void = () => {};
@@ -182,7 +175,6 @@
     const { daemon, schedule, scheduleAlways, now } = context;
     const { world } = daemon.core;
     const changes = world.sends.createChangeReader(RowReader.Port);
-    const probeChanges = world.addressProbes.createChangeReader(RowReader.Port);
     const startedSends = new Set<SendId>();
 
     const report = (fact: SendFact): void => {
@@ -214,23 +206,16 @@
       startSend(send);
     };
 
-    const handleProbe = (id: UpstreamId): void => {
-      const probe = world.addressProbes.get(id);
-      if (probe?.isOpen !== true) return;
-      const { address } = probe;
-      probes.push({ at: now(), address, daemon: daemon.name });
-      schedule(connectMilliseconds, () =>
-        world.addressFacts.append({
-          address,
-          isRefused: processes.get(address)?.isRunning !== true,
-        }),
-      );
+    const connect = (probe: VirtualProbe): boolean => {
+      probes.push(probe);
+      return processes.get(probe.address)?.isRunning === true;
     };
+    const probePort = createVirtualProbePort(context, connect, () => connectMilliseconds);
 
     return {
       drain: () => {
         changes.take().forEach(handleSend);
-        probeChanges.take().forEach(handleProbe);
+        probePort.drain();
       },
     };
   };
