Pass crash records on only if the request is not answered soon

Found on review of the exchange of crash records: when a process ends, each request that ran beside the cause gets a record, and each record and its excuse went to all contacts, and back to the daemon they came from. On a large fleet that loses a zone the old exchange would have cost more than control may.

A daemon now waits half a second before it passes on what it recorded itself; a record that no other daemon has is forgotten once the request is answered. A record is not sent back to the process it came from, and a receiver that is about to acknowledge gets later records with its acknowledgement.

--- a/src/service/dispatch/common/attemptFactSystem.ts
+++ b/src/service/dispatch/common/attemptFactSystem.ts
@@ -107,7 +107,7 @@
     endAttempt(world, attempt, fact.kind);
     recordUpstreamSuccess(world, attempt.upstream);
     countUsage(world, attempt, request);
-    recordAnsweredRun(world, fingerprintOf(request.workspace, request.digest));
+    recordAnsweredRun(world, fingerprintOf(request.workspace, request.digest), now);
     answerRequest(world, request, now);
   },
   broken: (fact, world, attempt, request, now) => {
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -189,7 +189,7 @@
   answered: ({ status }, world, call, row, now) => {
     countMeteredRequest(world, call.workspace);
     const isFailure = status >= minimumServerErrorStatus;
-    if (!isFailure) recordAnsweredRun(world, call.fingerprint);
+    if (!isFailure) recordAnsweredRun(world, call.fingerprint, now);
     const updatedCall = world.calls.change(call.id, {
       attempts: call.attempts + 1,
       serverErrorCount: call.serverErrorCount + (isFailure ? 1 : 0),
--- a/src/service/quarantine/common/crashMessages.ts
+++ b/src/service/quarantine/common/crashMessages.ts
@@ -16,7 +16,7 @@
   quarantineMilliseconds,
 } from './crashRecords.js';
 import type { Fingerprint } from './fingerprint.js';
-import type { ProcessEnd } from './quarantineTables.js';
+import { crashHolderOf, type ProcessEnd } from './quarantineTables.js';
 
 /** Records in one message, which bounds its size; there is usually one. */
 export const maximumRecordsPerMessage = 32;
@@ -66,7 +66,10 @@
             Math.min(remainingMilliseconds, quarantineMilliseconds),
           ),
         },
-        isControlDaemon(world),
+        {
+          passOnDeadline: isControlDaemon(world) ? now : never,
+          sender: crashHolderOf(sender.id, incarnation),
+        },
       ),
     );
     const message = { kind: 'crashesReceived', incarnation, revision } as const;
--- a/src/service/quarantine/common/crashRecords.ts
+++ b/src/service/quarantine/common/crashRecords.ts
@@ -5,6 +5,7 @@
  */
 import {
   deadlineAfter,
+  never,
   remainingUntil,
   type Instant,
   type Milliseconds,
@@ -12,7 +13,12 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import type { Fingerprint } from './fingerprint.js';
-import { ownCrashesId, type CrashRecordRow, type ProcessEnd } from './quarantineTables.js';
+import {
+  ownCrashesId,
+  type CrashHolder,
+  type CrashRecordRow,
+  type ProcessEnd,
+} from './quarantineTables.js';
 
 /** Time from the last recorded process end after which a request is forgotten. */
 export const quarantineMilliseconds: Milliseconds = 600_000;
@@ -23,6 +29,12 @@
 /** Process ends that a record names; more of them would change no decision. */
 export const maximumEnds = 8;
 
+/**
+ * Time after which a daemon passes on what it recorded. Most requests that ran beside the cause of
+ * a crash are answered by then, and need not be passed on at all.
+ */
+const passOnMilliseconds: Milliseconds = 500;
+
 /** What a record is made of, besides decisions of this daemon. */
 export type CrashRecord = Pick<CrashRecordRow, 'id' | 'ends' | 'excusedEnds' | 'expiryDeadline'>;
 
@@ -74,22 +86,29 @@
 const union = (first: readonly ProcessEnd[], second: readonly ProcessEnd[]): ProcessEnd[] =>
   [...new Set([...first, ...second])].slice(0, maximumEnds);
 
-/**
- * Merges a record into the table; returns whether it added anything. `isPassedOn` says whether this
- * daemon sends the result to others.
- */
+/** What becomes of a merged record. */
+export interface MergeOptions {
+  /** Time at which a change is passed on to other daemons; `never` to keep it. */
+  readonly passOnDeadline: Instant;
+  /** The daemon process that sent the record; null for one of this daemon. */
+  readonly sender: CrashHolder | null;
+}
+
+/** Merges a record into the table; has no effect if it adds nothing. */
 export const mergeCrashRecord = (
   world: World,
   record: CrashRecord,
-  isPassedOn: boolean,
-): boolean => {
+  { passOnDeadline, sender }: MergeOptions,
+): void => {
   const existing = world.crashRecords.get(record.id);
   const ends = union(existing?.ends ?? [], record.ends);
   const excusedEnds = union(existing?.excusedEnds ?? [], record.excusedEnds);
   const hasNewEnds = ends.length > (existing?.ends.length ?? 0);
   const hasChanged = hasNewEnds || excusedEnds.length > (existing?.excusedEnds.length ?? 0);
-  if (!hasChanged) return false;
-  if (existing === undefined && (!hasNewEnds || !tryMakeRoom(world))) return false;
+  if (!hasChanged) return;
+  if (existing === undefined && (!hasNewEnds || !tryMakeRoom(world))) return;
+  const isAsSent =
+    ends.length === record.ends.length && excusedEnds.length === record.excusedEnds.length;
   world.crashRecords.put({
     id: record.id,
     ends,
@@ -99,11 +118,19 @@
     expiryDeadline: hasNewEnds
       ? Math.max(existing?.expiryDeadline ?? 0, record.expiryDeadline)
       : (existing?.expiryDeadline ?? 0),
-    revision: isPassedOn ? increaseRevision(world) : (existing?.revision ?? 0),
+    revision: existing?.revision ?? 0,
+    passOnDeadline: Math.min(existing?.passOnDeadline ?? never, passOnDeadline),
+    holder: isAsSent ? sender : null,
   });
-  return true;
 };
 
+/** Gives the records whose changes are due the next revision, at which they are passed on. */
+export const passOnDueRecords = (world: World, now: Instant): void =>
+  world.crashRecords.takeDue('passOn', now).forEach(({ id }) => {
+    const revision = increaseRevision(world);
+    world.crashRecords.change(id, { revision, passOnDeadline: never });
+  });
+
 /** Records that a process ended while it ran a request. */
 export const recordProcessEnd = (
   world: World,
@@ -112,18 +139,32 @@
   now: Instant,
 ): void => {
   const expiryDeadline = deadlineAfter(now, quarantineMilliseconds);
-  mergeCrashRecord(world, { id, ends: [end], excusedEnds: [], expiryDeadline }, true);
+  mergeCrashRecord(
+    world,
+    { id, ends: [end], excusedEnds: [], expiryDeadline },
+    { passOnDeadline: deadlineAfter(now, passOnMilliseconds), sender: null },
+  );
 };
 
 /** Excuses the process ends under a request that an upstream has now answered. */
-export const recordAnsweredRun = (world: World, fingerprint: Fingerprint | null): void => {
+export const recordAnsweredRun = (
+  world: World,
+  fingerprint: Fingerprint | null,
+  now: Instant,
+): void => {
   if (fingerprint === null) return;
   world.suspicions
     .where('fingerprint', fingerprint)
     .forEach(({ id }) => world.suspicions.remove(id));
   const record = world.crashRecords.get(fingerprint);
   if (record === undefined || countedEndsOf(record).length === 0) return;
-  mergeCrashRecord(world, { ...record, excusedEnds: record.ends }, true);
+  if (record.revision === 0 && record.holder === null) world.crashRecords.remove(fingerprint);
+  else
+    mergeCrashRecord(
+      world,
+      { ...record, excusedEnds: record.ends },
+      { passOnDeadline: deadlineAfter(now, passOnMilliseconds), sender: null },
+    );
   world.events.append({
     kind: EventKind.CrashesExcused,
     subject: { fingerprint, ends: record.ends.join(',') },
--- a/src/service/quarantine/common/crashSpreadSystem.ts
+++ b/src/service/quarantine/common/crashSpreadSystem.ts
@@ -9,8 +9,8 @@
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { maximumRecordsPerMessage } from './crashMessages.js';
-import { ownRevisionOf } from './crashRecords.js';
-import type { CrashReceiverRow } from './quarantineTables.js';
+import { ownRevisionOf, passOnDueRecords } from './crashRecords.js';
+import { crashHolderOf, type CrashReceiverRow } from './quarantineTables.js';
 
 /** Time without an acknowledgement after which records are sent again; several round trips. */
 const resendMilliseconds = 400;
@@ -34,9 +34,14 @@
     world.crashReceivers.change(receiver.id, { sendDeadline: never });
     return;
   }
+  const holder = crashHolderOf(receiver.id, receiver.incarnation);
   const unsent = [...world.crashRecords.rows()]
-    .filter(({ revision }) => revision > receiver.acknowledged)
+    .filter((row) => row.revision > receiver.acknowledged && row.holder !== holder)
     .sort((first, second) => first.revision - second.revision);
+  if (unsent.length === 0) {
+    world.crashReceivers.change(receiver.id, { acknowledged: ownRevision, sendDeadline: never });
+    return;
+  }
   const sent = unsent.slice(0, maximumRecordsPerMessage);
   world.outgoingMessages.append({
     to: receiver.id,
@@ -57,6 +62,12 @@
   });
 };
 
+/** Has records sent to the receivers that are not about to acknowledge earlier ones. */
+const wakeReceivers = (world: World, now: Instant): void =>
+  [...world.crashReceivers.rows()]
+    .filter(({ sendDeadline }) => sendDeadline === never)
+    .forEach(({ id }) => world.crashReceivers.change(id, { sendDeadline: now }));
+
 /** Creates the system that sends crash records. */
 export const createCrashSpreadSystem = (world: World): System => {
   const daemonChanges = world.daemons.createChangeReader();
@@ -65,10 +76,8 @@
     name: 'crashSpread',
     run: (now) => {
       daemonChanges.take().forEach((id) => updateReceiver(world, id, now));
-      if (revisionChanges.take().length > 0)
-        [...world.crashReceivers.rows()].forEach(({ id }) =>
-          world.crashReceivers.change(id, { sendDeadline: now }),
-        );
+      passOnDueRecords(world, now);
+      if (revisionChanges.take().length > 0) wakeReceivers(world, now);
       world.crashReceivers
         .takeDue('send', now)
         .forEach((receiver) => sendRecords(world, receiver, now));
--- a/src/service/quarantine/common/quarantineTables.ts
+++ b/src/service/quarantine/common/quarantineTables.ts
@@ -81,10 +81,21 @@
   readonly isQuarantined: boolean;
   /** Time at which the row is removed. */
   readonly expiryDeadline: Instant;
-  /** Revision of this daemon's records at the last change that it passes on. */
+  /** Revision of this daemon's records at which it last passed the row on; 0 for never. */
   readonly revision: number;
+  /** Time at which a change is passed on; `never` if there is none. */
+  readonly passOnDeadline: Instant;
+  /** The daemon process from which this very record came; null if none is known to hold it. */
+  readonly holder: CrashHolder | null;
 }
 
+/** Identifies a daemon process that holds a record. */
+export type CrashHolder = Brand<'crashHolder'>;
+
+/** Returns the identifier of a daemon process, for `holder`. */
+export const crashHolderOf = (daemon: DaemonId, incarnation: number): CrashHolder =>
+  asBrand<CrashHolder>(`${daemon}@${incarnation}`);
+
 /** A connection attempt that shows whether an address still accepts connections. */
 export interface AddressProbeRow extends Omit<UpstreamProcess, 'upstream'> {
   readonly id: UpstreamId;
@@ -137,10 +148,10 @@
     },
     deadlines: { evidence: (row) => row.evidenceDeadline },
   }),
-  crashRecords: createTable<CrashRecordRow, never, 'expiry'>({
+  crashRecords: createTable<CrashRecordRow, never, 'expiry' | 'passOn'>({
     name: 'crashRecords',
     indices: {},
-    deadlines: { expiry: (row) => row.expiryDeadline },
+    deadlines: { expiry: (row) => row.expiryDeadline, passOn: (row) => row.passOnDeadline },
   }),
   addressProbes: createTable<AddressProbeRow, 'address', 'start'>({
     name: 'addressProbes',
--- a/src/service/quarantine/test/common/crashFixture.ts
+++ b/src/service/quarantine/test/common/crashFixture.ts
@@ -19,6 +19,7 @@
   createVirtualWorkers,
   submitCall,
   WorkerOutcome,
+  type WorkerTiming,
 } from '../../../../../standins/virtual/virtualWorkers.js';
 import { Profile } from '../../../core/common/core.js';
 import type { CallId, CallRow } from '../../../forwarding/common/forwardingTables.js';
@@ -37,14 +38,20 @@
 export const poisonFingerprint = 'yard|poison';
 
 /** Settings in which the fleets of the tests differ. */
-export interface FleetOptions extends Pick<VirtualOptions, 'isLost'> {
+export interface FleetOptions
+  extends Pick<VirtualOptions, 'isLost' | 'onDidSendMessage'>, WorkerTiming {
   readonly seed?: number;
-  readonly returnMilliseconds?: Milliseconds;
 }
 
 /** Three control daemons that also serve calls, and three entries; the declaration is in force. */
-export const createFleet = ({ seed = 7, returnMilliseconds, isLost }: FleetOptions = {}) => {
-  const workers = createVirtualWorkers(workerCount, returnMilliseconds);
+export const createFleet = ({
+  seed = 7,
+  runMilliseconds,
+  returnMilliseconds,
+  isLost,
+  onDidSendMessage,
+}: FleetOptions = {}) => {
+  const workers = createVirtualWorkers(workerCount, { runMilliseconds, returnMilliseconds });
   let isLossy = false;
   const installation = createVirtualInstallation({
     deployment: {
@@ -55,6 +62,7 @@
     seed,
     profile: Profile.Declaration,
     fleet: { ...defaultFleetSettings, voterCount: 3 },
+    ...(onDidSendMessage === undefined ? {} : { onDidSendMessage }),
     ports: [workers.createPort],
     isLost: (from, to) => isLossy && isLost?.(from, to) === true,
   });
--- a/src/service/quarantine/test/common/crashingCalls.test.ts
+++ b/src/service/quarantine/test/common/crashingCalls.test.ts
@@ -115,6 +115,29 @@
   t.true(listSubjects(fleet, EventKind.CrashesExcused).length > 0);
 });
 
+test('calls that ran beside the cause of a crash and are answered at once cost no messages', (t) => {
+  let messages = 0;
+  const fleet = createFleet({
+    runMilliseconds: 150,
+    onDidSendMessage: (_from, _to, { kind }) => {
+      if (kind === 'crashesReported') messages += 1;
+    },
+  });
+  const endedUnder = new Set<string>();
+  fleet.workers.setOutcomeSelector((requestId) => {
+    const isFirstRun = !endedUnder.has(requestId);
+    endedUnder.add(requestId);
+    return isFirstRun ? WorkerOutcome.End : WorkerOutcome.Answer;
+  });
+  Array.from({ length: 5 }, (_, index) =>
+    submitCall(fleet.installation, 'd5', `call-${index}`, `content-${index}`),
+  );
+  fleet.installation.runFor(contactMilliseconds);
+  t.true(listEvidence(fleet).length > 0);
+  t.is(messages, 0);
+  t.is(fleet.installation.daemon('d5').core.world.crashRecords.size(), 0);
+});
+
 test('a daemon that restarts refuses a quarantined call soon after it serves again', (t) => {
   const fleet = createFleet();
   sendRepeatedly(fleet, 12);
--- a/standins/virtual/virtualWorkers.ts
+++ b/standins/virtual/virtualWorkers.ts
@@ -69,9 +69,7 @@
 }
 
 const reportIntervalMilliseconds: Milliseconds = 1_200;
-/** Time that a worker takes for a call, whether it answers or ends. */
-const runMilliseconds: Milliseconds = 20;
-/** Usual time from the end of a process to the start of the next one at its address. */
+const defaultRunMilliseconds: Milliseconds = 20;
 const defaultReturnMilliseconds: Milliseconds = 3_000;
 const connectMilliseconds: Milliseconds = 1;
 const slots = 8;
@@ -97,13 +95,21 @@
   installation.wake(daemon);
 };
 
-/**
- * Creates `count` workers of the service `yard-app`. `returnMilliseconds` is the time from the end
- * of a process to the start of the next one at its address.
- */
+/** How long the workers take. */
+export interface WorkerTiming {
+  /** Time that a worker takes for a call, whether it answers or ends. */
+  readonly runMilliseconds?: Milliseconds | undefined;
+  /** Time from the end of a process to the start of the next one at its address. */
+  readonly returnMilliseconds?: Milliseconds | undefined;
+}
+
+/** Creates `count` workers of the service `yard-app`. */
 export const createVirtualWorkers = (
   count: number,
-  returnMilliseconds: Milliseconds = defaultReturnMilliseconds,
+  {
+    runMilliseconds = defaultRunMilliseconds,
+    returnMilliseconds = defaultReturnMilliseconds,
+  }: WorkerTiming = {},
 ): VirtualWorkers => {
   const runs: WorkerRun[] = [];
   const ends: WorkerEnd[] = [];
