Explain a quarantined call by the process ends under its content

`shallotquay explain ID` of a call that was refused as quarantined showed the refusal only; the requests under which processes ended had to be found by grep. It now names them, with upstream, evidence and the daemon that saw it, from the log lines of all daemons, and says so if none is among them.

--- a/src/service/timeline/common/explainLog.ts
+++ b/src/service/timeline/common/explainLog.ts
@@ -10,6 +10,7 @@
 } from '../../../infrastructure/timeline/common/timelineEvent.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { CallRefusalKind, createCallRefusal } from '../../forwarding/common/callRefusal.js';
+import { describeProcessEnds } from './explainQuarantine.js';
 import { ItemFailureCause } from '../../jobs/common/listItems.js';
 
 /** Kinds of identifiers; each value is the subject column that contains the identifier. */
@@ -142,6 +143,7 @@
       : requestEndFormatters[end.kind]!(end);
   return [
     ...head,
+    ...(end === undefined ? [] : describeProcessEnds(events, end)),
     ...describeSlowestSend(subjectEvents),
     ...describeContext(events, subjectEvents),
   ];
