Merge the quarantine of requests under which processes ended

One mechanism for declared routes and the product's own interface: a run that broke is a suspicion, evidence makes it a process end, and three of them (two on the own interface) refuse the content everywhere.

--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -20,6 +20,7 @@
 } from '../../../service/forwarding/common/forwardingTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createAnswerCollector } from './answerCollector.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import { createNamedSender, type OwnedResponse } from './ownedAnswers.js';
 import { isDelimitedResponse, type UpstreamClient } from './upstreamClient.js';
 import {
@@ -161,7 +162,16 @@
     const connection = sendNamed(target, {
       onDidReceiveResponse: (response) => handleResponse(send, response),
       onDidFail: (reason, isNotRun) =>
-        report({ kind: isNotRun ? 'notRun' : 'broken', send: send.id, reason }),
+        report(
+          isNotRun
+            ? {
+                kind: 'notRun',
+                send: send.id,
+                reason,
+                isConnectionRefused: reason === connectionRefusedCode,
+              }
+            : { kind: 'broken', send: send.id, reason },
+        ),
     });
     openSends.set(send.id, { connection, answer: null });
   };
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -8,6 +8,7 @@
 import type { Socket } from 'node:net';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import type { Headers, RequestContent } from './upstreamDialect.js';
 
 /** Address, content and additional headers of a request. */
@@ -47,7 +48,7 @@
 const maximumInterimResponses = 16;
 
 /** Connection error codes that imply that no byte of the request was written. */
-const connectFailureCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+const connectFailureCodes = new Set([connectionRefusedCode, 'EHOSTUNREACH', 'ENETUNREACH']);
 
 const minimumFinalStatus = 200;
 const maximumFinalStatus = 599;
--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -16,6 +16,7 @@
 import type { World } from '../../../service/world/common/world.js';
 import type { Exchange, RequestContent } from '../../exchange/node/exchange.js';
 import { isDelimitedResponse } from '../../forwarding/node/upstreamClient.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import { ResponseFormat, createResponseObserver } from './responseObserver.js';
 import { createUpstreamConnections } from './upstreamConnections.js';
 
@@ -41,7 +42,7 @@
 
 /** Connection error codes that imply that no byte of the request was written. */
 const connectFailureCodes = new Set([
-  'ECONNREFUSED',
+  connectionRefusedCode,
   'EHOSTUNREACH',
   'ENETUNREACH',
   'ENOTFOUND',
@@ -184,7 +185,7 @@
     if (hasEngineFailed(response, kind)) {
       await response.body.dump();
       const reason = `status ${response.statusCode}`;
-      report({ kind: 'broken', attempt: attempt.id, reason });
+      report({ kind: 'broken', attempt: attempt.id, reason, hasAnswered: true });
       return;
     }
     await pipe(response, attempt, kind, exchange, controller);
@@ -192,8 +193,10 @@
 
   const reportFailure = (attempt: AttemptRow, error: unknown): void => {
     const reason = errorCodeOf(error);
-    const kind = connectFailureCodes.has(reason) ? 'notRun' : 'broken';
-    report({ kind, attempt: attempt.id, reason });
+    const isConnectionRefused = reason === connectionRefusedCode;
+    if (connectFailureCodes.has(reason))
+      report({ kind: 'notRun', attempt: attempt.id, reason, isConnectionRefused });
+    else report({ kind: 'broken', attempt: attempt.id, reason });
   };
 
   const runAttempt = async (attempt: AttemptRow): Promise<void> => {
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -8,11 +8,11 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { consensusHandlers } from '../../consensus/common/consensusHandlers.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
-import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
 import { jobReadHandlers } from '../../jobs/common/jobReads.js';
 import { registryHandlers } from '../../registry/common/registrySystem.js';
 import { insertMember } from '../../membership/common/daemonRows.js';
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
+import { crashHandlers } from '../../quarantine/common/crashMessages.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import { bodyHandlers } from '../../rollout/common/bodyHandlers.js';
 import type { World } from '../../world/common/world.js';
@@ -25,7 +25,7 @@
   ...membershipHandlers,
   ...consensusHandlers,
   ...demandHandlers,
-  ...quarantineHandlers,
+  ...crashHandlers,
   ...bodyHandlers,
   ...registryHandlers,
   ...jobReadHandlers,
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -5,7 +5,6 @@
  */
 import * as z from 'zod';
 import { workspaceDemandSchema } from '../../admission/common/demandMessages.js';
-import { upstreamCrashedSchema } from '../../dispatch/common/quarantine.js';
 import {
   heartbeatSchema,
   upstreamAnnouncedSchema,
@@ -21,6 +20,10 @@
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
+import {
+  crashesReceivedSchema,
+  crashesReportedSchema,
+} from '../../quarantine/common/crashMessages.js';
 import {
   upstreamDepartedSchema,
   upstreamRegisteredSchema,
@@ -46,7 +49,8 @@
   followRequestedSchema,
   entriesFollowedSchema,
   workspaceDemandSchema,
-  upstreamCrashedSchema,
+  crashesReportedSchema,
+  crashesReceivedSchema,
   bodyOfferedSchema,
   bodiesStoredSchema,
   bodyAskedSchema,
--- a/standins/hostile/portFixture.ts
+++ b/standins/hostile/portFixture.ts
@@ -94,6 +94,7 @@
             host: 'yard.example',
             path: '/book/slot',
             key: 'key-1',
+            digest: null,
             remaining: 20_000,
             isInternal: false,
             urgency: [],
