Share no connection of an upstream whose answers have no final status

Cause: such an answer counted as one that names its attempt, so the retry went out on a shared connection. Its framing can't be trusted any more than its status, so it doesn't count.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -53,7 +53,8 @@
 const minimumFinalStatus = 200;
 const maximumFinalStatus = 599;
 
-const isFinalStatus = (status = 0): boolean =>
+/** Whether a status can end a request; others are of interim responses, or of none. */
+export const isFinalStatus = (status = 0): boolean =>
   status >= minimumFinalStatus && status <= maximumFinalStatus;
 
 const errorCodeOf = (error: Error): string =>
--- a/src/daemon/upstream/node/upstreamConnections.ts
+++ b/src/daemon/upstream/node/upstreamConnections.ts
@@ -9,6 +9,7 @@
 import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
 import { attemptHeader } from '../../../service/protocol/common/engineProtocol.js';
 import type { AttemptId } from '../../../service/world/common/identifiers.js';
+import { isFinalStatus } from '../../forwarding/node/upstreamClient.js';
 
 /** Method, path, headers, body, signal and callback of a request. */
 export type UpstreamRequestOptions = Omit<Dispatcher.RequestOptions, 'origin' | 'reset'>;
@@ -40,7 +41,7 @@
 export const createUpstreamConnections = (metrics: Metrics): UpstreamConnections => {
   const pooledAgent = new Agent(agentOptions);
   const singleUseAgent = new Agent(agentOptions);
-  /** Addresses of the upstreams whose latest answer named its attempt. */
+  /** Addresses of the upstreams whose latest answer named its attempt, with a final status. */
   const namingAddresses = new Set<string>();
 
   return {
@@ -53,10 +54,12 @@
         reset: !isPooled,
       });
       const named = response.headers[attemptHeader];
-      if (named === attempt) namingAddresses.add(address);
+      const isNamed = named === attempt && isFinalStatus(response.statusCode);
+      if (isNamed) namingAddresses.add(address);
       else namingAddresses.delete(address);
-      if (named === attempt || (named === undefined && !isPooled)) return response;
-      const reason = named === undefined ? 'names no attempt' : 'names another attempt';
+      const isForeign = named !== undefined && named !== attempt;
+      if (isNamed || (!isPooled && !isForeign)) return response;
+      const reason = isForeign ? 'names another attempt' : 'names no attempt';
       metrics.count('responses.foreign', 1, { sender: 'attempt', reason });
       // Destroying an unread body closes its connection.
       response.body.on('error', () => {}).destroy();
