--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -20,6 +20,7 @@
 } from '../../../service/forwarding/common/forwardingTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createAnswerCollector } from './answerCollector.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import { createNamedSender, type OwnedResponse } from './ownedAnswers.js';
 import { isDelimitedResponse, type UpstreamClient } from './upstreamClient.js';
 import {
@@ -126,6 +127,9 @@
       hasEnded = true;
       if (owned.class === ResponseClass.NotRun) {
         report({ kind: 'notRun', send: send.id, reason: `status ${head.status}` });
+      } else if (dialect.promisesNotRun(head.status)) {
+        const reason = `status ${head.status} without a statement that the request did not run`;
+        report({ kind: 'broken', send: send.id, reason });
       } else recordResponse(send, owned, answer.take());
     });
   };
@@ -158,7 +162,16 @@
     const connection = sendNamed(target, {
       onDidReceiveResponse: (response) => handleResponse(send, response),
       onDidFail: (reason, isNotRun) =>
-        report({ kind: isNotRun ? 'notRun' : 'broken', send: send.id, reason }),
+        report(
+          isNotRun
+            ? {
+                kind: 'notRun',
+                send: send.id,
+                reason,
+                isConnectionRefused: reason === connectionRefusedCode,
+              }
+            : { kind: 'broken', send: send.id, reason },
+        ),
     });
     openSends.set(send.id, { connection, answer: null });
   };
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -8,7 +8,8 @@
 import type { Socket } from 'node:net';
 import type { Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
-import type { Headers, RequestContent, ResponseHead } from './upstreamDialect.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
+import type { Headers, RequestContent } from './upstreamDialect.js';
 
 /** Address, content and additional headers of a request. */
 export interface UpstreamRequest {
@@ -47,7 +48,14 @@
 const maximumInterimResponses = 16;
 
 /** Connection error codes that imply that no byte of the request was written. */
-const connectFailureCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+const connectFailureCodes = new Set([connectionRefusedCode, 'EHOSTUNREACH', 'ENETUNREACH']);
+
+const minimumFinalStatus = 200;
+const maximumFinalStatus = 599;
+
+/** Whether a status can end a request; others are of interim responses, or of none. */
+export const isFinalStatus = (status = 0): boolean =>
+  status >= minimumFinalStatus && status <= maximumFinalStatus;
 
 const errorCodeOf = (error: Error): string =>
   'code' in error && typeof error.code === 'string' ? error.code : 'unknown';
@@ -106,16 +114,26 @@
       outgoing.once('socket', (socket) => {
         if (target.requestId !== null) rememberCarried(socket, target.requestId);
       });
-      outgoing.once('response', (response) => {
-        if (isClosed) response.destroy();
-        else listener.onDidReceiveResponse(response);
-      });
       const fail = (reason: string, isNotRun: boolean): void => {
         if (isClosed) return;
         isClosed = true;
         listener.onDidFail(reason, isNotRun);
       };
-      outgoing.once('error', (error) => {
+      outgoing.once('response', (response) => {
+        if (!isClosed && isFinalStatus(response.statusCode)) {
+          listener.onDidReceiveResponse(response);
+          return;
+        }
+        response.destroy();
+        fail(`status ${response.statusCode} is no final status`, false);
+      });
+      // Without this listener the request would only end at its deadline.
+      outgoing.once('upgrade', (_response, socket) => {
+        socket.destroy();
+        fail('upgrade that was not requested', false);
+      });
+      // A connection may report several errors; one without a listener ends the process.
+      outgoing.on('error', (error) => {
         const code = errorCodeOf(error);
         fail(code, connectFailureCodes.has(code));
       });
@@ -157,7 +175,13 @@
 const statusesWithoutBody: readonly number[] = [204, 304];
 
 /** Whether a response marks the end of its body, by a length, by chunks, or by having none. */
-export const isDelimitedResponse = ({ status, headers }: ResponseHead): boolean =>
+export const isDelimitedResponse = ({
+  status,
+  headers,
+}: {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, unknown>>;
+}): boolean =>
   headers['content-length'] !== undefined ||
   headers['transfer-encoding'] !== undefined ||
   statusesWithoutBody.includes(status);
--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -2,11 +2,10 @@
  * Port to upstreams: sends the request of an attempt that reaches the state `writing`, pipes the
  * response to its sink, reports facts, and closes the connection when the attempt has ended.
  */
-import { Agent, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import {
-  attemptHeader,
   engineRefusalHeader,
   engineRefusalStatus,
 } from '../../../service/protocol/common/engineProtocol.js';
@@ -15,8 +14,11 @@
 import { AttemptState, type AttemptRow } from '../../../service/traffic/common/trafficTables.js';
 import type { AttemptId, RequestId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
-import type { ResponseSink, Exchange, RequestContent } from '../../exchange/node/exchange.js';
+import type { Exchange, RequestContent } from '../../exchange/node/exchange.js';
+import { isDelimitedResponse } from '../../forwarding/node/upstreamClient.js';
+import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import { ResponseFormat, createResponseObserver } from './responseObserver.js';
+import { createUpstreamConnections } from './upstreamConnections.js';
 
 /** Sends the requests of attempts; `drain` runs after each tick. */
 export interface UpstreamPort extends AsyncDisposable {
@@ -27,9 +29,6 @@
 /** Finds the exchange of a request. */
 export type FindExchange = (request: RequestId) => Exchange | undefined;
 
-const connectTimeoutMilliseconds = 2_000;
-const noTimeout = 0;
-
 /** Response headers that are forwarded to the caller. */
 const forwardedResponseHeaderNames = [
   'content-type',
@@ -43,7 +42,7 @@
 
 /** Connection error codes that imply that no byte of the request was written. */
 const connectFailureCodes = new Set([
-  'ECONNREFUSED',
+  connectionRefusedCode,
   'EHOSTUNREACH',
   'ENETUNREACH',
   'ENOTFOUND',
@@ -70,6 +69,14 @@
     : ResponseFormat.Opaque;
 };
 
+/** Whether a cut of the response can be seen; events and JSON bodies show their end themselves. */
+const hasVisibleEnd = (
+  { statusCode: status, headers }: Dispatcher.ResponseData,
+  format: ResponseFormat,
+  method: string,
+): boolean =>
+  format !== ResponseFormat.Opaque || method === 'HEAD' || isDelimitedResponse({ status, headers });
+
 const minimumServerErrorStatus = 500;
 
 /** Responses before the final one, such as 103, that a request may get. */
@@ -88,12 +95,7 @@
   findExchange: FindExchange,
   wake: () => void,
 ): UpstreamPort => {
-  const agent = new Agent({
-    connect: { timeout: connectTimeoutMilliseconds },
-    headersTimeout: noTimeout,
-    bodyTimeout: noTimeout,
-    pipelining: 1,
-  });
+  const connections = createUpstreamConnections(world.metrics);
   const changes = world.attempts.createChangeReader(RowReader.Port);
   const controllers = new Map<AttemptId, AbortController>();
 
@@ -114,13 +116,12 @@
     attempt: AttemptRow,
     address: string,
     controller: AbortController,
-  ): Promise<Dispatcher.ResponseData> => {
+  ): Promise<Dispatcher.ResponseData | null> => {
     let interimResponses = 0;
-    return agent.request({
-      origin: address,
+    return connections.send(address, attempt.id, {
       path: content.path,
       method: content.method,
-      headers: { ...content.headers, [attemptHeader]: attempt.id },
+      headers: content.headers,
       body: content.body,
       signal: controller.signal,
       onInfo: () => {
@@ -135,12 +136,15 @@
     response: Dispatcher.ResponseData,
     attempt: AttemptRow,
     kind: UpstreamKind,
-    sink: ResponseSink,
+    exchange: Exchange,
     controller: AbortController,
   ): Promise<void> => {
     let receivedBytes = 0;
-    const observer = createResponseObserver(detectFormat(response, kind), attempt.id, report);
-    sink.writeHead(response.statusCode, selectResponseHeaders(response));
+    const format = detectFormat(response, kind);
+    const observer = createResponseObserver(format, attempt.id, report);
+    const isDelimited = hasVisibleEnd(response, format, exchange.content.method);
+    const sink = exchange.openSink(attempt.id);
+    sink.writeHead(response.statusCode, selectResponseHeaders(response), isDelimited);
     report({ kind: 'answerStarted', attempt: attempt.id, status: response.statusCode });
 
     for await (const chunk of response.body) {
@@ -181,16 +185,18 @@
     if (hasEngineFailed(response, kind)) {
       await response.body.dump();
       const reason = `status ${response.statusCode}`;
-      report({ kind: 'broken', attempt: attempt.id, reason });
+      report({ kind: 'broken', attempt: attempt.id, reason, hasAnswered: true });
       return;
     }
-    await pipe(response, attempt, kind, exchange.openSink(attempt.id), controller);
+    await pipe(response, attempt, kind, exchange, controller);
   };
 
   const reportFailure = (attempt: AttemptRow, error: unknown): void => {
     const reason = errorCodeOf(error);
-    const kind = connectFailureCodes.has(reason) ? 'notRun' : 'broken';
-    report({ kind, attempt: attempt.id, reason });
+    const isConnectionRefused = reason === connectionRefusedCode;
+    if (connectFailureCodes.has(reason))
+      report({ kind: 'notRun', attempt: attempt.id, reason, isConnectionRefused });
+    else report({ kind: 'broken', attempt: attempt.id, reason });
   };
 
   const runAttempt = async (attempt: AttemptRow): Promise<void> => {
@@ -209,7 +215,8 @@
     try {
       const { content } = exchange;
       const response = await send(content, attempt, upstream.address, controller);
-      await handleResponse(response, attempt, upstream.kind, exchange, controller);
+      if (response === null) abandon(attempt, controller, 'answer of another request');
+      else await handleResponse(response, attempt, upstream.kind, exchange, controller);
     } catch (error) {
       if (!controller.signal.aborted) reportFailure(attempt, error);
     } finally {
@@ -237,7 +244,7 @@
     dispose: async () => {
       changes.dispose();
       controllers.forEach((controller) => controller.abort());
-      await agent.destroy();
+      await connections.dispose();
     },
   };
 };
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -8,6 +8,8 @@
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
+import type { Fingerprint } from '../../quarantine/common/fingerprint.js';
+import type { UpstreamProcess } from '../../quarantine/common/quarantineTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { CallRefusal } from './callRefusal.js';
 
@@ -28,6 +30,8 @@
   readonly host: string;
   readonly path: string;
   readonly key: string | null;
+  /** Digest of method, path and body; null for internal calls, which are never quarantined. */
+  readonly digest: string | null;
   /** Time that the caller allows, or null if it did not specify one. */
   readonly remaining: Milliseconds | null;
   /** Whether this system makes the call itself; internal calls need no key. */
@@ -51,6 +55,8 @@
   readonly id: CallId;
   readonly requestId: string;
   readonly workspace: string | null;
+  /** Recognizes the call if it is sent again; null for internal calls. */
+  readonly fingerprint: Fingerprint | null;
   /** Name of the route; empty if no route matches. */
   readonly route: string;
   readonly service: string;
@@ -66,6 +72,8 @@
   readonly attempts: number;
   /** Number of sends that an upstream answered with the failure of its run. */
   readonly failureCount: number;
+  /** Distinct upstreams at which a send of the call broke. */
+  readonly brokenUpstreams: readonly UpstreamId[];
   /** Upstreams to which the call was sent, in order. */
   readonly triedUpstreams: readonly UpstreamId[];
   /** Time until which the call waits for its first upstream. */
@@ -113,6 +121,8 @@
   readonly id: SendId;
   readonly call: CallId;
   readonly upstream: UpstreamId;
+  /** The process of the upstream to which it was sent. */
+  readonly process: UpstreamProcess;
   readonly state: SendState;
   /** Time at which the send started. */
   readonly startedAt: Instant;
@@ -131,7 +141,13 @@
       readonly hasFailed: boolean;
     }
   /** The request certainly did not run. */
-  | { readonly kind: 'notRun'; readonly send: SendId; readonly reason: string }
+  | {
+      readonly kind: 'notRun';
+      readonly send: SendId;
+      readonly reason: string;
+      /** Whether nothing listens at the address of the upstream. */
+      readonly isConnectionRefused?: boolean;
+    }
   /** The request may have run, and no usable answer was received. */
   | { readonly kind: 'broken'; readonly send: SendId; readonly reason: string };
 
