Read the software version of upstreams and log it with runs and sends

Callers see nothing of this by itself. Workers of several software versions may serve side by side, and the registration's field `version` was not read, so neither a decision nor a log line could know of it: a text that two versions wrote could not be told from a sound one.

A registration now carries `softwareVersion`, bounded in length and compared for equality only. It reaches all daemons with the registrations that they already exchange. A daemon that doesn't know the field drops it; the receiver then keeps what it knew of the same start, or null. `runStarted`, `runBroken`, `runMoved`, `runSilent`, `runFailed`, `runNotTaken`, `sendStarted` and `registrationChanged` name it.

The fixture `testEngine` reports software v1; no expectation changes.

--- a/src/service/forwarding/common/callEvents.ts
+++ b/src/service/forwarding/common/callEvents.ts
@@ -55,6 +55,7 @@
       request: call.requestId,
       upstream: upstream.id,
       zone: upstream.zone,
+      softwareVersion: upstream.softwareVersion,
       running: upstream.ownRunning,
       slots: upstream.slots,
       registeredForMilliseconds: Math.round(upstream.reportDeadline - now),
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -88,13 +88,14 @@
 const recordRunStart = (
   world: World,
   { run, job }: Candidate,
-  { id, models, slots }: RegistrationRow,
+  { id, models, slots, softwareVersion }: RegistrationRow,
 ): void =>
   world.events.append({
     kind: EventKind.RunStarted,
     subject: {
       item: run.id,
       upstream: id,
+      softwareVersion,
       version: models.find(({ name }) => name === job.model)?.version ?? null,
       minimumVersion: job.minimumVersion,
       running: world.runs.count('upstream', id),
--- a/src/service/jobs/common/runChanges.ts
+++ b/src/service/jobs/common/runChanges.ts
@@ -47,9 +47,21 @@
   if (run.upstream !== null) world.registrations.change(run.upstream, { avoidDeadline });
 };
 
-/** Appends an event about a run, with the current number of events in its text. */
+const softwareVersionOf = (world: World, { upstream }: RunRow): string | null =>
+  (upstream === null ? undefined : world.registrations.get(upstream))?.softwareVersion ?? null;
+
+/**
+ * Appends an event about a run, with the current number of events in its text and the software
+ * version that its engine last reported.
+ */
 export const recordRunEvent = (world: World, kind: EventKind, run: RunRow, reason: string): void =>
   world.events.append({
     kind,
-    subject: { item: run.id, upstream: run.upstream, reason, events: run.events },
+    subject: {
+      item: run.id,
+      upstream: run.upstream,
+      softwareVersion: softwareVersionOf(world, run),
+      reason,
+      events: run.events,
+    },
   });
--- a/src/service/registry/common/applyRegistration.ts
+++ b/src/service/registry/common/applyRegistration.ts
@@ -48,10 +48,10 @@
   previous?: RegistrationRow,
 ): void => {
   if (previous?.state === row.state && previous.startedAt === row.startedAt) return;
-  const { id, state, address, service } = row;
+  const { id, state, address, service, softwareVersion } = row;
   world.events.append({
     kind: EventKind.RegistrationChanged,
-    subject: { upstream: id, state, address, service },
+    subject: { upstream: id, state, address, service, softwareVersion },
   });
 };
 
@@ -98,6 +98,7 @@
   const row = world.registrations.put({
     ...fields,
     id,
+    softwareVersion: fields.softwareVersion ?? (isSameStart ? existing.softwareVersion : null),
     reportDeadline: deadlineAfter(now, reportTimeoutsByState[registration.state]),
     repeatDeadline: existing?.repeatDeadline ?? Number.NEGATIVE_INFINITY,
     isListed: existing?.isListed ?? false,
--- a/src/service/registry/common/registrations.ts
+++ b/src/service/registry/common/registrations.ts
@@ -23,12 +23,26 @@
 export const routingFieldsOf = (
   row: Pick<
     Registration,
-    'state' | 'address' | 'service' | 'zone' | 'slots' | 'isReclaimable' | 'startedAt'
+    | 'state'
+    | 'address'
+    | 'service'
+    | 'zone'
+    | 'slots'
+    | 'isReclaimable'
+    | 'startedAt'
+    | 'softwareVersion'
   >,
 ): string =>
-  [row.state, row.address, row.service, row.zone, row.slots, row.isReclaimable, row.startedAt].join(
-    '|',
-  );
+  [
+    row.state,
+    row.address,
+    row.service,
+    row.zone,
+    row.slots,
+    row.isReclaimable,
+    row.startedAt,
+    row.softwareVersion,
+  ].join('|');
 
 /** Returns the columns of a row that its upstream reported. */
 const createRegistration = ({
--- a/src/service/registry/common/registryTables.ts
+++ b/src/service/registry/common/registryTables.ts
@@ -20,6 +20,9 @@
 } as const;
 export type RegistrationState = ValueOf<typeof RegistrationState>;
 
+/** Characters of a software version; release names and digests are shorter. */
+export const maximumSoftwareVersionLength = 256;
+
 /** The report that an upstream sends about itself. */
 export const registrationSchema = z.object({
   upstream: z.string().min(1),
@@ -30,6 +33,11 @@
   slots: z.number().int().positive(),
   /** Whether the upstream is cheap and may be reclaimed at short notice. */
   isReclaimable: z.boolean(),
+  /**
+   * Version of the software that the upstream runs, which is not that of its weights; null if a
+   * daemon that does not pass it on relayed the report. Versions are only compared for equality.
+   */
+  softwareVersion: z.string().max(maximumSoftwareVersionLength).nullable().default(null),
   /** Weight version of each model that the upstream serves. */
   models: z.array(z.object({ name: z.string(), version: z.number().int() })),
   /**
--- a/standins/virtual/fleetFixture.ts
+++ b/standins/virtual/fleetFixture.ts
@@ -117,7 +117,7 @@
   ...columns,
 });
 
-/** An engine with two slots that serves both models in version 1; `columns` overrides any field. */
+/** An engine with two slots, of software v1, that serves both models in version 1; `columns` overrides any field. */
 export const testEngine = (
   upstream: string,
   columns: Partial<Registration> = {},
@@ -129,6 +129,7 @@
   state: RegistrationState.Ready,
   slots: 2,
   isReclaimable: false,
+  softwareVersion: 'v1',
   models: [
     { name: 'm0', version: 1 },
     { name: 'm1', version: 1 },
