Continue the text of an item only at the software version that began it

Callers could read a completed result whose text two software versions wrote. What two versions write doesn't fit together, workers don't check it, and any engine of the service with a free slot took a text up: after a broken stream, a silent engine, a move off a slow engine, under a new leader that continues the saved text, and in a later job that brings the group again.

Class: a continuation that assumes that all members of a pool are equal.

Now the run's row and each saved part keep the version that began the text, and an engine is selected among those of that version. If none of that version serves, the text is discarded and begins anew at once, which is allowed as nothing of it was delivered. If one serves but is busy or has just failed while another engine is free, the run waits at most 1 s: below the 5 s after which a step at no worker counts as lost, and below the 1.5 s for which a failed engine is avoided. A single-engine fleet gets its text back without a wait, as before.

The log is read by older and newer releases: the version of a saved part is optional, absent means unknown, and an unknown text begins anew. All voters apply a part alike; one that doesn't name the version of the text makes it unknown, as an older leader may have continued it anywhere.

Changed tests: texts saved in `textReuse.test.ts` now name a software version, and two expectations of saved texts in `runs.test.ts` and `textReuse.test.ts` ask for it besides, so they are stricter.

--- a/src/service/events/common/eventBudget.ts
+++ b/src/service/events/common/eventBudget.ts
@@ -36,6 +36,7 @@
   EventKind.RunBroken,
   EventKind.RunMoved,
   EventKind.RunTimedOut,
+  EventKind.TextDiscarded,
   EventKind.ScoringStarted,
   EventKind.ItemListed,
 ]);
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -68,6 +68,8 @@
   RunBroken: 'runBroken',
   RunMoved: 'runMoved',
   RunTimedOut: 'runSilent',
+  /** The text of a run is discarded, because no engine of its software version goes on with it. */
+  TextDiscarded: 'textDiscarded',
   WeightOrderEnded: 'weightOrderEnded',
   UsageReportEnded: 'dutyEnded',
   CapacityOrdered: 'capacityOrdered',
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -53,7 +53,9 @@
 
 /**
  * Appends a part to the saved text of an item. A part that starts at event 0 replaces the saved
- * text; one that does not follow the saved events is ignored.
+ * text; one that does not follow the saved events is ignored. A part that does not name the software
+ * version of the text was added by an earlier release, which does not compare versions; the version
+ * of the text is unknown from then on.
  */
 const applySavedText = (
   world: World,
@@ -69,7 +71,13 @@
   if (item.saved?.events !== after) return;
   const versions = [...new Set([...item.saved.versions, ...part.versions])];
   const text = `${item.saved.text}\n${part.text}`;
-  world.jobItems.change(item.id, { saved: { events: part.events, text, versions } });
+  const saved = { events: part.events, text, versions };
+  const { softwareVersion } = part;
+  const isOfOneSoftware =
+    softwareVersion !== undefined && softwareVersion === item.saved.softwareVersion;
+  world.jobItems.change(item.id, {
+    saved: isOfOneSoftware ? { ...saved, softwareVersion } : saved,
+  });
 };
 
 export const jobApplyHandlers: ApplyHandlers<JobCommand> = {
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -3,9 +3,10 @@
  * is booked twice. Runs are ordered by the priority of the route, then groups that the trainer
  * waits for before spare ones, then older jobs, then the longest items. Items of one group are
  * assigned to the same engine where possible, because the engine then processes their common
- * prompt only once.
+ * prompt only once. A run with text goes to an engine of the software version that began it; it waits
+ * a bounded time for one if there is any, and begins anew otherwise.
  */
-import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
@@ -18,6 +19,14 @@
 import { expectedVersionOf, freeSlotsOf, canServeVersion } from './engineChoice.js';
 import { findSlowEngines } from './enginePace.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
+import {
+  canContinueText,
+  continuationDeadlineOf,
+  discardOverdueTexts,
+  discardText,
+  hasText,
+  isTextServed,
+} from './textContinuation.js';
 
 /** Timeout for the first event of a run; an engine processes a prompt in tens of milliseconds. */
 const firstEventTimeoutMilliseconds = 1_500;
@@ -64,25 +73,55 @@
   return engines.find((row) => groupEngineIds.has(row.id));
 };
 
-const selectEngine = (
-  world: World,
-  candidate: Candidate,
-  now: Instant,
-): RegistrationRow | undefined => {
-  const { job, route } = candidate;
+interface FreeEngines {
+  readonly service: string;
+  readonly all: readonly RegistrationRow[];
+  /** Those that are neither slow nor overdue and had no failure recently. */
+  readonly preferred: readonly RegistrationRow[];
+}
+
+const findFreeEngines = (world: World, { job, route }: Candidate, now: Instant): FreeEngines => {
   const service = selectService(world, route);
   const slowEngineIds = findSlowEngines(world, service);
-  const freeEngines = world.registrations
+  const all = world.registrations
     .where('service', service)
     .filter((row) => canServeVersion(world, row, job, now) && freeSlotsOf(world, row) > 0);
-  const preferredEngines = freeEngines.filter(
+  const preferred = all.filter(
     (row) => row.avoidDeadline <= now && !slowEngineIds.has(row.id) && !isOverdue(row, now),
   );
-  const eligibleEngines = preferredEngines.length > 0 ? preferredEngines : freeEngines;
-  return (
-    engineOfGroup(world, candidate, eligibleEngines) ??
-    engineWithMostFreeSlots(world, eligibleEngines)
-  );
+  return { service, all, preferred };
+};
+
+/**
+ * Returns the engines among which one is selected for a run: of those that can go on with its text,
+ * the preferred ones; without any of them, all of them if no other engine is preferred either, or
+ * none, so that the run waits; and any engine if the software version of the text is not served.
+ */
+const findEligibleEngines = (
+  world: World,
+  { run, job }: Candidate,
+  { service, all, preferred }: FreeEngines,
+  now: Instant,
+): readonly RegistrationRow[] => {
+  const continuing = preferred.filter((row) => canContinueText(run, row));
+  if (continuing.length > 0) return continuing;
+  if (!hasText(run) || !isTextServed(world, service, run, job, now))
+    return preferred.length > 0 ? preferred : all;
+  return preferred.length > 0 ? [] : all.filter((row) => canContinueText(run, row));
+};
+
+const selectEngine = (
+  world: World,
+  candidate: Candidate,
+  now: Instant,
+): RegistrationRow | undefined => {
+  const { run } = candidate;
+  const freeEngines = findFreeEngines(world, candidate, now);
+  const eligible = findEligibleEngines(world, candidate, freeEngines, now);
+  const isHeldForVersion = eligible.length === 0 && freeEngines.preferred.length > 0;
+  if (isHeldForVersion && run.continuationDeadline === never)
+    world.runs.change(run.id, { continuationDeadline: continuationDeadlineOf(run, now) });
+  return engineOfGroup(world, candidate, eligible) ?? engineWithMostFreeSlots(world, eligible);
 };
 
 const recordRunStart = (
@@ -105,13 +144,16 @@
   });
 
 const assignRun = (world: World, candidate: Candidate, now: Instant): void => {
-  const { run } = candidate;
   const engine = selectEngine(world, candidate, now);
   if (engine === undefined) return;
-  recordRunStart(world, candidate, engine);
+  const run = canContinueText(candidate.run, engine)
+    ? candidate.run
+    : discardText(world, candidate.run, 'no engine of its software version serves');
+  recordRunStart(world, { ...candidate, run }, engine);
   world.runs.change(run.id, {
     state: RunState.Running,
     upstream: engine.id,
+    softwareVersion: engine.softwareVersion,
     lastProgressAt: Number.NEGATIVE_INFINITY,
     expectedVersion: expectedVersionOf(world, engine, candidate.job),
     start: run.start + 1,
@@ -140,7 +182,9 @@
     run: (now) => {
       const hasChanges = changeReaders.map((reader) => reader.take().length > 0).includes(true);
       const hasDueLoad = world.weightOrders.takeDue('loaded', now).length > 0;
-      const hasDueRows = world.runs.takeDue('backoff', now).length > 0 || hasDueLoad;
+      const hasDiscardedTexts = discardOverdueTexts(world, now);
+      const hasDueRows =
+        world.runs.takeDue('backoff', now).length > 0 || hasDueLoad || hasDiscardedTexts;
       const isLeader = isCurrentLeader(replicaOf(world), now);
       if ((hasChanges || hasDueRows) && isLeader) assignWaitingRuns(world, now);
     },
--- a/src/service/jobs/common/insertRuns.ts
+++ b/src/service/jobs/common/insertRuns.ts
@@ -19,16 +19,18 @@
 };
 
 /**
- * Returns the columns of the text that a run continues, and how much of it is saved in this job.
+ * Returns the columns of the text that a run continues, and how much of it is saved in this job. A
+ * text of an unknown software version is not continued.
  */
 const initialTextOf = (
   world: World,
   job: JobRow,
   item: JobItemRow,
-): Pick<RunRow, 'events' | 'text' | 'versions' | 'savedEvents' | 'savedCharacters'> => {
+): Pick<RunRow, keyof typeof emptyTextColumns> => {
   if (item.saved !== null) {
-    const { events, text } = item.saved;
-    return { ...item.saved, savedEvents: events, savedCharacters: text.length };
+    const { events, text, softwareVersion } = item.saved;
+    if (softwareVersion === undefined) return emptyTextColumns;
+    return { ...item.saved, softwareVersion, savedEvents: events, savedCharacters: text.length };
   }
   return { ...emptyTextColumns, ...findPartialText(world, job, item) };
 };
@@ -58,6 +60,7 @@
     saveDeadline: deadlineAfter(now, saveIntervalMilliseconds),
     failures: 0,
     backoffDeadline: now,
+    continuationDeadline: never,
     lastProgressAt: Number.NEGATIVE_INFINITY,
     progressDeadline: never,
     lifetimeDeadline,
--- a/src/service/jobs/common/jobCommands.ts
+++ b/src/service/jobs/common/jobCommands.ts
@@ -79,6 +79,11 @@
   events: z.number().int().positive(),
   text: z.string(),
   versions: z.array(z.number()),
+  /**
+   * Software version of the engines that wrote the text; absent if it is unknown, as in entries of
+   * earlier releases. Such a text is not continued.
+   */
+  softwareVersion: z.string().optional(),
 });
 export type SavedText = z.infer<typeof savedTextSchema>;
 
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -78,6 +78,8 @@
   readonly events: number;
   readonly text: string;
   readonly versions: readonly number[];
+  /** Software version of the engines that write the text; null while it is empty or unknown. */
+  readonly softwareVersion: string | null;
   /** Number of events of the text that are saved, or proposed to be. */
   readonly savedEvents: number;
   /** Length of the saved part of the text, in characters. */
@@ -88,6 +90,8 @@
   readonly failures: number;
   /** Time from which a waiting run can be assigned to an upstream. */
   readonly backoffDeadline: Instant;
+  /** Time until which a waiting run keeps its text for an engine of the same software version. */
+  readonly continuationDeadline: Instant;
   /** Time of the last progress report on this start; negative infinity before the first. */
   readonly lastProgressAt: Instant;
   /** Time at which a running run times out for lack of progress. */
@@ -174,7 +178,7 @@
   runs: createTable<
     RunRow,
     'job' | 'state' | 'upstream' | 'group' | 'call',
-    'progress' | 'life' | 'backoff' | 'rescore'
+    'progress' | 'life' | 'backoff' | 'continuation' | 'rescore'
   >({
     name: 'runs',
     indices: {
@@ -189,6 +193,7 @@
       life: (row) => (row.state === RunState.Proposed ? never : row.lifetimeDeadline),
       rescore: (row) =>
         row.state === RunState.Scoring && row.call === null ? row.scoreRetryDeadline : never,
+      continuation: (row) => (row.state === RunState.Waiting ? row.continuationDeadline : never),
       backoff: (row) => (row.state === RunState.Waiting ? row.backoffDeadline : never),
     },
   }),
--- a/src/service/jobs/common/runChanges.ts
+++ b/src/service/jobs/common/runChanges.ts
@@ -1,7 +1,12 @@
 /**
  * State changes of runs that several systems share.
  */
-import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
+import {
+  deadlineAfter,
+  never,
+  type Instant,
+  type Milliseconds,
+} from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import { RunState, type RunRow } from './jobTables.js';
@@ -17,6 +22,7 @@
   events: 0,
   text: '',
   versions: [],
+  softwareVersion: null,
   savedEvents: 0,
   savedCharacters: 0,
 } as const;
@@ -32,6 +38,7 @@
     state: RunState.Waiting,
     upstream: null,
     backoffDeadline: deadlineAfter(now, backoffMilliseconds),
+    continuationDeadline: never,
     ...columns,
   });
 };
--- a/src/service/jobs/common/runMigrationSystem.ts
+++ b/src/service/jobs/common/runMigrationSystem.ts
@@ -1,7 +1,7 @@
 /**
  * Moves runs from slow engines to faster ones that have free slots. Processing the prompt and the
  * text so far a second time costs far less than waiting for a slow engine. A run moves only if a
- * slot on another engine is free for it at that moment.
+ * slot on another engine of its software version is free for it at that moment.
  */
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
@@ -15,6 +15,7 @@
 import { findSlowEngines } from './enginePace.js';
 import { RunState, type JobRow, type RunRow } from './jobTables.js';
 import { avoidUpstream, recordRunEvent, requeueRun } from './runChanges.js';
+import { canContinueText } from './textContinuation.js';
 
 interface EngineCapacity {
   readonly engine: RegistrationRow;
@@ -35,10 +36,14 @@
 const findCapacity = (
   world: World,
   capacities: readonly EngineCapacity[],
+  run: RunRow,
   job: JobRow,
   now: Instant,
 ): EngineCapacity | undefined =>
-  capacities.find(({ engine, free }) => free > 0 && canServeVersion(world, engine, job, now));
+  capacities.find(
+    ({ engine, free }) =>
+      free > 0 && canContinueText(run, engine) && canServeVersion(world, engine, job, now),
+  );
 
 const migrateRun = (
   world: World,
@@ -48,7 +53,7 @@
 ): void => {
   const job = world.jobs.get(run.job);
   if (job === undefined || isSingleVersion(world, job)) return;
-  const capacity = findCapacity(world, capacities, job, now);
+  const capacity = findCapacity(world, capacities, run, job, now);
   if (capacity === undefined) return;
   capacity.free -= 1;
   recordRunEvent(world, EventKind.RunMoved, run, 'slow engine');
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -2,7 +2,7 @@
  * Manages the runs of open jobs while this daemon is the leader. It creates a run for each item
  * without a listed result and applies the facts that the port reports; the assignment system
  * assigns the runs to upstreams. A text whose stream broke continues after its last complete event
- * on another upstream.
+ * on another upstream of the same software version.
  */
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
@@ -22,6 +22,7 @@
 import { insertRuns } from './insertRuns.js';
 import { avoidUpstream, emptyTextColumns, recordRunEvent, requeueRun } from './runChanges.js';
 import { startScoring } from './scoring.js';
+import { continuationDeadlineOf } from './textContinuation.js';
 
 /**
  * Timeout for the progress of a run: twenty pauses between events, or three on an engine that is
@@ -112,7 +113,10 @@
     requeueRun(
       world,
       run,
-      { backoffDeadline: deadlineAfter(now, refusalBackoffMilliseconds) },
+      {
+        backoffDeadline: deadlineAfter(now, refusalBackoffMilliseconds),
+        continuationDeadline: continuationDeadlineOf(run, now),
+      },
       now,
     );
   },
--- a/src/service/jobs/common/saveTexts.ts
+++ b/src/service/jobs/common/saveTexts.ts
@@ -30,6 +30,7 @@
       events: run.events,
       text: unsavedTextOf(run),
       versions: [...run.versions],
+      ...(run.softwareVersion === null ? {} : { softwareVersion: run.softwareVersion }),
     },
   });
   world.runs.change(run.id, { savedEvents: run.events, savedCharacters: run.text.length });
--- a/src/service/jobs/common/textReuse.ts
+++ b/src/service/jobs/common/textReuse.ts
@@ -42,19 +42,26 @@
         isVersionSetAllowed(world, job, row.versions),
     );
 
+/** A saved text whose software version is known, so that it can go on at that version. */
+export type ContinuableText = SavedText & { readonly softwareVersion: string };
+
+const isContinuable = (saved: SavedText | null): saved is ContinuableText =>
+  saved?.softwareVersion !== undefined;
+
 /** Returns the longest partial text of an item in other jobs that this job can continue. */
 export const findPartialText = (
   world: World,
   job: JobRow,
   item: JobItemRow,
-): SavedText | undefined => {
+): ContinuableText | undefined => {
   // A single-version text could continue only on an engine that still holds that version.
   if (isSingleVersion(world, job)) return undefined;
   return findSameItemInOtherJobs(world, job, item)
     .map(({ saved }) => saved)
-    .filter((saved) => saved !== null && isVersionSetAllowed(world, job, saved.versions))
-    .reduce<SavedText | undefined>(
-      (longest, saved) => (saved!.events > (longest?.events ?? 0) ? saved! : longest),
+    .filter(isContinuable)
+    .filter((saved) => isVersionSetAllowed(world, job, saved.versions))
+    .reduce<ContinuableText | undefined>(
+      (longest, saved) => (saved.events > (longest?.events ?? 0) ? saved : longest),
       undefined,
     );
 };
--- a/src/service/jobs/test/common/runs.test.ts
+++ b/src/service/jobs/test/common/runs.test.ts
@@ -163,6 +163,7 @@
     events: 4,
     text: 'x\ny\ntwo\nlines\nz',
     versions: [1],
+    softwareVersion: 'v1',
   });
 
   core.world.runs.remove(id);
--- a/src/service/jobs/test/common/textReuse.test.ts
+++ b/src/service/jobs/test/common/textReuse.test.ts
@@ -37,7 +37,16 @@
   core.propose('saved', {
     kind: 'textsSaved',
     job: 'first',
-    saved: [{ item: 'begun', after: 0, events: 2, text: 'p\nq', versions: [version] }],
+    saved: [
+      {
+        item: 'begun',
+        after: 0,
+        events: 2,
+        text: 'p\nq',
+        versions: [version],
+        softwareVersion: 'v1',
+      },
+    ],
   });
   core.propose('end', { kind: 'jobEnded', job: 'first' });
 };
@@ -103,7 +112,12 @@
     versions: [2],
   });
   core.settle();
-  t.deepEqual(core.world.jobItems.get(id)?.saved, { events: 3, text: 'p\nq\nr', versions: [2] });
+  t.deepEqual(core.world.jobItems.get(id)?.saved, {
+    events: 3,
+    text: 'p\nq\nr',
+    versions: [2],
+    softwareVersion: 'v1',
+  });
 });
 
 test('spare groups are those with the longest items, and they start last', (t) => {
--- a/src/service/timeline/common/explainLog.ts
+++ b/src/service/timeline/common/explainLog.ts
@@ -154,6 +154,7 @@
   [EventKind.RunBroken]: 'waiting for an engine slot',
   [EventKind.RunMoved]: 'waiting for an engine slot',
   [EventKind.RunTimedOut]: 'waiting for an engine slot',
+  [EventKind.TextDiscarded]: 'waiting for an engine slot',
   [EventKind.RunFailed]: 'waiting for an engine slot',
   [EventKind.ScoringStarted]: 'being scored',
 };
@@ -195,6 +196,7 @@
   EventKind.RunBroken,
   EventKind.RunMoved,
   EventKind.RunTimedOut,
+  EventKind.TextDiscarded,
   EventKind.RunFailed,
   EventKind.RunNotStarted,
 ]);
