Do not join the text of an engine that restarted with other software

Callers could read a result that two software versions wrote, although texts go on only at the version that began them: an engine can start again under its identifier with other software, and accepts runs before its registration here tells of it. The identifier in the request names the engine, not the start.

Cause: a decision rested on a registration that was older than the process that ran the request. Class: identity by name where the incarnation counts.

Ruled out: the wall clock of the engine's start against the time of the sending (clocks of VMs step and differ); asking the engine itself before each continuation (a probe each, and one that ended can't answer); keeping only text that a report has confirmed (would throw away up to two report intervals of each text that breaks, though hardly any of them is at fault).

Now each start of a run leaves a row for the start and the report of its engine on which the decision rested. It goes away when the engine reports that start again, twice, as one report may have been under way; or after 3 s without a report, as an engine that runs has reported by then. If a later start of other software reports instead, the text begins anew. A text that one engine wrote is scored at once, as before. One that several wrote waits for its rows to go away, 3 s at most, unless older runs on those engines got text since, which only the same start can have sent.

--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -18,6 +18,7 @@
   'jobs.open': (world) => world.jobs.count('state', JobState.Open),
   'runs.waiting': (world) => world.runs.count('state', RunState.Waiting),
   'runs.running': (world) => world.runs.count('state', RunState.Running),
+  'runs.confirming': (world) => world.runs.count('state', RunState.Confirming),
   'runs.scoring': (world) => world.runs.count('state', RunState.Scoring),
   'registrations.known': (world) => world.registrations.size(),
   'members.known': (world) => world.daemons.size(),
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -39,6 +39,7 @@
 import { createRunSystem } from '../../jobs/common/runSystem.js';
 import { createTextSavingSystem } from '../../jobs/common/saveTexts.js';
 import { createScoringSystem } from '../../jobs/common/scoring.js';
+import { createTextSourceSystem } from '../../jobs/common/textSources.js';
 import { createMeteringSystem } from '../../metering/common/meteringSystem.js';
 import { createRegistrySystem } from '../../registry/common/registrySystem.js';
 import { createWeightSystem } from '../../weights/common/weightSystem.js';
@@ -108,6 +109,7 @@
   createRegistrySystem,
   createCallSystem,
   createSendSystem,
+  createTextSourceSystem,
   createRunSystem,
   createTextSavingSystem,
   createScoringSystem,
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -27,6 +27,7 @@
   hasText,
   isTextServed,
 } from './textContinuation.js';
+import { recordTextSource } from './textSources.js';
 
 /** Timeout for the first event of a run; an engine processes a prompt in tens of milliseconds. */
 const firstEventTimeoutMilliseconds = 1_500;
@@ -150,15 +151,18 @@
     ? candidate.run
     : discardText(world, candidate.run, 'no engine of its software version serves');
   recordRunStart(world, { ...candidate, run }, engine);
-  world.runs.change(run.id, {
+  const startedRun = world.runs.change(run.id, {
     state: RunState.Running,
     upstream: engine.id,
+    engineStartedAt: engine.startedAt,
+    continuedEvents: run.events,
     softwareVersion: engine.softwareVersion,
     lastProgressAt: Number.NEGATIVE_INFINITY,
     expectedVersion: expectedVersionOf(world, engine, candidate.job),
     start: run.start + 1,
     progressDeadline: deadlineAfter(now, firstEventTimeoutMilliseconds),
-  });
+  })!;
+  recordTextSource(world, startedRun, engine, now);
 };
 
 const assignWaitingRuns = (world: World, now: Instant): void =>
--- a/src/service/jobs/common/insertRuns.ts
+++ b/src/service/jobs/common/insertRuns.ts
@@ -55,6 +55,8 @@
     state: RunState.Waiting,
     start: 0,
     upstream: null,
+    engineStartedAt: Number.NEGATIVE_INFINITY,
+    continuedEvents: 0,
     expectedVersion: null,
     ...initialTextOf(world, job, item),
     saveDeadline: deadlineAfter(now, saveIntervalMilliseconds),
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -54,6 +54,8 @@
   /** Waits for an upstream. */
   Waiting: 'waiting',
   Running: 'running',
+  /** The text is complete; that one software version wrote all of it is still to be confirmed. */
+  Confirming: 'confirming',
   /** The text is complete; its score is requested. */
   Scoring: 'scoring',
   /** The result is proposed. */
@@ -72,6 +74,10 @@
   /** Incremented with each start on an upstream; facts of earlier starts are dropped. */
   readonly start: number;
   readonly upstream: UpstreamId | null;
+  /** Start of the engine to which the run was sent last, as a wall-clock time in milliseconds. */
+  readonly engineStartedAt: number;
+  /** Number of events of the text that earlier starts of the run had received. */
+  readonly continuedEvents: number;
   /** The weight version that the engine must hold although its reports may not show it; or null. */
   readonly expectedVersion: number | null;
   /** Number of events in the text so far. */
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -21,8 +21,8 @@
 import { saveIntervalMilliseconds, queueUnsavedText } from './saveTexts.js';
 import { insertRuns } from './insertRuns.js';
 import { avoidUpstream, emptyTextColumns, recordRunEvent, requeueRun } from './runChanges.js';
-import { startScoring } from './scoring.js';
 import { continuationDeadlineOf } from './textContinuation.js';
+import { completeText } from './textSources.js';
 
 /**
  * Timeout for the progress of a run: twenty pauses between events, or three on an engine that is
@@ -96,7 +96,7 @@
       requeueRun(world, run, emptyTextColumns, now);
       return;
     }
-    startScoring(world, world.runs.change(run.id, columns)!);
+    completeText(world, world.runs.change(run.id, columns)!);
   },
   broken: (fact, world, run, job, now) => {
     const columns = textColumnsWithEvents(run, fact.text, fact.versions);
--- /dev/null
+++ b/src/service/jobs/common/textSources.ts
@@ -0,0 +1,159 @@
+/**
+ * Tracks which engines wrote parts of texts without having reported since. An engine may start again
+ * under its identifier with other software before its registration here says so; what it writes then
+ * must not be joined to text of another version. A part is confirmed by later reports of the same
+ * start of its engine, or by the progress of an older run there. If the engine turns out to have
+ * started again with other software, the text begins anew. Runs each tick, on the leader's runs.
+ */
+import type { Brand } from '../../../base/common/brand.js';
+import { asBrand } from '../../../base/common/brand.js';
+import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
+import type { System } from '../../../infrastructure/tables/common/tick.js';
+import { createTable } from '../../../infrastructure/tables/common/table.js';
+import type { RegistrationRow } from '../../registry/common/registryTables.js';
+import type { UpstreamId } from '../../world/common/identifiers.js';
+import type { World } from '../../world/common/world.js';
+import { RunState, type ItemId, type RunRow } from './jobTables.js';
+import { requeueRun } from './runChanges.js';
+import { startScoring } from './scoring.js';
+import { discardText, hasText } from './textContinuation.js';
+
+/** An engine that writes, or wrote, a part of a text, as its registration was at that time. */
+export interface TextSourceRow {
+  readonly id: Brand<'textSource'>;
+  readonly item: ItemId;
+  readonly upstream: UpstreamId;
+  readonly softwareVersion: string | null;
+  /** Start of the engine, as a wall-clock time in milliseconds. */
+  readonly startedAt: number;
+  /** Sequence number of its last report before the run was sent. */
+  readonly sequence: number;
+  /** Time at which the run was sent. */
+  readonly sentAt: Instant;
+  /** Time from which the part counts as confirmed. */
+  readonly confirmationDeadline: Instant;
+}
+
+export const createTextSourceTables = () => ({
+  textSources: createTable<TextSourceRow, 'upstream' | 'item', 'confirmation'>({
+    name: 'textSources',
+    indices: { upstream: (row) => row.upstream, item: (row) => row.item },
+    deadlines: { confirmation: (row) => row.confirmationDeadline },
+  }),
+});
+
+/**
+ * Time within which an engine that runs has reported at this daemon: two intervals of its reports
+ * and a late heartbeat that relays them. An engine without a report for so long has ended.
+ */
+const confirmationMilliseconds: Milliseconds = 3_000;
+
+/** The next report may have been under way when a run was sent; the one after it was not. */
+const confirmingReports = 2;
+
+/** Progress is reported up to 200 ms after its events arrived; the rest is for their way. */
+const progressDelayMilliseconds: Milliseconds = 400;
+
+/** Records that a run is sent to an engine. */
+export const recordTextSource = (
+  world: World,
+  run: RunRow,
+  { id: upstream, softwareVersion, startedAt, sequence }: RegistrationRow,
+  now: Instant,
+): void => {
+  if (!hasText(run))
+    world.textSources.where('item', run.id).forEach(({ id }) => world.textSources.remove(id));
+  world.textSources.put({
+    id: asBrand(`${run.id}/${run.start}`),
+    item: run.id,
+    upstream,
+    softwareVersion,
+    startedAt,
+    sequence,
+    sentAt: now,
+    confirmationDeadline: deadlineAfter(now, confirmationMilliseconds),
+  });
+};
+
+/** Whether a run that was confirmed at the same start of the engine got text after the sending. */
+const hasLaterProgress = (world: World, source: TextSourceRow): boolean =>
+  world.runs
+    .where('upstream', source.upstream)
+    .some(
+      ({ id, start, engineStartedAt, lastProgressAt }) =>
+        engineStartedAt === source.startedAt &&
+        lastProgressAt > source.sentAt + progressDelayMilliseconds &&
+        !world.textSources.has(asBrand(`${id}/${start}`)),
+    );
+
+/** Whether the text of a run was written by one start of an engine, or by confirmed ones. */
+const isTextConfirmed = (world: World, run: RunRow): boolean =>
+  run.continuedEvents === 0 ||
+  world.textSources.where('item', run.id).every((source) => hasLaterProgress(world, source));
+
+/** States in which a text can still be discarded; a text that is being scored is of one start. */
+const canBeginAnewByState: Readonly<Record<RunState, boolean>> = {
+  waiting: true,
+  running: true,
+  confirming: true,
+  scoring: false,
+  proposed: false,
+};
+
+const beginAnew = (world: World, run: RunRow, now: Instant): void => {
+  if (!canBeginAnewByState[run.state]) return;
+  requeueRun(world, run, { backoffDeadline: now }, now);
+  discardText(world, run, 'an engine of it started again with other software');
+};
+
+/** Scores a complete text, at once or as soon as all of its parts are confirmed. */
+export const completeText = (world: World, run: RunRow): void => {
+  if (isTextConfirmed(world, run)) startScoring(world, run);
+  else world.runs.change(run.id, { state: RunState.Confirming, upstream: null });
+};
+
+const confirmSource = (world: World, { id, item }: TextSourceRow): void => {
+  world.textSources.remove(id);
+  const run = world.runs.get(item);
+  if (run?.state === RunState.Confirming) completeText(world, run);
+};
+
+/** Compares the part of a text with the latest registration of its engine. */
+const checkSource = (
+  world: World,
+  source: TextSourceRow,
+  { startedAt, sequence, softwareVersion }: RegistrationRow,
+  now: Instant,
+): void => {
+  const isSameStart = startedAt === source.startedAt;
+  if (isSameStart && sequence < source.sequence + confirmingReports) return;
+  if (isSameStart || softwareVersion === source.softwareVersion) {
+    confirmSource(world, source);
+    return;
+  }
+  world.textSources.remove(source.id);
+  const run = world.runs.get(source.item);
+  if (run !== undefined) beginAnew(world, run, now);
+};
+
+const checkEngine = (world: World, id: UpstreamId, now: Instant): void => {
+  const registration = world.registrations.get(id);
+  if (registration === undefined) return;
+  world.textSources
+    .where('upstream', id)
+    .forEach((source) => checkSource(world, source, registration, now));
+};
+
+/** Creates the system that confirms the parts of texts. */
+export const createTextSourceSystem = (world: World): System => {
+  const registrationChanges = world.registrations.createChangeReader();
+  return {
+    name: 'textSource',
+    run: (now) => {
+      registrationChanges.take().forEach((id) => checkEngine(world, id, now));
+      world.textSources
+        .takeDue('confirmation', now)
+        .forEach((source) => confirmSource(world, source));
+    },
+  };
+};
--- /dev/null
+++ b/src/service/jobs/test/common/restartedEngines.test.ts
@@ -0,0 +1,126 @@
+import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
+import type { FleetCore } from '../../../../../standins/virtual/fleetCore.js';
+import { testItem, testJob } from '../../../../../standins/virtual/fleetFixture.js';
+import type { UpstreamId } from '../../../world/common/identifiers.js';
+import { RunState } from '../../common/jobTables.js';
+import {
+  createCoreWithText,
+  reportBroken,
+  reportEngine,
+  reportFact,
+  reportProgress,
+  runOf,
+} from './versionedFleet.js';
+
+const reportIntervalMilliseconds = 1_000;
+
+/** Reports that an engine has started again under its identifier. */
+const reportRestart = (core: FleetCore, engine: string, softwareVersion: string): void =>
+  reportEngine(core, engine, softwareVersion, { startedAt: 2, sequence: 1 });
+
+const reportWhole = (core: FleetCore, text: readonly string[]): void =>
+  reportFact(core, { kind: 'whole', text, versions: [1] });
+
+const countResults = (core: FleetCore): number => core.world.jobs.get('j' as never)!.listed;
+
+/** Creates a fleet in which `e1` began a text that `e2`, of the same software, goes on with. */
+const createCoreWithContinuedText = (): FleetCore => {
+  const core = createCoreWithText();
+  core.runFor(reportIntervalMilliseconds / 2);
+  reportEngine(core, 'e2', 'v1');
+  reportBroken(core, []);
+  core.runFor(100);
+  return core;
+};
+
+test('a text that an engine went on with after a restart with other software begins anew', (t) => {
+  const core = createCoreWithContinuedText();
+  t.like(runOf(core), { state: RunState.Running, upstream: 'e2', events: 2 });
+  reportProgress(core, ['of the other version']);
+  reportRestart(core, 'e2', 'v2');
+  core.runFor(100);
+  t.is(runOf(core).events, 0);
+  t.is(runOf(core).text, '');
+});
+
+test('a text begun by an engine after a restart with other software does not go on', (t) => {
+  const core = createCoreWithContinuedText();
+  reportProgress(core, ['z']);
+  reportRestart(core, 'e1', 'v2');
+  core.runFor(100);
+  t.is(runOf(core).events, 0);
+});
+
+test('a joined text is not listed before its engines have reported again', (t) => {
+  const core = createCoreWithContinuedText();
+  reportWhole(core, ['of the other version']);
+  t.is(countResults(core), 0);
+  reportRestart(core, 'e2', 'v2');
+  core.runFor(100);
+  t.is(countResults(core), 0);
+  t.is(runOf(core).events, 0);
+});
+
+test('a joined text is listed once its engines have reported the same start again', (t) => {
+  const core = createCoreWithContinuedText();
+  reportWhole(core, ['z']);
+  for (let round = 0; round < 2; round += 1) {
+    t.is(countResults(core), 0, `after ${round} reports`);
+    ['e1', 'e2'].forEach((engine) => {
+      const { sequence } = core.world.registrations.get(asBrand<UpstreamId>(engine))!;
+      reportEngine(core, engine, 'v1', { sequence: sequence + 1 });
+    });
+  }
+  t.is(countResults(core), 1);
+  t.is(core.world.jobResults.get('j/0' as never)?.text, 'x\ny\nz');
+});
+
+test('a joined text of an engine that never reports again is listed after a bounded time', (t) => {
+  const core = createCoreWithContinuedText();
+  reportWhole(core, ['z']);
+  core.runFor(3_100);
+  t.is(countResults(core), 1);
+});
+
+test('a restart with the same software keeps the text', (t) => {
+  const core = createCoreWithContinuedText();
+  reportProgress(core, ['z']);
+  reportRestart(core, 'e1', 'v1');
+  core.runFor(100);
+  t.like(runOf(core), { state: RunState.Running, upstream: 'e2', events: 3 });
+});
+
+test('a text that one engine wrote as a whole is listed at once', (t) => {
+  const core = createCoreWithText();
+  reportWhole(core, ['z']);
+  t.is(countResults(core), 1);
+});
+
+test('a joined text is listed at once if an older run of its engine got text since', (t) => {
+  const core = createCoreWithText();
+  core.propose('other', testJob('other', [testItem('b')]));
+  const older = runOf(core, 'b', 'other');
+  t.is(String(older.upstream), 'e1');
+  const reportText = (): void => {
+    core.world.runFacts.append({
+      kind: 'progress',
+      item: older.id,
+      start: older.start,
+      text: ['x'],
+      versions: [1],
+    });
+    reportProgress(core, ['y']);
+  };
+  for (let round = 0; round < 4; round += 1) {
+    core.runFor(800);
+    reportEngine(core, 'e1', 'v1');
+    reportText();
+  }
+  reportBroken(core, []);
+  core.runFor(500);
+  t.like(runOf(core), { start: 2, events: 6 });
+  reportText();
+  reportWhole(core, ['z']);
+  t.is(countResults(core), 1);
+});
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -29,6 +29,7 @@
 import { createPaceTables } from '../../jobs/common/enginePace.js';
 import { createJobReadTables } from '../../jobs/common/jobReads.js';
 import { createJobTables } from '../../jobs/common/jobTables.js';
+import { createTextSourceTables } from '../../jobs/common/textSources.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
 import { createRegistryTables } from '../../registry/common/registryTables.js';
 import { createVersionTables } from '../../weights/common/versionTables.js';
@@ -66,6 +67,7 @@
   ...createForwardingTables(),
   ...createJobTables(),
   ...createPaceTables(),
+  ...createTextSourceTables(),
   ...createJobReadTables(),
   ...createVersionTables(),
   ...createMeteringTables(),
