Let a resumed stream go on only at the software version that began it

A caller that takes a stream up after a broken channel (`Last-Event-Id`, and `Resumes` with the attempt that brought the first event) could get the rest from a worker of another software version: its request was passed on like any other, to the least loaded worker of the service.

Cause: nothing outlived the answer. The machine that passed the stream on forgot where it began, and the others never knew. Class: a decision that needs a fact which only a machine had that may be gone.

Now each send that begins a stream on a resumable route leaves a row: request, service, software version. A call that takes a stream up is placed by that row, else by asking the same control daemons, which pass the question on to the others. It goes only to workers of that version, also after a refusal. If nobody knows the origin within 200 ms, or nobody serves the version, it is refused with 503 and was not sent; with Retry-After if a later question may find the origin.

A worker that starts again under its identifier with other software makes the origins of the last 3 s uncertain, which is refused; the answer of such a worker to a resumption is not passed on, but ends as failed (502).

`Resumes` is a wire name now; a comment and the title of a test used the word and were changed for it. The title's test is the same. Two fixtures of calls name that they take no stream up; no expectation changed.

--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -29,7 +29,7 @@
   readonly workspace: string | null;
   /** Time until the caller's deadline; null if there is none. */
   readonly remaining: Milliseconds | null;
-  /** Last received event, after which the text resumes; null to start at the beginning. */
+  /** Last received event, after which the text goes on; null to start at the beginning. */
   readonly lastEventId: string | null;
   /** Required weight version; an upstream with another version refuses the request. */
   readonly expectedVersion: number | null;
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -30,6 +30,7 @@
 import { createDaemonSystem } from '../../membership/common/daemonSystem.js';
 import { createInboxSystem } from '../../messages/common/inboxSystem.js';
 import { createCallSystem } from '../../forwarding/common/callSystem.js';
+import { createOriginSystem } from '../../forwarding/common/originSystem.js';
 import { createSendSystem } from '../../forwarding/common/sendSystem.js';
 import { createAssignmentSystem } from '../../jobs/common/assignmentSystem.js';
 import { createJobRetentionSystem } from '../../jobs/common/jobRetentionSystem.js';
@@ -109,6 +110,7 @@
   createRegistrySystem,
   createCallSystem,
   createSendSystem,
+  createOriginSystem,
   createTextSourceSystem,
   createRunSystem,
   createTextSavingSystem,
--- a/src/service/events/common/eventBudget.ts
+++ b/src/service/events/common/eventBudget.ts
@@ -28,6 +28,7 @@
   EventKind.CallAnswered,
   EventKind.CallCancelled,
   EventKind.CallRefused,
+  EventKind.StreamLocated,
   EventKind.SendStarted,
   EventKind.SendEnded,
   EventKind.RunStarted,
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -55,6 +55,8 @@
   CallAnswered: 'callAnswered',
   CallCancelled: 'callCancelled',
   CallRefused: 'callRefused',
+  /** The software version that began the stream of a call is known. */
+  StreamLocated: 'streamLocated',
   SendStarted: 'sendStarted',
   SendEnded: 'sendEnded',
   JobAccepted: 'jobAccepted',
--- a/src/service/forwarding/common/callRefusal.ts
+++ b/src/service/forwarding/common/callRefusal.ts
@@ -16,6 +16,10 @@
   DeadlinePassed: 'deadlinePassed',
   /** The deadline has passed, and an upstream may have run the call. */
   AnswerLate: 'answerLate',
+  /** The software version that began the stream of the call is unknown. */
+  OriginUnknown: 'originUnknown',
+  /** No upstream runs the software version that began the stream of the call. */
+  VersionNotServed: 'versionNotServed',
   /** Upstreams that may have run the call returned no usable answer. */
   UpstreamFailed: 'upstreamFailed',
 } as const;
@@ -39,6 +43,9 @@
 /** Approximate time until a fully loaded upstream completes one of its requests. */
 const noUpstreamRetryMilliseconds = 150;
 
+/** Time in which a control daemon that was out of contact is replaced by another one. */
+const originRetryMilliseconds = 500;
+
 const templates: Readonly<Record<CallRefusalKind, Template>> = {
   notReady: {
     isNotRun: true,
@@ -70,6 +77,16 @@
     message: 'The deadline passed before an answer arrived; the request may have run.',
     retryMilliseconds: null,
   },
+  originUnknown: {
+    isNotRun: true,
+    message: 'This daemon does not know where the stream began; begin it anew.',
+    retryMilliseconds: originRetryMilliseconds,
+  },
+  versionNotServed: {
+    isNotRun: true,
+    message: 'No upstream runs the software that began the stream; begin it anew.',
+    retryMilliseconds: null,
+  },
   upstreamFailed: {
     isNotRun: false,
     message: 'No upstream returned a complete answer; the request may have run.',
--- a/src/service/forwarding/common/callSystem.ts
+++ b/src/service/forwarding/common/callSystem.ts
@@ -13,6 +13,7 @@
 import { CallRefusalKind } from './callRefusal.js';
 import { checkCaller } from './checkCaller.js';
 import { cancelCall, removeExpiredCalls, refuseCall } from './endCall.js';
+import { locateStream, refuseUnlocatedCalls } from './streamContinuation.js';
 import { CallState, hasCallEnded, type ArrivedCall, type CallRow } from './forwardingTables.js';
 
 /** Fraction of the objective after which a call that no upstream has run is refused. */
@@ -48,6 +49,10 @@
   isInternal: arrived.isInternal,
   urgency: arrived.urgency,
   isIdempotent: false,
+  isResumable: false,
+  continuation: null,
+  softwareVersion: null,
+  locationDeadline: never,
   maximumAttempts: 1,
   attempts: 0,
   serverErrorCount: 0,
@@ -61,6 +66,15 @@
   retentionDeadline: never,
 });
 
+const isResumableRoute = ({ kind, isResumable }: RouteRow): boolean =>
+  kind === RouteKind.Stream && isResumable;
+
+/** On other routes, a call that names an event is a call like any other. */
+const continuationOf = ({ takesUp }: ArrivedCall, route: RouteRow): CallRow['continuation'] =>
+  takesUp === null || !isResumableRoute(route)
+    ? null
+    : { ...takesUp, services: route.targets.map(({ service }) => service) };
+
 const admitCall = (
   world: World,
   arrived: ArrivedCall,
@@ -74,6 +88,8 @@
     route: route.name,
     service: selectService(world, route),
     isIdempotent: route.kind === RouteKind.Idempotent,
+    isResumable: isResumableRoute(route),
+    continuation: continuationOf(arrived, route),
     maximumAttempts: route.maximumAttempts,
     offerDeadline: computeOfferDeadline(arrived, route, now),
     silenceMilliseconds: route.objectiveMilliseconds * silenceObjectiveFactor,
@@ -82,6 +98,7 @@
   });
   world.metrics.count('calls.admitted', 1, { route: route.name });
   recordAdmission(world, call, now);
+  locateStream(world, call, now);
 };
 
 const refuseArrivedCall = (
@@ -102,7 +119,7 @@
     );
 
 const expireCall = (world: World, call: CallRow, now: Instant): void => {
-  const isNotRun = call.attempts === 0 && call.state === CallState.Waiting;
+  const isNotRun = call.attempts === 0 && call.state !== CallState.Running;
   const kind = isNotRun ? CallRefusalKind.DeadlinePassed : CallRefusalKind.AnswerLate;
   refuseCall(world, call, kind, now);
 };
@@ -121,6 +138,7 @@
       if (call !== undefined && !hasCallEnded(call)) cancelCall(world, call, now);
     });
     world.calls.takeDue('call', now).forEach((call) => expireCall(world, call, now));
+    refuseUnlocatedCalls(world, now);
     world.calls.takeDue('offer', now).forEach((call) => refuseUnsentCall(world, call, now));
     removeExpiredCalls(world, now);
   },
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -20,6 +20,18 @@
  */
 export type CallUrgency = readonly number[];
 
+/** The stream that a caller takes up with a call. */
+export interface StreamReference {
+  /** Identifier of the request that brought its first event; null if the caller named none. */
+  readonly request: string | null;
+}
+
+/** The stream that a call continues, on a route whose streams can be resumed. */
+export interface StreamContinuation extends StreamReference {
+  /** Services to which the route may send the call. */
+  readonly services: readonly string[];
+}
+
 /** A call decoded by a port. */
 export interface ArrivedCall {
   readonly id: CallId;
@@ -33,9 +45,13 @@
   /** Whether this system makes the call itself; internal calls need no key. */
   readonly isInternal: boolean;
   readonly urgency: CallUrgency;
+  /** The stream that the call takes up after its last received event; null if it begins one. */
+  readonly takesUp: StreamReference | null;
 }
 
 export const CallState = {
+  /** Waits for the origin of the stream that it continues. */
+  Locating: 'locating',
   /** Waiting for an upstream. */
   Waiting: 'waiting',
   Running: 'running',
@@ -61,6 +77,13 @@
   readonly isInternal: boolean;
   readonly urgency: CallUrgency;
   readonly isIdempotent: boolean;
+  /** Whether the call is answered with a stream that can be resumed. */
+  readonly isResumable: boolean;
+  readonly continuation: StreamContinuation | null;
+  /** Software version that the upstream must run; null if any may run the call. */
+  readonly softwareVersion: string | null;
+  /** Time until which the origin of a continued stream is awaited. */
+  readonly locationDeadline: Instant;
   readonly maximumAttempts: number;
   /** Number of sends that may have run. */
   readonly attempts: number;
@@ -113,6 +136,9 @@
   readonly id: SendId;
   readonly call: CallId;
   readonly upstream: UpstreamId;
+  /** Start and software version of the upstream, as registered when the send started. */
+  readonly upstreamStartedAt: number;
+  readonly softwareVersion: string | null;
   readonly state: SendState;
   /** Time at which the send started. */
   readonly startedAt: Instant;
@@ -130,6 +156,7 @@
   | { readonly kind: 'broken'; readonly send: SendId; readonly reason: string };
 
 const isEndedByState: Readonly<Record<CallState, boolean>> = {
+  locating: false,
   waiting: false,
   running: false,
   answered: true,
@@ -144,10 +171,19 @@
   arrivedCalls: createRowQueue<ArrivedCall>('arrivedCalls', RowReader.System),
   /** Calls whose caller has disconnected. */
   departedCalls: createRowQueue<CallId>('departedCalls', RowReader.System),
-  calls: createTable<CallRow, 'waiting', 'offer' | 'call' | 'retention' | 'backoff'>({
+  calls: createTable<
+    CallRow,
+    'waiting' | 'locating',
+    'offer' | 'location' | 'call' | 'retention' | 'backoff'
+  >({
     name: 'calls',
-    indices: { waiting: (row) => (row.state === CallState.Waiting ? row.service : undefined) },
+    indices: {
+      waiting: (row) => (row.state === CallState.Waiting ? row.service : undefined),
+      locating: (row) =>
+        row.state === CallState.Locating ? (row.continuation?.request ?? undefined) : undefined,
+    },
     deadlines: {
+      location: (row) => (row.state === CallState.Locating ? row.locationDeadline : never),
       offer: (row) => (row.state === CallState.Waiting ? row.offerDeadline : never),
       backoff: (row) => (row.state === CallState.Waiting ? row.backoffDeadline : never),
       call: (row) => (hasCallEnded(row) ? never : row.callDeadline),
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -11,6 +11,7 @@
 import type { World } from '../../world/common/world.js';
 import { recordSendStart } from './callEvents.js';
 import { CallRefusalKind } from './callRefusal.js';
+import { hasOtherSoftwareSince, recordStreamOrigin, shareStreamOrigin } from './streamOrigins.js';
 import { answerCall, endSend, incrementRunningCount, refuseCall } from './endCall.js';
 import {
   CallState,
@@ -51,11 +52,15 @@
 const countUsableSlots = (call: CallRow, { slots }: RegistrationRow): number =>
   call.isInternal ? Math.max(1, slots - Math.ceil(slots * callerReservedFraction)) : slots;
 
+/** A continued stream must run at the software version that began it. */
+const canRunVersion = (call: CallRow, { softwareVersion }: RegistrationRow): boolean =>
+  call.softwareVersion === null || call.softwareVersion === softwareVersion;
+
 /** Selects the least loaded upstream; prefers those that neither failed recently nor were tried. */
 const selectUpstream = (world: World, call: CallRow, now: Instant): RegistrationRow | undefined => {
   const rows = world.registrations
     .where('service', call.service)
-    .filter((row) => row.ownRunning < countUsableSlots(call, row));
+    .filter((row) => canRunVersion(call, row) && row.ownRunning < countUsableSlots(call, row));
   const preferred = rows.filter((row) => isPreferred(row, call, now));
   const notLastTried = rows.filter((row) => row.id !== call.triedUpstreams.at(-1));
   const fallback = notLastTried.length > 0 ? notLastTried : rows;
@@ -76,10 +81,13 @@
 const startSend = (world: World, call: CallRow, upstream: RegistrationRow, now: Instant): void => {
   incrementRunningCount(world, upstream.id);
   recordSendStart(world, call, upstream, now);
+  recordStreamOrigin(world, call, upstream, now);
   world.sends.put({
     id: world.identifiers.next<SendId>('send'),
     call: call.id,
     upstream: upstream.id,
+    upstreamStartedAt: upstream.startedAt,
+    softwareVersion: upstream.softwareVersion,
     state: SendState.Running,
     startedAt: now,
     silenceDeadline: computeSilenceDeadline(call, now),
@@ -153,6 +161,11 @@
       scheduleRetry(world, updatedCall, 0, now);
       return;
     }
+    if (updatedCall.continuation !== null && hasOtherSoftwareSince(world, row)) {
+      refuseCall(world, updatedCall, CallRefusalKind.UpstreamFailed, now);
+      return;
+    }
+    shareStreamOrigin(world, updatedCall, now);
     answerCall(world, updatedCall, row, now);
   },
   notRun: ({ reason }, world, call, row, now) => {
--- a/src/service/forwarding/test/common/callerShare.test.ts
+++ b/src/service/forwarding/test/common/callerShare.test.ts
@@ -24,6 +24,7 @@
     remaining: 2_000,
     isInternal,
     urgency,
+    takesUp: null,
   });
   core.settle();
 };
--- a/src/service/jobs/common/scoring.ts
+++ b/src/service/jobs/common/scoring.ts
@@ -48,6 +48,7 @@
     remaining: null,
     isInternal: true,
     urgency: urgencyOf(world, run),
+    takesUp: null,
   });
 };
 
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -9,6 +9,7 @@
 import { consensusHandlers } from '../../consensus/common/consensusHandlers.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
 import { quarantineHandlers } from '../../dispatch/common/quarantine.js';
+import { originHandlers } from '../../forwarding/common/originSystem.js';
 import { jobReadHandlers } from '../../jobs/common/jobReads.js';
 import { registryHandlers } from '../../registry/common/registrySystem.js';
 import { insertMember } from '../../membership/common/daemonRows.js';
@@ -29,6 +30,7 @@
   ...bodyHandlers,
   ...registryHandlers,
   ...jobReadHandlers,
+  ...originHandlers,
 };
 
 /**
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -20,6 +20,7 @@
   voteAnsweredSchema,
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
+import { originMessageSchemas } from '../../forwarding/common/originMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
 import {
   upstreamDepartedSchema,
@@ -54,6 +55,7 @@
   upstreamRegisteredSchema,
   upstreamDepartedSchema,
   ...jobReadSchemas,
+  ...originMessageSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -26,6 +26,7 @@
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
 import { createDeclarationTables } from '../../declaration/common/declarationTables.js';
 import { createForwardingTables } from '../../forwarding/common/forwardingTables.js';
+import { createStreamOriginTables } from '../../forwarding/common/streamOrigins.js';
 import { createPaceTables } from '../../jobs/common/enginePace.js';
 import { createJobReadTables } from '../../jobs/common/jobReads.js';
 import { createJobTables } from '../../jobs/common/jobTables.js';
@@ -65,6 +66,7 @@
   ...createDeclarationTables(),
   ...createRegistryTables(),
   ...createForwardingTables(),
+  ...createStreamOriginTables(),
   ...createJobTables(),
   ...createPaceTables(),
   ...createTextSourceTables(),
--- a/standins/engine/test/engine.test.ts
+++ b/standins/engine/test/engine.test.ts
@@ -30,7 +30,7 @@
   t.deepEqual(stream.chunks.at(-1)?.usage, { prompt_tokens: 2, completion_tokens: count });
 });
 
-test('a stream that resumes from an offset continues the same text', async (t) => {
+test('a stream taken up at an offset continues the same text', async (t) => {
   const engine = await startEngine();
   t.teardown(engine.dispose);
   const messages = [{ role: 'user', content: 'resume me' }];
