Log that a complete text waits for the reports of its engines

A text that several engines wrote may wait up to 3 s for their reports; without a line, the time between the end of the text and its scoring had no cause in the logs. `textHeld` names the engines; `explain` counts the time as its own phase. The test of the wait asks for the line.

--- a/src/service/events/common/eventBudget.ts
+++ b/src/service/events/common/eventBudget.ts
@@ -38,6 +38,7 @@
   EventKind.RunMoved,
   EventKind.RunTimedOut,
   EventKind.TextDiscarded,
+  EventKind.TextHeld,
   EventKind.ScoringStarted,
   EventKind.ItemListed,
 ]);
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -72,6 +72,8 @@
   RunTimedOut: 'runSilent',
   /** The text of a run is discarded, because no engine of its software version goes on with it. */
   TextDiscarded: 'textDiscarded',
+  /** A complete text waits until its engines have reported that they have not started again. */
+  TextHeld: 'textHeld',
   WeightOrderEnded: 'weightOrderEnded',
   UsageReportEnded: 'dutyEnded',
   CapacityOrdered: 'capacityOrdered',
--- a/src/service/jobs/common/textSources.ts
+++ b/src/service/jobs/common/textSources.ts
@@ -10,6 +10,7 @@
 import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
+import { EventKind } from '../../events/common/eventKind.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -106,10 +107,19 @@
   discardText(world, run, 'an engine of it started again with other software');
 };
 
+const holdText = (world: World, run: RunRow): void => {
+  const engines = world.textSources.where('item', run.id).map(({ upstream }) => upstream);
+  world.events.append({
+    kind: EventKind.TextHeld,
+    subject: { item: run.id, softwareVersion: run.softwareVersion, engines: engines.join(',') },
+  });
+  world.runs.change(run.id, { state: RunState.Confirming, upstream: null });
+};
+
 /** Scores a complete text, at once or as soon as all of its parts are confirmed. */
 export const completeText = (world: World, run: RunRow): void => {
   if (isTextConfirmed(world, run)) startScoring(world, run);
-  else world.runs.change(run.id, { state: RunState.Confirming, upstream: null });
+  else if (run.state !== RunState.Confirming) holdText(world, run);
 };
 
 const confirmSource = (world: World, { id, item }: TextSourceRow): void => {
--- a/src/service/jobs/test/common/restartedEngines.test.ts
+++ b/src/service/jobs/test/common/restartedEngines.test.ts
@@ -2,6 +2,7 @@
 import { asBrand } from '../../../../base/common/brand.js';
 import type { FleetCore } from '../../../../../standins/virtual/fleetCore.js';
 import { testItem, testJob } from '../../../../../standins/virtual/fleetFixture.js';
+import { EventKind } from '../../../events/common/eventKind.js';
 import type { UpstreamId } from '../../../world/common/identifiers.js';
 import { RunState } from '../../common/jobTables.js';
 import {
@@ -54,8 +55,14 @@
 
 test('a joined text is not listed before its engines have reported again', (t) => {
   const core = createCoreWithContinuedText();
+  core.world.events.takeAll();
   reportWhole(core, ['of the other version']);
   t.is(countResults(core), 0);
+  const held = core.world.events.takeAll().filter(({ kind }) => kind === EventKind.TextHeld);
+  t.deepEqual(
+    held.map(({ subject }) => subject.engines),
+    ['e1,e2'],
+  );
   reportRestart(core, 'e2', 'v2');
   core.runFor(100);
   t.is(countResults(core), 0);
--- a/src/service/timeline/common/explainLog.ts
+++ b/src/service/timeline/common/explainLog.ts
@@ -155,6 +155,7 @@
   [EventKind.RunMoved]: 'waiting for an engine slot',
   [EventKind.RunTimedOut]: 'waiting for an engine slot',
   [EventKind.TextDiscarded]: 'waiting for an engine slot',
+  [EventKind.TextHeld]: 'waiting for reports of its engines',
   [EventKind.RunFailed]: 'waiting for an engine slot',
   [EventKind.ScoringStarted]: 'being scored',
 };
