Share the origins of streams in larger batches, and guard against a second send

A batch of origins takes 160 bytes and 17 for each stream (encoded frames), so that at 57 streams a second an interval of 100 ms spends most on the batches. Origins are needed only once an event has gone out, and go out with the answer at the latest, so 300 ms loses nothing.

A new test guards what holds already: a stream that may have begun is not sent to another upstream within its call. It passed before.

--- a/src/service/forwarding/common/streamOrigins.ts
+++ b/src/service/forwarding/common/streamOrigins.ts
@@ -68,8 +68,8 @@
 /** Rows of one daemon, about 300 bytes each; the oldest ones are removed beyond. */
 const maximumOrigins = 50_000;
 
-/** Streams take several times as long until their answer, with which they are shared at once. */
-const shareIntervalMilliseconds: Milliseconds = 100;
+/** Batches of this time keep their overhead below that of the rows; an answer does not wait for it. */
+const shareIntervalMilliseconds: Milliseconds = 300;
 
 /** Time for which an origin is kept beyond the deadline of its request, for late resumptions. */
 const expirySlackMilliseconds: Milliseconds = 2_000;
--- a/src/service/forwarding/test/common/resumedStreams.test.ts
+++ b/src/service/forwarding/test/common/resumedStreams.test.ts
@@ -152,6 +152,19 @@
   t.like(fleet.callOf('d8', 'resume').refusal, { isNotRun: false });
 });
 
+test('a stream that may have begun is not sent to another upstream within its call', (t) => {
+  const fleet = createStreamFleet();
+  fleet.addEngine('e1', { softwareVersion: 'v1' });
+  fleet.addEngine('e2', { softwareVersion: 'v2' });
+  fleet.sendCall('d7', 'first');
+  const { id: send } = fleet.sendOf('d7', 'first')!;
+  fleet.worldOf('d7').sendFacts.append({ kind: 'broken', send, reason: 'reset' });
+  fleet.installation.wake('d7');
+  fleet.installation.runFor(50);
+  t.is(fleet.worldOf('d7').sends.where('call', 'first').length, 1);
+  t.like(fleet.callOf('d7', 'first').refusal, { isNotRun: false });
+});
+
 test('on a route without resumable streams, the last event of a caller changes nothing', (t) => {
   const fleet = createStreamFleet();
   fleet.addEngine('e2', { softwareVersion: 'v2' });
