--- a/src/service/declaration/common/declaration.ts
+++ b/src/service/declaration/common/declaration.ts
@@ -65,7 +65,7 @@
   readonly zonePrices: Readonly<Record<string, number>>;
 }
 
-/** A service: a group of interchangeable upstreams. */
+/** A service: a group of upstreams, any of which can begin a request. */
 export interface ServiceDeclaration {
   readonly name: string;
   readonly maximumConnections: number;
