Confirm parts of texts by later text of older runs on the engine

The check for an older run that got text since was made only when the text was complete, or at the next report.

Now each progress of a run that is confirmed itself confirms the older parts on its engine, so later runs there need no report.

Of the tests, the one in which the text comes after the end of the joined one failed before.

--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -22,7 +22,7 @@
 import { insertRuns } from './insertRuns.js';
 import { avoidUpstream, emptyTextColumns, recordRunEvent, requeueRun } from './runChanges.js';
 import { continuationDeadlineOf } from './textContinuation.js';
-import { completeText } from './textSources.js';
+import { completeText, confirmByProgress } from './textSources.js';
 
 /**
  * Timeout for the progress of a run: twenty pauses between events, or three on an engine that is
@@ -81,6 +81,7 @@
 const runFactHandlers: HandlerTable<RunFact, void, RunContext> = {
   progress: (fact, world, run, job, now) => {
     recordEnginePace(world, run, fact.text.length, now);
+    confirmByProgress(world, run, now);
     const progressDeadline = deadlineAfter(now, progressTimeoutMilliseconds);
     const columns = textColumnsWithEvents(run, fact.text, fact.versions);
     const progress = { ...columns, lastProgressAt: now, progressDeadline };
--- a/src/service/jobs/common/textSources.ts
+++ b/src/service/jobs/common/textSources.ts
@@ -52,9 +52,11 @@
 /** The next report may have been under way when a run was sent; the one after it was not. */
 const confirmingReports = 2;
 
-/** Progress is reported up to 200 ms after its events arrived; the rest is for their way. */
+/** Text is under way for less than this time before it is reported as progress. */
 const progressDelayMilliseconds: Milliseconds = 400;
 
+const textSourceIdOf = ({ id, start }: RunRow): TextSourceRow['id'] => asBrand(`${id}/${start}`);
+
 /** Records that a run is sent to an engine. */
 export const recordTextSource = (
   world: World,
@@ -65,7 +67,7 @@
   if (!hasText(run))
     world.textSources.where('item', run.id).forEach(({ id }) => world.textSources.remove(id));
   world.textSources.put({
-    id: asBrand(`${run.id}/${run.start}`),
+    id: textSourceIdOf(run),
     item: run.id,
     upstream,
     softwareVersion,
@@ -76,21 +78,9 @@
   });
 };
 
-/** Whether a run that was confirmed at the same start of the engine got text after the sending. */
-const hasLaterProgress = (world: World, source: TextSourceRow): boolean =>
-  world.runs
-    .where('upstream', source.upstream)
-    .some(
-      ({ id, start, engineStartedAt, lastProgressAt }) =>
-        engineStartedAt === source.startedAt &&
-        lastProgressAt > source.sentAt + progressDelayMilliseconds &&
-        !world.textSources.has(asBrand(`${id}/${start}`)),
-    );
-
 /** Whether the text of a run was written by one start of an engine, or by confirmed ones. */
 const isTextConfirmed = (world: World, run: RunRow): boolean =>
-  run.continuedEvents === 0 ||
-  world.textSources.where('item', run.id).every((source) => hasLaterProgress(world, source));
+  run.continuedEvents === 0 || world.textSources.count('item', run.id) === 0;
 
 /** States in which a text can still be discarded; a text that is being scored is of one start. */
 const canBeginAnewByState: Readonly<Record<RunState, boolean>> = {
@@ -128,6 +118,21 @@
   if (run?.state === RunState.Confirming) completeText(world, run);
 };
 
+/**
+ * Confirms the parts that were sent to an engine before a run there, which is confirmed itself, got
+ * text: the connection of that run leads to the start that the registration names.
+ */
+export const confirmByProgress = (world: World, run: RunRow, now: Instant): void => {
+  if (run.upstream === null || world.textSources.has(textSourceIdOf(run))) return;
+  world.textSources
+    .where('upstream', run.upstream)
+    .filter(
+      ({ startedAt, sentAt }) =>
+        startedAt === run.engineStartedAt && sentAt + progressDelayMilliseconds < now,
+    )
+    .forEach((source) => confirmSource(world, source));
+};
+
 /** Compares the part of a text with the latest registration of its engine. */
 const checkSource = (
   world: World,
--- a/src/service/jobs/test/common/restartedEngines.test.ts
+++ b/src/service/jobs/test/common/restartedEngines.test.ts
@@ -104,30 +104,39 @@
   t.is(countResults(core), 1);
 });
 
-test('a joined text is listed at once if an older run of its engine got text since', (t) => {
+const reportOlderProgress = (core: FleetCore): void => {
+  const { id, start } = runOf(core, 'b', 'other');
+  core.world.runFacts.append({ kind: 'progress', item: id, start, text: ['x'], versions: [1] });
+  core.settle();
+};
+
+/** Creates a fleet in which `e1` goes on with a text of its own, beside an older run. */
+const createCoreWithOlderRun = (): FleetCore => {
   const core = createCoreWithText();
   core.propose('other', testJob('other', [testItem('b')]));
-  const older = runOf(core, 'b', 'other');
-  t.is(String(older.upstream), 'e1');
-  const reportText = (): void => {
-    core.world.runFacts.append({
-      kind: 'progress',
-      item: older.id,
-      start: older.start,
-      text: ['x'],
-      versions: [1],
-    });
-    reportProgress(core, ['y']);
-  };
   for (let round = 0; round < 4; round += 1) {
     core.runFor(800);
     reportEngine(core, 'e1', 'v1');
-    reportText();
+    reportOlderProgress(core);
+    reportProgress(core, ['y']);
   }
   reportBroken(core, []);
   core.runFor(500);
-  t.like(runOf(core), { start: 2, events: 6 });
-  reportText();
+  return core;
+};
+
+test('a joined text is listed at once if an older run of its engine got text since', (t) => {
+  const core = createCoreWithOlderRun();
+  t.like(runOf(core), { upstream: 'e1', start: 2, events: 6 });
+  reportOlderProgress(core);
   reportWhole(core, ['z']);
   t.is(countResults(core), 1);
 });
+
+test('a joined text is listed as soon as an older run of its engine gets text', (t) => {
+  const core = createCoreWithOlderRun();
+  reportWhole(core, ['z']);
+  t.is(countResults(core), 0);
+  reportOlderProgress(core);
+  t.is(countResults(core), 1);
+});
