Confirm a part of a text by one report that was made after the sending

A joined text waited for two reports of its engines, since the next one may have been under way when the run was sent. What it may be under way with is known: control daemons relay reports with their heartbeats. One report confirms now if it arrives more than an interval of heartbeats and 200 ms after the sending.

--- a/src/service/jobs/common/textSources.ts
+++ b/src/service/jobs/common/textSources.ts
@@ -1,7 +1,7 @@
 /**
  * Tracks which engines wrote parts of texts without having reported since. An engine may start again
  * under its identifier with other software before its registration here says so; what it writes then
- * must not be joined to text of another version. A part is confirmed by later reports of the same
+ * must not be joined to text of another version. A part is confirmed by a later report of the same
  * start of its engine, or by the progress of an older run there. If the engine turns out to have
  * started again with other software, the text begins anew. Runs each tick, on the leader's runs.
  */
@@ -11,6 +11,7 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { computeHeartbeatInterval } from '../../membership/common/contacts.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -49,8 +50,8 @@
  */
 const confirmationMilliseconds: Milliseconds = 3_000;
 
-/** The next report may have been under way when a run was sent; the one after it was not. */
-const confirmingReports = 2;
+/** Time beyond one interval of heartbeats in which the daemons relay a report. */
+const relaySlackMilliseconds: Milliseconds = 200;
 
 /** Text is under way for less than this time before it is reported as progress. */
 const progressDelayMilliseconds: Milliseconds = 400;
@@ -133,6 +134,13 @@
     .forEach((source) => confirmSource(world, source));
 };
 
+/**
+ * Whether a report that arrives now was made after a run was sent: before, it may have been under
+ * way between control daemons, with the heartbeats.
+ */
+const isReportedSince = (world: World, { sentAt }: TextSourceRow, now: Instant): boolean =>
+  now > sentAt + computeHeartbeatInterval(world) + relaySlackMilliseconds;
+
 /** Compares the part of a text with the latest registration of its engine. */
 const checkSource = (
   world: World,
@@ -141,7 +149,7 @@
   now: Instant,
 ): void => {
   const isSameStart = startedAt === source.startedAt;
-  if (isSameStart && sequence < source.sequence + confirmingReports) return;
+  if (isSameStart && (sequence <= source.sequence || !isReportedSince(world, source, now))) return;
   if (isSameStart || softwareVersion === source.softwareVersion) {
     confirmSource(world, source);
     return;
