--- a/src/service/jobs/test/common/releases.test.ts
+++ b/src/service/jobs/test/common/releases.test.ts
@@ -24,9 +24,7 @@
 seeds.forEach((seed) =>
   test(`no listed text is of two software versions while a release rolls, seed ${seed}`, (t) => {
     const core = createFleetCore();
-    core.propose('declare', {
-      ...testDeclarationCommand(),
-    });
+    core.propose('declare', testDeclarationCommand());
     const fleet = createReleaseFleet(core, {
       seed,
       hosts,
