--- a/src/service/forwarding/common/callRefusal.ts
+++ b/src/service/forwarding/common/callRefusal.ts
@@ -19,6 +19,10 @@
   AnswerLate: 'answerLate',
   /** Processes ended under earlier calls with the same content. */
   Quarantined: 'quarantined',
+  /** The software version that began the stream of the call is unknown. */
+  OriginUnknown: 'originUnknown',
+  /** No upstream runs the software version that began the stream of the call. */
+  VersionNotServed: 'versionNotServed',
   /** Upstreams that may have run the call returned no usable answer. */
   UpstreamFailed: 'upstreamFailed',
 } as const;
@@ -42,6 +46,9 @@
 /** Approximate time until a fully loaded upstream completes one of its requests. */
 const noUpstreamRetryMilliseconds = 150;
 
+/** Time in which a control daemon that was out of contact is replaced by another one. */
+const originRetryMilliseconds = 500;
+
 const templates: Readonly<Record<CallRefusalKind, Template>> = {
   notReady: {
     isNotRun: true,
@@ -80,6 +87,16 @@
       'after the time given.',
     retryMilliseconds: quarantineMilliseconds,
   },
+  originUnknown: {
+    isNotRun: true,
+    message: 'This daemon does not know where the stream began; begin it anew.',
+    retryMilliseconds: originRetryMilliseconds,
+  },
+  versionNotServed: {
+    isNotRun: true,
+    message: 'No upstream runs the software that began the stream; begin it anew.',
+    retryMilliseconds: null,
+  },
   upstreamFailed: {
     isNotRun: false,
     message: 'No upstream returned a complete answer; the request may have run.',
--- a/src/service/forwarding/test/common/callContent.test.ts
+++ b/src/service/forwarding/test/common/callContent.test.ts
@@ -28,6 +28,7 @@
       remaining: 2_000,
       isInternal: false,
       urgency: [],
+      takesUp: null,
     });
     core.settle();
     const send = [...core.world.sends.where('call', id)].at(-1)!;
--- a/src/service/forwarding/test/common/callerShare.test.ts
+++ b/src/service/forwarding/test/common/callerShare.test.ts
@@ -25,6 +25,7 @@
     digest: null,
     isInternal,
     urgency,
+    takesUp: null,
   });
   core.settle();
 };
--- a/src/service/jobs/common/runChanges.ts
+++ b/src/service/jobs/common/runChanges.ts
@@ -1,7 +1,12 @@
 /**
  * State changes of runs that several systems share.
  */
-import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
+import {
+  deadlineAfter,
+  never,
+  type Instant,
+  type Milliseconds,
+} from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import { RunState, type RunRow } from './jobTables.js';
@@ -24,6 +29,7 @@
   events: 0,
   text: '',
   versions: [],
+  softwareVersion: null,
   savedEvents: 0,
   savedCharacters: 0,
   confirmations: 0,
@@ -40,6 +46,7 @@
     state: RunState.Waiting,
     upstream: null,
     backoffDeadline: deadlineAfter(now, computeBackoff(0)),
+    continuationDeadline: never,
     ...columns,
   });
 };
@@ -55,9 +62,21 @@
   if (run.upstream !== null) world.registrations.change(run.upstream, { avoidDeadline });
 };
 
-/** Appends an event about a run, with the current number of events in its text. */
+const softwareVersionOf = (world: World, { upstream }: RunRow): string | null =>
+  (upstream === null ? undefined : world.registrations.get(upstream))?.softwareVersion ?? null;
+
+/**
+ * Appends an event about a run, with the current number of events in its text and the software
+ * version that its engine last reported.
+ */
 export const recordRunEvent = (world: World, kind: EventKind, run: RunRow, reason: string): void =>
   world.events.append({
     kind,
-    subject: { item: run.id, upstream: run.upstream, reason, events: run.events },
+    subject: {
+      item: run.id,
+      upstream: run.upstream,
+      softwareVersion: softwareVersionOf(world, run),
+      reason,
+      events: run.events,
+    },
   });
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -2,7 +2,7 @@
  * Manages the runs of open jobs while this daemon is the leader. It creates a run for each item
  * without a listed result and applies the facts that the port reports; the assignment system
  * assigns the runs to upstreams. A text whose stream broke continues after its last complete event
- * on another upstream.
+ * on another upstream of the same software version.
  */
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
@@ -27,7 +27,8 @@
   recordRunEvent,
   requeueRun,
 } from './runChanges.js';
-import { startScoring } from './scoring.js';
+import { continuationDeadlineOf } from './textContinuation.js';
+import { completeText, confirmByProgress } from './textSources.js';
 
 /**
  * Timeout for the progress of a run: twenty pauses between events, or three on an engine that is
@@ -98,8 +99,8 @@
 const hasBroughtEvents = (run: RunRow, { text }: ReceivedText): boolean =>
   text.length > 0 || Number.isFinite(run.lastProgressAt);
 
-/** Scores a complete text, or runs the item again if the job does not allow its weight versions. */
-const completeText = (
+/** Completes a text, or runs the item again if the job does not allow its weight versions. */
+const finishText = (
   world: World,
   run: RunRow,
   job: JobRow,
@@ -112,7 +113,7 @@
     requeueRun(world, run, emptyTextColumns, now);
     return;
   }
-  startScoring(world, world.runs.change(run.id, columns)!);
+  completeText(world, world.runs.change(run.id, columns)!);
 };
 
 /** Requeues a run with the text received so far, or without it if the job does not allow it. */
@@ -134,6 +135,7 @@
 const runFactHandlers: HandlerTable<RunFact, void, RunContext> = {
   progress: (fact, world, run, job, now) => {
     recordEnginePace(world, run, fact.text.length, now);
+    confirmByProgress(world, run, now);
     const progressDeadline = deadlineAfter(now, progressTimeoutMilliseconds);
     const columns = textColumnsWithEvents(run, fact.text, fact.versions);
     const progress = { ...columns, inconclusiveAnswers: 0, lastProgressAt: now, progressDeadline };
@@ -142,11 +144,11 @@
       queueUnsavedText(world, updatedRun, deadlineAfter(now, saveIntervalMilliseconds));
     }
   },
-  whole: (fact, world, run, job, now) => completeText(world, run, job, fact, now),
+  whole: (fact, world, run, job, now) => finishText(world, run, job, fact, now),
   unconfirmed: (fact, world, run, job, now) => {
     const confirmations = hasBroughtEvents(run, fact) ? 0 : run.confirmations + 1;
     const updatedRun = world.runs.change(run.id, { confirmations })!;
-    if (confirmations >= neededConfirmations) completeText(world, updatedRun, job, fact, now);
+    if (confirmations >= neededConfirmations) finishText(world, updatedRun, job, fact, now);
     else continueText(world, updatedRun, job, fact, 'response without a marked end', now);
   },
   broken: (fact, world, run, job, now) => {
@@ -166,7 +168,10 @@
     requeueRun(
       world,
       run,
-      { backoffDeadline: deadlineAfter(now, refusalBackoffMilliseconds) },
+      {
+        backoffDeadline: deadlineAfter(now, refusalBackoffMilliseconds),
+        continuationDeadline: continuationDeadlineOf(run, now),
+      },
       now,
     );
   },
--- a/standins/virtual/virtualWorkers.ts
+++ b/standins/virtual/virtualWorkers.ts
@@ -91,6 +91,7 @@
     remaining: 3_000,
     isInternal: false,
     urgency: [],
+    takesUp: null,
   });
   installation.wake(daemon);
 };
