Report a request that can't be written as not run

Callers and workers saw a process end while it wrote a request: an entry whose port is above 65535, a path with a space, or a header with a line feed makes node:http `request` throw where it is called. That is in the drain of a port after a tick, and nothing catches it there, so the process ends, starts again, reads the same entry or the same stored item and ends again.

Ruled out: the 'error' event of the request. It isn't emitted for these inputs; the exception comes before there is a request object.

The client turns the exception into the fact that it knows already: the request wasn't sent, with the code as reason. It is told after `send` has returned, as every other failure, and not at all once abandoned.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -4,7 +4,8 @@
  * time.
  */
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
-import type { Disposable } from '../../../base/common/disposable.js';
+import { Result } from 'neverthrow';
+import { createDisposable, type Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
 import type { Headers, RequestContent } from './upstreamDialect.js';
 
@@ -39,8 +40,16 @@
 /** Connection error codes that imply that no byte of the request was written. */
 const connectFailureCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
-const errorCodeOf = (error: Error): string =>
-  'code' in error && typeof error.code === 'string' ? error.code : 'unknown';
+const errorCodeOf = (error: unknown): string =>
+  error instanceof Error && 'code' in error && typeof error.code === 'string'
+    ? error.code
+    : 'unknown';
+
+/** Reports a request that could not be written at all, after `send` has returned. */
+const failUnsendable = (reason: string, listener: UpstreamListener): Disposable => {
+  const immediate = setImmediate(() => listener.onDidFail(reason, true));
+  return createDisposable(() => clearImmediate(immediate));
+};
 
 /** Creates the upstream client of a process. */
 export const createUpstreamClient = (): UpstreamClient => {
@@ -50,23 +59,29 @@
     scheduling: 'lifo',
   });
 
-  const createRequest = ({ address, content, headers }: UpstreamRequest): ClientRequest => {
-    const { host, port } = splitAddress(address);
-    const { method, path, body } = content;
-    const length = body === null ? {} : { 'content-length': String(body.length) };
-    return request({
-      agent,
-      host,
-      port,
-      method,
-      path,
-      headers: { ...content.headers, ...length, ...headers },
-    });
-  };
+  /** The error is the code with which node:http rejects an address, a path or a header. */
+  const createRequest = Result.fromThrowable(
+    ({ address, content, headers }: UpstreamRequest): ClientRequest => {
+      const { host, port } = splitAddress(address);
+      const { method, path, body } = content;
+      const length = body === null ? {} : { 'content-length': String(body.length) };
+      return request({
+        agent,
+        host,
+        port,
+        method,
+        path,
+        headers: { ...content.headers, ...length, ...headers },
+      });
+    },
+    errorCodeOf,
+  );
 
   return {
     send: (target, listener) => {
-      const outgoing = createRequest(target);
+      const created = createRequest(target);
+      if (created.isErr()) return failUnsendable(created.error, listener);
+      const outgoing = created.value;
       let isClosed = false;
       outgoing.once('response', (response) => {
         if (isClosed) response.destroy();
