Keep sound registrations when an undeclared service is reported

Requests to a sound worker stopped, and were refused as if none were registered, after one entry with a service that isn't named anywhere: with a later start at the worker's address, or with its id and a higher sequence number, it took the worker's row, and every true report counted as outdated from then on, also when the odd entry had come first.

Ruled out: decoding. The entry is well-formed; that its service isn't declared is known only with the declaration, and a worker may report before its service is declared here, so such entries can't be refused.

A registration of a declared service has precedence over one of an undeclared service at the same address or under the same id, in both orders; between equals the later start and sequence decide as before.

--- a/src/service/declaration/common/findRoute.ts
+++ b/src/service/declaration/common/findRoute.ts
@@ -26,6 +26,12 @@
 export const isFreshEnoughToRefuse = (world: World, now: Instant): boolean =>
   isDeclarationFresh(world, now + refusalMarginMilliseconds);
 
+/** Whether the declaration in force names a service. */
+export const isServiceDeclared = (world: World, service: string): boolean =>
+  world.declarations
+    .get(declarationId)
+    ?.declaration.services.some(({ name }) => name === service) ?? false;
+
 /** Returns the route of the host with the longest prefix that matches the path. */
 export const findRoute = (world: World, host: string, path: string): RouteRow | undefined =>
   world.routes
--- a/src/service/registry/common/applyRegistration.ts
+++ b/src/service/registry/common/applyRegistration.ts
@@ -1,11 +1,13 @@
 /**
  * Applies registrations to the table: those that upstreams report, and those that other daemons
  * send. An outdated report is ignored; a report of a new start at an address removes the row of the
- * previous start.
+ * previous start. A report for a service that is not declared never takes the place of one for a
+ * declared service, at the same address or under the same identifier: it may be another writer's.
  */
 import { asBrand } from '../../../base/common/brand.js';
 import type { ValueOf } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
+import { isServiceDeclared } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -23,23 +25,50 @@
   return departure !== undefined && startedAt <= departure.startedAt;
 };
 
+/**
+ * Whether a registration names an upstream to use and another one does not, because only the
+ * service of the first is declared. Which of them is newer does not matter then.
+ */
+const hasPrecedence = (
+  world: World,
+  first: Pick<Registration, 'service'>,
+  second: Pick<Registration, 'service'>,
+): boolean =>
+  first.service !== second.service &&
+  isServiceDeclared(world, first.service) &&
+  !isServiceDeclared(world, second.service);
+
 const isOutdated = (registration: Registration, existing: RegistrationRow): boolean => {
   if (registration.startedAt !== existing.startedAt)
     return registration.startedAt < existing.startedAt;
   return registration.sequence < existing.sequence;
 };
 
+/** Whether a row that stays in place makes a registration of the same upstream void. */
+const isSuperseded = (
+  world: World,
+  registration: Registration,
+  existing: RegistrationRow | undefined,
+): boolean => {
+  if (existing === undefined || hasPrecedence(world, registration, existing)) return false;
+  return hasPrecedence(world, existing, registration) || isOutdated(registration, existing);
+};
+
 const removeEarlierStarts = (world: World, row: RegistrationRow): void =>
   world.registrations
     .where('address', row.address)
     .filter((other) => other.id !== row.id && other.startedAt < row.startedAt)
     .forEach((other) => world.registrations.remove(other.id));
 
+/** Whether another upstream at the address of a registration makes it void. */
 const isReplaced = (world: World, registration: Registration): boolean =>
   world.registrations
     .where('address', registration.address)
     .some(
-      (other) => other.id !== registration.upstream && other.startedAt > registration.startedAt,
+      (other) =>
+        other.id !== registration.upstream &&
+        !hasPrecedence(world, registration, other) &&
+        (hasPrecedence(world, other, registration) || other.startedAt > registration.startedAt),
     );
 
 const recordRegistrationChange = (
@@ -90,7 +119,7 @@
   const id = asBrand<UpstreamId>(upstream);
   const existing = world.registrations.get(id);
   const isIgnored =
-    (existing !== undefined && isOutdated(registration, existing)) ||
+    isSuperseded(world, registration, existing) ||
     hasDeparted(world, registration) ||
     isReplaced(world, registration);
   if (isIgnored) return RegistrationDifference.None;
