Leave out only the unreadable rows of a list between daemons

A heartbeat or list between daemons was dropped whole if one of its reports, departures, registrations, entries or members couldn't be read. The receiver then neither extends what it holds nor hears of anything else from that sender: it stops following the list.

Ruled out: that today's decoder of reports lets such a row in (its property test sends every accepted one through CBOR and the schema). A daemon of another release with other limits can, and no message may depend on each of its rows.

--- a/src/service/membership/common/membershipMessages.ts
+++ b/src/service/membership/common/membershipMessages.ts
@@ -1,9 +1,10 @@
 /**
  * Schemas of the messages in which daemons describe themselves and relay announcements of
- * upstreams.
+ * upstreams. Rows of lists that cannot be read are left out; see the module `readableRows`.
  */
 import * as z from 'zod';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import { createReadableRowsSchema } from '../../../infrastructure/wire/common/readableRows.js';
 import { departureSchema, registrationSchema } from '../../registry/common/registryTables.js';
 import { announcementSchema } from '../../protocol/common/upstreamProtocol.js';
 
@@ -37,11 +38,11 @@
   /** Increases with each change of the lists during one incarnation of the sender. */
   version: z.number().int().positive(),
   /** Control daemons that are alive, including the sender. */
-  controlDaemons: z.array(memberSchema),
+  controlDaemons: createReadableRowsSchema(memberSchema),
   /** Entry daemons near the receiver, which it advises to callers; sent to entry daemons. */
-  entries: z.array(advisedEntrySchema).optional(),
+  entries: createReadableRowsSchema(advisedEntrySchema).optional(),
   /** Registered upstreams, without their models; sent to entry daemons. */
-  registrations: z.array(registrationSchema).optional(),
+  registrations: createReadableRowsSchema(registrationSchema).optional(),
 });
 export type MembershipLists = z.infer<typeof membershipListsSchema>;
 
@@ -64,7 +65,7 @@
   /** Last term in which the sender, a voter, led and has stopped leading; 0 for none. */
   endedTerm: z.number().optional(),
   /** Recent departures of upstreams; sent by control daemons. */
-  departures: z.array(departureSchema).optional(),
+  departures: createReadableRowsSchema(departureSchema).optional(),
   /** Version of the sender's lists; sent by control daemons. */
   listsVersion: z.number().int().positive().optional(),
   /** The lists of the sender, if the receiver asks for them and holds another version. */
@@ -75,7 +76,7 @@
    */
   heldLists: z.number().int().nonnegative().optional(),
   /** Recent reports that upstreams sent to the sender; sent to control daemons. */
-  reports: z.array(registrationSchema).optional(),
+  reports: createReadableRowsSchema(registrationSchema).optional(),
 });
 
 export const upstreamAnnouncedSchema = z.object({
