End a text before an event whose weight version can't be read

An event that names its weight version as `1e999`, `x` or nothing gave the text a version of Infinity, NaN or 0. A text with Infinity counts as new enough for any job, so it is listed, and the log entry that lists it can be read by nobody: the schema of commands has numbers that are finite. Every other voter and learner drops each message with that entry from then on, and the daemons that stored it end at every start with "Storage record N does not match any known record schema".

Ruled out: a check at the reader of the log. It does what it should; the entry must not come about.

The version of an event must be a whole number; otherwise the text counts as out of order from there, and goes on after the last good event at another engine, as with an event id that doesn't follow.

--- a/src/daemon/jobs/node/textEventReader.ts
+++ b/src/daemon/jobs/node/textEventReader.ts
@@ -19,7 +19,10 @@
   readonly take: () => TextPart;
   /** Whether events have been received since the last call of `take`. */
   readonly hasEvents: () => boolean;
-  /** Whether the event identifiers were consecutive so far. */
+  /**
+   * Whether the event identifiers were consecutive so far, and every version a whole number. Later
+   * events do not count, because it is unknown to which text or version they belong.
+   */
   readonly isInOrder: () => boolean;
   /** Whether the event that is being received, and the whole text, are within their limits. */
   readonly isWithinLimits: () => boolean;
@@ -31,6 +34,11 @@
 /** Maximum bytes of one start of a run; a text of the longest item has below 100 KB. */
 const maximumTextBytes = 16 * 1024 * 1024;
 
+const parseVersion = (text: string): number | undefined => {
+  const version = /^\d+$/.test(text) ? Number(text) : Number.NaN;
+  return Number.isSafeInteger(version) ? version : undefined;
+};
+
 /**
  * Creates a reader. `previousEventCount` is the number of events received by earlier starts of the
  * run, `initialVersion` the weight version named by the response headers, and `weightVersionField`
@@ -60,7 +68,10 @@
       if (currentVersion !== null) versions.add(currentVersion);
     },
     onError: ({ field, value }) => {
-      if (field === weightVersionField && value !== undefined) currentVersion = Number(value);
+      if (field !== weightVersionField || value === undefined) return;
+      const version = parseVersion(value);
+      if (version === undefined) isOrdered = false;
+      else currentVersion = version;
     },
   });
 
