Refuse announcements that name no upstream to use

An announcement on the product's own interface could hold a place for ever (`remaining` of 1e308), draw all requests (slots of 2^53-1), name an address to which nothing can be sent (`ftp:`, `file:`, port 0), arrive under another name at other daemons (half a surrogate pair), or make each relay a megabyte long.

Ruled out: a process end. undici rejects such an address inside the attempt's own try block, and an order's too; ports above 65535, deep nesting and unknown fields were refused before.

--- a/src/service/protocol/common/upstreamProtocol.ts
+++ b/src/service/protocol/common/upstreamProtocol.ts
@@ -4,6 +4,8 @@
  */
 import * as z from 'zod';
 import type { ValueOf } from '../../../base/common/handlers.js';
+import type { Milliseconds } from '../../../base/common/time.js';
+import { nameSchema } from '../../../infrastructure/wire/common/textSchemas.js';
 
 /** Path on an entry to which upstreams post announcements. */
 export const announcementPath = '/upstream/v1/announcements';
@@ -28,23 +30,43 @@
 } as const;
 export type UpstreamState = ValueOf<typeof UpstreamState>;
 
+/** Maximum length of an address; it consists of a scheme, a host and a port. */
+const maximumAddressLength = 1_000;
+
+/** Maximum slots of an upstream; the largest engines run some thousand requests at once. */
+const maximumSlots = 100_000;
+
+/** Maximum models or adapters of an upstream; an announcement is relayed to every daemon. */
+const maximumNames = 1_000;
+
+/** Maximum validity; an announcement is renewed every few seconds, a VM is reclaimed in minutes. */
+const maximumRemainingMilliseconds: Milliseconds = 3_600_000;
+
+const addressSchema = z
+  .url({ protocol: /^https?$/ })
+  .max(maximumAddressLength)
+  .refine(
+    (address) => URL.canParse(address) && new URL(address).port !== '0',
+    'names no port to connect to',
+  );
+
 export const announcementSchema = z.strictObject({
   /** Stable name of the upstream. */
-  upstream: z.string().min(1),
+  upstream: nameSchema,
   kind: z.enum(UpstreamKind),
   /** Name of its service in the settings tree. */
-  service: z.string().min(1),
+  service: nameSchema,
   /** Base address, such as `http://127.0.0.1:9000`. */
-  address: z.url(),
+  address: addressSchema,
   /** Availability zone. */
-  zone: z.string().min(1),
+  zone: nameSchema,
   /** Number that increases with every start of the upstream process. */
   incarnation: z.number().int().nonnegative(),
   state: z.enum(UpstreamState),
   /** Loaded models; empty for plain services. */
-  models: z.array(z.string()),
+  models: z.array(nameSchema).max(maximumNames),
   /** Names of loaded adapters. */
-  adapters: z.array(z.string()),
+  adapters: z.array(nameSchema).max(maximumNames),
   /** Current weight version, or null if it has none. */
   weightVersion: z.number().int().nonnegative().nullable(),
   /** Whether the VM may be reclaimed at a few seconds' notice. */
@@ -54,11 +76,11 @@
   /** Whether an interrupted stream can be resumed from an offset. */
   resumesStreams: z.boolean(),
   /** Number of requests that it can run concurrently. */
-  slots: z.number().int().positive(),
+  slots: z.number().int().positive().max(maximumSlots),
   /** Number of running requests as last measured by the upstream; may lag. */
   running: z.number().int().nonnegative(),
   /** Milliseconds for which this announcement is valid, or until the VM is gone if `leaving`. */
-  remaining: z.number().positive(),
+  remaining: z.number().positive().max(maximumRemainingMilliseconds),
 });
 
 /** A decoded announcement. */
