Send nothing new to a worker that says in an answer that it leaves

Workers that leave say so in all their answers (`Server-Leaving: 1`); new requests went on reaching them until their own report or departure came, and again when a later report said `ready`. Nothing in src/ or platform/ read the header.

Ruled out: the connection. The client drops a connection on `Connection: close`, but opens a new one to the same worker; an answer of 429 or 503 keeps the worker out for a second only. The health path isn't called by any process, and the product's own interface has no such header: there an upstream announces `draining` or `leaving`.

The dialect reads the header, the ports of calls, items and weight orders report the start of the worker that answered, and the registry holds that start as draining for ten minutes after its last such answer, whatever its reports, lists of other daemons or a return of its row say. Draining is what all selections read already. Without other workers calls wait or are refused as when none is registered. An answer that belongs to another request says nothing. The others learn it by one message.

--- a/src/daemon/duties/node/weightOrderPort.ts
+++ b/src/daemon/duties/node/weightOrderPort.ts
@@ -15,7 +15,8 @@
   WeightOrderFact,
   WeightOrderRow,
 } from '../../../service/weights/common/versionTables.js';
-import type { UpstreamClient } from '../../forwarding/node/upstreamClient.js';
+import type { UpstreamStart } from '../../../service/registry/common/registryTables.js';
+import { readHeaders, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
 
 /** Sends weight orders; `drain` runs after each tick. */
@@ -44,10 +45,16 @@
     wake();
   };
 
-  const handleResponse = (order: WeightOrderRow, response: IncomingMessage): void => {
+  const handleResponse = (
+    order: WeightOrderRow,
+    start: UpstreamStart,
+    response: IncomingMessage,
+  ): void => {
+    const head = { status: response.statusCode ?? 0, headers: readHeaders(response) };
+    if (dialect.isLeaving(head)) world.leavingFacts.append(start);
     response.on('error', () => response.destroy());
     response.resume();
-    report(order, dialect.classifyOrderStatus(response.statusCode ?? 0));
+    report(order, dialect.classifyOrderStatus(head.status));
   };
 
   const send = (order: WeightOrderRow): void => {
@@ -55,10 +62,11 @@
     if (upstream === undefined || !canActAsLeader(world, clock())) return;
     const { path, headers, body } = dialect.encodeOrder(order, world.fleet.holder);
     const content = { method: 'POST', path, headers, body: Buffer.from(body) };
+    const start = { upstream: upstream.id, startedAt: upstream.startedAt };
     const connection = client.send(
       { address: upstream.address, content, headers: {} },
       {
-        onDidReceiveResponse: (response) => handleResponse(order, response),
+        onDidReceiveResponse: (response) => handleResponse(order, start, response),
         onDidFail: (_, isNotRun) => report(order, isNotRun ? 'refused' : 'unknown'),
       },
     );
--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -19,6 +19,7 @@
   type SendId,
   type SendRow,
 } from '../../../service/forwarding/common/forwardingTables.js';
+import type { UpstreamStart } from '../../../service/registry/common/registryTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createAnswerCollector } from './answerCollector.js';
 import { readHeaders, type UpstreamClient } from './upstreamClient.js';
@@ -97,13 +98,22 @@
   const isResponseToRequest = (head: ResponseHead, requestId: string): boolean =>
     dialect.classifyResponse(head, requestId) !== ResponseClass.Foreign;
 
-  const handleResponse = (send: SendRow, call: CallRow, response: IncomingMessage): void => {
+  const handleResponse = (
+    send: SendRow,
+    call: CallRow,
+    start: UpstreamStart,
+    response: IncomingMessage,
+  ): void => {
     const head: ResponseHead = { status: response.statusCode ?? 0, headers: readHeaders(response) };
     if (!isResponseToRequest(head, call.requestId)) {
       response.destroy();
       report({ kind: 'broken', send: send.id, reason: 'response does not belong to the request' });
       return;
     }
+    if (dialect.isLeaving(head)) {
+      world.leavingFacts.append(start);
+      wake();
+    }
     let hasEnded = false;
     const reportBroken = (reason: string): void => {
       if (hasEnded) return;
@@ -149,8 +159,9 @@
       expectedVersion: null,
     });
     const target = { address: upstream.address, content: pending.content, headers };
+    const start = { upstream: upstream.id, startedAt: upstream.startedAt };
     const connection = client.send(target, {
-      onDidReceiveResponse: (response) => handleResponse(send, call, response),
+      onDidReceiveResponse: (response) => handleResponse(send, call, start, response),
       onDidFail: (reason, isNotRun) =>
         report({ kind: isNotRun ? 'notRun' : 'broken', send: send.id, reason }),
     });
--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -67,6 +67,8 @@
 export interface UpstreamDialect {
   readonly createHeaders: (envelope: RequestEnvelope) => Headers;
   readonly classifyResponse: (head: ResponseHead, requestId: string) => ResponseClass;
+  /** Whether the upstream says that it is leaving; every answer of such an upstream says so. */
+  readonly isLeaving: (head: ResponseHead) => boolean;
   /** The signature of the upstream; null if the response has none. */
   readonly readSignature: (head: ResponseHead) => string | null;
   /** The weight version named by the headers; null if they name none. */
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -150,7 +150,12 @@
       {
         onDidReceiveResponse: (response) => {
           const head = { status: response.statusCode ?? 0, headers: readHeaders(response) };
-          responseHandlers[dialect.classifyResponse(head, jobItem.item)](run, head, response);
+          const responseClass = dialect.classifyResponse(head, jobItem.item);
+          if (responseClass !== ResponseClass.Foreign && dialect.isLeaving(head)) {
+            world.leavingFacts.append({ upstream: upstream.id, startedAt: upstream.startedAt });
+            wake();
+          }
+          responseHandlers[responseClass](run, head, response);
         },
         onDidFail: (reason, isNotRun) =>
           report(
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -23,6 +23,7 @@
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
 import {
   upstreamDepartedSchema,
+  upstreamLeavingSchema,
   upstreamRegisteredSchema,
 } from '../../registry/common/registryTables.js';
 import {
@@ -53,6 +54,7 @@
   bodyGivenSchema,
   upstreamRegisteredSchema,
   upstreamDepartedSchema,
+  upstreamLeavingSchema,
   ...jobReadSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
--- a/src/service/registry/common/applyRegistration.ts
+++ b/src/service/registry/common/applyRegistration.ts
@@ -11,6 +11,7 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { effectiveStateOf } from './leavingUpstreams.js';
 import { reportTimeoutsByState, routingFieldsOf } from './registrations.js';
 import type { Registration, RegistrationRow } from './registryTables.js';
 
@@ -127,6 +128,7 @@
   const row = world.registrations.put({
     ...fields,
     id,
+    state: effectiveStateOf(world, registration),
     reportDeadline: deadlineAfter(now, reportTimeoutsByState[registration.state]),
     repeatDeadline: existing?.repeatDeadline ?? Number.NEGATIVE_INFINITY,
     isListed: existing?.isListed ?? false,
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -18,6 +18,7 @@
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { applyRegistration, RegistrationDifference } from './applyRegistration.js';
+import { handleLeavingUpstream, removeExpiredLeavingUpstreams } from './leavingUpstreams.js';
 import { reportTimeoutMilliseconds } from './registrations.js';
 import type {
   ReceivedDeparture,
@@ -144,12 +145,15 @@
     world.arrivedRegistrations.append({ registration, isDirect: false });
   },
   upstreamDeparted: ({ departure }, world, _, now) => handleDeparture(world, departure, now),
+  upstreamLeaving: ({ start }, world, _, now) => handleLeavingUpstream(world, start, false, now),
 };
 
 /** Creates the system that maintains the registry. */
 export const createRegistrySystem = (world: World): System => ({
   name: 'registry',
   run: (now) => {
+    world.leavingFacts.takeAll().forEach((start) => handleLeavingUpstream(world, start, true, now));
+    removeExpiredLeavingUpstreams(world, now);
     world.arrivedRegistrations
       .takeAll()
       .forEach((received) => handleRegistration(world, received, now));
--- a/src/service/registry/common/registryTables.ts
+++ b/src/service/registry/common/registryTables.ts
@@ -61,9 +61,25 @@
   departure: departureSchema,
 });
 
+/** One start of an upstream. */
+export const upstreamStartSchema = z.object({
+  upstream: z.string().min(1),
+  /** Wall-clock time of the start, in milliseconds. */
+  startedAt: z.number(),
+});
+export type UpstreamStart = z.infer<typeof upstreamStartSchema>;
+
+/** Sent when an upstream has said in an answer that it is leaving. */
+export const upstreamLeavingSchema = z.object({
+  kind: z.literal('upstreamLeaving'),
+  start: upstreamStartSchema,
+});
+
 /** All messages of the registry. */
 export type RegistryMessage =
-  z.infer<typeof upstreamRegisteredSchema> | z.infer<typeof upstreamDepartedSchema>;
+  | z.infer<typeof upstreamRegisteredSchema>
+  | z.infer<typeof upstreamDepartedSchema>
+  | z.infer<typeof upstreamLeavingSchema>;
 
 /** The latest registration of an upstream, with the state that this daemon keeps about it. */
 export interface RegistrationRow extends Omit<Registration, 'upstream'> {
@@ -96,6 +112,13 @@
   readonly announcementDeadline: Instant;
 }
 
+/** An upstream that said in an answer that it is leaving, in its start `startedAt`. */
+export interface LeavingRow extends Omit<UpstreamStart, 'upstream'> {
+  readonly id: UpstreamId;
+  /** Time at which the row is removed, because the upstream has exited by then. */
+  readonly retentionDeadline: Instant;
+}
+
 /** A departure as decoded by a port; `startedAt` is null if the upstream did not send it. */
 export interface ReceivedDeparture extends Omit<Departure, 'startedAt'> {
   readonly startedAt: number | null;
@@ -116,6 +139,13 @@
     indices: {},
     deadlines: { retention: (row) => row.retentionDeadline },
   }),
+  leavingUpstreams: createTable<LeavingRow, never, 'retention'>({
+    name: 'leavingUpstreams',
+    indices: {},
+    deadlines: { retention: (row) => row.retentionDeadline },
+  }),
+  /** Answers in which an upstream said that it is leaving. */
+  leavingFacts: createRowQueue<UpstreamStart>('leavingFacts', RowReader.System),
   arrivedRegistrations: createRowQueue<ReceivedRegistration>(
     'arrivedRegistrations',
     RowReader.System,
