Read the head of an answer without the views that throw

A process ended when a worker answered with a field named `constructor`, `toString` or another name that every object has: `headersDistinct` of node:http collects the values in a plain object and calls `push` on what it finds there. It throws in the event of the response, so nothing catches it, and each daemon that calls that worker ends in turn. Calls, items and orders read heads by the same function.

Ruled out, each by a case of oddAnswers.test.js on the code before: bytes outside ASCII in fields and reason, empty fields, all token characters in a name, `__proto__`, the statuses 199, 204, 205 with a body, 304, 600 and 999, which neither end nor fail anything (600 and 999 pass, as the Response of hono doesn't check them).

Before: "Uncaught exception in oddAnswers.test.js. TypeError: dest[field].push is not a function at IncomingMessage ._addHeaderLineDistinct ... at readHeaders (upstreamClient.ts)", 1 test passed and the file ended. After: all cases pass.

Heads are read from `rawHeaders` into a map.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -120,11 +120,19 @@
   };
 };
 
-/** Response headers by lower-case name; repeated headers are joined with commas. */
-export const readHeaders = (response: IncomingMessage): Record<string, string> =>
-  Object.fromEntries(
-    Object.entries(response.headersDistinct).map(([name, values]) => [
-      name,
-      (values ?? []).join(', '),
-    ]),
-  );
+/**
+ * Response headers by lower-case name; repeated headers are joined with commas. They are read from
+ * `rawHeaders`, because the other views of node:http throw for names such as `constructor`.
+ */
+export const readHeaders = ({
+  rawHeaders,
+}: Pick<IncomingMessage, 'rawHeaders'>): Record<string, string> => {
+  const valuesByName = new Map<string, string>();
+  for (let position = 0; position + 1 < rawHeaders.length; position += 2) {
+    const name = rawHeaders[position]!.toLowerCase();
+    const value = rawHeaders[position + 1]!;
+    const previous = valuesByName.get(name);
+    valuesByName.set(name, previous === undefined ? value : `${previous}, ${value}`);
+  }
+  return Object.fromEntries(valuesByName);
+};
