End a send whose answer has no final status

An answer with status 101 left the caller without an answer until its deadline, 504 after 2 s of 2 s allowed, and an item with its engine for 1.5 s: the client then gives neither a response nor an error, only a close.

Ruled out: 199 and the other interim statuses, which the client reads past until the connection ends.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -83,7 +83,9 @@
       if (created.isErr()) return failUnsendable(created.error, listener);
       const outgoing = created.value;
       let isClosed = false;
+      let hasResponse = false;
       outgoing.once('response', (response) => {
+        hasResponse = true;
         if (isClosed) response.destroy();
         else listener.onDidReceiveResponse(response);
       });
@@ -96,6 +98,10 @@
         const code = errorCodeOf(error);
         fail(code, connectFailureCodes.has(code));
       });
+      // A response with status 101 ends the request with neither a response nor an error.
+      outgoing.once('close', () => {
+        if (!hasResponse) fail('closed without a response', false);
+      });
       let interimResponses = 0;
       outgoing.on('information', () => {
         interimResponses += 1;
