Keep numbers out of the ledger that no daemon can apply or read

A trainer's lot could have any number of samples: 9e15 in a group make each control daemon that applies the entry throw ("Invalid array length"), a billion exhaust its memory, and as the entry is committed, each start ends the same way.

Ruled out: step and trainerVersion of a lot, which were checked; 1e999 and `x` in a query, which counted as not given.

A lot has at most 100,000 samples, of 10,000,000 tokens each; a cursor that is no safe integer names no batch, and such a version isn't given.

--- a/src/daemon/front/node/trainerRoutes.ts
+++ b/src/daemon/front/node/trainerRoutes.ts
@@ -46,8 +46,8 @@
 
 const readNumberQuery = (context: Context, name: string): number | null => {
   const text = context.req.query(name);
-  const value = Number(text);
-  return text === undefined || !Number.isFinite(value) ? null : Math.max(0, Math.floor(value));
+  const value = Math.floor(Number(text));
+  return text === undefined || !Number.isSafeInteger(value) ? null : Math.max(0, value);
 };
 
 /** Ports used by the routes of trainers. */
@@ -164,6 +164,8 @@
   routes.get(`${lotsPath}/:lot/batches/:cursor{[0-9]+}`, async (context) => {
     const workspace = authenticate(world, context.req.raw.headers, clock());
     if (workspace.isErr()) return workspace.error;
+    if (!Number.isSafeInteger(Number(context.req.param('cursor'))))
+      return createRefusalResponse(RefusalKind.UnknownLot);
     return ports.fetches.fetch(createFetchRow(context, workspace.value), (row) =>
       responseFactoryByState[row.state](row),
     );
--- a/src/service/protocol/common/trainerProtocol.ts
+++ b/src/service/protocol/common/trainerProtocol.ts
@@ -9,7 +9,16 @@
 /** Maximum duration of a lot, in milliseconds. */
 export const maximumLotMilliseconds = 12 * 60 * 60 * 1000;
 
-export const lotRequestSchema = z.strictObject({
+/**
+ * Maximum samples of a lot. Each is a row on every control daemon; a step of the largest trainers
+ * has some thousand.
+ */
+export const maximumLotSamples = 100_000;
+
+/** Maximum tokens of a sample, far above the context of any engine. */
+export const maximumSampleTokens = 10_000_000;
+
+const lotFields = {
   service: z.string().min(1),
   model: z.string().min(1),
   step: z.number().int().nonnegative(),
@@ -20,7 +29,7 @@
   remaining: z.number().positive().max(maximumLotMilliseconds),
   /** Current weight version of the trainer. */
   trainerVersion: z.number().int().nonnegative(),
-  maxTokens: z.number().int().positive(),
+  maxTokens: z.number().int().positive().max(maximumSampleTokens),
   /** Identifies the request; resending it does not open a second lot. */
   request: z
     .string()
@@ -28,7 +37,14 @@
     .optional(),
   /** Whether a running sample continues or restarts when its engine swaps weights. */
   swapPolicy: z.enum(['continue', 'restart']).optional(),
-});
+};
+
+export const lotRequestSchema = z
+  .strictObject(lotFields)
+  .refine(({ groups, groupSize }) => groups.length * groupSize <= maximumLotSamples, {
+    path: ['groupSize'],
+    message: `A lot has at most ${maximumLotSamples} samples`,
+  });
 export type LotRequest = z.infer<typeof lotRequestSchema>;
 
 export const lotResponseSchema = z.object({ lot: z.string() });
