Limit the token counts that engines and callers name

An engine whose chunks name 2^53-1 tokens each makes a span whose sum is no safe integer. The sample passes its checks, as both sums agree, and the ledger entry that completes it can't be read by any daemon. A caller's `max_tokens` of 2^53-1 moves the virtual time of fair queueing to where the next requests no longer change it.

Ruled out: the count of one chunk, which was checked to be a safe integer; only sums were not.

A count is at most 10,000,000: four million chunks of it, as many as fit into the largest answer, still add up to a safe integer.

--- a/src/daemon/front/node/callerRoutes.ts
+++ b/src/daemon/front/node/callerRoutes.ts
@@ -10,6 +10,7 @@
 import {
   chatCompletionsPath,
   completionsPath,
+  maximumTokens,
 } from '../../../service/protocol/common/engineProtocol.js';
 import { createRefusal, RefusalKind } from '../../../service/traffic/common/refusal.js';
 import type { ServiceName } from '../../../service/world/common/identifiers.js';
@@ -36,7 +37,7 @@
 const engineBodySchema = z.looseObject({
   model: z.string().min(1),
   stream: z.boolean().optional(),
-  max_tokens: z.number().int().positive().optional(),
+  max_tokens: z.number().int().positive().max(maximumTokens).optional(),
 });
 type EngineBody = z.infer<typeof engineBodySchema>;
 
--- a/src/service/protocol/common/engineProtocol.ts
+++ b/src/service/protocol/common/engineProtocol.ts
@@ -21,9 +21,14 @@
 /** Header with the scheduling priority; lower values are served first. */
 export const priorityHeader = 'x-priority';
 
+/** Maximum tokens of one request, far above the context of any engine; sums of it stay exact. */
+export const maximumTokens = 10_000_000;
+
+const tokenCountSchema = z.number().int().nonnegative().max(maximumTokens);
+
 export const usageSchema = z.object({
-  prompt_tokens: z.number().int().nonnegative(),
-  completion_tokens: z.number().int().nonnegative(),
+  prompt_tokens: tokenCountSchema,
+  completion_tokens: tokenCountSchema,
 });
 
 /** One chunk of a stream, or the complete body of an answer that is not streamed. */
@@ -31,7 +36,7 @@
   weight_version: z.number().int().nonnegative().optional(),
   incarnation: z.number().int().nonnegative().optional(),
   /** Number of tokens in this chunk. */
-  tokens: z.number().int().nonnegative().optional(),
+  tokens: tokenCountSchema.optional(),
   choices: z.array(
     z.object({
       delta: z.object({ content: z.string().optional() }).optional(),
--- a/src/service/protocol/common/trainerProtocol.ts
+++ b/src/service/protocol/common/trainerProtocol.ts
@@ -3,6 +3,7 @@
  * These schemas validate the JSON bodies on receipt. Times are remaining milliseconds.
  */
 import * as z from 'zod';
+import { maximumTokens } from './engineProtocol.js';
 
 export const lotsPath = '/v1/lots';
 
@@ -15,9 +16,6 @@
  */
 export const maximumLotSamples = 100_000;
 
-/** Maximum tokens of a sample, far above the context of any engine. */
-export const maximumSampleTokens = 10_000_000;
-
 const lotFields = {
   service: z.string().min(1),
   model: z.string().min(1),
@@ -29,7 +27,7 @@
   remaining: z.number().positive().max(maximumLotMilliseconds),
   /** Current weight version of the trainer. */
   trainerVersion: z.number().int().nonnegative(),
-  maxTokens: z.number().int().positive().max(maximumSampleTokens),
+  maxTokens: z.number().int().positive().max(maximumTokens),
   /** Identifies the request; resending it does not open a second lot. */
   request: z
     .string()
