Append no command to the log that no daemon can read back

The schema of commands was asked by every reader of the log, and never by the daemon that proposes. Five sources of commands that it refuses were found one by one (an empty job id, a version of Infinity from a stream, a cursor and a version from a query, a sum of tokens); with one such entry in the log all others stop following, and the daemon that stored it doesn't start. The same class must not wait for a sixth source.

Ruled out: the leader as the place; commands that are forwarded to it have passed the schema of messages already, so the proposing daemon's own are the only ones unasked.

A proposal whose command its schema doesn't accept is rejected at once and counted as `proposals.unreadable`.

--- a/src/service/consensus/common/proposals.ts
+++ b/src/service/consensus/common/proposals.ts
@@ -8,6 +8,7 @@
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
+import { commandSchema } from './command.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import { recordOutcome, type Proposal, type ProposalOutcome } from './consensusTables.js';
 import { proposalResendIntervalMilliseconds } from './consensusTiming.js';
@@ -47,7 +48,25 @@
   return true;
 };
 
+const unreadableOutcome: ProposalOutcome = {
+  kind: 'rejected',
+  rejection: {
+    kind: 'commandUnreadable',
+    message: 'A field of the command has a value that no daemon could read back; correct it.',
+  },
+};
+
+/**
+ * Enqueues a proposal of this daemon. A command that its schema does not accept is rejected: no
+ * daemon could read an entry with it, neither from a message nor from its storage. Forwarded
+ * commands have passed the schema of messages.
+ */
 const enqueueProposal = (world: World, proposal: Proposal, now: Instant): void => {
+  if (!commandSchema.safeParse(proposal.command).success) {
+    world.metrics.count('proposals.unreadable', 1, { kind: proposal.command.kind });
+    recordOutcome(world, proposal.id, unreadableOutcome, now);
+    return;
+  }
   const isPending = world.pendingProposals.has(proposal.id);
   if (!isPending)
     world.pendingProposals.put({ ...proposal, sendDeadline: now, hasBeenSent: false });
