Drop messages to a daemon whose peer address is none

A member of a list between daemons may name any text as its peer address. With a port above 65535 or none, `connect` throws in the drain after the tick, so the process ends, reads the list again and ends again.

--- a/src/daemon/peers/node/peerPort.ts
+++ b/src/daemon/peers/node/peerPort.ts
@@ -4,7 +4,7 @@
  * connections.
  */
 import { createServer, connect, type Socket } from 'node:net';
-import type { Result } from 'neverthrow';
+import { Result } from 'neverthrow';
 import * as z from 'zod';
 import { asBrand } from '../../../base/common/brand.js';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
@@ -52,9 +52,13 @@
 /** If sent data is not acknowledged in this time, the next send opens a new connection. */
 const acknowledgementTimeoutMilliseconds: Milliseconds = 1_500;
 
-const openConnection = (address: string, clock: Clock, onDidClose: () => void): PeerConnection => {
-  const { host, port } = splitAddress(address);
-  const socket = connect({ host, port, noDelay: true });
+/** Connects to an address; fails at once if its port is not one, as a list of others may name it. */
+const connectTo = Result.fromThrowable(
+  (address: string): Socket => connect({ ...splitAddress(address), noDelay: true }),
+  () => undefined,
+);
+
+const openConnection = (socket: Socket, clock: Clock, onDidClose: () => void): PeerConnection => {
   let acknowledgementDeadline = never;
   socket.on('error', () => {});
   socket.on('close', onDidClose);
@@ -133,7 +137,12 @@
     const existing = connections.get(daemon);
     if (existing?.hasTimedOut() === false) return existing;
     existing?.dispose();
-    const connection = openConnection(address, clock, () => {
+    const socket = connectTo(address);
+    if (socket.isErr()) {
+      world.metrics.count('peers.invalidAddresses');
+      return undefined;
+    }
+    const connection = openConnection(socket.value, clock, () => {
       if (connections.get(daemon) === connection) connections.delete(daemon);
     });
     connections.set(daemon, connection);
