--- a/src/daemon/forwarding/test/node/unsendableRequests.test.ts
+++ b/src/daemon/forwarding/test/node/unsendableRequests.test.ts
@@ -31,8 +31,8 @@
   'a path with a space': { ...sendable, content: { ...sendable.content, path: '/a b' } },
   'a method that is no token': { ...sendable, content: { ...sendable.content, method: 'A B' } },
   'a header name that is no token': { ...sendable, headers: { 'a b': 'c' } },
-  'a header value with a line feed': { ...sendable, headers: { 'expect-instance': 'e1\nx: y' } },
-  'a header value outside Latin-1': { ...sendable, headers: { 'expect-instance': '\u20ac' } },
+  'a header value with a line feed': { ...sendable, headers: { 'x-upstream': 'e1\nx: y' } },
+  'a header value outside Latin-1': { ...sendable, headers: { 'x-upstream': '\u20ac' } },
 };
 
 Object.entries(unsendable).forEach(([name, target]) =>
--- a/src/daemon/jobs/test/node/textEventReader.test.ts
+++ b/src/daemon/jobs/test/node/textEventReader.test.ts
@@ -7,7 +7,7 @@
 import { itemsListedSchema } from '../../../../service/jobs/common/jobCommands.js';
 import { createTextEventReader } from '../../node/textEventReader.js';
 
-const field = 'weight-versions';
+const field = 'x-version';
 
 const eventOf = (id: number, version?: string): string =>
   `${version === undefined ? '' : `${field}: ${version}\n`}id: ${id}\ndata: text ${id}\n\n`;
