--- a/src/daemon/forwarding/node/ownedAnswers.ts
+++ b/src/daemon/forwarding/node/ownedAnswers.ts
@@ -11,7 +11,8 @@
  */
 import type { IncomingMessage } from 'node:http';
 import type { Disposable } from '../../../base/common/disposable.js';
-import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
+import type { UpstreamStart } from '../../../service/registry/common/registryTables.js';
+import type { World } from '../../../service/world/common/world.js';
 import { readHeaders, type UpstreamClient, type UpstreamRequest } from './upstreamClient.js';
 import { ResponseClass, type ResponseHead, type UpstreamDialect } from './upstreamDialect.js';
 
@@ -35,32 +36,42 @@
 /** A request that its upstream names in the response. */
 export interface NamedRequest extends UpstreamRequest {
   readonly requestId: string;
+  /** The start of the upstream to which the request is sent. */
+  readonly start: UpstreamStart;
 }
 
 /** Sends a request; disposing of the result closes its connection. */
 export type SendNamedRequest = (request: NamedRequest, listener: SendListener) => Disposable;
 
-/** Creates the sender of a port; `sender` labels the metric of foreign responses. */
+/**
+ * Creates the sender of a port; `sender` labels the metric of foreign responses. A response that
+ * belongs to its send and says that the upstream is leaving is reported to `leavingFacts`.
+ */
 export const createNamedSender =
   (
+    world: World,
     client: UpstreamClient,
     dialect: UpstreamDialect,
-    metrics: Metrics,
     sender: string,
+    wake: () => void,
   ): SendNamedRequest =>
   (request, { onDidReceiveResponse, onDidFail }) =>
     client.send(request, {
       onDidReceiveResponse: (message) => {
         const head = { status: message.statusCode ?? 0, headers: readHeaders(message) };
         const responseClass = dialect.classifyResponse(head, request.requestId);
-        if (responseClass !== ResponseClass.Foreign) {
-          onDidReceiveResponse({ class: responseClass, head, message });
+        if (responseClass === ResponseClass.Foreign) {
+          message.destroy();
+          const reason = dialect.describeForeign(head, request.requestId);
+          world.metrics.count('responses.foreign', 1, { sender, reason });
+          onDidFail(`foreign response with status ${head.status}: ${reason}`, false);
           return;
         }
-        message.destroy();
-        const reason = dialect.describeForeign(head, request.requestId);
-        metrics.count('responses.foreign', 1, { sender, reason });
-        onDidFail(`foreign response with status ${head.status}: ${reason}`, false);
+        if (dialect.isLeaving(head)) {
+          world.leavingFacts.append(request.start);
+          wake();
+        }
+        onDidReceiveResponse({ class: responseClass, head, message });
       },
       onDidFail,
     });
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -6,7 +6,8 @@
  */
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Disposable } from '../../../base/common/disposable.js';
+import { Result } from 'neverthrow';
+import { createDisposable, type Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
 import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import type { Headers, RequestContent } from './upstreamDialect.js';
@@ -56,8 +57,16 @@
 const isFinalStatus = (status = 0): boolean =>
   status >= minimumFinalStatus && status <= maximumFinalStatus;
 
-const errorCodeOf = (error: Error): string =>
-  'code' in error && typeof error.code === 'string' ? error.code : 'unknown';
+const errorCodeOf = (error: unknown): string =>
+  error instanceof Error && 'code' in error && typeof error.code === 'string'
+    ? error.code
+    : 'unknown';
+
+/** Reports a request that could not be written at all, after `send` has returned. */
+const failUnsendable = (reason: string, listener: UpstreamListener): Disposable => {
+  const immediate = setImmediate(() => listener.onDidFail(reason, true));
+  return createDisposable(() => clearImmediate(immediate));
+};
 
 /** Creates the upstream client of a process. */
 export const createUpstreamClient = (): UpstreamClient => {
@@ -91,7 +100,8 @@
     return isRepeated ? singleUseAgent : agent;
   };
 
-  const createRequest = (target: UpstreamRequest): ClientRequest => {
+  /** The error is the code with which node:http rejects an address, a path or a header. */
+  const createRequest = Result.fromThrowable((target: UpstreamRequest): ClientRequest => {
     const { address, content, headers } = target;
     const { host, port } = splitAddress(address);
     const { method, path, body } = content;
@@ -104,11 +114,13 @@
       path,
       headers: { ...content.headers, ...length, ...headers },
     });
-  };
+  }, errorCodeOf);
 
   return {
     send: (target, listener) => {
-      const outgoing = createRequest(target);
+      const created = createRequest(target);
+      if (created.isErr()) return failUnsendable(created.error, listener);
+      const outgoing = created.value;
       let isClosed = false;
       outgoing.once('socket', (socket) => {
         if (target.requestId !== null) rememberCarried(socket, target.requestId);
@@ -161,14 +173,22 @@
   };
 };
 
-/** Response headers by lower-case name; repeated headers are joined with commas. */
-export const readHeaders = (response: IncomingMessage): Record<string, string> =>
-  Object.fromEntries(
-    Object.entries(response.headersDistinct).map(([name, values]) => [
-      name,
-      (values ?? []).join(', '),
-    ]),
-  );
+/**
+ * Response headers by lower-case name; repeated headers are joined with commas. They are read from
+ * `rawHeaders`, because the other views of node:http throw for names such as `constructor`.
+ */
+export const readHeaders = ({
+  rawHeaders,
+}: Pick<IncomingMessage, 'rawHeaders'>): Record<string, string> => {
+  const valuesByName = new Map<string, string>();
+  for (let position = 0; position + 1 < rawHeaders.length; position += 2) {
+    const name = rawHeaders[position]!.toLowerCase();
+    const value = rawHeaders[position + 1]!;
+    const previous = valuesByName.get(name);
+    valuesByName.set(name, previous === undefined ? value : `${previous}, ${value}`);
+  }
+  return Object.fromEntries(valuesByName);
+};
 
 /** Statuses of responses that have no body, whatever their headers say. */
 const statusesWithoutBody: readonly number[] = [204, 304];
--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -76,6 +76,8 @@
    * that does not state so must not be passed on.
    */
   readonly promisesNotRun: (status: number) => boolean;
+  /** Whether the upstream says that it is leaving; every answer of such an upstream says so. */
+  readonly isLeaving: (head: ResponseHead) => boolean;
   /** The signature of the upstream; null if the response has none. */
   readonly readSignature: (head: ResponseHead) => string | null;
   /** The weight version named by the headers; null if they name none. */
--- a/src/daemon/jobs/node/textEventReader.ts
+++ b/src/daemon/jobs/node/textEventReader.ts
@@ -19,7 +19,10 @@
   readonly take: () => TextPart;
   /** Whether events have been received since the last call of `take`. */
   readonly hasEvents: () => boolean;
-  /** Whether the event identifiers were consecutive so far. */
+  /**
+   * Whether the event identifiers were consecutive so far, and every version a whole number. Later
+   * events do not count, because it is unknown to which text or version they belong.
+   */
   readonly isInOrder: () => boolean;
   /** Whether the bytes so far end after a whole event; if not, an event was cut. */
   readonly isBetweenEvents: () => boolean;
@@ -41,6 +44,11 @@
 /** Characters of the longest blank line. */
 const blankLineLength = 4;
 
+const parseVersion = (text: string): number | undefined => {
+  const version = /^\d+$/.test(text) ? Number(text) : Number.NaN;
+  return Number.isSafeInteger(version) ? version : undefined;
+};
+
 /**
  * Creates a reader. `previousEventCount` is the number of events received by earlier starts of the
  * run, `initialVersion` the weight version named by the response headers, and `weightVersionField`
@@ -71,7 +79,10 @@
       if (currentVersion !== null) versions.add(currentVersion);
     },
     onError: ({ field, value }) => {
-      if (field === weightVersionField && value !== undefined) currentVersion = Number(value);
+      if (field !== weightVersionField || value === undefined) return;
+      const version = parseVersion(value);
+      if (version === undefined) isOrdered = false;
+      else currentVersion = version;
     },
   });
 
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -27,6 +27,7 @@
 } from '../../quarantine/common/crashMessages.js';
 import {
   upstreamDepartedSchema,
+  upstreamLeavingSchema,
   upstreamRegisteredSchema,
 } from '../../registry/common/registryTables.js';
 import {
@@ -58,6 +59,7 @@
   bodyGivenSchema,
   upstreamRegisteredSchema,
   upstreamDepartedSchema,
+  upstreamLeavingSchema,
   ...jobReadSchemas,
   ...originMessageSchemas,
 ]);
