--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -80,7 +80,7 @@
   const hostByCall = new Map<CallId, string>();
   const openSends = new Map<SendId, OpenSend>();
   const collector = createAnswerCollector(world.deployment.limits);
-  const sendNamed = createNamedSender(client, dialect, world.metrics, 'call');
+  const sendNamed = createNamedSender(world, client, dialect, 'call', wake);
   const callChanges = world.calls.createChangeReader(RowReader.Port);
   const sendChanges = world.sends.createChangeReader(RowReader.Port);
 
@@ -158,6 +158,7 @@
       content: pending.content,
       headers,
       requestId: call.requestId,
+      start: { upstream: upstream.id, startedAt: upstream.startedAt },
     };
     const connection = sendNamed(target, {
       onDidReceiveResponse: (response) => handleResponse(send, response),
--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -29,7 +29,7 @@
   readonly workspace: string | null;
   /** Time until the caller's deadline; null if there is none. */
   readonly remaining: Milliseconds | null;
-  /** Last received event, after which the text resumes; null to start at the beginning. */
+  /** Last received event, after which the text goes on; null to start at the beginning. */
   readonly lastEventId: string | null;
   /** Required weight version; an upstream with another version refuses the request. */
   readonly expectedVersion: number | null;
@@ -76,6 +76,8 @@
    * that does not state so must not be passed on.
    */
   readonly promisesNotRun: (status: number) => boolean;
+  /** Whether the upstream says that it is leaving; every answer of such an upstream says so. */
+  readonly isLeaving: (head: ResponseHead) => boolean;
   /** The signature of the upstream; null if the response has none. */
   readonly readSignature: (head: ResponseHead) => string | null;
   /** The weight version named by the headers; null if they name none. */
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -59,7 +59,7 @@
   wake: () => void,
 ): RunPort => {
   const openRuns = new Map<ItemId, OpenRun>();
-  const sendNamed = createNamedSender(client, dialect, world.metrics, 'run');
+  const sendNamed = createNamedSender(world, client, dialect, 'run', wake);
   const changes = world.runs.createChangeReader(RowReader.Port);
 
   const report: Report = (fact) => {
@@ -163,7 +163,13 @@
       body: jobItem.body,
     };
     const connection = sendNamed(
-      { address: upstream.address, content, headers, requestId: jobItem.item },
+      {
+        address: upstream.address,
+        content,
+        headers,
+        requestId: jobItem.item,
+        start: { upstream: upstream.id, startedAt: upstream.startedAt },
+      },
       {
         onDidReceiveResponse: (response) =>
           responseHandlers[response.class](run, response.head, response.message),
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -30,6 +30,7 @@
 import { createDaemonSystem } from '../../membership/common/daemonSystem.js';
 import { createInboxSystem } from '../../messages/common/inboxSystem.js';
 import { createCallSystem } from '../../forwarding/common/callSystem.js';
+import { createOriginSystem } from '../../forwarding/common/originSystem.js';
 import { createSendSystem } from '../../forwarding/common/sendSystem.js';
 import { createAssignmentSystem } from '../../jobs/common/assignmentSystem.js';
 import { createJobRetentionSystem } from '../../jobs/common/jobRetentionSystem.js';
@@ -39,6 +40,7 @@
 import { createRunSystem } from '../../jobs/common/runSystem.js';
 import { createTextSavingSystem } from '../../jobs/common/saveTexts.js';
 import { createScoringSystem } from '../../jobs/common/scoring.js';
+import { createTextSourceSystem } from '../../jobs/common/textSources.js';
 import { createMeteringSystem } from '../../metering/common/meteringSystem.js';
 import { createCrashSpreadSystem } from '../../quarantine/common/crashSpreadSystem.js';
 import {
@@ -118,6 +120,8 @@
   createCrashSpreadSystem,
   createCallSystem,
   createSendSystem,
+  createOriginSystem,
+  createTextSourceSystem,
   createRunSystem,
   createTextSavingSystem,
   createScoringSystem,
--- a/src/service/events/common/eventBudget.ts
+++ b/src/service/events/common/eventBudget.ts
@@ -28,6 +28,7 @@
   EventKind.CallAnswered,
   EventKind.CallCancelled,
   EventKind.CallRefused,
+  EventKind.StreamLocated,
   EventKind.SendStarted,
   EventKind.SendEnded,
   EventKind.CrashSuspected,
@@ -37,6 +38,8 @@
   EventKind.RunBroken,
   EventKind.RunMoved,
   EventKind.RunTimedOut,
+  EventKind.TextDiscarded,
+  EventKind.TextHeld,
   EventKind.ScoringStarted,
   EventKind.ItemListed,
 ]);
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -61,6 +61,8 @@
   CallAnswered: 'callAnswered',
   CallCancelled: 'callCancelled',
   CallRefused: 'callRefused',
+  /** The software version that began the stream of a call is known. */
+  StreamLocated: 'streamLocated',
   SendStarted: 'sendStarted',
   SendEnded: 'sendEnded',
   JobAccepted: 'jobAccepted',
@@ -74,6 +76,10 @@
   RunBroken: 'runBroken',
   RunMoved: 'runMoved',
   RunTimedOut: 'runSilent',
+  /** The text of a run is discarded, because no engine of its software version goes on with it. */
+  TextDiscarded: 'textDiscarded',
+  /** A complete text waits until its engines have reported that they have not started again. */
+  TextHeld: 'textHeld',
   WeightOrderEnded: 'weightOrderEnded',
   UsageReportEnded: 'dutyEnded',
   CapacityOrdered: 'capacityOrdered',
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -22,6 +22,7 @@
   refuseCall,
   refuseQuarantinedCall,
 } from './endCall.js';
+import { hasOtherSoftwareSince, recordStreamOrigin, shareStreamOrigin } from './streamOrigins.js';
 import {
   CallState,
   hasCallEnded,
@@ -61,11 +62,15 @@
 const countUsableSlots = (call: CallRow, { slots }: RegistrationRow): number =>
   call.isInternal ? Math.max(1, slots - Math.ceil(slots * callerReservedFraction)) : slots;
 
+/** A continued stream must run at the software version that began it. */
+const canRunVersion = (call: CallRow, { softwareVersion }: RegistrationRow): boolean =>
+  call.softwareVersion === null || call.softwareVersion === softwareVersion;
+
 /** Selects the least loaded upstream; prefers those that neither failed recently nor were tried. */
 const selectUpstream = (world: World, call: CallRow, now: Instant): RegistrationRow | undefined => {
   const rows = world.registrations
     .where('service', call.service)
-    .filter((row) => row.ownRunning < countUsableSlots(call, row));
+    .filter((row) => canRunVersion(call, row) && row.ownRunning < countUsableSlots(call, row));
   const preferred = rows.filter((row) => isPreferred(row, call, now));
   const notLastTried = rows.filter((row) => row.id !== call.triedUpstreams.at(-1));
   const fallback = notLastTried.length > 0 ? notLastTried : rows;
@@ -88,6 +93,7 @@
 const startSend = (world: World, call: CallRow, upstream: RegistrationRow, now: Instant): void => {
   incrementRunningCount(world, upstream.id);
   recordSendStart(world, call, upstream, now);
+  recordStreamOrigin(world, call, upstream, now);
   world.sends.put({
     id: world.identifiers.next<SendId>('send'),
     call: call.id,
@@ -97,6 +103,7 @@
       address: upstream.address,
       startedAt: upstream.startedAt,
     },
+    softwareVersion: upstream.softwareVersion,
     state: SendState.Running,
     startedAt: now,
     silenceDeadline: computeSilenceDeadline(call, now),
@@ -199,6 +206,11 @@
       scheduleRetry(world, updatedCall, 0, now);
       return;
     }
+    if (updatedCall.continuation !== null && hasOtherSoftwareSince(world, row)) {
+      refuseCall(world, updatedCall, CallRefusalKind.UpstreamFailed, now);
+      return;
+    }
+    shareStreamOrigin(world, updatedCall, now);
     answerCall(world, updatedCall, row, now);
   },
   notRun: ({ reason, isConnectionRefused = false }, world, call, row, now) => {
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -54,6 +54,8 @@
   /** Waits for an upstream. */
   Waiting: 'waiting',
   Running: 'running',
+  /** The text is complete; that one software version wrote all of it is still to be confirmed. */
+  Confirming: 'confirming',
   /** The text is complete; its score is requested. */
   Scoring: 'scoring',
   /** The result is proposed. */
@@ -72,12 +74,18 @@
   /** Incremented with each start on an upstream; facts of earlier starts are dropped. */
   readonly start: number;
   readonly upstream: UpstreamId | null;
+  /** Start of the engine to which the run was sent last, as a wall-clock time in milliseconds. */
+  readonly engineStartedAt: number;
+  /** Number of events of the text that earlier starts of the run had received. */
+  readonly continuedEvents: number;
   /** The weight version that the engine must hold although its reports may not show it; or null. */
   readonly expectedVersion: number | null;
   /** Number of events in the text so far. */
   readonly events: number;
   readonly text: string;
   readonly versions: readonly number[];
+  /** Software version of the engines that write the text; null while it is empty or unknown. */
+  readonly softwareVersion: string | null;
   /** Number of events of the text that are saved, or proposed to be. */
   readonly savedEvents: number;
   /** Length of the saved part of the text, in characters. */
@@ -92,6 +100,8 @@
   readonly confirmations: number;
   /** Time from which a waiting run can be assigned to an upstream. */
   readonly backoffDeadline: Instant;
+  /** Time until which a waiting run keeps its text for an engine of the same software version. */
+  readonly continuationDeadline: Instant;
   /** Time of the last progress report on this start; negative infinity before the first. */
   readonly lastProgressAt: Instant;
   /** Time at which a running run times out for lack of progress. */
@@ -189,7 +199,7 @@
   runs: createTable<
     RunRow,
     'job' | 'state' | 'upstream' | 'group' | 'call',
-    'progress' | 'life' | 'backoff' | 'rescore'
+    'progress' | 'life' | 'backoff' | 'continuation' | 'rescore'
   >({
     name: 'runs',
     indices: {
@@ -204,6 +214,7 @@
       life: (row) => (row.state === RunState.Proposed ? never : row.lifetimeDeadline),
       rescore: (row) =>
         row.state === RunState.Scoring && row.call === null ? row.scoreRetryDeadline : never,
+      continuation: (row) => (row.state === RunState.Waiting ? row.continuationDeadline : never),
       backoff: (row) => (row.state === RunState.Waiting ? row.backoffDeadline : never),
     },
   }),
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -19,6 +19,7 @@
   voteAnsweredSchema,
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
+import { originMessageSchemas } from '../../forwarding/common/originMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
 import {
   crashesReceivedSchema,
@@ -26,6 +27,7 @@
 } from '../../quarantine/common/crashMessages.js';
 import {
   upstreamDepartedSchema,
+  upstreamLeavingSchema,
   upstreamRegisteredSchema,
 } from '../../registry/common/registryTables.js';
 import {
@@ -57,7 +59,9 @@
   bodyGivenSchema,
   upstreamRegisteredSchema,
   upstreamDepartedSchema,
+  upstreamLeavingSchema,
   ...jobReadSchemas,
+  ...originMessageSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/quarantine/test/common/exemptWork.test.ts
+++ b/src/service/quarantine/test/common/exemptWork.test.ts
@@ -77,6 +77,7 @@
       remaining: null,
       isInternal: true,
       urgency: [],
+      takesUp: null,
     });
     core.settle();
   };
--- a/src/service/quarantine/test/common/processEvidence.test.ts
+++ b/src/service/quarantine/test/common/processEvidence.test.ts
@@ -128,6 +128,7 @@
       remaining: 2_000,
       isInternal: false,
       urgency: [],
+      takesUp: null,
     });
     core.settle();
     steps.forEach((step) => step(core));
--- a/src/service/registry/common/registryTables.ts
+++ b/src/service/registry/common/registryTables.ts
@@ -20,6 +20,9 @@
 } as const;
 export type RegistrationState = ValueOf<typeof RegistrationState>;
 
+/** Characters of a software version; release names and digests are shorter. */
+export const maximumSoftwareVersionLength = 256;
+
 /** The report that an upstream sends about itself. */
 export const registrationSchema = z.object({
   upstream: z.string().min(1),
@@ -30,6 +33,11 @@
   slots: z.number().int().positive(),
   /** Whether the upstream is cheap and may be reclaimed at short notice. */
   isReclaimable: z.boolean(),
+  /**
+   * Version of the software that the upstream runs, which is not that of its weights; null if a
+   * daemon that does not pass it on relayed the report. Versions are only compared for equality.
+   */
+  softwareVersion: z.string().max(maximumSoftwareVersionLength).nullable().default(null),
   /** Weight version of each model that the upstream serves. */
   models: z.array(z.object({ name: z.string(), version: z.number().int() })),
   /**
@@ -61,9 +69,25 @@
   departure: departureSchema,
 });
 
+/** One start of an upstream. */
+export const upstreamStartSchema = z.object({
+  upstream: z.string().min(1),
+  /** Wall-clock time of the start, in milliseconds. */
+  startedAt: z.number(),
+});
+export type UpstreamStart = z.infer<typeof upstreamStartSchema>;
+
+/** Sent when an upstream has said in an answer that it is leaving. */
+export const upstreamLeavingSchema = z.object({
+  kind: z.literal('upstreamLeaving'),
+  start: upstreamStartSchema,
+});
+
 /** All messages of the registry. */
 export type RegistryMessage =
-  z.infer<typeof upstreamRegisteredSchema> | z.infer<typeof upstreamDepartedSchema>;
+  | z.infer<typeof upstreamRegisteredSchema>
+  | z.infer<typeof upstreamDepartedSchema>
+  | z.infer<typeof upstreamLeavingSchema>;
 
 /** The latest registration of an upstream, with the state that this daemon keeps about it. */
 export interface RegistrationRow extends Omit<Registration, 'upstream'> {
@@ -96,6 +120,13 @@
   readonly announcementDeadline: Instant;
 }
 
+/** An upstream that said in an answer that it is leaving, in its start `startedAt`. */
+export interface LeavingRow extends Omit<UpstreamStart, 'upstream'> {
+  readonly id: UpstreamId;
+  /** Time at which the row is removed, because the upstream has exited by then. */
+  readonly retentionDeadline: Instant;
+}
+
 /** A departure as decoded by a port; `startedAt` is null if the upstream did not send it. */
 export interface ReceivedDeparture extends Omit<Departure, 'startedAt'> {
   readonly startedAt: number | null;
@@ -116,6 +147,13 @@
     indices: {},
     deadlines: { retention: (row) => row.retentionDeadline },
   }),
+  leavingUpstreams: createTable<LeavingRow, never, 'retention'>({
+    name: 'leavingUpstreams',
+    indices: {},
+    deadlines: { retention: (row) => row.retentionDeadline },
+  }),
+  /** Answers in which an upstream said that it is leaving. */
+  leavingFacts: createRowQueue<UpstreamStart>('leavingFacts', RowReader.System),
   arrivedRegistrations: createRowQueue<ReceivedRegistration>(
     'arrivedRegistrations',
     RowReader.System,
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -26,9 +26,11 @@
 import { createConsensusTables } from '../../consensus/common/consensusTables.js';
 import { createDeclarationTables } from '../../declaration/common/declarationTables.js';
 import { createForwardingTables } from '../../forwarding/common/forwardingTables.js';
+import { createStreamOriginTables } from '../../forwarding/common/streamOrigins.js';
 import { createPaceTables } from '../../jobs/common/enginePace.js';
 import { createJobReadTables } from '../../jobs/common/jobReads.js';
 import { createJobTables } from '../../jobs/common/jobTables.js';
+import { createTextSourceTables } from '../../jobs/common/textSources.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
 import { createRegistryTables } from '../../registry/common/registryTables.js';
 import { createVersionTables } from '../../weights/common/versionTables.js';
@@ -66,8 +68,10 @@
   ...createDeclarationTables(),
   ...createRegistryTables(),
   ...createForwardingTables(),
+  ...createStreamOriginTables(),
   ...createJobTables(),
   ...createPaceTables(),
+  ...createTextSourceTables(),
   ...createJobReadTables(),
   ...createVersionTables(),
   ...createMeteringTables(),
--- a/standins/hostile/portFixture.ts
+++ b/standins/hostile/portFixture.ts
@@ -98,6 +98,7 @@
             remaining: 20_000,
             isInternal: false,
             urgency: [],
+            takesUp: null,
           },
           {
             content: {
