Take only chunks for a coding that marks the end of a response

A caller would see: a part of an answer, framed as complete, where the upstream names a transfer coding other than chunks (identity, gzip) and its connection ends early; a text of an item would count as whole. Found in review.

Cause: any transfer-encoding counted as one that marks the end; with another last coding than chunked, only the connection's end does.

Evidence: "an answer with a coding other than chunks is not framed as complete" failed before.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -194,6 +194,9 @@
 /** Statuses of responses that have no body, whatever their headers say. */
 const statusesWithoutBody: readonly number[] = [204, 304];
 
+/** Only chunks, as the last coding, mark an end; with another one the connection's end does. */
+const chunkedPattern = /(?:^|,)\s*chunked\s*$/i;
+
 /** Whether a response marks the end of its body, by a length, by chunks, or by having none. */
 export const isDelimitedResponse = ({
   status,
@@ -203,5 +206,5 @@
   readonly headers: Readonly<Record<string, unknown>>;
 }): boolean =>
   headers['content-length'] !== undefined ||
-  headers['transfer-encoding'] !== undefined ||
+  chunkedPattern.test(String(headers['transfer-encoding'] ?? '')) ||
   statusesWithoutBody.includes(status);
