End duty calls and sends whose connection closes without a response

Operators would see: the usage of a window never reported again, since the call for it stayed in flight for good. Found in review.

Cause: a 101 ends a request with neither a response nor an error, and the client of duty calls listened to nothing else.

Evidence: "a duty call that is answered with an upgrade ends" failed before: no outcome in 4 s.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -131,7 +131,9 @@
         isClosed = true;
         listener.onDidFail(reason, isNotRun);
       };
+      let hasResponse = false;
       outgoing.once('response', (response) => {
+        hasResponse = true;
         if (!isClosed && isFinalStatus(response.statusCode)) {
           listener.onDidReceiveResponse(response);
           return;
@@ -149,6 +151,10 @@
         const code = errorCodeOf(error);
         fail(code, connectFailureCodes.has(code));
       });
+      // A connection may end with neither a response nor an error.
+      outgoing.once('close', () => {
+        if (!hasResponse) fail('closed without a response', false);
+      });
       let interimResponses = 0;
       outgoing.on('information', () => {
         interimResponses += 1;
