Do not take one CRLF for a blank line at the end of a text

A trainer would see: a text that was cut after a line of an event, listed as completed, from an engine that ends its lines with CRLF. Found in review.

Cause: the pattern for a blank line split one CRLF into two line ends.

Evidence: "a text is between events only after a blank line" failed before for CRLF and passed for LF and CR.

--- a/src/daemon/jobs/node/textEventReader.ts
+++ b/src/daemon/jobs/node/textEventReader.ts
@@ -39,7 +39,7 @@
 const maximumTextBytes = 16 * 1024 * 1024;
 
 /** A blank line, which ends an event, at the end of a text. */
-const blankLinePattern = /(?:\r\n|\r|\n){2}$/;
+const blankLinePattern = /(?:\r\n|\n|\r(?!\n)){2}$/;
 
 /** Characters of the longest blank line. */
 const blankLineLength = 4;
--- a/src/daemon/jobs/test/node/textEventReader.test.ts
+++ b/src/daemon/jobs/test/node/textEventReader.test.ts
@@ -36,3 +36,13 @@
     t.true(itemsListedSchema.safeParse({ kind: 'itemsListed', job: 'j1', results }).success);
   }),
 );
+
+['\n', '\r\n', '\r'].forEach((lineEnd) =>
+  test(`a text is between events only after a blank line (${JSON.stringify(lineEnd)})`, (t) => {
+    const reader = createTextEventReader(0, 1, field);
+    reader.push(Buffer.from(`id: 1${lineEnd}data: text${lineEnd}`));
+    t.false(reader.isBetweenEvents(), 'the event is not ended yet');
+    reader.push(Buffer.from(lineEnd));
+    t.true(reader.isBetweenEvents());
+  }),
+);
