Count only starts in a row towards the confirmation of a text

A trainer would see: a text without a marked end listed as completed after a single start without an event since its last one. Found in review.

Cause: only a start that ended without a marked end reset the count; one that brought events and broke left it as it was.

Evidence: "only starts in a row without an event confirm a text without a marked end" failed before: listed after one such start.

--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -138,7 +138,13 @@
     confirmByProgress(world, run, now);
     const progressDeadline = deadlineAfter(now, progressTimeoutMilliseconds);
     const columns = textColumnsWithEvents(run, fact.text, fact.versions);
-    const progress = { ...columns, inconclusiveAnswers: 0, lastProgressAt: now, progressDeadline };
+    const progress = {
+      ...columns,
+      inconclusiveAnswers: 0,
+      confirmations: 0,
+      lastProgressAt: now,
+      progressDeadline,
+    };
     const updatedRun = world.runs.change(run.id, progress)!;
     if (now >= run.saveDeadline && isVersionSetAllowed(world, job, columns.versions)) {
       queueUnsavedText(world, updatedRun, deadlineAfter(now, saveIntervalMilliseconds));
@@ -153,14 +159,15 @@
   },
   broken: (fact, world, run, job, now) => {
     avoidUpstream(world, run, now);
-    continueText(world, run, job, fact, fact.reason, now);
+    const updatedRun = world.runs.change(run.id, { confirmations: 0 })!;
+    continueText(world, updatedRun, job, fact, fact.reason, now);
   },
   inconclusive: ({ reason }, world, run, _job, now) => {
     recordRunEvent(world, EventKind.RunBroken, run, reason);
     avoidUpstream(world, run, now);
     const backoffDeadline = deadlineAfter(now, computeBackoff(run.inconclusiveAnswers));
     const inconclusiveAnswers = run.inconclusiveAnswers + 1;
-    requeueRun(world, run, { inconclusiveAnswers, backoffDeadline }, now);
+    requeueRun(world, run, { inconclusiveAnswers, confirmations: 0, backoffDeadline }, now);
   },
   notRun: ({ reason }, world, run, _job, now) => {
     recordRunEvent(world, EventKind.RunNotStarted, run, reason);
--- a/src/service/jobs/test/common/runs.test.ts
+++ b/src/service/jobs/test/common/runs.test.ts
@@ -211,3 +211,24 @@
     return t.is(state, RunState.Running, `start ${start}`);
   });
 });
+
+test('only starts in a row without an event confirm a text without a marked end', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  core.world.arrivedRegistrations.append({ registration: testEngine('e1'), isDirect: false });
+  core.propose('job', testJob('j', [testItem('a')]));
+  const id = itemIdOf('j', 'a');
+  const end = (kind: 'unconfirmed' | 'broken', text: readonly string[]): void => {
+    const { start } = core.world.runs.get(id)!;
+    const versions = text.length > 0 ? [1] : [];
+    core.world.runFacts.append({ kind, item: id, start, text, versions, reason: 'reset' });
+    core.runFor(200);
+  };
+  end('unconfirmed', ['x']);
+  end('unconfirmed', []);
+  end('unconfirmed', []);
+  end('broken', ['y']);
+  end('unconfirmed', []);
+  t.is(core.world.runs.get(id)?.state, RunState.Running, 'one start without an event since');
+  t.is(core.world.jobItems.get(id)?.isListed, false);
+});
