Reset the connection of an answer without length that is given up

A caller of the product's own interface would see: a 200 with a part of the body and an orderly end, where the daemon had given the answer up (too large, too slow, a broken upstream). Found in review.

Cause: such a response ends with its connection, and giving it up closed the connection in order.

Evidence: "a plain answer without length that exceeds its maximum size does not end in order" failed before.

--- a/src/daemon/front/node/callerExchange.ts
+++ b/src/daemon/front/node/callerExchange.ts
@@ -40,7 +40,9 @@
     outgoing.end();
   },
   abort: () => {
-    outgoing.destroy();
+    // An orderly end of the connection would mark the end of the response.
+    if (outgoing.socket === null) outgoing.destroy();
+    else outgoing.socket.resetAndDestroy();
   },
 });
 
--- a/src/daemon/main/test/node/brokenStreams.test.ts
+++ b/src/daemon/main/test/node/brokenStreams.test.ts
@@ -51,7 +51,9 @@
   });
   // A reset is one of the ends that the tests allow.
   socket.on('error', () => {});
-  const closed = once(socket, 'close');
+  const closed = new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
   socket.write(text);
   return { socket, received: () => received, closed };
 };
--- a/src/daemon/main/test/node/foreignAnswers.test.ts
+++ b/src/daemon/main/test/node/foreignAnswers.test.ts
@@ -2,10 +2,8 @@
  * Answers of upstreams that come twice, name another attempt, or are cut, as callers of a daemon see
  * them over real sockets.
  */
-import { once } from 'node:events';
-import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
-import test, { type ExecutionContext } from 'ava';
+import test from 'ava';
 import {
   AnswerCut,
   ConnectionEnd,
@@ -15,83 +13,20 @@
   encodeAnswer,
   endConnection,
   Framing,
-  type RawAnswer,
 } from '../../../../../standins/hostile/rawAnswers.js';
-import {
-  startRawServer,
-  type AnswerRequest,
-  type RawRequest,
-  type RawServer,
-} from '../../../../../standins/hostile/rawServer.js';
 import { attemptHeader } from '../../../../service/protocol/common/engineProtocol.js';
 import { UpstreamKind } from '../../../../service/protocol/common/upstreamProtocol.js';
-import type { Daemon } from '../../node/daemon.js';
 import {
-  announceUpstream,
-  openTestDaemon,
-  sendRequest,
-  waitForUpstreams,
-  type ReadResponse,
-} from './testDaemon.js';
-
-const openUpstream = async (
-  t: ExecutionContext,
-  kind: UpstreamKind,
-  answer: AnswerRequest,
-): Promise<{ readonly daemon: Daemon; readonly server: RawServer }> => {
-  const daemon = await openTestDaemon();
-  t.teardown(daemon.dispose);
-  const server = await startRawServer(answer);
-  t.teardown(server.dispose);
-  announceUpstream(daemon, 'raw', server.address, kind);
-  await waitForUpstreams(daemon, 1);
-  return { daemon, server };
-};
-
-/** The response, or null if the daemon ended it early. */
-const tryRequest = (daemon: Daemon, path: string, body = '{}'): Promise<ReadResponse | null> =>
-  sendRequest(daemon, path, body, { key: 'key-one' }).catch(() => null);
-
-/** All bytes of the response until the daemon closes the connection. */
-const readRaw = async (t: ExecutionContext, daemon: Daemon, path: string): Promise<string> => {
-  const [host, port] = daemon.callerAddress.split(':');
-  const socket = connect(Number(port), host);
-  t.teardown(() => socket.destroy());
-  let text = '';
-  socket.on('data', (bytes) => {
-    text += bytes.toString('latin1');
-  });
-  // A reset is one of the ends that the tests allow.
-  socket.on('error', () => {});
-  const closed = once(socket, 'close');
-  socket.write(`GET ${path} HTTP/1.1\r\nhost: test\r\nauthorization: Bearer key-one\r\n\r\n`);
-  await Promise.race([closed, delay(2_000)]);
-  return text;
-};
-
-const plainAnswer = (request: RawRequest, columns: Partial<RawAnswer> = {}): RawAnswer => ({
-  status: 200,
-  headers: { 'content-type': 'text/plain' },
-  body: `answer to ${request.path}`,
-  framing: Framing.Length,
-  ...columns,
-});
-
-const namedAnswer = (request: RawRequest, columns: Partial<RawAnswer> = {}): RawAnswer => ({
-  status: 200,
-  headers: {
-    'content-type': 'application/json',
-    [attemptHeader]: request.headers[attemptHeader] ?? '',
-  },
-  body: JSON.stringify({ choices: [{ message: { content: request.body } }], tokens: 1 }),
-  framing: Framing.Length,
-  ...columns,
-});
-
-const chatBody = (content: string): string =>
-  JSON.stringify({ model: 'model', messages: [{ role: 'user', content }], max_tokens: 8 });
+  chatBody,
+  namedAnswer,
+  openUpstream,
+  plainAnswer,
+  readRaw,
+  tryRequest,
+} from './rawUpstream.js';
 
 const kinds = Object.values(UpstreamKind);
+
 const requests = 12;
 /** A lost answer of an engine costs its breaker's pause. */
 const engineRequests = 3;
