Let no JSON body of an engine claim an end that it does not show

A caller of the product's own interface would see: an empty or very long answer of an engine, cut, as a whole 200. Found in review.

Cause: JSON bodies counted as showing their own end, but an empty one and one over the observed size pass without being parsed.

Change: without a length or chunks of the engine the answer has none of ours; the check that a body is JSON stays.

Evidence: "an empty answer of an engine without length is not framed as complete" failed before.

--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -69,13 +69,15 @@
     : ResponseFormat.Opaque;
 };
 
-/** Whether a cut of the response can be seen; events and JSON bodies show their end themselves. */
+/** Whether a cut of the response can be seen; a stream of events shows its end itself. */
 const hasVisibleEnd = (
   { statusCode: status, headers }: Dispatcher.ResponseData,
   format: ResponseFormat,
   method: string,
 ): boolean =>
-  format !== ResponseFormat.Opaque || method === 'HEAD' || isDelimitedResponse({ status, headers });
+  format === ResponseFormat.EventStream ||
+  method === 'HEAD' ||
+  isDelimitedResponse({ status, headers });
 
 const minimumServerErrorStatus = 500;
 
