Tell no caller that upstreams ended which answered

A caller of the product's own interface would see: 422, "upstreams ended while running this request; change it", after two live upstreams had sent foreign or oversized answers. Found in review.

Cause: such answers were reported as broken without saying that the upstream had answered, so they counted as possible ends within the request.

Evidence: "a caller is not told that upstreams ended which live and answer foreign requests" failed before, with that 422.

--- a/src/daemon/upstream/node/upstreamPort.ts
+++ b/src/daemon/upstream/node/upstreamPort.ts
@@ -109,7 +109,7 @@
   /** Ends an attempt whose upstream sends bytes that are no answer, or no end of one. */
   const abandon = (attempt: AttemptRow, controller: AbortController, reason: string): void => {
     if (controller.signal.aborted) return;
-    report({ kind: 'broken', attempt: attempt.id, reason });
+    report({ kind: 'broken', attempt: attempt.id, reason, hasAnswered: true });
     controller.abort();
   };
 
