--- a/src/daemon/main/test/node/crashingRequests.test.ts
+++ b/src/daemon/main/test/node/crashingRequests.test.ts
@@ -7,11 +7,14 @@
   CrashingBehavior,
   startCrashingServer,
 } from '../../../../../standins/crashing/crashingServer.js';
+import { UpstreamKind } from '../../../../service/protocol/common/upstreamProtocol.js';
 import {
-  UpstreamKind,
-  UpstreamState,
-} from '../../../../service/protocol/common/upstreamProtocol.js';
-import { openTestDaemon, readError, sendRequest, waitForUpstreams } from './testDaemon.js';
+  announceUpstream,
+  openTestDaemon,
+  readError,
+  sendRequest,
+  waitForUpstreams,
+} from './testDaemon.js';
 
 const maximumAnswerBytes = 64 * 1_024;
 const upstreamCount = 4;
@@ -32,30 +35,8 @@
         returnMilliseconds,
         oversizedBytes: 2 * maximumAnswerBytes,
         createIdentity: () => ({}),
-        onDidStart: (address, incarnation) => {
-          daemon.world.arrivedAnnouncements.append({
-            announcement: {
-              upstream: `u${index}`,
-              kind: UpstreamKind.Plain,
-              service: 'depot',
-              address: `http://${address}`,
-              zone: 'z1',
-              incarnation,
-              state: UpstreamState.Serving,
-              models: [],
-              adapters: [],
-              weightVersion: null,
-              reclaimable: false,
-              checksFencing: false,
-              resumesStreams: false,
-              slots: 4,
-              running: 0,
-              remaining: 60_000,
-            },
-            isDirect: true,
-          });
-          daemon.wake();
-        },
+        onDidStart: (address, incarnation) =>
+          announceUpstream(daemon, `u${index}`, address, UpstreamKind.Plain, incarnation),
       }),
     ),
   );
--- a/src/daemon/main/test/node/oddAnswers.test.ts
+++ b/src/daemon/main/test/node/oddAnswers.test.ts
@@ -5,12 +5,8 @@
 import { once } from 'node:events';
 import { createServer, type AddressInfo } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
-import {
-  UpstreamKind,
-  UpstreamState,
-} from '../../../../service/protocol/common/upstreamProtocol.js';
-import type { Daemon } from '../../node/daemon.js';
-import { openTestDaemon, sendRequest, waitForUpstreams } from './testDaemon.js';
+import { UpstreamKind } from '../../../../service/protocol/common/upstreamProtocol.js';
+import { announceUpstream, openTestDaemon, sendRequest, waitForUpstreams } from './testDaemon.js';
 
 const startUpstream = async (t: ExecutionContext, head: readonly string[], body: string) => {
   const server = createServer((socket) => {
@@ -22,32 +18,7 @@
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   t.teardown(() => server.close());
-  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
-};
-
-const announce = (daemon: Daemon, address: string): void => {
-  daemon.world.arrivedAnnouncements.append({
-    announcement: {
-      upstream: 'u1',
-      kind: UpstreamKind.Plain,
-      service: 'depot',
-      address,
-      zone: 'z1',
-      incarnation: 1,
-      state: UpstreamState.Serving,
-      models: [],
-      adapters: [],
-      weightVersion: null,
-      reclaimable: false,
-      checksFencing: false,
-      resumesStreams: false,
-      slots: 4,
-      running: 0,
-      remaining: 60_000,
-    },
-    isDirect: true,
-  });
-  daemon.wake();
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 };
 
 interface OddAnswer {
@@ -90,7 +61,7 @@
   test(`a caller gets an answer with ${name}, or one that is true`, async (t) => {
     const daemon = await openTestDaemon();
     t.teardown(() => daemon.dispose());
-    announce(daemon, await startUpstream(t, head, body));
+    announceUpstream(daemon, 'u1', await startUpstream(t, head, body), UpstreamKind.Plain);
     await waitForUpstreams(daemon, 1);
     const answer = await sendRequest(daemon, '/depot/stock', '{}', { key: 'key-one' });
     t.true(statuses.includes(answer.status), `${answer.status} ${answer.text}`);
--- a/src/daemon/main/test/node/testDaemon.ts
+++ b/src/daemon/main/test/node/testDaemon.ts
@@ -49,6 +49,7 @@
   upstream: string,
   address: string,
   kind: UpstreamKind,
+  incarnation = 1,
 ): void => {
   const isEngine = kind === UpstreamKind.Engine;
   daemon.world.arrivedAnnouncements.append({
@@ -58,7 +59,7 @@
       service: isEngine ? 'model' : 'depot',
       address: `http://${address}`,
       zone: 'z1',
-      incarnation: 1,
+      incarnation,
       state: UpstreamState.Serving,
       models: isEngine ? ['model'] : [],
       adapters: [],
