--- a/review/common/harness.mjs
+++ b/review/common/harness.mjs
@@ -127,7 +127,7 @@
 
 /** Opens a fleet in a temporary folder. `caseFolder` is the folder of the record. */
 export const openFleet = async (caseFolder, limitSeconds = 115) => {
-  const recordFile = join(caseFolder, 'record.txt');
+  const recordFile = process.env.RECORD_FILE ?? join(caseFolder, 'record.txt');
   const startedAt = Date.now();
   writeFile(recordFile, '');
   const record = (text) => {
@@ -282,10 +282,11 @@
     options,
     limitMilliseconds,
     isDone = ({ status }) => status === 200,
+    firstPosition = 0,
   ) => {
     const until = Date.now() + limitMilliseconds;
     let backoff = 100;
-    let position = 0;
+    let position = firstPosition;
     while (Date.now() < until) {
       const targets = stores();
       const member = targets[position % targets.length];
@@ -300,7 +301,7 @@
     return null;
   };
 
-  const putDesiredState = (desired, limitMilliseconds) =>
+  const putDesiredState = (desired, limitMilliseconds, firstPosition = 0) =>
     order(
       `PUT desired state ${desired.version}`,
       {
@@ -310,6 +311,8 @@
         body: Buffer.from(JSON.stringify(desired)),
       },
       limitMilliseconds,
+      undefined,
+      firstPosition,
     );
 
   const putVersion = (model, version, limitMilliseconds) =>
