--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,3 @@
 #!/bin/bash
-cd "$(dirname "$0")" && exec node case.mjs
+# Runs the case; TROUBLE=0 leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 otherwise.
+cd "$(dirname "$0")" && TROUBLE="${TROUBLE:-1}" exec node case.mjs
