Bound messages of the log by encoded bytes, not by entries alone

After a control daemon had lost its disk, the loss of another one 15 s later took every job and the declaration.

Cause: a message held up to 256 entries whatever their size. The receiver refuses a frame over 64 MiB and closes the connection, and the sender tried the same frame again for ever, so an entry that starts without the log, and a voter with a new disk, never got the first 256 entries. Nothing but a counter of the receiver said so.

Ruled out: the time that a restart takes (the new code replays the same log and serves in time), and the votes that a wiped voter needs (it joins with small entries).

Why this works: rows of a message are bounded by number and by encoded bytes by one rule, which the log, results, saved texts and the writes of a new voter use. One row is always allowed, and a command that does not fit a frame is refused at acceptance (413), so no entry is left that cannot be sent. A follower has at most 1 MiB, or one larger entry, unacknowledged; a learner acknowledges at once where entries wait, and keeps its relay while it catches up. Refused frames, dropped messages and followers without progress are logged or counted.

--- a/bench/capacity/capacityBench.ts
+++ b/bench/capacity/capacityBench.ts
@@ -58,7 +58,11 @@
 };
 
 const computeFrameBytes = (message: Message): number =>
-  encodeFrame({ from: 'daemon-in-zone-1', stamp: { wall: 1.7e12, counter: 1 }, message }).length;
+  encodeFrame({
+    from: 'daemon-in-zone-1',
+    stamp: { wall: 1.7e12, counter: 1 },
+    message,
+  })._unsafeUnwrap().length;
 
 const heartbeat: Message = {
   kind: 'heartbeat',
--- a/bench/rollout/ledgerCost.ts
+++ b/bench/rollout/ledgerCost.ts
@@ -120,7 +120,7 @@
   const startedAt = performance.now();
   applyEntries(core, entries);
   const elapsedMicroseconds = (performance.now() - startedAt) * microsecondsPerMillisecond;
-  const bytes = entries.reduce((sum, entry) => sum + encodeFrame(entry).length, 0);
+  const bytes = entries.reduce((sum, entry) => sum + encodeFrame(entry)._unsafeUnwrap().length, 0);
   return [
     { name: 'ledger_log_bytes_a_sample', value: bytes / samplesPerLot, unit: 'B' },
     { name: 'ledger_apply_a_sample', value: elapsedMicroseconds / samplesPerLot, unit: 'us' },
--- a/src/daemon/consensus/node/storagePort.ts
+++ b/src/daemon/consensus/node/storagePort.ts
@@ -34,6 +34,27 @@
 /** Delay before a failed write is retried. */
 const writeRetryMilliseconds = 500;
 
+/** Maximum size of the records of one append, unless a single record exceeds it. */
+const maximumAppendBytes = 4 * 1024 * 1024;
+
+interface EncodedRequest {
+  readonly sequence: number;
+  readonly record: Buffer;
+}
+
+/** Encodes writes from the start of a list, up to the size of one append and at least one. */
+const takeWrites = (requests: readonly StorageRequest[]): EncodedRequest[] => {
+  const taken: EncodedRequest[] = [];
+  let bytes = 0;
+  for (const { sequence, write } of requests) {
+    if (bytes >= maximumAppendBytes) break;
+    const record = encodeRecord(write);
+    taken.push({ sequence, record });
+    bytes += record.length;
+  }
+  return taken;
+};
+
 const createPort = (
   world: World,
   store: SegmentStore,
@@ -68,9 +89,9 @@
 
   const writePending = async (): Promise<void> => {
     while (pendingRequests.length > 0 && !hasFailed) {
-      const batch = pendingRequests;
-      pendingRequests = [];
-      const records = batch.map(({ write }) => encodeRecord(write));
+      const batch = takeWrites(pendingRequests);
+      pendingRequests = pendingRequests.slice(batch.length);
+      const records = batch.map(({ record }) => record);
       // eslint-disable-next-line no-await-in-loop -- batches are synced sequentially
       const result = await appendOrRetry(records);
       if (result.isErr()) {
--- a/src/daemon/peers/node/peerPort.ts
+++ b/src/daemon/peers/node/peerPort.ts
@@ -13,8 +13,17 @@
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
 import { listen, type ListenError } from '../../../infrastructure/sockets/node/listen.js';
 import type { HybridLogicalClock } from '../../../infrastructure/timeline/common/hybridLogicalClock.js';
-import { stampSchema } from '../../../infrastructure/timeline/common/timelineEvent.js';
-import { createFrameDecoder, encodeFrame } from '../../../infrastructure/wire/node/frames.js';
+import {
+  stampSchema,
+  type EventSubject,
+} from '../../../infrastructure/timeline/common/timelineEvent.js';
+import { maximumUnacknowledgedBytes } from '../../../infrastructure/wire/common/frameLimits.js';
+import {
+  createFrameDecoder,
+  encodeFrame,
+  type FrameError,
+} from '../../../infrastructure/wire/node/frames.js';
+import { EventKind } from '../../../service/events/common/eventKind.js';
 import { messageSchema, type OutgoingMessage } from '../../../service/messages/common/message.js';
 import type { DaemonId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
@@ -35,11 +44,9 @@
   message: messageSchema,
 });
 
-/** Maximum bytes buffered for one peer; messages beyond it are dropped. */
-const maximumBufferedBytes = 1024 * 1024;
-
 interface PeerConnection {
-  readonly send: (frame: Buffer) => void;
+  /** Sends a frame; returns false if too many bytes are buffered, so that it is dropped. */
+  readonly send: (frame: Buffer) => boolean;
   /** Whether sent data has not been acknowledged within the timeout. */
   readonly hasTimedOut: () => boolean;
   readonly dispose: () => void;
@@ -67,11 +74,13 @@
   });
   return {
     send: (frame) => {
-      if (socket.writableLength <= maximumBufferedBytes) socket.write(frame);
+      const hasRoom = socket.writableLength <= maximumUnacknowledgedBytes;
+      if (hasRoom) socket.write(frame);
       acknowledgementDeadline = Math.min(
         acknowledgementDeadline,
         deadlineAfter(clock(), acknowledgementTimeoutMilliseconds),
       );
+      return hasRoom;
     },
     hasTimedOut: () => clock() >= acknowledgementDeadline,
     dispose: () => socket.destroy(),
@@ -88,6 +97,15 @@
   };
 };
 
+/** Records a frame that is not sent because it is too long, or that was received and not read. */
+const recordRefusedFrame = (world: World, error: FrameError, subject: EventSubject): void => {
+  world.metrics.count('peers.refusedFrames', 1, { reason: error.kind });
+  world.events.append({
+    kind: EventKind.FrameRefused,
+    subject: { ...subject, reason: error.kind, detail: error.message },
+  });
+};
+
 /** Opens the port on the configured peer address. `wake` requests a tick. */
 export const openPeerPort = async (
   world: World,
@@ -123,8 +141,8 @@
       acknowledge();
       decoder.push(bytes).match(
         (values) => values.forEach(handleEnvelope),
-        () => {
-          world.metrics.count('peers.invalidFrames');
+        (error) => {
+          recordRefusedFrame(world, error, { sender: socket.remoteAddress ?? null });
           socket.destroy();
         },
       );
@@ -151,8 +169,13 @@
 
   const send = ({ to, message }: OutgoingMessage): void => {
     const frame = encodeFrame({ from: world.self.name, stamp: hybridClock.next(), message });
-    sentBytes += frame.length;
-    getOrOpenConnection(to)?.send(frame);
+    if (frame.isErr()) {
+      recordRefusedFrame(world, frame.error, { receiver: to, messageKind: message.kind });
+      return;
+    }
+    sentBytes += frame.value.length;
+    const isSent = getOrOpenConnection(to)?.send(frame.value);
+    if (isSent === false) world.metrics.count('peers.droppedMessages', 1, { kind: message.kind });
   };
 
   const server = createServer(handleConnection);
--- a/src/infrastructure/wire/node/frames.ts
+++ b/src/infrastructure/wire/node/frames.ts
@@ -5,24 +5,28 @@
  */
 import { decode, encode } from 'cbor-x';
 import { err, ok, Result } from 'neverthrow';
+import { maximumFrameBytes } from '../common/frameLimits.js';
 
 const lengthFieldBytes = 4;
 
-/** Maximum frame size in bytes: twice a declaration with the maximum body size of 32 MiB. */
-export const maximumFrameBytes = 64 * 1024 * 1024;
-
 export interface FrameError {
   readonly kind: 'frameTooLong' | 'frameNotCbor';
   readonly message: string;
 }
 
-/** Encodes a value as a frame. */
-export const encodeFrame = (value: unknown): Buffer => {
+const createTooLongError = (length: number): FrameError => ({
+  kind: 'frameTooLong',
+  message: `A frame of ${length} bytes exceeds the limit of ${maximumFrameBytes}; send smaller messages.`,
+});
+
+/** Encodes a value as a frame; fails if the receiver would refuse it. */
+export const encodeFrame = (value: unknown): Result<Buffer, FrameError> => {
   const body = encode(value);
+  if (body.length > maximumFrameBytes) return err(createTooLongError(body.length));
   const frame = Buffer.allocUnsafe(lengthFieldBytes + body.length);
   frame.writeUInt32BE(body.length, 0);
   body.copy(frame, lengthFieldBytes);
-  return frame;
+  return ok(frame);
 };
 
 const decodeBody = (body: Buffer): Result<unknown, FrameError> =>
@@ -46,10 +50,7 @@
   const takeBody = (): Result<Buffer | undefined, FrameError> => {
     if (pending.length < lengthFieldBytes) return ok(undefined);
     const length = pending.readUInt32BE(0);
-    if (length > maximumFrameBytes) {
-      const message = `A frame of ${length} bytes exceeds the limit of ${maximumFrameBytes}; send smaller messages.`;
-      return err({ kind: 'frameTooLong', message });
-    }
+    if (length > maximumFrameBytes) return err(createTooLongError(length));
     if (pending.length < lengthFieldBytes + length) return ok(undefined);
     const body = pending.subarray(lengthFieldBytes, lengthFieldBytes + length);
     pending = pending.subarray(lengthFieldBytes + length);
--- a/src/infrastructure/wire/test/node/frames.test.ts
+++ b/src/infrastructure/wire/test/node/frames.test.ts
@@ -1,7 +1,8 @@
 /** Frames: values survive any fragmentation of the bytes, and invalid bytes are typed errors. */
 import test from 'ava';
 import fc from 'fast-check';
-import { createFrameDecoder, encodeFrame, maximumFrameBytes } from '../../node/frames.js';
+import { maximumFrameBytes } from '../../common/frameLimits.js';
+import { createFrameDecoder, encodeFrame } from '../../node/frames.js';
 
 const seed = 7;
 
@@ -11,7 +12,7 @@
       fc.array(fc.record({ name: fc.string(), count: fc.integer() }), { maxLength: 8 }),
       fc.integer({ min: 1, max: 9 }),
       (values, step) => {
-        const bytes = Buffer.concat(values.map(encodeFrame));
+        const bytes = Buffer.concat(values.map((value) => encodeFrame(value)._unsafeUnwrap()));
         const decoder = createFrameDecoder();
         const decoded: unknown[] = [];
         for (let start = 0; start < bytes.length; start += step) {
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -103,6 +103,8 @@
   entries: z.array(logEntrySchema),
   /** Index of the last entry that this message covers, including entries that were filtered out. */
   throughIndex: index,
+  /** Whether the learner must ask for more at once, because entries wait to be acknowledged. */
+  isAcknowledgementDue: z.boolean(),
   /** `askedAt` of the learner's last request. */
   askedAt: z.number(),
   /**
--- a/src/service/consensus/common/consensusTiming.ts
+++ b/src/service/consensus/common/consensusTiming.ts
@@ -51,6 +51,9 @@
 /** Interval at which a learner sends a request to the daemon that it follows. */
 export const followIntervalMilliseconds = 500;
 
+/** Time without an acknowledgement after which entries are sent to a learner again. */
+export const resendDelayMilliseconds = followIntervalMilliseconds;
+
 /** Time without up-to-date entries after which a learner follows another daemon. */
 export const relayTimeoutMilliseconds = 1_200;
 
@@ -60,6 +63,12 @@
 /** Interval at which a proposal without an outcome is resent. */
 export const proposalResendIntervalMilliseconds = 500;
 
+/**
+ * Time without an acknowledgement after which a voter that lacks entries is reported. The largest
+ * entry reaches and leaves the disk of a voter within it.
+ */
+export const catchUpReportMilliseconds = 5_000;
+
 /** Maximum number of entries in one message. */
 export const maximumEntriesPerMessage = 256;
 
--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -27,7 +27,7 @@
   sendAfterSync,
   nonLeaderColumns,
 } from './replicaLog.js';
-import { ReplicaState, type MemberRow } from './replicaTables.js';
+import { ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
 import { findVoteRefusal, hasActiveLeader, recordVoteDecision } from './votes.js';
 
 /** Returns the voters other than this daemon. */
@@ -127,8 +127,10 @@
   const { term, lastIndex } = replicaOf(world);
   [...world.members.rows()].forEach(({ id }) =>
     world.members.change(id, {
+      ...unsentColumns,
       nextIndex: lastIndex + 1,
       matchIndex: 0,
+      acknowledgedIndex: lastIndex,
       renewedAt: Number.NEGATIVE_INFINITY,
       answeredAt: Number.NEGATIVE_INFINITY,
       renewalDeadline: now,
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -8,26 +8,26 @@
 import type { HandlerTable, UnionMember } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import { maximumUnacknowledgedBytes } from '../../../infrastructure/wire/common/frameLimits.js';
 import { distanceTo } from '../../membership/common/contacts.js';
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
-import { Topic, topicOfCommand } from './command.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import {
   followIntervalMilliseconds,
   relayTimeoutMilliseconds,
   learnerTimeoutMilliseconds,
-  maximumEntriesPerMessage,
+  resendDelayMilliseconds,
 } from './consensusTiming.js';
-import type { LogEntry } from './logEntry.js';
-import { changeReplica, entriesBetween, replicaOf } from './replicaLog.js';
 import {
-  entryIdOf,
-  isCurrentLeader,
-  ReplicaState,
-  type FollowingLearnerRow,
-} from './replicaTables.js';
+  computeLearnerProgress,
+  selectLearnerBatch,
+  type LearnerBatch,
+} from './learnerProgress.js';
+import type { LogEntry } from './logEntry.js';
+import { changeReplica, putEntry, replicaOf, toLogEntry } from './replicaLog.js';
+import { isCurrentLeader, ReplicaState, type FollowingLearnerRow } from './replicaTables.js';
 
 /** Whether this daemon stores entries of every topic, in order to vote on them or to relay them. */
 export const hasFullLog = (world: World): boolean => world.self.roles.includes(Role.Control);
@@ -84,11 +84,6 @@
     });
   });
 
-const shouldReceive = (learner: FollowingLearnerRow, entry: LogEntry): boolean =>
-  learner.isRelay ||
-  (entry.origin === learner.id && topicOfCommand[entry.command.kind] === Topic.Control) ||
-  topicOfCommand[entry.command.kind] === Topic.Configuration;
-
 const stalenessOf = (world: World, now: Instant): number | null => {
   const replica = replicaOf(world);
   if (isCurrentLeader(replica, now)) return 0;
@@ -96,11 +91,17 @@
   return Number.isFinite(currentAsOf) ? now - currentAsOf : null;
 };
 
-const sendLearnerBatch = (world: World, learner: FollowingLearnerRow, now: Instant): void => {
+/** Unacknowledged bytes from which a learner acknowledges before its next usual request. */
+const acknowledgementThresholdBytes = maximumUnacknowledgedBytes / 2;
+
+const sendLearnerBatch = (
+  world: World,
+  learner: FollowingLearnerRow,
+  { rows, bytes, throughIndex }: LearnerBatch,
+  now: Instant,
+): void => {
   const { term, leader, deliveredIndex, commitIndex } = replicaOf(world);
-  const last = Math.min(deliveredIndex, learner.sentIndex + maximumEntriesPerMessage);
-  const entries = entriesBetween(world, learner.sentIndex + 1, last);
-  const throughIndex = Math.max(learner.sentIndex, last);
+  const unacknowledgedBytes = learner.unacknowledgedBytes + bytes;
   world.outgoingMessages.append({
     to: learner.id,
     message: {
@@ -108,22 +109,33 @@
       term,
       leader,
       afterIndex: learner.sentIndex,
-      entries: entries.filter((entry) => shouldReceive(learner, entry)),
+      entries: rows.map(toLogEntry),
       throughIndex,
+      isAcknowledgementDue:
+        throughIndex < deliveredIndex || unacknowledgedBytes > acknowledgementThresholdBytes,
       askedAt: learner.askedAt,
       // A partial batch has no age, because it does not include the latest entries. A relay that
       // is behind its learner may know of committed entries that it has not delivered yet.
       age: throughIndex >= Math.max(deliveredIndex, commitIndex) ? stalenessOf(world, now) : null,
     },
   });
-  world.followingLearners.change(learner.id, { sentIndex: throughIndex });
+  world.followingLearners.change(learner.id, {
+    sentIndex: throughIndex,
+    unacknowledgedBytes,
+    resendDeadline:
+      learner.unacknowledgedBytes === 0
+        ? deadlineAfter(now, resendDelayMilliseconds)
+        : learner.resendDeadline,
+  });
 };
 
+/** Sends entries as long as the learner need not acknowledge earlier ones first. */
 const sendPendingEntries = (world: World, id: DaemonId, now: Instant): void => {
-  let learner = world.followingLearners.get(id)!;
-  while (learner.sentIndex < replicaOf(world).deliveredIndex) {
-    sendLearnerBatch(world, learner, now);
-    learner = world.followingLearners.get(id)!;
+  for (;;) {
+    const learner = world.followingLearners.get(id)!;
+    const batch = selectLearnerBatch(world, learner);
+    if (batch.throughIndex === learner.sentIndex) return;
+    sendLearnerBatch(world, learner, batch, now);
   }
 };
 
@@ -138,7 +150,7 @@
 type FollowedEntries = UnionMember<ConsensusMessage, 'entriesFollowed'>;
 
 const deliverEntry = (world: World, entry: LogEntry): void => {
-  if (hasFullLog(world)) world.logEntries.put({ ...entry, id: entryIdOf(entry.index) });
+  if (hasFullLog(world)) putEntry(world, entry);
   world.committedEntries.append({ ...entry, proposal: asBrand(entry.proposal) });
 };
 
@@ -155,6 +167,27 @@
   });
 };
 
+/**
+ * Keeps the relay that confirms this learner as current, or from which it catches up. A relay that
+ * answers but is itself disconnected from the leader has nothing more to send, and times out. A
+ * learner that catches up asks for more at once.
+ */
+const extendRelay = (
+  world: World,
+  { age, askedAt, isAcknowledgementDue, throughIndex }: FollowedEntries,
+  previousIndex: number,
+  now: Instant,
+): void => {
+  const { relayDeadline, followDeadline } = replicaOf(world);
+  const isCatchingUp = isAcknowledgementDue && throughIndex > previousIndex;
+  const confirmedAt = age === null ? Number.NEGATIVE_INFINITY : askedAt - age;
+  const keptAsOf = isCatchingUp ? now : confirmedAt;
+  changeReplica(world, {
+    relayDeadline: Math.max(relayDeadline, deadlineAfter(keptAsOf, relayTimeoutMilliseconds)),
+    followDeadline: isCatchingUp ? now : followDeadline,
+  });
+};
+
 /** Handlers for the messages between a learner and the daemon that it follows. */
 export const followHandlers: Pick<
   HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]>,
@@ -163,28 +196,25 @@
   followRequested: (request, world, sender, now) => {
     if (!hasFullLog(world)) return;
     const existing = world.followingLearners.get(sender.id);
-    const isStalled = existing === undefined || existing.acknowledgedIndex === request.afterIndex;
     const learner = world.followingLearners.put({
+      ...computeLearnerProgress(world, existing, request, now),
       id: sender.id,
       isRelay: request.isRelay,
-      sentIndex: isStalled ? request.afterIndex : Math.max(existing.sentIndex, request.afterIndex),
-      acknowledgedIndex: request.afterIndex,
       askedAt: request.askedAt,
       silenceDeadline: deadlineAfter(now, learnerTimeoutMilliseconds),
     });
-    sendLearnerBatch(world, learner, now);
+    sendLearnerBatch(world, learner, selectLearnerBatch(world, learner), now);
   },
-  entriesFollowed: (followed, world, sender) => {
-    const { state, relay, commitIndex, term, currentAsOf, relayDeadline } = replicaOf(world);
+  entriesFollowed: (followed, world, sender, now) => {
+    const { state, relay, commitIndex, term, currentAsOf } = replicaOf(world);
     if (state !== ReplicaState.Learner || sender.id !== relay) return;
     if (followed.afterIndex > commitIndex) return;
     applyFollowedEntries(world, followed);
+    extendRelay(world, followed, commitIndex, now);
     const confirmedAt = followed.age === null ? currentAsOf : followed.askedAt - followed.age;
     changeReplica(world, {
       term: Math.max(term, followed.term),
       leader: followed.leader === null ? null : asBrand<DaemonId>(followed.leader),
-      // A relay that answers but is itself disconnected from the leader times out as well.
-      relayDeadline: Math.max(relayDeadline, deadlineAfter(confirmedAt, relayTimeoutMilliseconds)),
       currentAsOf: Math.max(currentAsOf, confirmedAt),
     });
   },
--- a/src/service/consensus/common/proposals.ts
+++ b/src/service/consensus/common/proposals.ts
@@ -4,11 +4,13 @@
  * replicated state.
  */
 import { asBrand } from '../../../base/common/brand.js';
+import { computeEncodedBytes } from '../../../base/common/encodedSize.js';
 import type { HandlerTable } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { maximumRowBytes } from '../../../infrastructure/wire/common/frameLimits.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
-import { commandSchema } from './command.js';
+import { commandSchema, type Command } from './command.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import { recordOutcome, type Proposal, type ProposalOutcome } from './consensusTables.js';
 import { proposalResendIntervalMilliseconds } from './consensusTiming.js';
@@ -56,15 +58,33 @@
   },
 };
 
+/** Kind of the rejection of a command that no message could carry. */
+export const commandTooLargeKind = 'commandTooLarge';
+
+const tooLargeOutcome: ProposalOutcome = {
+  kind: 'rejected',
+  rejection: {
+    kind: commandTooLargeKind,
+    message: `The command exceeds ${maximumRowBytes} bytes as it is stored; divide it or shorten it.`,
+  },
+};
+
+/** Returns why no daemon could receive or read back a command; undefined if they can. */
+const findUnacceptableOutcome = (command: Command): ProposalOutcome | undefined => {
+  if (!commandSchema.safeParse(command).success) return unreadableOutcome;
+  return computeEncodedBytes(command) > maximumRowBytes ? tooLargeOutcome : undefined;
+};
+
 /**
- * Enqueues a proposal of this daemon. A command that its schema does not accept is rejected: no
- * daemon could read an entry with it, neither from a message nor from its storage. Forwarded
- * commands have passed the schema of messages.
+ * Enqueues a proposal of this daemon. A command that its schema does not accept, or that does not
+ * fit a message, is rejected: no daemon could read an entry with it, neither from a message nor from
+ * its storage. Forwarded commands have passed the schema of messages.
  */
 const enqueueProposal = (world: World, proposal: Proposal, now: Instant): void => {
-  if (!commandSchema.safeParse(proposal.command).success) {
-    world.metrics.count('proposals.unreadable', 1, { kind: proposal.command.kind });
-    recordOutcome(world, proposal.id, unreadableOutcome, now);
+  const unacceptable = findUnacceptableOutcome(proposal.command);
+  if (unacceptable !== undefined) {
+    world.metrics.count('proposals.unacceptable', 1, { kind: proposal.command.kind });
+    recordOutcome(world, proposal.id, unacceptable, now);
     return;
   }
   const isPending = world.pendingProposals.has(proposal.id);
--- a/src/service/consensus/common/replicaLog.ts
+++ b/src/service/consensus/common/replicaLog.ts
@@ -3,6 +3,7 @@
  * the storage writes that belong to each change.
  */
 import { asBrand } from '../../../base/common/brand.js';
+import { computeEncodedBytes } from '../../../base/common/encodedSize.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { Message } from '../../messages/common/message.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
@@ -34,14 +35,31 @@
 export const termAt = (world: World, index: number): number | undefined =>
   index === 0 ? 0 : world.logEntries.get(entryIdOf(index))?.term;
 
+/** Inserts an entry into the log of this daemon, or replaces the one at its index. */
+export const putEntry = (world: World, entry: LogEntry): void => {
+  world.logEntries.put({
+    ...entry,
+    id: entryIdOf(entry.index),
+    encodedBytes: computeEncodedBytes(entry),
+  });
+};
+
+/** Returns the entry of a row, as it is stored and sent. */
+export const toLogEntry = ({ index, term, proposal, origin, command }: LogEntryRow): LogEntry => ({
+  index,
+  term,
+  proposal,
+  origin,
+  command,
+});
+
 /** Returns the entries from `first` to `last` inclusive, up to the first missing one. */
 export const entriesBetween = (world: World, first: number, last: number): LogEntry[] => {
   const entries: LogEntry[] = [];
   for (let index = first; index <= last; index += 1) {
     const row = world.logEntries.get(entryIdOf(index));
     if (row === undefined) break;
-    const { term, proposal, origin, command } = row;
-    entries.push({ index, term, proposal, origin, command });
+    entries.push(toLogEntry(row));
   }
   return entries;
 };
@@ -86,7 +104,7 @@
   for (let index = lastIndex; index >= first.index; index -= 1) {
     world.logEntries.remove(entryIdOf(index));
   }
-  entries.forEach((entry) => world.logEntries.put({ ...entry, id: entryIdOf(entry.index) }));
+  entries.forEach((entry) => putEntry(world, entry));
   const last = entries.at(-1)!;
   changeReplica(world, { lastIndex: last.index, lastTerm: last.term });
   requestWrite(world, { kind: 'entries', entries: [...entries] });
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -5,7 +5,7 @@
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import type { ValueOf } from '../../../base/common/handlers.js';
-import type { Instant } from '../../../base/common/time.js';
+import { never, type Instant } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
@@ -89,6 +89,8 @@
 export type EntryId = Brand<'logEntry'>;
 export interface LogEntryRow extends LogEntry {
   readonly id: EntryId;
+  /** Upper bound of the bytes that the entry takes in a message. */
+  readonly encodedBytes: number;
 }
 
 /** Returns the identifier of the entry at an index. */
@@ -101,6 +103,12 @@
   readonly hasGrantedVote: boolean;
   readonly nextIndex: number;
   readonly matchIndex: number;
+  /** Index from which sent entries count as unacknowledged. */
+  readonly acknowledgedIndex: number;
+  /** Size of the entries that were sent to this member and not acknowledged. */
+  readonly unacknowledgedBytes: number;
+  /** Time at which the member is reported as behind; `never` while it lacks no entries. */
+  readonly catchUpDeadline: Instant;
   /**
    * Time at which the leader sent the last renewal that this member answered, by the leader's
    * clock.
@@ -113,6 +121,9 @@
   readonly sentCommitIndex: number;
 }
 
+/** Columns of a member to which no entries are under way. */
+export const unsentColumns = { unacknowledgedBytes: 0, catchUpDeadline: never } as const;
+
 /** A learner that follows this daemon. */
 export interface FollowingLearnerRow {
   readonly id: DaemonId;
@@ -120,6 +131,10 @@
   readonly isRelay: boolean;
   readonly sentIndex: number;
   readonly acknowledgedIndex: number;
+  /** Size of the entries that were sent to it and not acknowledged. */
+  readonly unacknowledgedBytes: number;
+  /** Time from which sent entries count as lost, unless it acknowledges some before. */
+  readonly resendDeadline: Instant;
   /** Time at which it sent its last request, by its own clock; echoed back to it. */
   readonly askedAt: Instant;
   readonly silenceDeadline: Instant;
@@ -192,10 +207,13 @@
     indices: { proposal: (row) => row.proposal },
     deadlines: {},
   }),
-  members: createTable<MemberRow, never, 'renewal'>({
+  members: createTable<MemberRow, never, 'renewal' | 'catchUp'>({
     name: 'members',
     indices: {},
-    deadlines: { renewal: (row) => row.renewalDeadline },
+    deadlines: {
+      renewal: (row) => row.renewalDeadline,
+      catchUp: (row) => row.catchUpDeadline,
+    },
   }),
   followingLearners: createTable<FollowingLearnerRow, never, 'silence'>({
     name: 'followingLearners',
--- a/src/service/consensus/common/replication.ts
+++ b/src/service/consensus/common/replication.ts
@@ -5,13 +5,14 @@
  */
 import type { HandlerTable, UnionMember } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import type { Batch } from '../../../infrastructure/wire/common/frameLimits.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import {
+  catchUpReportMilliseconds,
   minimumElectionTimeoutMilliseconds,
   leaseDurationMilliseconds,
-  maximumEntriesPerMessage,
   leaseRenewalIntervalMilliseconds,
 } from './consensusTiming.js';
 import {
@@ -23,24 +24,34 @@
 } from './election.js';
 import { markJoined } from './joining.js';
 import type { LogEntry } from './logEntry.js';
+import { computeProgress, reportBehind, selectEntriesFor } from './memberProgress.js';
 import {
   changeReplica,
   nextElectionDeadline,
-  entriesBetween,
   replicaOf,
   sendAfterSync,
   storeEntries,
   syncedIndexOf,
   termAt,
+  toLogEntry,
 } from './replicaLog.js';
 import { applyLoggedVoters, becomeVoter, canVote } from './voters.js';
-import { isCurrentLeader, ReplicaState, type MemberRow } from './replicaTables.js';
+import {
+  isCurrentLeader,
+  ReplicaState,
+  type LogEntryRow,
+  type MemberRow,
+} from './replicaTables.js';
 
-const sendEntries = (world: World, member: MemberRow, now: Instant): void => {
+const sendEntries = (
+  world: World,
+  member: MemberRow,
+  { rows, bytes }: Batch<LogEntryRow>,
+  now: Instant,
+): void => {
   const { term, commitIndex } = replicaOf(world);
   const previousIndex = member.nextIndex - 1;
-  const last = previousIndex + maximumEntriesPerMessage;
-  const entries = entriesBetween(world, member.nextIndex, last);
+  const entries = rows.map(toLogEntry);
   world.outgoingMessages.append({
     to: member.id,
     message: {
@@ -59,16 +70,16 @@
   });
   world.members.change(member.id, {
     nextIndex: member.nextIndex + entries.length,
+    unacknowledgedBytes: member.unacknowledgedBytes + bytes,
+    catchUpDeadline:
+      rows.length > 0
+        ? Math.min(member.catchUpDeadline, deadlineAfter(now, catchUpReportMilliseconds))
+        : member.catchUpDeadline,
     sentCommitIndex: commitIndex,
     renewalDeadline: deadlineAfter(now, leaseRenewalIntervalMilliseconds),
   });
 };
 
-const hasPendingUpdates = (world: World, member: MemberRow): boolean => {
-  const { lastIndex, commitIndex } = replicaOf(world);
-  return member.nextIndex <= lastIndex || member.sentCommitIndex < commitIndex;
-};
-
 /** Returns the largest value that a quorum has reached, given one value per voter. */
 const computeQuorumValue = (world: World, values: readonly number[]): number =>
   [...values].sort((first, second) => second - first)[quorumSize(world) - 1]!;
@@ -110,11 +121,16 @@
 /** Sends new entries and commit indices to the other voters, and renews the lease when due. */
 export const replicate = (world: World, now: Instant): void => {
   const due = world.members.takeDue('renewal', now);
+  const behind = world.members.takeDue('catchUp', now);
   if (replicaOf(world).state !== ReplicaState.Leader) return;
+  behind.forEach((member) => reportBehind(world, member, now));
   const dueMemberIds = new Set(due.map(({ id }) => id));
-  otherMembers(world)
-    .filter((member) => dueMemberIds.has(member.id) || hasPendingUpdates(world, member))
-    .forEach((member) => sendEntries(world, member, now));
+  const { commitIndex } = replicaOf(world);
+  otherMembers(world).forEach((member) => {
+    const batch = selectEntriesFor(world, member);
+    const isDue = dueMemberIds.has(member.id) || member.sentCommitIndex < commitIndex;
+    if (isDue || batch.rows.length > 0) sendEntries(world, member, batch, now);
+  });
   if (due.some((member) => member.isSelf)) renewOwnLease(world, now);
 };
 
@@ -174,25 +190,6 @@
   changeReplica(world, { currentAsOf: Math.max(currentAsOf, append.currentAsOf) });
 };
 
-type AppendAnswer = UnionMember<ConsensusMessage, 'appendAnswered'>;
-
-const computeProgress = (
-  member: MemberRow,
-  { accepted, matchIndex, isNew }: AppendAnswer,
-): Pick<MemberRow, 'matchIndex' | 'nextIndex'> => {
-  if (accepted) {
-    const acknowledgedIndex = Math.max(member.matchIndex, matchIndex);
-    return {
-      matchIndex: acknowledgedIndex,
-      nextIndex: Math.max(member.nextIndex, acknowledgedIndex + 1),
-    };
-  }
-  // A new voter has lost entries that it acknowledged. For other voters, a late refusal must not
-  // lower the match index.
-  const retainedIndex = isNew ? matchIndex : Math.max(member.matchIndex, matchIndex);
-  return { matchIndex: Math.min(member.matchIndex, retainedIndex), nextIndex: retainedIndex + 1 };
-};
-
 /** Handlers for the messages of replication. */
 export const replicationHandlers: Pick<
   HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]>,
@@ -222,7 +219,7 @@
     const { state, term } = replicaOf(world);
     if (member === undefined || state !== ReplicaState.Leader || answered.term !== term) return;
     world.members.change(voter.id, {
-      ...computeProgress(member, answered),
+      ...computeProgress(world, member, answered, now),
       renewedAt: Math.max(member.renewedAt, answered.renewal),
       answeredAt: Math.max(member.answeredAt, answered.answeredAt),
       renewalDeadline: answered.accepted ? member.renewalDeadline : now,
--- a/src/service/consensus/common/storageFacts.ts
+++ b/src/service/consensus/common/storageFacts.ts
@@ -10,9 +10,15 @@
 import type { World } from '../../world/common/world.js';
 import { electionDeadlineAfterLeadershipEnd, findLeaderInLog } from './endedLeadership.js';
 import { minimumElectionTimeoutMilliseconds } from './consensusTiming.js';
-import { changeReplica, nextElectionDeadline, replicaOf, nonLeaderColumns } from './replicaLog.js';
+import {
+  changeReplica,
+  nextElectionDeadline,
+  replicaOf,
+  nonLeaderColumns,
+  putEntry,
+} from './replicaLog.js';
 import { applyLoggedVoters, becomeLearner } from './voters.js';
-import { entryIdOf, ReplicaState, type StorageFact } from './replicaTables.js';
+import { ReplicaState, type StorageFact } from './replicaTables.js';
 
 /**
  * Upper bound of the random delay before the first election of a new installation. No leader can
@@ -49,9 +55,7 @@
   recovered: ({ state }, world, now) => {
     if (replicaOf(world).state !== ReplicaState.Recovering) return;
     const isFirstStart = !state.hasJoined && state.term === 0 && state.entries.length === 0;
-    state.entries.forEach((entry) =>
-      world.logEntries.put({ ...entry, id: entryIdOf(entry.index) }),
-    );
+    state.entries.forEach((entry) => putEntry(world, entry));
     changeReplica(world, {
       state: ReplicaState.Follower,
       term: state.term,
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -6,25 +6,33 @@
 import { never, type Instant } from '../../../base/common/time.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import {
+  divideIntoBatches,
+  maximumBatchBytes,
+} from '../../../infrastructure/wire/common/frameLimits.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { maximumEntriesPerMessage } from './consensusTiming.js';
+import { entryRowsBetween } from './entryBatch.js';
 import {
   changeReplica,
   nextElectionDeadline,
-  entriesBetween,
   replicaOf,
   requestWrite,
   termAt,
   nonLeaderColumns,
+  toLogEntry,
 } from './replicaLog.js';
-import { entryIdOf, ReplicaState, type MemberRow } from './replicaTables.js';
+import { entryIdOf, ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
 
 const createMemberRow = (world: World, id: DaemonId): MemberRow => ({
   id,
   isSelf: id === world.self.name,
   hasGrantedVote: false,
   nextIndex: replicaOf(world).lastIndex + 1,
+  ...unsentColumns,
   matchIndex: 0,
+  acknowledgedIndex: replicaOf(world).lastIndex,
   renewedAt: Number.NEGATIVE_INFINITY,
   answeredAt: Number.NEGATIVE_INFINITY,
   renewalDeadline: replicaOf(world).state === ReplicaState.Leader ? 0 : never,
@@ -72,8 +80,8 @@
 /** Turns this learner into a voter, and writes the entries that it has received to disk. */
 export const becomeVoter = (world: World, now: Instant): void => {
   const { commitIndex } = replicaOf(world);
-  const entries = entriesBetween(world, 1, commitIndex);
-  const lastIndex = entries.at(-1)?.index ?? 0;
+  const rows = [...entryRowsBetween(world, 1, commitIndex)];
+  const lastIndex = rows.at(-1)?.index ?? 0;
   changeReplica(world, {
     ...nonLeaderColumns,
     state: ReplicaState.Follower,
@@ -82,7 +90,10 @@
     followDeadline: never,
     electionDeadline: nextElectionDeadline(world, now),
   });
-  if (entries.length > 0) requestWrite(world, { kind: 'entries', entries });
+  divideIntoBatches(rows, ({ encodedBytes }) => encodedBytes, {
+    maximumRows: maximumEntriesPerMessage,
+    maximumBytes: maximumBatchBytes,
+  }).forEach((batch) => requestWrite(world, { kind: 'entries', entries: batch.map(toLogEntry) }));
   applyLoggedVoters(world);
   recordVotingChange(world, true);
 };
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -48,6 +48,12 @@
   VoteDecided: 'voteDecided',
   /** A daemon becomes or stops being a voter. */
   VotingChanged: 'votingChanged',
+  /** A voter lacks entries and has acknowledged none of them for a while. */
+  VoterBehind: 'voterBehind',
+  /** A learner has acknowledged none of the entries that were sent to it; they are sent again. */
+  LearnerBehind: 'learnerBehind',
+  /** A message between daemons exceeds the frame limit or cannot be read. */
+  FrameRefused: 'frameRefused',
   StorageFailed: 'storageFailed',
   OrderEnded: 'orderEnded',
   BatchWithdrawn: 'batchWithdrawn',
--- a/src/service/jobs/common/listItems.ts
+++ b/src/service/jobs/common/listItems.ts
@@ -1,12 +1,13 @@
 /**
  * Proposes the results of items to the replicated log. The results of one job that are queued
- * within one tick are proposed as one command.
+ * within one tick are proposed together, in commands of limited size.
  */
 import type { ValueOf } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
+import { divideIntoCommands } from './commandBatches.js';
 import { ItemResult, type ListedItem } from './jobCommands.js';
 import { RunState, type RunRow } from './jobTables.js';
 
@@ -70,14 +71,16 @@
 const proposeResults = (
   world: World,
   job: string,
-  results: readonly ListedItem[],
+  allResults: readonly ListedItem[],
   now: Instant,
 ): void =>
-  world.proposals.append({
-    id: world.identifiers.next('listed'),
-    command: { kind: 'itemsListed', job, results: [...results] },
-    proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
-  });
+  divideIntoCommands(allResults).forEach((results) =>
+    world.proposals.append({
+      id: world.identifiers.next('listed'),
+      command: { kind: 'itemsListed', job, results },
+      proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
+    }),
+  );
 
 /** Creates the system that proposes queued results. */
 export const createResultListingSystem = (world: World): System => ({
--- a/src/service/jobs/common/saveTexts.ts
+++ b/src/service/jobs/common/saveTexts.ts
@@ -1,11 +1,13 @@
 /**
  * Proposes the partial texts of long runs to the replicated log, so that a new leader can continue
- * them. The parts of one job that are queued within one tick are proposed as one command.
+ * them. The parts of one job that are queued within one tick are proposed together, in commands of
+ * limited size.
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import type { World } from '../../world/common/world.js';
 import type { SavedItem } from './jobCommands.js';
+import { divideIntoCommands } from './commandBatches.js';
 import type { RunRow } from './jobTables.js';
 
 const proposalTimeoutMilliseconds = 5_000;
@@ -44,12 +46,14 @@
     world.savedTexts.takeAll().forEach(({ job, saved }) => {
       savedByJob.set(job, [...(savedByJob.get(job) ?? []), saved]);
     });
-    savedByJob.forEach((saved, job) =>
-      world.proposals.append({
-        id: world.identifiers.next('saved'),
-        command: { kind: 'textsSaved', job, saved },
-        proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
-      }),
+    savedByJob.forEach((allSaved, job) =>
+      divideIntoCommands(allSaved).forEach((saved) =>
+        world.proposals.append({
+          id: world.identifiers.next('saved'),
+          command: { kind: 'textsSaved', job, saved },
+          proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
+        }),
+      ),
     );
   },
 });
--- a/src/service/membership/test/common/heartbeatCost.test.ts
+++ b/src/service/membership/test/common/heartbeatCost.test.ts
@@ -59,7 +59,11 @@
     profile: Profile.Declaration,
     fleet: { ...defaultFleetSettings, voterCount: 5 },
     onDidSendMessage: (from, to, message) => {
-      const { length } = encodeFrame({ from, stamp: { wall: 0, counter: 0 }, message });
+      const { length } = encodeFrame({
+        from,
+        stamp: { wall: 0, counter: 0 },
+        message,
+      })._unsafeUnwrap();
       count(from, length);
       count(to, length);
     },
--- a/src/service/messages/test/common/malformedMessages.test.ts
+++ b/src/service/messages/test/common/malformedMessages.test.ts
@@ -131,7 +131,7 @@
     let accepted = 0;
     for (let mutation = 0; mutation < mutationsPerSeed; mutation += 1) {
       const mutated = mutate(selectRandomElement(random, samples)!, random);
-      const [decoded] = decoder.push(encodeFrame(mutated))._unsafeUnwrap();
+      const [decoded] = decoder.push(encodeFrame(mutated)._unsafeUnwrap())._unsafeUnwrap();
       const parsed = messageSchema.safeParse(decoded);
       if (parsed.success) {
         accepted += 1;
--- a/src/service/protocol/test/common/oddAnnouncements.test.ts
+++ b/src/service/protocol/test/common/oddAnnouncements.test.ts
@@ -81,7 +81,7 @@
       const parsed = announcementSchema.safeParse({ ...soundAnnouncement, [field]: value });
       if (!parsed.success) return;
       accepted += 1;
-      const [received] = decoder.push(encodeFrame(parsed.data))._unsafeUnwrap();
+      const [received] = decoder.push(encodeFrame(parsed.data)._unsafeUnwrap())._unsafeUnwrap();
       // As text, because CBOR makes no difference between 0 and -0.
       t.is(JSON.stringify(announcementSchema.parse(received)), JSON.stringify(parsed.data));
     }),
--- a/src/service/quarantine/test/common/crashFixture.ts
+++ b/src/service/quarantine/test/common/crashFixture.ts
@@ -64,7 +64,7 @@
     fleet: { ...defaultFleetSettings, voterCount: 3 },
     ...(onDidSendMessage === undefined ? {} : { onDidSendMessage }),
     ports: [workers.createPort],
-    isLost: (from, to) => isLossy && isLost?.(from, to) === true,
+    isLost: (from, to, message) => isLossy && isLost?.(from, to, message) === true,
   });
   workers.start(installation, controlDaemons);
   installation.runFor(warmUpMilliseconds);
--- a/src/service/timeline/common/explainLog.ts
+++ b/src/service/timeline/common/explainLog.ts
@@ -37,6 +37,8 @@
   EventKind.LeadershipTaken,
   EventKind.LeadershipLost,
   EventKind.VotingChanged,
+  EventKind.VoterBehind,
+  EventKind.FrameRefused,
   EventKind.StorageFailed,
 ]);
 
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -62,7 +62,7 @@
   /** Observes each message between daemons when it is sent. */
   readonly onDidSendMessage?: (from: string, to: string, message: Message) => void;
   /** Whether a message between daemons is lost on its way; asked when it is sent. */
-  readonly isLost?: (from: string, to: string) => boolean;
+  readonly isLost?: (from: string, to: string, message: Message) => boolean;
   /** Creates the fake ports of each daemon process. */
   readonly ports?: readonly ((context: VirtualContext) => VirtualPort)[];
 }
@@ -142,7 +142,7 @@
     daemon.core.world.outgoingMessages.takeAll().forEach(({ to, message }) => {
       options.onDidSendMessage?.(daemon.name, to, message);
       if (cutLinks.has(linkKeyOf(daemon.name, to))) return;
-      if (options.isLost?.(daemon.name, to) === true) return;
+      if (options.isLost?.(daemon.name, to, message) === true) return;
       time.schedule(latency(daemon.name, to), () =>
         runWhenThawed(to, () => deliverMessage(daemon.name, to, message)),
       );
