Join the bytes of a frame once, not with each piece of it

What callers would see: a daemon that receives one large entry, such as a declaration near its size limit, does nothing else meanwhile, so its lease or that of its leader expires.

Cause: the decoder joined the pending bytes with each piece that arrived, which copies a frame as many times as it has pieces. The bytes are joined when a frame is complete, and once to read its length.

--- a/src/infrastructure/wire/node/frames.ts
+++ b/src/infrastructure/wire/node/frames.ts
@@ -43,23 +43,38 @@
   readonly push: (bytes: Buffer) => Result<unknown[], FrameError>;
 }
 
-/** Creates a decoder for one connection. */
+/** Creates a decoder for one connection. Received bytes are joined once for each frame. */
 export const createFrameDecoder = (): FrameDecoder => {
-  let pending: Buffer = Buffer.alloc(0);
+  let chunks: Buffer[] = [];
+  let pendingBytes = 0;
+  /** Bytes that have to be pending before a part of a frame can be read. */
+  let neededBytes = lengthFieldBytes;
+
+  const joinPending = (): Buffer => {
+    const joined = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+    chunks = [joined];
+    return joined;
+  };
 
   const takeBody = (): Result<Buffer | undefined, FrameError> => {
-    if (pending.length < lengthFieldBytes) return ok(undefined);
+    if (pendingBytes < neededBytes) return ok(undefined);
+    const pending = joinPending();
     const length = pending.readUInt32BE(0);
     if (length > maximumFrameBytes) return err(createTooLongError(length));
-    if (pending.length < lengthFieldBytes + length) return ok(undefined);
-    const body = pending.subarray(lengthFieldBytes, lengthFieldBytes + length);
-    pending = pending.subarray(lengthFieldBytes + length);
-    return ok(body);
+    const frameBytes = lengthFieldBytes + length;
+    neededBytes = frameBytes;
+    if (pendingBytes < frameBytes) return ok(undefined);
+    const rest = pending.subarray(frameBytes);
+    chunks = rest.length === 0 ? [] : [rest];
+    pendingBytes = rest.length;
+    neededBytes = lengthFieldBytes;
+    return ok(pending.subarray(lengthFieldBytes, frameBytes));
   };
 
   return {
     push: (bytes) => {
-      pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes]);
+      chunks.push(bytes);
+      pendingBytes += bytes.length;
       const values: unknown[] = [];
       for (;;) {
         const body = takeBody();
--- a/src/infrastructure/wire/test/node/frames.test.ts
+++ b/src/infrastructure/wire/test/node/frames.test.ts
@@ -36,3 +36,21 @@
   const frame = Buffer.from([0, 0, 0, 2, 0x1c, 0xff]);
   t.is(createFrameDecoder().push(frame)._unsafeUnwrapErr().kind, 'frameNotCbor');
 });
+
+/** A frame that arrives in this many pieces is joined once; joined with each piece it took seconds. */
+const pieceBytes = 16 * 1024;
+const longTextBytes = 32 * 1024 * 1024;
+const maximumDecodingMilliseconds = 1_000;
+
+test('a long frame in many pieces is decoded in a time that grows with its length only', (t) => {
+  const text = 'x'.repeat(longTextBytes);
+  const frame = encodeFrame(text)._unsafeUnwrap();
+  const decoder = createFrameDecoder();
+  const startedAt = performance.now();
+  const values: unknown[] = [];
+  for (let start = 0; start < frame.length; start += pieceBytes) {
+    values.push(...decoder.push(frame.subarray(start, start + pieceBytes))._unsafeUnwrap());
+  }
+  t.true(performance.now() - startedAt < maximumDecodingMilliseconds);
+  t.deepEqual(values, [text]);
+});
