Keep nothing of an item's answer that exceeds what the item can have

Cause: an answer that exceeded 16 MB ended as broken, which keeps the events so far; a sound worker that is asked to go on after them has nothing to add, so the text counted as whole. The limit had no relation to the item.

Identifiers of events don't tell: they are consecutive.

Why this works: a text has no more events than its item may have output tokens (Token-Count), or tokens where none are stated. An answer beyond that, or beyond the limits of bytes, is given up with all its text, which is removed from the log too, so neither another worker nor a new leader goes on with it. Saved texts of earlier releases or jobs that exceed the limit are not continued.

--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -13,6 +13,7 @@
   type RunFact,
   type RunRow,
 } from '../../../service/jobs/common/jobTables.js';
+import { maximumEventsOf } from '../../../service/jobs/common/outputLimit.js';
 import type { World } from '../../../service/world/common/world.js';
 import { createNamedSender, type OwnedClass } from '../../forwarding/node/ownedAnswers.js';
 import { isDelimitedResponse, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
@@ -34,7 +35,7 @@
 /** Minimum interval between two progress reports of a run. */
 const progressIntervalMilliseconds = 200;
 
-type TextEnd = 'whole' | 'unconfirmed' | 'inconclusive' | 'broken';
+type TextEnd = 'whole' | 'unconfirmed' | 'inconclusive' | 'excessive' | 'broken';
 
 interface ReceivedText extends TextPart {
   readonly item: ItemId;
@@ -47,6 +48,7 @@
   whole: (received) => ({ kind: 'whole', ...received }),
   unconfirmed: (received) => ({ kind: 'unconfirmed', ...received }),
   inconclusive: ({ item, start }, reason) => ({ kind: 'inconclusive', item, start, reason }),
+  excessive: ({ item, start }, reason) => ({ kind: 'excessive', item, start, reason }),
   broken: (received, reason) => ({ kind: 'broken', ...received, reason }),
 };
 
@@ -69,11 +71,13 @@
 
   const readText = (run: RunRow, head: ResponseHead, response: IncomingMessage): void => {
     const { id: item, start } = run;
-    const reader = createTextEventReader(
-      run.events,
-      dialect.readWeightVersion(head),
-      dialect.weightVersionField,
-    );
+    const jobItem = world.jobItems.get(item);
+    const reader = createTextEventReader({
+      previousEventCount: run.events,
+      maximumEventCount: jobItem === undefined ? run.events : maximumEventsOf(jobItem),
+      initialVersion: dialect.readWeightVersion(head),
+      weightVersionField: dialect.weightVersionField,
+    });
     let isFinished = false;
     let reportedAt = clock();
 
@@ -94,7 +98,7 @@
     response.on('data', (chunk: Buffer) => {
       reader.push(chunk);
       if (!reader.isWithinLimits()) {
-        finish('broken', 'event or text exceeds its maximum size');
+        finish('excessive', 'response exceeds the events or bytes that the item can have');
         response.destroy();
         return;
       }
--- a/src/daemon/jobs/node/textEventReader.ts
+++ b/src/daemon/jobs/node/textEventReader.ts
@@ -28,7 +28,7 @@
   readonly isBetweenEvents: () => boolean;
   /** Number of events of the text, including those before this start. */
   readonly eventCount: () => number;
-  /** Whether the event that is being received, and the whole text, are within their limits. */
+  /** Whether the event that is being received, the bytes and the events are within their limits. */
   readonly isWithinLimits: () => boolean;
 }
 
@@ -49,16 +49,25 @@
   return Number.isSafeInteger(version) ? version : undefined;
 };
 
-/**
- * Creates a reader. `previousEventCount` is the number of events received by earlier starts of the
- * run, `initialVersion` the weight version named by the response headers, and `weightVersionField`
- * the event field that announces a change of the version.
- */
-export const createTextEventReader = (
-  previousEventCount: number,
-  initialVersion: number | null,
-  weightVersionField: string,
-): TextEventReader => {
+/** Where a reader begins, and how far its text may go. */
+export interface TextReaderOptions {
+  /** Number of events received by earlier starts of the run. */
+  readonly previousEventCount: number;
+  /** Number of events that the whole text can have. */
+  readonly maximumEventCount: number;
+  /** Weight version named by the response headers. */
+  readonly initialVersion: number | null;
+  /** Event field that announces a change of the version. */
+  readonly weightVersionField: string;
+}
+
+/** Creates a reader of the response to one start of a run. */
+export const createTextEventReader = ({
+  previousEventCount,
+  maximumEventCount,
+  initialVersion,
+  weightVersionField,
+}: TextReaderOptions): TextEventReader => {
   const decoder = new TextDecoder();
   let events: string[] = [];
   let versions = new Set<number>();
@@ -95,7 +104,10 @@
       parser.feed(text);
     },
     hasEvents: () => events.length > 0,
-    isWithinLimits: () => bytesSinceEvent <= maximumEventBytes && totalBytes <= maximumTextBytes,
+    isWithinLimits: () =>
+      bytesSinceEvent <= maximumEventBytes &&
+      totalBytes <= maximumTextBytes &&
+      eventCount <= maximumEventCount,
     take: () => {
       const part = { text: events, versions: [...versions] };
       events = [];
--- a/src/daemon/jobs/test/node/textEventReader.test.ts
+++ b/src/daemon/jobs/test/node/textEventReader.test.ts
@@ -9,11 +9,18 @@
 
 const field = 'x-version';
 
+const options = {
+  previousEventCount: 0,
+  maximumEventCount: 100,
+  initialVersion: 1,
+  weightVersionField: field,
+};
+
 const eventOf = (id: number, version?: string): string =>
   `${version === undefined ? '' : `${field}: ${version}\n`}id: ${id}\ndata: text ${id}\n\n`;
 
 const readEvents = (...events: readonly string[]) => {
-  const reader = createTextEventReader(0, 1, field);
+  const reader = createTextEventReader(options);
   events.forEach((event) => reader.push(Buffer.from(event)));
   return { ...reader.take(), isInOrder: reader.isInOrder() };
 };
@@ -39,7 +46,7 @@
 
 ['\n', '\r\n', '\r'].forEach((lineEnd) =>
   test(`a text is between events only after a blank line (${JSON.stringify(lineEnd)})`, (t) => {
-    const reader = createTextEventReader(0, 1, field);
+    const reader = createTextEventReader(options);
     reader.push(Buffer.from(`id: 1${lineEnd}data: text${lineEnd}`));
     t.false(reader.isBetweenEvents(), 'the event is not ended yet');
     reader.push(Buffer.from(lineEnd));
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -81,6 +81,7 @@
   jobSubmitted: Topic.Voters,
   itemsListed: Topic.Voters,
   textsSaved: Topic.Voters,
+  textsDiscarded: Topic.Voters,
   jobEnded: Topic.Voters,
   jobForgotten: Topic.Voters,
   versionNamed: Topic.Voters,
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -97,6 +97,10 @@
       saved.forEach((part) => applySavedText(world, jobRow, part));
     return ok(undefined);
   },
+  textsDiscarded: ({ job, items }, world) => {
+    items.forEach((item) => world.jobItems.change(itemIdOf(job, item), { saved: null }));
+    return ok(undefined);
+  },
   jobEnded: ({ job }, world) => {
     world.jobs.change(asBrand(job), { state: JobState.Ended });
     world.events.append({ kind: EventKind.JobEnded, subject: { job } });
--- a/src/service/jobs/common/insertRuns.ts
+++ b/src/service/jobs/common/insertRuns.ts
@@ -7,6 +7,7 @@
 import type { World } from '../../world/common/world.js';
 import { findPartialText, findCompleteText } from './textReuse.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
+import { maximumEventsOf } from './outputLimit.js';
 import { emptyTextColumns } from './runChanges.js';
 import { saveIntervalMilliseconds } from './saveTexts.js';
 import { startScoring } from './scoring.js';
@@ -20,7 +21,7 @@
 
 /**
  * Returns the columns of the text that a run continues, and how much of it is saved in this job. A
- * text of an unknown software version is not continued.
+ * text of an unknown software version, or with more events than the item can have, is not continued.
  */
 const initialTextOf = (
   world: World,
@@ -29,7 +30,7 @@
 ): Pick<RunRow, keyof typeof emptyTextColumns> => {
   if (item.saved !== null) {
     const { events, text, softwareVersion } = item.saved;
-    if (softwareVersion === undefined) return emptyTextColumns;
+    if (softwareVersion === undefined || events > maximumEventsOf(item)) return emptyTextColumns;
     const saved = { savedEvents: events, savedCharacters: text.length };
     return { ...emptyTextColumns, ...item.saved, softwareVersion, ...saved };
   }
--- a/src/service/jobs/common/jobCommands.ts
+++ b/src/service/jobs/common/jobCommands.ts
@@ -30,6 +30,8 @@
   body: z.instanceof(Uint8Array),
   /** Prompt tokens plus the maximum of output tokens. */
   tokens: z.number(),
+  /** Maximum of output tokens; absent if the client gave none, as in entries of earlier releases. */
+  maximumOutputTokens: z.number().int().positive().optional(),
   /** Output tokens that the trainer expects; null if it gives no estimate. */
   expectedTokens: z.number().nullable(),
   /** Name of the group; the items of a group share their prompt. */
@@ -101,6 +103,13 @@
   saved: z.array(savedItemSchema),
 });
 
+/** Removes the saved texts of items, because the engine that wrote them turned out to be broken. */
+export const textsDiscardedSchema = z.object({
+  kind: z.literal('textsDiscarded'),
+  job: z.string(),
+  items: z.array(z.string()),
+});
+
 /** Ends a job: its runs are cancelled and its listed results are kept. */
 export const jobEndedSchema = z.object({ kind: z.literal('jobEnded'), job: z.string() });
 
@@ -111,6 +120,7 @@
   jobSubmittedSchema,
   itemsListedSchema,
   textsSavedSchema,
+  textsDiscardedSchema,
   jobEndedSchema,
   jobForgottenSchema,
 ] as const;
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -149,6 +149,8 @@
     }
   /** The upstream answered without an event, and its answer does not tell whether it failed. */
   | { readonly kind: 'inconclusive'; readonly reason: string }
+  /** The upstream sent more than the item can have; nothing that it wrote is text of the item. */
+  | { readonly kind: 'excessive'; readonly reason: string }
   /** The upstream certainly did not run the item. */
   | { readonly kind: 'notRun'; readonly reason: string }
   /** The upstream ran the item and answered with a failure. */
@@ -169,6 +171,12 @@
   readonly saved: SavedItem;
 }
 
+/** A saved text that waits to be removed from the log. */
+export interface DiscardedText {
+  readonly job: JobId;
+  readonly item: string;
+}
+
 /** The answer to a scoring request, parsed by the port; `score` is null if it contains none. */
 export interface ScoreFact {
   readonly call: CallId;
@@ -221,5 +229,6 @@
   runFacts: createRowQueue<RunFact>('runFacts', RowReader.System),
   itemResults: createRowQueue<QueuedResult>('itemResults', RowReader.System),
   savedTexts: createRowQueue<QueuedText>('savedTexts', RowReader.System),
+  discardedTexts: createRowQueue<DiscardedText>('discardedTexts', RowReader.System),
   scoreFacts: createRowQueue<ScoreFact>('scoreFacts', RowReader.System),
 });
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -18,7 +18,7 @@
 import { isVersionSetAllowed } from './allowedVersions.js';
 import { recordEnginePace } from './enginePace.js';
 import { cancelScoring, ItemFailureCause, queueItemResult } from './listItems.js';
-import { saveIntervalMilliseconds, queueUnsavedText } from './saveTexts.js';
+import { saveIntervalMilliseconds, queueTextRemoval, queueUnsavedText } from './saveTexts.js';
 import { insertRuns } from './insertRuns.js';
 import {
   avoidUpstream,
@@ -27,7 +27,7 @@
   recordRunEvent,
   requeueRun,
 } from './runChanges.js';
-import { continuationDeadlineOf } from './textContinuation.js';
+import { continuationDeadlineOf, discardText } from './textContinuation.js';
 import { completeText, confirmByProgress } from './textSources.js';
 
 /**
@@ -169,6 +169,15 @@
     const inconclusiveAnswers = run.inconclusiveAnswers + 1;
     requeueRun(world, run, { inconclusiveAnswers, confirmations: 0, backoffDeadline }, now);
   },
+  excessive: ({ reason }, world, run, _job, now) => {
+    recordRunEvent(world, EventKind.RunBroken, run, reason);
+    avoidUpstream(world, run, now);
+    queueTextRemoval(world, run);
+    const discarded = discardText(world, run, reason);
+    const backoffDeadline = deadlineAfter(now, computeBackoff(run.inconclusiveAnswers));
+    const inconclusiveAnswers = run.inconclusiveAnswers + 1;
+    requeueRun(world, discarded, { inconclusiveAnswers, backoffDeadline }, now);
+  },
   notRun: ({ reason }, world, run, _job, now) => {
     recordRunEvent(world, EventKind.RunNotStarted, run, reason);
     avoidUpstream(world, run, now, refusalAvoidanceMilliseconds);
--- a/src/service/jobs/common/saveTexts.ts
+++ b/src/service/jobs/common/saveTexts.ts
@@ -6,8 +6,8 @@
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import type { World } from '../../world/common/world.js';
-import type { SavedItem } from './jobCommands.js';
 import { divideIntoCommands } from './commandBatches.js';
+import type { JobCommand } from './jobCommands.js';
 import type { RunRow } from './jobTables.js';
 
 const proposalTimeoutMilliseconds = 5_000;
@@ -38,22 +38,39 @@
   world.runs.change(run.id, { savedEvents: run.events, savedCharacters: run.text.length });
 };
 
-/** Creates the system that proposes queued partial texts. */
+/** Queues the removal of the saved text of a run from the log. */
+export const queueTextRemoval = (world: World, run: RunRow): void => {
+  const item = world.jobItems.get(run.id);
+  if (item === undefined || (run.savedEvents === 0 && item.saved === null)) return;
+  world.discardedTexts.append({ job: run.job, item: item.item });
+};
+
+const groupByJob = <Row extends { readonly job: string }>(
+  rows: readonly Row[],
+): Map<string, Row[]> => {
+  const rowsByJob = new Map<string, Row[]>();
+  rows.forEach((row) => rowsByJob.set(row.job, [...(rowsByJob.get(row.job) ?? []), row]));
+  return rowsByJob;
+};
+
+const propose = (world: World, command: JobCommand, now: Instant): void =>
+  world.proposals.append({
+    id: world.identifiers.next('saved'),
+    command,
+    proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
+  });
+
+/** Creates the system that proposes queued partial texts, and after them the removal of others. */
 export const createTextSavingSystem = (world: World): System => ({
   name: 'saving',
   run: (now) => {
-    const savedByJob = new Map<string, SavedItem[]>();
-    world.savedTexts.takeAll().forEach(({ job, saved }) => {
-      savedByJob.set(job, [...(savedByJob.get(job) ?? []), saved]);
-    });
-    savedByJob.forEach((allSaved, job) =>
-      divideIntoCommands(allSaved).forEach((saved) =>
-        world.proposals.append({
-          id: world.identifiers.next('saved'),
-          command: { kind: 'textsSaved', job, saved },
-          proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
-        }),
+    groupByJob(world.savedTexts.takeAll()).forEach((rows, job) =>
+      divideIntoCommands(rows.map(({ saved }) => saved)).forEach((saved) =>
+        propose(world, { kind: 'textsSaved', job, saved }, now),
       ),
     );
+    groupByJob(world.discardedTexts.takeAll()).forEach((rows, job) =>
+      propose(world, { kind: 'textsDiscarded', job, items: rows.map(({ item }) => item) }, now),
+    );
   },
 });
--- a/src/service/jobs/common/textReuse.ts
+++ b/src/service/jobs/common/textReuse.ts
@@ -7,6 +7,7 @@
 import { isVersionSetAllowed, isSingleVersion } from './allowedVersions.js';
 import { ItemResult, type SavedText } from './jobCommands.js';
 import type { JobItemRow, JobRow } from './jobTables.js';
+import { maximumEventsOf } from './outputLimit.js';
 
 /** Returns the rows of the same item in other jobs of the same model and workspace. */
 export const findSameItemInOtherJobs = (
@@ -59,6 +60,7 @@
   return findSameItemInOtherJobs(world, job, item)
     .map(({ saved }) => saved)
     .filter(isContinuable)
+    .filter(({ events }) => events <= maximumEventsOf(item))
     .filter((saved) => isVersionSetAllowed(world, job, saved.versions))
     .reduce<ContinuableText | undefined>(
       (longest, saved) => (saved.events > (longest?.events ?? 0) ? saved : longest),
