Take no time of an earlier process, or of the future, as evidence

Cause: a voter sends a reading of its clock, which starts with its process; the leader kept the larger of the old and the new value over the restart and echoed it, and the voter took it as proof that it was current, far in its future.

Ruled out: a read that is answered before a thawed process has looked at its deadlines (the check compares times when it answers, and without the restart no read is old).

Why this works: instants that another daemon echoes carry the incarnation of the process whose clock was read. One function decides whether an echo is evidence; one of another incarnation or in the future is not. The same holds for the renewals that extend a lease, where an answer to the renewal of an earlier process could have let two leaders act, and for the requests of learners.

--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -1,9 +1,9 @@
 /**
  * Schemas of the messages that daemons exchange for the replicated log. An instant in a message is
- * a reading of one daemon's monotonic clock, in milliseconds, that is echoed back to the same
- * daemon. No other daemon may compare it with its own clock.
+ * a reading of the clock of one process that is echoed back to it; see the module `echoedInstant`.
  */
 import * as z from 'zod';
+import { echoedInstantSchema } from '../../world/common/echoedInstant.js';
 import { commandSchema } from './command.js';
 import { logEntrySchema } from './logEntry.js';
 
@@ -38,9 +38,9 @@
   entries: z.array(logEntrySchema),
   commitIndex: index,
   /** Time at which the message was sent, by the leader's clock. */
-  renewal: z.number(),
+  renewal: echoedInstantSchema,
   /** `answeredAt` of the receiver's last answer if the leader's lease is valid, otherwise null. */
-  currentAsOf: z.number().nullable(),
+  currentAsOf: echoedInstantSchema.nullable(),
 });
 
 export const appendAnsweredSchema = z.object({
@@ -54,9 +54,10 @@
    * last entry that can match.
    */
   matchIndex: index,
-  renewal: z.number(),
+  /** `renewal` of the message that it answers. */
+  renewal: echoedInstantSchema,
   /** Time at which the answer was sent, by the sender's clock. */
-  answeredAt: z.number(),
+  answeredAt: echoedInstantSchema,
 });
 
 export const proposalForwardedSchema = z.object({
@@ -91,7 +92,7 @@
   afterIndex: index,
   isRelay: z.boolean(),
   /** Time at which the request was sent, by the learner's clock. */
-  askedAt: z.number(),
+  askedAt: echoedInstantSchema,
 });
 
 export const entriesFollowedSchema = z.object({
@@ -106,12 +107,12 @@
   /** Whether the learner must ask for more at once, because entries wait to be acknowledged. */
   isAcknowledgementDue: z.boolean(),
   /** `askedAt` of the learner's last request. */
-  askedAt: z.number(),
+  askedAt: echoedInstantSchema,
   /**
    * Milliseconds since the sender last knew that it held all committed entries. Null if it never
    * knew, or if the message does not reach the sender's last entry.
    */
-  age: z.number().nullable(),
+  age: z.number().nonnegative().nullable(),
 });
 
 /** Schema of all messages of the replicated log. */
--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -132,7 +132,7 @@
       matchIndex: 0,
       acknowledgedIndex: lastIndex,
       renewedAt: Number.NEGATIVE_INFINITY,
-      answeredAt: Number.NEGATIVE_INFINITY,
+      answeredAt: null,
       renewalDeadline: now,
       sentCommitIndex: 0,
     }),
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -11,6 +11,7 @@
 import { maximumUnacknowledgedBytes } from '../../../infrastructure/wire/common/frameLimits.js';
 import { distanceTo } from '../../membership/common/contacts.js';
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
+import { createEchoedInstant, readEchoedInstant } from '../../world/common/echoedInstant.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import type { ConsensusMessage } from './consensusMessages.js';
@@ -79,7 +80,7 @@
         kind: 'followRequested',
         afterIndex: commitIndex,
         isRelay: hasFullLog(world),
-        askedAt: now,
+        askedAt: createEchoedInstant(world, now),
       },
     });
   });
@@ -167,6 +168,12 @@
   });
 };
 
+/** Returns the time at which this learner was known to be current, or negative infinity. */
+const confirmationOf = (world: World, { age, askedAt }: FollowedEntries, now: Instant): Instant => {
+  const echoed = readEchoedInstant(world, askedAt, now);
+  return age === null || echoed === undefined ? Number.NEGATIVE_INFINITY : echoed - age;
+};
+
 /**
  * Keeps the relay that confirms this learner as current, or from which it catches up. A relay that
  * answers but is itself disconnected from the leader has nothing more to send, and times out. A
@@ -174,13 +181,13 @@
  */
 const extendRelay = (
   world: World,
-  { age, askedAt, isAcknowledgementDue, throughIndex }: FollowedEntries,
+  { isAcknowledgementDue, throughIndex }: FollowedEntries,
+  confirmedAt: Instant,
   previousIndex: number,
   now: Instant,
 ): void => {
   const { relayDeadline, followDeadline } = replicaOf(world);
   const isCatchingUp = isAcknowledgementDue && throughIndex > previousIndex;
-  const confirmedAt = age === null ? Number.NEGATIVE_INFINITY : askedAt - age;
   const keptAsOf = isCatchingUp ? now : confirmedAt;
   changeReplica(world, {
     relayDeadline: Math.max(relayDeadline, deadlineAfter(keptAsOf, relayTimeoutMilliseconds)),
@@ -210,8 +217,8 @@
     if (state !== ReplicaState.Learner || sender.id !== relay) return;
     if (followed.afterIndex > commitIndex) return;
     applyFollowedEntries(world, followed);
-    extendRelay(world, followed, commitIndex, now);
-    const confirmedAt = followed.age === null ? currentAsOf : followed.askedAt - followed.age;
+    const confirmedAt = confirmationOf(world, followed, now);
+    extendRelay(world, followed, confirmedAt, commitIndex, now);
     changeReplica(world, {
       term: Math.max(term, followed.term),
       leader: followed.leader === null ? null : asBrand<DaemonId>(followed.leader),
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -10,6 +10,7 @@
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { Message } from '../../messages/common/message.js';
+import type { EchoedInstant } from '../../world/common/echoedInstant.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { Command } from './command.js';
 import type { ProposalId, ProposalOutcome } from './consensusTables.js';
@@ -115,7 +116,7 @@
    */
   readonly renewedAt: Instant;
   /** Time at which this member sent its last answer, by its own clock; echoed back to it. */
-  readonly answeredAt: Instant;
+  readonly answeredAt: EchoedInstant | null;
   readonly renewalDeadline: Instant;
   /** Commit index that was last sent to this member. */
   readonly sentCommitIndex: number;
@@ -136,7 +137,7 @@
   /** Time from which sent entries count as lost, unless it acknowledges some before. */
   readonly resendDeadline: Instant;
   /** Time at which it sent its last request, by its own clock; echoed back to it. */
-  readonly askedAt: Instant;
+  readonly askedAt: EchoedInstant;
   readonly silenceDeadline: Instant;
 }
 
--- a/src/service/consensus/common/replication.ts
+++ b/src/service/consensus/common/replication.ts
@@ -7,6 +7,7 @@
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { Batch } from '../../../infrastructure/wire/common/frameLimits.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import { createEchoedInstant, readEchoedInstant } from '../../world/common/echoedInstant.js';
 import type { World } from '../../world/common/world.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import {
@@ -61,11 +62,8 @@
       previousTerm: termAt(world, previousIndex) ?? 0,
       entries,
       commitIndex,
-      renewal: now,
-      currentAsOf:
-        isCurrentLeader(replicaOf(world), now) && Number.isFinite(member.answeredAt)
-          ? member.answeredAt
-          : null,
+      renewal: createEchoedInstant(world, now),
+      currentAsOf: isCurrentLeader(replicaOf(world), now) ? member.answeredAt : null,
     },
   });
   world.members.change(member.id, {
@@ -148,7 +146,7 @@
     term: replicaOf(world).term,
     renewal: append.renewal,
     isNew: !replicaOf(world).hasJoined,
-    answeredAt: now,
+    answeredAt: createEchoedInstant(world, now),
     ...result,
   });
 
@@ -183,11 +181,12 @@
   return matchIndex;
 };
 
-const recordFreshness = (world: World, append: Append): void => {
+const recordFreshness = (world: World, append: Append, now: Instant): void => {
   const { commitIndex, lastIndex, currentAsOf } = replicaOf(world);
-  if (append.currentAsOf === null || commitIndex < append.commitIndex) return;
+  const confirmedAt = readEchoedInstant(world, append.currentAsOf, now);
+  if (confirmedAt === undefined || commitIndex < append.commitIndex) return;
   if (lastIndex >= append.commitIndex) markJoined(world);
-  changeReplica(world, { currentAsOf: Math.max(currentAsOf, append.currentAsOf) });
+  changeReplica(world, { currentAsOf: Math.max(currentAsOf, confirmedAt) });
 };
 
 /** Handlers for the messages of replication. */
@@ -210,7 +209,7 @@
       return;
     }
     const matchIndex = storeAppendedEntries(world, append);
-    recordFreshness(world, append);
+    recordFreshness(world, append, now);
     sendAppendAnswer(world, append, leader, now, { accepted: true, matchIndex });
   },
   appendAnswered: (answered, world, voter, now) => {
@@ -218,10 +217,11 @@
     const member = world.members.get(voter.id);
     const { state, term } = replicaOf(world);
     if (member === undefined || state !== ReplicaState.Leader || answered.term !== term) return;
+    const renewedAt = readEchoedInstant(world, answered.renewal, now);
     world.members.change(voter.id, {
       ...computeProgress(world, member, answered, now),
-      renewedAt: Math.max(member.renewedAt, answered.renewal),
-      answeredAt: Math.max(member.answeredAt, answered.answeredAt),
+      renewedAt: Math.max(member.renewedAt, renewedAt ?? Number.NEGATIVE_INFINITY),
+      answeredAt: answered.answeredAt,
       renewalDeadline: answered.accepted ? member.renewalDeadline : now,
     });
     extendLease(world, now);
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -34,7 +34,7 @@
   matchIndex: 0,
   acknowledgedIndex: replicaOf(world).lastIndex,
   renewedAt: Number.NEGATIVE_INFINITY,
-  answeredAt: Number.NEGATIVE_INFINITY,
+  answeredAt: null,
   renewalDeadline: replicaOf(world).state === ReplicaState.Leader ? 0 : never,
   sentCommitIndex: 0,
 });
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -27,6 +27,8 @@
   readonly name: string;
   readonly core: Core;
   readonly incarnation: number;
+  /** Time of the installation at which the clock of this process read 0. */
+  readonly clockOrigin: Instant;
 }
 
 /** The services that a fake port can use. */
@@ -57,6 +59,11 @@
   readonly voters?: (name: string, incarnation: number) => readonly string[];
   /** Daemons that are not started with the installation. */
   readonly initiallyStopped?: readonly string[];
+  /**
+   * Whether the clock of each process starts at 0, as on a VM; otherwise all of them are the time of
+   * the installation.
+   */
+  readonly hasOwnClocks?: boolean;
   /** Duration of a disk sync. */
   readonly syncDelay?: Milliseconds;
   /** Observes each message between daemons when it is sent. */
@@ -156,17 +163,18 @@
   const tick = (name: string): void => {
     const daemon = daemons.get(name);
     if (daemon === undefined || frozen.has(name)) return;
-    const outcome = daemon.core.ticker.tick(time.now());
+    const { clockOrigin } = daemon;
+    const outcome = daemon.core.ticker.tick(time.now() - clockOrigin);
     if (outcome.isErr()) throw new Error(`${name}: ${outcome.error.message}`);
     ports.get(name)!.forEach((port) => port.drain());
     sendMessages(daemon);
     collectEvents(daemon);
-    nextTickDeadlines.set(name, daemon.core.ticker.nextDeadline());
+    nextTickDeadlines.set(name, daemon.core.ticker.nextDeadline() + clockOrigin);
   };
 
   const contextOf = (daemon: VirtualDaemon): VirtualContext => ({
     daemon,
-    now: time.now,
+    now: () => time.now() - daemon.clockOrigin,
     scheduleAlways: time.schedule,
     schedule: (delay, action) =>
       time.schedule(delay, () =>
@@ -183,6 +191,7 @@
     const incarnation = (incarnations.get(name) ?? 0) + 1;
     incarnations.set(name, incarnation);
     const { deployment, tree, seed } = options;
+    const clockOrigin = options.hasOwnClocks === true ? time.now() : 0;
     const random = createRandom(seed + incarnation * 1000 + deployment.daemons.indexOf(self));
     const core = createCore(
       {
@@ -195,10 +204,10 @@
         voters: options.voters?.(name, incarnation),
         fleet: options.fleet,
       },
-      time.now(),
+      time.now() - clockOrigin,
       options.profile,
     );
-    const daemon: VirtualDaemon = { name, core, incarnation };
+    const daemon: VirtualDaemon = { name, core, incarnation, clockOrigin };
     daemons.set(name, daemon);
     const context = contextOf(daemon);
     const createStorage = () => createVirtualStoragePort(context, disks.get(name)!, syncDelay);
@@ -213,7 +222,9 @@
   const isUnfrozen = (name: string): boolean => !frozen.has(name);
 
   const refreshTickDeadlines = (): void =>
-    daemons.forEach(({ name, core }) => nextTickDeadlines.set(name, core.ticker.nextDeadline()));
+    daemons.forEach(({ name, core, clockOrigin }) =>
+      nextTickDeadlines.set(name, core.ticker.nextDeadline() + clockOrigin),
+    );
 
   const unfrozenTickDeadlines = (): [string, Instant][] =>
     [...nextTickDeadlines].filter(([name]) => isUnfrozen(name));
