Keep the current segment in use until the next one is open

Cause: the store closed the full segment and counted on before it opened the next one. When a full disk refused that, each later append went to the closed file until a restart; with two of three voters in that state nothing commits.

Ruled out: a write that is cut within a segment (tested: it is truncated and repeated), and a replica that stops after a failure (on the platform writes are retried until they succeed).

Why this works: an error while the next segment is opened or synced changes nothing, so the retry does the same again.

Evidence: two of the five new tests fail with the old order ("file closed"), all pass now; they refuse the opening, the sync and a part of the write.

--- a/src/infrastructure/storage/node/segmentStore.ts
+++ b/src/infrastructure/storage/node/segmentStore.ts
@@ -73,31 +73,63 @@
     });
 };
 
+/** Opens a file for appending. */
+export type OpenFile = (path: string, flags: 'a') => Promise<FileHandle>;
+
 const syncFolder = async (folder: string): Promise<void> => {
   const handle = await open(folder, 'r');
   await handle.sync();
   await handle.close();
 };
 
-/** Opens a segment for appending at `length` bytes, and syncs the file and the folder. */
-const openSegment = async (folder: string, number: number, length: number): Promise<FileHandle> => {
-  const handle = await open(join(folder, segmentName(number)), 'a');
+const prepareSegment = async (
+  handle: FileHandle,
+  folder: string,
+  length: number,
+): Promise<FileHandle> => {
   await handle.truncate(length);
   await handle.sync();
   await syncFolder(folder);
   return handle;
 };
 
-const createAppender = async (folder: string, lastNumber: number, lastBytes: number) => {
+/**
+ * Opens a segment for appending at `length` bytes, and syncs the file and the folder. After an error
+ * the same segment can be opened again.
+ */
+const openSegment = async (
+  folder: string,
+  number: number,
+  length: number,
+  openFile: OpenFile,
+): Promise<FileHandle> => {
+  const handle = await openFile(join(folder, segmentName(number)), 'a');
+  try {
+    return await prepareSegment(handle, folder, length);
+  } catch (error) {
+    await handle.close();
+    throw error;
+  }
+};
+
+const createAppender = async (
+  folder: string,
+  lastNumber: number,
+  lastBytes: number,
+  openFile: OpenFile,
+) => {
   let number = lastNumber;
   let bytes = lastBytes;
-  let handle = await openSegment(folder, number, bytes);
+  let handle = await openSegment(folder, number, bytes, openFile);
 
+  /** The current segment stays open until the next one is, so that an error changes nothing. */
   const startNextSegment = async (): Promise<void> => {
-    await handle.close();
+    const next = await openSegment(folder, number + 1, 0, openFile);
+    const previous = handle;
     number += 1;
     bytes = 0;
-    handle = await openSegment(folder, number, bytes);
+    handle = next;
+    await previous.close();
   };
 
   let hasPartialWrite = false;
@@ -123,12 +155,15 @@
     Result.combine(numbers.map((number) => readSegment(folder, number, number === numbers.length))),
   );
 
-const openWithoutLock = async (folder: string): Promise<Result<SegmentStore, StorageError>> => {
+const openWithoutLock = async (
+  folder: string,
+  openFile: OpenFile,
+): Promise<Result<SegmentStore, StorageError>> => {
   const segments = readFolder(folder);
   if (segments.isErr()) return err(segments.error);
   const lastNumber = Math.max(1, segments.value.length);
   const lastBytes = segments.value.at(-1)?.validBytes ?? 0;
-  const appender = await createAppender(folder, lastNumber, lastBytes);
+  const appender = await createAppender(folder, lastNumber, lastBytes, openFile);
   return ok({
     values: segments.value.flatMap(({ values }) => values),
     append: (records) => ResultAsync.fromPromise(appender.append(records), toStorageError),
@@ -140,18 +175,20 @@
 export interface SegmentStoreOptions {
   /** Whether to lock the folder against a second process; requires hard links. */
   readonly shouldLock: boolean;
+  /** Opens a segment file; by default the function of the runtime. */
+  readonly openFile?: OpenFile;
 }
 
 const noLock: Disposable = createDisposable(() => {});
 
 const openWithLock = async (
   folder: string,
-  { shouldLock }: SegmentStoreOptions,
+  { shouldLock, openFile = open }: SegmentStoreOptions,
 ): Promise<Result<SegmentStore, StorageError>> => {
   mkdirSync(folder, { recursive: true });
   const lock = shouldLock ? lockFolder(folder) : ok(noLock);
   if (lock.isErr()) return err(lock.error);
-  const outcome = await ResultAsync.fromPromise(openWithoutLock(folder), toStorageError);
+  const outcome = await ResultAsync.fromPromise(openWithoutLock(folder, openFile), toStorageError);
   const store = outcome.andThen((result) => result);
   if (store.isErr()) lock.value.dispose();
   return store.map((opened) => ({
--- a/src/infrastructure/storage/test/node/segmentStore.test.ts
+++ b/src/infrastructure/storage/test/node/segmentStore.test.ts
@@ -3,11 +3,12 @@
  * errors.
  */
 import { mkdtempSync, readFileSync, rmSync, truncateSync, writeFileSync } from 'node:fs';
+import { open } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
 import { encodeRecord } from '../../node/recordCodec.js';
-import { openSegmentStore } from '../../node/segmentStore.js';
+import { openSegmentStore, type OpenFile } from '../../node/segmentStore.js';
 
 const createFolder = (): string => mkdtempSync(join(tmpdir(), 'shallotquay-storage-'));
 const firstSegmentPath = (folder: string): string => join(folder, 'log-00000001.segment');
@@ -82,3 +83,81 @@
   writeFileSync(join(folder, 'lock'), '1 0 another-boot');
   t.deepEqual(await readRecords(folder), []);
 });
+
+/** More than a segment, so that the next append starts a new one. */
+const fullSegment = 'x'.repeat(9 * 1024 * 1024);
+
+const createFullDiskError = (): Error =>
+  Object.assign(new Error('ENOSPC: no space left on device'), { code: 'ENOSPC' });
+
+/** What a full disk refuses. */
+type RefusedCall = 'open' | 'sync' | 'appendFile';
+
+/** Opens files of a disk that refuses one kind of call while `isFull` returns true. */
+const createFullDisk =
+  (refused: RefusedCall, isFull: () => boolean): OpenFile =>
+  async (path, flags) => {
+    if (refused === 'open' && isFull()) throw createFullDiskError();
+    const handle = await open(path, flags);
+    const { sync, appendFile } = handle;
+    return Object.assign(handle, {
+      sync: async () => {
+        if (refused === 'sync' && isFull()) throw createFullDiskError();
+        await sync.call(handle);
+      },
+      appendFile: async (bytes: Buffer) => {
+        const isRefused = refused === 'appendFile' && isFull();
+        await appendFile.call(handle, isRefused ? bytes.subarray(0, bytes.length / 2) : bytes);
+        if (isRefused) throw createFullDiskError();
+      },
+    });
+  };
+
+const refusedCalls: readonly RefusedCall[] = ['open', 'sync', 'appendFile'];
+
+refusedCalls.forEach((refused) =>
+  test(`Acks: records are appended again after a full disk refused ${refused} (next segment)`, async (t) => {
+    const folder = createFolder();
+    let isFull = false;
+    const openFile = createFullDisk(refused, () => isFull);
+    const options = { shouldLock: true, openFile };
+    const store = (await openSegmentStore(folder, options))._unsafeUnwrap();
+    (await store.append([encodeRecord(fullSegment)]))._unsafeUnwrap();
+    isFull = true;
+    for (let attempt = 0; attempt < 3; attempt += 1) {
+      t.is((await store.append([encodeRecord('a')]))._unsafeUnwrapErr().kind, 'storageDiskFull');
+    }
+    isFull = false;
+    (await store.append([encodeRecord('a')]))._unsafeUnwrap();
+    (await store.append([encodeRecord('b')]))._unsafeUnwrap();
+    await store.dispose();
+    t.deepEqual(await readRecords(folder), [fullSegment, 'a', 'b']);
+  }),
+);
+
+test('records are appended again after a full disk cut a write within a segment', async (t) => {
+  const folder = createFolder();
+  let isFull = false;
+  const openFile = createFullDisk('appendFile', () => isFull);
+  const store = (await openSegmentStore(folder, { shouldLock: true, openFile }))._unsafeUnwrap();
+  (await store.append([encodeRecord('a')]))._unsafeUnwrap();
+  isFull = true;
+  t.is((await store.append([encodeRecord('b')]))._unsafeUnwrapErr().kind, 'storageDiskFull');
+  isFull = false;
+  (await store.append([encodeRecord('b')]))._unsafeUnwrap();
+  await store.dispose();
+  t.deepEqual(await readRecords(folder), ['a', 'b']);
+});
+
+test('a folder is read after a restart while the next segment could not be synced', async (t) => {
+  const folder = createFolder();
+  let isFull = false;
+  const openFile = createFullDisk('sync', () => isFull);
+  const store = (await openSegmentStore(folder, { shouldLock: true, openFile }))._unsafeUnwrap();
+  (await store.append([encodeRecord(fullSegment)]))._unsafeUnwrap();
+  isFull = true;
+  t.true((await store.append([encodeRecord('a')])).isErr());
+  await store.dispose();
+  await writeRecords(folder, ['a']);
+  t.deepEqual(await readRecords(folder), [fullSegment, 'a']);
+});
