Copy small chunks of answers into blocks

Cause: the collector of answers counted bytes and kept the chunks; each costs some 250 bytes beside its content.

Why this works: chunks under 4 KiB are copied into blocks of 1 to 64 KiB, so the memory of an answer is bounded by its bytes, which are limited for each answer and for all.

--- a/src/daemon/forwarding/node/answerCollector.ts
+++ b/src/daemon/forwarding/node/answerCollector.ts
@@ -3,6 +3,7 @@
  * end, so its size and the sum over all answers of the process are limited; if the sum is exceeded,
  * the largest answer is abandoned, so that a small one is not lost because of others.
  */
+import { createChunkList, type ChunkList } from '../../../base/node/chunkList.js';
 import type { Limits } from '../../../infrastructure/settings/common/deployment.js';
 
 /** One answer that is being collected. */
@@ -24,7 +25,7 @@
 }
 
 interface OpenAnswer {
-  chunks: Buffer[];
+  chunks: ChunkList;
   bytes: number;
   readonly onDidExceed: (reason: string) => void;
 }
@@ -37,10 +38,10 @@
   const openAnswers = new Set<OpenAnswer>();
   let collectedBytes = 0;
 
-  const release = (answer: OpenAnswer): Buffer[] => {
+  const release = (answer: OpenAnswer): ChunkList => {
     const { chunks } = answer;
     if (openAnswers.delete(answer)) collectedBytes -= answer.bytes;
-    Object.assign(answer, { chunks: [], bytes: 0 });
+    Object.assign(answer, { chunks: createChunkList(), bytes: 0 });
     return chunks;
   };
 
@@ -58,7 +59,7 @@
 
   const add = (answer: OpenAnswer, chunk: Buffer): void => {
     if (!openAnswers.has(answer)) return;
-    answer.chunks.push(chunk);
+    answer.chunks.add(chunk);
     Object.assign(answer, { bytes: answer.bytes + chunk.length });
     collectedBytes += chunk.length;
     if (answer.bytes > maximumAnswerBytes) abandon(answer, 'answer exceeds the maximum size');
@@ -67,11 +68,11 @@
 
   return {
     open: (onDidExceed) => {
-      const answer: OpenAnswer = { chunks: [], bytes: 0, onDidExceed };
+      const answer: OpenAnswer = { chunks: createChunkList(), bytes: 0, onDidExceed };
       openAnswers.add(answer);
       return {
         add: (chunk) => add(answer, chunk),
-        take: () => Buffer.concat(release(answer)),
+        take: () => release(answer).join(),
         discard: () => {
           release(answer);
         },
