Let what the log has under way fit the send buffer

Cause: the send buffer had the size of what may be unacknowledged. Frames that are written together count as buffered until the last of them is written, when the receiver has acknowledged the first ones and is sent more.

--- a/src/daemon/peers/node/peerPort.ts
+++ b/src/daemon/peers/node/peerPort.ts
@@ -17,7 +17,7 @@
   stampSchema,
   type EventSubject,
 } from '../../../infrastructure/timeline/common/timelineEvent.js';
-import { maximumUnacknowledgedBytes } from '../../../infrastructure/wire/common/frameLimits.js';
+import { maximumBufferedBytes } from '../../../infrastructure/wire/common/frameLimits.js';
 import {
   createFrameDecoder,
   encodeFrame,
@@ -74,7 +74,7 @@
   });
   return {
     send: (frame) => {
-      const hasRoom = socket.writableLength <= maximumUnacknowledgedBytes;
+      const hasRoom = socket.writableLength <= maximumBufferedBytes;
       if (hasRoom) socket.write(frame);
       acknowledgementDeadline = Math.min(
         acknowledgementDeadline,
--- a/src/infrastructure/wire/common/frameLimits.ts
+++ b/src/infrastructure/wire/common/frameLimits.ts
@@ -16,11 +16,15 @@
 /** Maximum size of the rows of one message; other messages to the receiver wait no longer. */
 export const maximumBatchBytes = 256 * 1024;
 
+/** Maximum size of rows that were sent to one receiver and not acknowledged. */
+export const maximumUnacknowledgedBytes = 1024 * 1024;
+
 /**
- * Maximum size of rows that were sent to one receiver and not acknowledged. It is also the size of
- * the send buffer of a connection, beyond which messages are dropped.
+ * Maximum bytes in the send buffer of a connection; messages beyond it are dropped. Frames that are
+ * written together count until the last of them is written, when the receiver may have acknowledged
+ * the others and be sent as much again, and both may be sent again after a delay.
  */
-export const maximumUnacknowledgedBytes = 1024 * 1024;
+export const maximumBufferedBytes = 4 * maximumUnacknowledgedBytes;
 
 /** Limits of the rows of one message. */
 export interface BatchLimits {
