Give every call its final answer before a stopping process ends

Cause: the stop waited for running requests for its time and exited; neither they nor their admission knew of the end.

Why this works: the world holds the time by which answers have to be out. Calls end by then, with 504 where they may have run and a true 503 otherwise; once the advice to callers has expired, a call whose deadline lies beyond is refused at once as not run, and others are served.

--- a/src/service/forwarding/common/callRefusal.ts
+++ b/src/service/forwarding/common/callRefusal.ts
@@ -11,6 +11,8 @@
   NotReady: 'notReady',
   UnknownRoute: 'unknownRoute',
   UnknownKey: 'unknownKey',
+  /** This daemon stops before the call would have to end. */
+  Leaving: 'leaving',
   /** No upstream accepted the call in time. */
   NoUpstream: 'noUpstream',
   /** The deadline has passed, and the call did not run. */
@@ -55,6 +57,11 @@
     message: 'This daemon has no current declaration; send the request to another daemon.',
     retryMilliseconds: notReadyRetryMilliseconds,
   },
+  leaving: {
+    isNotRun: true,
+    message: 'This daemon is stopping; send the request to another daemon.',
+    retryMilliseconds: 0,
+  },
   unknownRoute: {
     isNotRun: true,
     message: 'No route is declared for this host and path; check both.',
--- a/src/service/forwarding/common/callSystem.ts
+++ b/src/service/forwarding/common/callSystem.ts
@@ -97,7 +97,7 @@
     maximumAttempts: route.maximumAttempts,
     offerDeadline: computeOfferDeadline(arrived, route, now),
     silenceMilliseconds: route.objectiveMilliseconds * silenceObjectiveFactor,
-    callDeadline: computeCallDeadline(arrived, route, now),
+    callDeadline: Math.min(computeCallDeadline(arrived, route, now), world.stopDeadline()),
     backoffDeadline: now,
   });
   world.metrics.count('calls.admitted', 1, { route: route.name });
@@ -112,11 +112,32 @@
   now: Instant,
 ): void => refuseCall(world, world.calls.put(createCallRow(arrived, now)), kind, now);
 
+/**
+ * Whether a call would have to be ended because this process stops. Before the advice to callers has
+ * expired they can't know, and most calls end long before their deadline.
+ */
+const wouldOutlastProcess = (
+  world: World,
+  arrived: ArrivedCall,
+  route: RouteRow,
+  now: Instant,
+): boolean => {
+  if (now >= world.stopDeadline()) return true;
+  return (
+    world.isRefusingNewRequests() && computeCallDeadline(arrived, route, now) > world.stopDeadline()
+  );
+};
+
 const handleArrivedCall = (world: World, arrived: ArrivedCall, now: Instant): void =>
   checkCaller(world, arrived, now)
     .andThen((allowed) =>
       allowed.route.kind === RouteKind.Job ? err(CallRefusalKind.UnknownRoute) : ok(allowed),
     )
+    .andThen((allowed) =>
+      wouldOutlastProcess(world, arrived, allowed.route, now)
+        ? err(CallRefusalKind.Leaving)
+        : ok(allowed),
+    )
     .match(
       ({ route, workspace }) => admitCall(world, arrived, route, workspace, now),
       (kind) => refuseArrivedCall(world, arrived, kind, now),
@@ -132,18 +153,31 @@
   if (call.attempts === 0) refuseCall(world, call, CallRefusalKind.NoUpstream, now);
 };
 
+/** Lets the calls that have not ended get their final answers before this process stops. */
+const applyStopDeadline = (world: World): void =>
+  [...world.calls.rows()]
+    .filter((call) => !hasCallEnded(call) && call.callDeadline > world.stopDeadline())
+    .forEach(({ id }) => world.calls.change(id, { callDeadline: world.stopDeadline() }));
+
 /** Creates the system that admits calls and ends those whose deadline has passed. */
-export const createCallSystem = (world: World): System => ({
-  name: 'call',
-  run: (now) => {
-    world.arrivedCalls.takeAll().forEach((arrived) => handleArrivedCall(world, arrived, now));
-    world.departedCalls.takeAll().forEach((id) => {
-      const call = world.calls.get(id);
-      if (call !== undefined && !hasCallEnded(call)) cancelCall(world, call, now);
-    });
-    world.calls.takeDue('call', now).forEach((call) => expireCall(world, call, now));
-    refuseUnlocatedCalls(world, now);
-    world.calls.takeDue('offer', now).forEach((call) => refuseUnsentCall(world, call, now));
-    removeExpiredCalls(world, now);
-  },
-});
+export const createCallSystem = (world: World): System => {
+  let appliedStopDeadline = never;
+  return {
+    name: 'call',
+    run: (now) => {
+      if (world.stopDeadline() !== appliedStopDeadline) {
+        appliedStopDeadline = world.stopDeadline();
+        applyStopDeadline(world);
+      }
+      world.arrivedCalls.takeAll().forEach((arrived) => handleArrivedCall(world, arrived, now));
+      world.departedCalls.takeAll().forEach((id) => {
+        const call = world.calls.get(id);
+        if (call !== undefined && !hasCallEnded(call)) cancelCall(world, call, now);
+      });
+      world.calls.takeDue('call', now).forEach((call) => expireCall(world, call, now));
+      refuseUnlocatedCalls(world, now);
+      world.calls.takeDue('offer', now).forEach((call) => refuseUnsentCall(world, call, now));
+      removeExpiredCalls(world, now);
+    },
+  };
+};
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -2,7 +2,7 @@
  * The world of one daemon: all its tables, and the settings and resources that systems use besides
  * rows.
  */
-import type { WallClock } from '../../../base/common/time.js';
+import { never, type Instant, type WallClock } from '../../../base/common/time.js';
 import type { Random } from '../../../base/common/random.js';
 import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
 import {
@@ -125,6 +125,9 @@
   /** Whether earlier advice to callers has expired, so that new requests are refused. */
   readonly isRefusingNewRequests: () => boolean;
   readonly setRefusingNewRequests: () => void;
+  /** Time by which every request must have its final answer, because this process stops then. */
+  readonly stopDeadline: () => Instant;
+  readonly setStopDeadline: (deadline: Instant) => void;
   readonly allTables: readonly AnyTable[];
 }
 
@@ -144,6 +147,7 @@
   let { tree } = options;
   let isLeavingNow = false;
   let isRefusingNow = false;
+  let currentStopDeadline: Instant = never;
   return {
     ...tables,
     deployment: options.deployment,
@@ -168,6 +172,10 @@
     setRefusingNewRequests: () => {
       isRefusingNow = true;
     },
+    stopDeadline: () => currentStopDeadline,
+    setStopDeadline: (deadline) => {
+      currentStopDeadline = deadline;
+    },
     allTables: Object.values(tables),
   };
 };
