Close connections whose body is discarded and does not end

Cause: bodies of which only the head counts were read to their end, so that connections can be used again.

--- a/src/daemon/duties/node/weightOrderPort.ts
+++ b/src/daemon/duties/node/weightOrderPort.ts
@@ -16,6 +16,7 @@
   WeightOrderRow,
 } from '../../../service/weights/common/versionTables.js';
 import type { UpstreamStart } from '../../../service/registry/common/registryTables.js';
+import { discardBody } from '../../forwarding/node/discardBody.js';
 import { readHeaders, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
 
@@ -52,8 +53,7 @@
   ): void => {
     const head = { status: response.statusCode ?? 0, headers: readHeaders(response) };
     if (dialect.isLeaving(head)) world.leavingFacts.append(start);
-    response.on('error', () => response.destroy());
-    response.resume();
+    discardBody(response);
     report(order, dialect.classifyOrderStatus(head.status));
   };
 
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -15,6 +15,7 @@
 } from '../../../service/jobs/common/jobTables.js';
 import { maximumEventsOf } from '../../../service/jobs/common/outputLimit.js';
 import type { World } from '../../../service/world/common/world.js';
+import { discardBody } from '../../forwarding/node/discardBody.js';
 import { createNamedSender, type OwnedClass } from '../../forwarding/node/ownedAnswers.js';
 import { isDelimitedResponse, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { ResponseHead, UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
@@ -112,12 +113,6 @@
     response.on('end', () => finish(classifyEnd(), 'incomplete response, or no events in order'));
   };
 
-  /** Discards the body of a response without text, so that its connection can be reused. */
-  const discardBody = (response: IncomingMessage): void => {
-    response.on('error', () => response.destroy());
-    response.resume();
-  };
-
   const responseHandlers: Readonly<
     Record<OwnedClass, (run: RunRow, head: ResponseHead, response: IncomingMessage) => void>
   > = {
