Accept heartbeats of a process that started by an earlier wall clock

What operators would see: a daemon that is started again after its wall clock was set back stays suspected at all others for good; a voter of this kind is replaced, an entry is not advised.

Cause: an incarnation is the time of a start by the wall clock, and heartbeats of a lower one were dropped as late ones.

Why this works: a lower incarnation is accepted once the process with the higher one is suspected, so a late heartbeat of an earlier process still changes nothing while the new one is alive.

--- a/src/service/membership/common/membershipHandlers.ts
+++ b/src/service/membership/common/membershipHandlers.ts
@@ -37,20 +37,30 @@
   { incarnation, lists, listsVersion }: UnionMember<MembershipMessage, 'heartbeat'>,
   now: Instant,
 ): void => {
-  const isNewIncarnation = incarnation > sender.incarnation;
+  const isNewIncarnation = incarnation !== sender.incarnation;
   if (isNewIncarnation) world.daemons.change(sender.id, { appliedLists: 0 });
   if (lists !== undefined) handleLists(world, sender, lists, now);
   else if (listsVersion !== undefined && !isNewIncarnation)
     handleListsVersion(world, sender, listsVersion, now);
 };
 
+/**
+ * Whether a heartbeat comes from an earlier process of a daemon. An incarnation is the time of a start
+ * by the wall clock, which may have been set back before the next start, so a lower one is accepted
+ * once the process with the higher one is silent.
+ */
+const isOutdated = (
+  { incarnation }: UnionMember<MembershipMessage, 'heartbeat'>,
+  daemon: DaemonRow,
+): boolean => incarnation < daemon.incarnation && daemon.state !== DaemonState.Suspected;
+
 export const membershipHandlers: HandlerTable<
   MembershipMessage,
   void,
   [World, DaemonRow, Instant]
 > = {
   heartbeat: (message, world, daemon, now) => {
-    if (message.incarnation < daemon.incarnation) return;
+    if (isOutdated(message, daemon)) return;
     handleDepartures(world, message.departures ?? [], now);
     (message.reports ?? []).forEach((registration) =>
       world.arrivedRegistrations.append({ registration, isDirect: false }),
