Keep the resend deadline of a learner while a message to it is outstanding

Found by reading: each message without rows set the time anew from which a lost one counts as lost, so a learner whose requests come a little early could be answered from beyond the entry that it lacks more than once in a row. The deadline is set when nothing is outstanding, and with each acknowledgement. The new test guards against it (a message about entries that the learner does not receive is lost in 20 rounds); it was not seen to fail before.

--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -124,7 +124,7 @@
     sentIndex: throughIndex,
     unacknowledgedBytes,
     resendDeadline:
-      learner.unacknowledgedBytes === 0
+      learner.sentIndex === learner.acknowledgedIndex
         ? deadlineAfter(now, resendDelayMilliseconds)
         : learner.resendDeadline,
   });
--- a/src/service/consensus/test/common/largeEntries.test.ts
+++ b/src/service/consensus/test/common/largeEntries.test.ts
@@ -184,3 +184,26 @@
   installation.runFor(settleMilliseconds);
   t.is(versionAt(installation, entry), 2);
 });
+
+/** Two requests of the learner, and the delay after which entries are sent again. */
+const resynchronizationMilliseconds = 1_600;
+
+test('a learner that lost a message about entries which it does not receive is current again soon', (t) => {
+  const { installation } = openFixture(6);
+  propose(installation, 'd1', 1);
+  installation.runFor(changeMilliseconds);
+  for (let round = 0; round < 20; round += 1) {
+    voters.forEach((name) => installation.cut(name, entry));
+    worldOf(installation, 'd1').proposals.append({
+      id: asBrand(`version-${round}`),
+      command: { kind: 'versionNamed', model: 'm0', version: round + 2 },
+      proposalDeadline: installation.now() + settleMilliseconds,
+    });
+    installation.wake('d1');
+    installation.runFor(50 + 17 * round);
+    voters.forEach((name) => installation.heal(name, entry));
+    installation.runFor(resynchronizationMilliseconds);
+    const { currentAsOf } = replicaOf(worldOf(installation, entry));
+    t.true(installation.now() - currentAsOf < resynchronizationMilliseconds, `round ${round}`);
+  }
+});
