--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -6,6 +6,7 @@
 import { echoedInstantSchema } from '../../world/common/echoedInstant.js';
 import { commandSchema } from './command.js';
 import { logEntrySchema } from './logEntry.js';
+import { VoteRefusal } from './voteRefusal.js';
 
 const term = z.number().int().nonnegative();
 const index = z.number().int().nonnegative();
@@ -27,7 +28,8 @@
   /** The requested term if the vote is granted, otherwise the term of the sender. */
   term,
   isPreVote: z.boolean(),
-  granted: z.boolean(),
+  /** Why the vote is refused; null if it is granted. */
+  refusal: z.enum(VoteRefusal).nullable(),
 });
 
 export const entriesAppendedSchema = z.object({
--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -56,7 +56,7 @@
 
 const resetVotes = (world: World): void =>
   [...world.members.rows()].forEach(({ id, isSelf }) =>
-    world.members.change(id, { hasGrantedVote: isSelf }),
+    world.members.change(id, { hasGrantedVote: isSelf, voteRefusal: null }),
   );
 
 const joinMemberNames = (world: World): string =>
@@ -209,13 +209,13 @@
     const refusal = findVoteRefusal(world, request, candidate, now);
     if (refusal === null && !isPreVote) grantVote(world, candidate, now);
     recordVoteDecision(world, request, candidate, refusal);
-    const granted = refusal === null;
-    const term = granted ? request.term : replicaOf(world).term;
-    sendAfterSync(world, candidate.id, { kind: 'voteAnswered', term, isPreVote, granted });
+    const term = refusal === null ? request.term : replicaOf(world).term;
+    sendAfterSync(world, candidate.id, { kind: 'voteAnswered', term, isPreVote, refusal });
   },
   voteAnswered: (answer, world, voter, now) => {
     if (!isElectionParticipant(world)) return;
-    if (!answer.granted) {
+    if (answer.refusal !== null) {
+      world.members.change(voter.id, { voteRefusal: answer.refusal });
       adoptHigherTerm(world, answer.term, now);
       return;
     }
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -16,6 +16,7 @@
 import type { ProposalId, ProposalOutcome } from './consensusTables.js';
 import type { DurableState, StorageWrite } from './durableState.js';
 import type { LogEntry } from './logEntry.js';
+import type { VoteRefusal } from './voteRefusal.js';
 
 export const ReplicaState = {
   /** A voter whose storage has not been read yet. */
@@ -102,6 +103,8 @@
   readonly id: DaemonId;
   readonly isSelf: boolean;
   readonly hasGrantedVote: boolean;
+  /** Why it refused its last vote to this daemon; null if it granted it or has not answered. */
+  readonly voteRefusal: VoteRefusal | null;
   readonly nextIndex: number;
   readonly matchIndex: number;
   /** Index from which sent entries count as unacknowledged. */
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -29,6 +29,7 @@
   id,
   isSelf: id === world.self.name,
   hasGrantedVote: false,
+  voteRefusal: null,
   nextIndex: replicaOf(world).lastIndex + 1,
   ...unsentColumns,
   matchIndex: 0,
--- a/src/service/consensus/common/votes.ts
+++ b/src/service/consensus/common/votes.ts
@@ -1,7 +1,7 @@
 /**
  * Decides whether this voter grants its vote to a candidate, and records the decision.
  */
-import type { UnionMember, ValueOf } from '../../../base/common/handlers.js';
+import type { UnionMember } from '../../../base/common/handlers.js';
 import type { Instant } from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
@@ -10,21 +10,10 @@
 import { canVoteFor } from './joining.js';
 import { replicaOf } from './replicaLog.js';
 import { ReplicaState } from './replicaTables.js';
+import { VoteRefusal } from './voteRefusal.js';
 
 type VoteRequest = UnionMember<ConsensusMessage, 'voteRequested'>;
 
-/** Reason for refusing a vote. */
-export const VoteRefusal = {
-  /** The lease of this voter, or of the last leader that contacted it, may still be valid. */
-  HasActiveLeader: 'keepsToLeader',
-  /** The voter or the candidate lost its disk and has not caught up; see the module `joining`. */
-  NotJoined: 'notJoined',
-  LogBehind: 'logBehind',
-  StaleTerm: 'termPassed',
-  VotedForAnother: 'votedForAnother',
-} as const;
-export type VoteRefusal = ValueOf<typeof VoteRefusal>;
-
 /** Whether this daemon leads with a valid lease, or must still respect the lease of a leader. */
 export const hasActiveLeader = (world: World, now: Instant): boolean => {
   const { state, voteRefusalDeadline, leaseDeadline } = replicaOf(world);
