Show the mixtures of disks that never elect a leader again (red)

Three voters start with every mixture of states of their disks, as the first election, lost disks and returning ones leave them. Two founding voters without the third, one of which has granted a vote, log the record's line: a pre-vote for term 2 refused with notJoined, again and again.

--- /dev/null
+++ b/src/service/consensus/test/common/voterStates.test.ts
@@ -0,0 +1,184 @@
+/**
+ * Guards against an installation that never elects a leader again, or none at all, after a disk was
+ * lost. Three voters start with every mixture of states of their disks. In a mixture where they must
+ * wait, an accepted entry may be held only by a voter that is gone.
+ */
+import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
+import type { ValueOf } from '../../../../base/common/handlers.js';
+import { encodeRecord } from '../../../../infrastructure/storage/node/recordCodec.js';
+import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
+import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
+import {
+  createTestDeployment,
+  createTestTree,
+} from '../../../../../standins/virtual/testDeployment.js';
+import {
+  createVirtualInstallation,
+  type VirtualInstallation,
+} from '../../../../../standins/virtual/virtualInstallation.js';
+import { Profile } from '../../../core/common/core.js';
+import type { Command } from '../../common/command.js';
+import type { StorageWrite } from '../../common/durableState.js';
+import type { LogEntry } from '../../common/logEntry.js';
+import { replicaOf } from '../../common/replicaLog.js';
+import { isCurrentLeader } from '../../common/replicaTables.js';
+
+const names = ['d1', 'd2', 'd3'];
+/** `recoveryS` of the users' requirements. */
+const recoveryMilliseconds = 12_000;
+
+/** What the disk of a voter holds. */
+const DiskState = {
+  /** The voters of the first start and nothing else. */
+  Founding: 'founding',
+  /** It was a candidate in the first term. */
+  WasCandidate: 'wasCandidate',
+  /** It granted its vote in the first term. */
+  HasVoted: 'hasVoted',
+  /** The first entries of the log. */
+  HoldsPart: 'holdsPart',
+  /** The whole log. */
+  HoldsLog: 'holdsLog',
+  /** It was lost, and the first entries have come back since. */
+  CatchesUp: 'catchesUp',
+  /** It was lost, and nothing has come back. */
+  Emptied: 'emptied',
+  /** Lost together with its daemon. */
+  Gone: 'gone',
+} as const;
+type DiskState = ValueOf<typeof DiskState>;
+
+const commands: readonly Command[] = [
+  { kind: 'leadershipTaken', leader: 'd1' },
+  { kind: 'votersSet', voters: names },
+  testDeclarationCommand(1),
+  testDeclarationCommand(2),
+];
+const partLength = 2;
+
+const entries: readonly LogEntry[] = commands.map((command, position) => ({
+  index: position + 1,
+  term: 1,
+  proposal: asBrand(`entry-${position + 1}`),
+  origin: 'd1',
+  command,
+}));
+
+const voteFor = (votedFor: string): StorageWrite => ({ kind: 'vote', term: 1, votedFor });
+const joined: StorageWrite = { kind: 'joined' };
+const writeOfEntries = (count: number): StorageWrite => ({
+  kind: 'entries',
+  entries: entries.slice(0, count),
+});
+
+const writesByState: Readonly<Record<DiskState, (name: string) => readonly StorageWrite[]>> = {
+  founding: () => [],
+  wasCandidate: (name) => [voteFor(name)],
+  hasVoted: () => [voteFor('d1'), joined],
+  holdsPart: () => [voteFor('d1'), joined, writeOfEntries(partLength)],
+  holdsLog: () => [voteFor('d1'), joined, writeOfEntries(entries.length)],
+  catchesUp: () => [writeOfEntries(partLength)],
+  emptied: () => [],
+  gone: () => [],
+};
+
+/** Whether the disk has been the same since the first start. */
+const isOriginal: Readonly<Record<DiskState, boolean>> = {
+  founding: true,
+  wasCandidate: true,
+  hasVoted: true,
+  holdsPart: true,
+  holdsLog: true,
+  catchesUp: false,
+  emptied: false,
+  gone: false,
+};
+
+const start = (states: readonly DiskState[], seed: number): VirtualInstallation => {
+  const stateOf = (name: string): DiskState => states[names.indexOf(name)]!;
+  const installation = createVirtualInstallation({
+    deployment: {
+      ...createTestDeployment(names.length, names.length),
+      discovery: Discovery.Announced,
+    },
+    tree: createTestTree(),
+    seed,
+    profile: Profile.Declaration,
+    fleet: { ...defaultFleetSettings, voterCount: names.length },
+    voters: (name) => (isOriginal[stateOf(name)] ? names : []),
+    initiallyStopped: names,
+  });
+  names.forEach((name) => {
+    const disk = installation.disk(name);
+    writesByState[stateOf(name)](name).forEach((write) => disk.write(encodeRecord(write)));
+    disk.sync();
+  });
+  names
+    .filter((name) => stateOf(name) !== DiskState.Gone)
+    .forEach((name) => installation.start(name));
+  return installation;
+};
+
+const hasLeader = (installation: VirtualInstallation): boolean =>
+  installation
+    .runningNames()
+    .some((name) =>
+      isCurrentLeader(replicaOf(installation.daemon(name).core.world), installation.now()),
+    );
+
+const count = (states: readonly DiskState[], isCounted: (state: DiskState) => boolean): number =>
+  states.filter(isCounted).length;
+
+/** Whether a voter with this disk knows who votes. */
+const knowsVoters = (state: DiskState): boolean =>
+  isOriginal[state] || state === DiskState.CatchesUp;
+
+const hasOriginalQuorum = (states: readonly DiskState[]): boolean =>
+  count(states, (state) => isOriginal[state]) > names.length / 2;
+
+/** Whether no voter is gone, and at least one of them knows who votes. */
+const isComplete = (states: readonly DiskState[]): boolean =>
+  !states.includes(DiskState.Gone) && states.some(knowsVoters);
+
+const allStates = Object.values(DiskState);
+
+/** Every multiset of three states. */
+const mixtures = allStates.flatMap((first, firstPosition) =>
+  allStates
+    .slice(firstPosition)
+    .flatMap((second, offset) =>
+      allStates.slice(firstPosition + offset).map((third) => [first, second, third] as const),
+    ),
+);
+
+const seeds = [1, 2, 3];
+
+/** Runs each mixture with each seed, and describes those that do not end as expected. */
+const findDeviations = (
+  selected: readonly (readonly DiskState[])[],
+  shouldElect: boolean,
+): string[] =>
+  selected.flatMap((states) =>
+    seeds
+      .filter((seed) => {
+        const installation = start(states, seed);
+        installation.runFor(recoveryMilliseconds);
+        return hasLeader(installation) !== shouldElect;
+      })
+      .map((seed) => `${states.join(', ')} (seed ${seed})`),
+  );
+
+test('voters elect a leader if more than half of the disks are the original ones', (t) => {
+  t.deepEqual(findDeviations(mixtures.filter(hasOriginalQuorum), true), []);
+});
+
+test('voters elect a leader if all are present, whatever their disks hold', (t) => {
+  t.deepEqual(findDeviations(mixtures.filter(isComplete), true), []);
+});
+
+test('voters wait for those that are gone if half of the disks or more were lost', (t) => {
+  const waiting = mixtures.filter((states) => !hasOriginalQuorum(states) && !isComplete(states));
+  t.deepEqual(findDeviations(waiting, false), []);
+});
