Let an initial voter with its first disk vote like one that has joined

Cause: every initial voter counted as one that may have lost its disk, until the first election was over. So the first leader needed the votes of all three, and a voter that was lost for good, emptied, or restarted before it had stored the voters ended the installation for ever.

Why this fix works: the voters are stored on the disk at the first start alone, and a machine that lost its disk starts without them. So a voter that has them has lost nothing, and its vote counts as in any other election: a majority elects the first leader. What the rule protects is unchanged, as a voter without them still has to catch up first.

Ruled out: adding a timeout after which fewer votes are enough, as it could elect a leader without an accepted entry when the missing voter is only slow.

--- a/src/service/consensus/common/storageFacts.ts
+++ b/src/service/consensus/common/storageFacts.ts
@@ -10,6 +10,7 @@
 import type { World } from '../../world/common/world.js';
 import { electionDeadlineAfterLeadershipEnd, findLeaderInLog } from './endedLeadership.js';
 import { minimumElectionTimeoutMilliseconds } from './consensusTiming.js';
+import { isFoundingVoter, markJoined } from './joining.js';
 import {
   changeReplica,
   nextElectionDeadline,
@@ -54,7 +55,8 @@
 const handlers: HandlerTable<StorageFact, void, [World, Instant]> = {
   recovered: ({ state }, world, now) => {
     if (replicaOf(world).state !== ReplicaState.Recovering) return;
-    const isFirstStart = !state.hasJoined && state.term === 0 && state.entries.length === 0;
+    // A voter syncs its term before it answers a leader, so it has not answered any.
+    const isFirstStart = state.term === 0 && state.entries.length === 0;
     state.entries.forEach((entry) => putEntry(world, entry));
     changeReplica(world, {
       state: ReplicaState.Follower,
@@ -73,6 +75,7 @@
     });
     restoreLeaderFromLog(world, now);
     applyLoggedVoters(world);
+    if (isFoundingVoter(world)) markJoined(world);
     if (!world.members.has(asBrand<DaemonId>(world.self.name))) becomeLearner(world, now);
   },
   synced: ({ sequence }, world) => {
