Count the votes of voters that lost their disk where every voter votes

Cause: a voter that has not joined refused its vote to every candidate with a log, and a machine without voters on its disk answered no candidate at all. Only a leader can make a voter join, so once too few had joined, none could ever be elected, although every disk that still existed was there. Class: a state that only a leader ends, and that prevents the election of a leader.

Why this fix works: such a voter grants its vote by the same comparison of logs, and says that it is conditional. It counts only if every voter grants its vote. Then no existing disk holds more than the candidate, so nothing that still exists is lost; a voter that is away, with a disk that may hold more, still prevents it. Granting a vote no longer marks a voter as joined, as the candidate may fail and the voter lack entries. Learners adopt a higher term without becoming voters.

Ruled out: letting a voter that has not joined complete a quorum. A leader without an accepted entry could be elected while the only voter with it is down.

--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -17,8 +17,6 @@
   term,
   /** Whether this is a pre-vote, which only asks whether the vote would be granted. */
   isPreVote: z.boolean(),
-  /** Whether the sender has not joined yet; see the module `joining`. */
-  isNew: z.boolean(),
   lastIndex: index,
   lastTerm: term,
 });
@@ -30,6 +28,8 @@
   isPreVote: z.boolean(),
   /** Why the vote is refused; null if it is granted. */
   refusal: z.enum(VoteRefusal).nullable(),
+  /** Whether the vote counts only together with those of all voters; see the module `joining`. */
+  isConditional: z.boolean(),
 });
 
 export const entriesAppendedSchema = z.object({
--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -16,7 +16,7 @@
   minimumElectionTimeoutMilliseconds,
   orderDelayAfterElectionMilliseconds,
 } from './consensusTiming.js';
-import { markJoined, requiredVotes } from './joining.js';
+import { hasEnoughVotes, markJoined, ownVoteOf } from './joining.js';
 import {
   appendEntry,
   changeReplica,
@@ -27,7 +27,8 @@
   sendAfterSync,
   nonLeaderColumns,
 } from './replicaLog.js';
-import { ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
+import { GrantedVote, ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
+import { canVote } from './voters.js';
 import { findVoteRefusal, hasActiveLeader, recordVoteDecision } from './votes.js';
 
 /** Returns the voters other than this daemon. */
@@ -56,14 +57,17 @@
 
 const resetVotes = (world: World): void =>
   [...world.members.rows()].forEach(({ id, isSelf }) =>
-    world.members.change(id, { hasGrantedVote: isSelf, voteRefusal: null }),
+    world.members.change(id, {
+      grantedVote: isSelf ? ownVoteOf(world) : GrantedVote.None,
+      voteRefusal: null,
+    }),
   );
 
 const joinMemberNames = (world: World): string =>
   [...world.members.rows()].map(({ id }) => id).join(',');
 
 const requestVotes = (world: World, term: number, isPreVote: boolean): void => {
-  const { lastIndex, lastTerm, hasJoined } = replicaOf(world);
+  const { lastIndex, lastTerm } = replicaOf(world);
   world.events.append({
     kind: EventKind.VotesRequested,
     subject: { term, isPreVote, lastTerm, lastIndex, voters: joinMemberNames(world) },
@@ -72,7 +76,6 @@
     kind: 'voteRequested',
     term,
     isPreVote,
-    isNew: !hasJoined,
     lastIndex,
     lastTerm,
   } as const;
@@ -97,7 +100,7 @@
 /** Adopts the term of another voter if it is higher than the current term, and steps down. */
 export const adoptHigherTerm = (world: World, term: number, now: Instant): void => {
   if (term <= replicaOf(world).term) return;
-  becomeFollower(world, now);
+  if (isElectionParticipant(world)) becomeFollower(world, now);
   setTerm(world, term, null);
 };
 
@@ -153,17 +156,12 @@
   world.events.append({ kind: EventKind.LeadershipTaken, subject: { term } });
 };
 
-const hasQuorumOfVotes = (world: World): boolean => {
-  const granted = [...world.members.rows()].filter((member) => member.hasGrantedVote);
-  return granted.length >= requiredVotes(world);
-};
-
 /**
- * Moves from the pre-vote to the election, or from the election to leadership, once a quorum has
- * granted its votes. This daemon's own vote counts once it is synced.
+ * Moves from the pre-vote to the election, or from the election to leadership, once enough voters
+ * have granted their votes. This daemon's own vote counts once it is synced.
  */
 export const advanceElection = (world: World, now: Instant): void => {
-  if (!isSynced(world) || !hasQuorumOfVotes(world)) return;
+  if (!isSynced(world) || !hasEnoughVotes(world)) return;
   const { state } = replicaOf(world);
   if (state === ReplicaState.PreCandidate) startElection(world, now);
   else if (state === ReplicaState.Candidate) startLeadership(world, now);
@@ -192,17 +190,26 @@
 const grantVote = (world: World, candidate: DaemonRow, now: Instant): void => {
   const { term, votedFor } = replicaOf(world);
   if (votedFor === null) setTerm(world, term, candidate.id);
-  markJoined(world);
-  changeReplica(world, { electionDeadline: nextElectionDeadline(world, now) });
+  if (isElectionParticipant(world))
+    changeReplica(world, { electionDeadline: nextElectionDeadline(world, now) });
 };
 
+/**
+ * Whether this daemon answers a candidate: as a voter among the candidate's peers, or as a daemon
+ * with a disk that does not know of any voters, because the disk that told them was lost.
+ */
+const canAnswerCandidate = (world: World, candidate: DaemonRow): boolean =>
+  replicaOf(world).state === ReplicaState.Learner
+    ? canVote(world)
+    : isElectionParticipant(world) && world.members.has(candidate.id);
+
 /** Handlers for the messages of elections. */
 export const electionHandlers: Pick<
   HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]>,
   'voteRequested' | 'voteAnswered'
 > = {
   voteRequested: (request, world, candidate, now) => {
-    if (!isElectionParticipant(world) || !world.members.has(candidate.id)) return;
+    if (!canAnswerCandidate(world, candidate)) return;
     const { isPreVote } = request;
     const isNewTerm = !isPreVote && !hasActiveLeader(world, now);
     if (isNewTerm) adoptHigherTerm(world, request.term, now);
@@ -210,7 +217,14 @@
     if (refusal === null && !isPreVote) grantVote(world, candidate, now);
     recordVoteDecision(world, request, candidate, refusal);
     const term = refusal === null ? request.term : replicaOf(world).term;
-    sendAfterSync(world, candidate.id, { kind: 'voteAnswered', term, isPreVote, refusal });
+    const isConditional = ownVoteOf(world) === GrantedVote.Conditional;
+    sendAfterSync(world, candidate.id, {
+      kind: 'voteAnswered',
+      term,
+      isPreVote,
+      refusal,
+      isConditional,
+    });
   },
   voteAnswered: (answer, world, voter, now) => {
     if (!isElectionParticipant(world)) return;
@@ -224,6 +238,7 @@
       answer.isPreVote && state === ReplicaState.PreCandidate && answer.term === term + 1;
     const isVoteAnswer =
       !answer.isPreVote && state === ReplicaState.Candidate && answer.term === term;
-    if (isPreVoteAnswer || isVoteAnswer) world.members.change(voter.id, { hasGrantedVote: true });
+    const grantedVote = answer.isConditional ? GrantedVote.Conditional : GrantedVote.Full;
+    if (isPreVoteAnswer || isVoteAnswer) world.members.change(voter.id, { grantedVote });
   },
 };
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -27,7 +27,7 @@
   type LearnerBatch,
 } from './learnerProgress.js';
 import type { LogEntry } from './logEntry.js';
-import { changeReplica, putEntry, replicaOf, toLogEntry } from './replicaLog.js';
+import { changeReplica, putEntry, replicaOf, termAt, toLogEntry } from './replicaLog.js';
 import { isCurrentLeader, ReplicaState, type FollowingLearnerRow } from './replicaTables.js';
 
 /** Whether this daemon stores entries of every topic, in order to vote on them or to relay them. */
@@ -156,7 +156,7 @@
 };
 
 const applyFollowedEntries = (world: World, followed: FollowedEntries): void => {
-  const { commitIndex } = replicaOf(world);
+  const { commitIndex, lastTerm } = replicaOf(world);
   followed.entries
     .filter((entry) => entry.index > commitIndex)
     .forEach((entry) => deliverEntry(world, entry));
@@ -165,6 +165,7 @@
     commitIndex: throughIndex,
     deliveredIndex: throughIndex,
     lastIndex: throughIndex,
+    lastTerm: termAt(world, throughIndex) ?? lastTerm,
   });
 };
 
@@ -213,7 +214,7 @@
     sendLearnerBatch(world, learner, selectLearnerBatch(world, learner), now);
   },
   entriesFollowed: (followed, world, sender, now) => {
-    const { state, relay, commitIndex, term, currentAsOf } = replicaOf(world);
+    const { state, relay, commitIndex, term, votedFor, currentAsOf } = replicaOf(world);
     if (state !== ReplicaState.Learner || sender.id !== relay) return;
     if (followed.afterIndex > commitIndex) return;
     applyFollowedEntries(world, followed);
@@ -221,6 +222,7 @@
     extendRelay(world, followed, confirmedAt, commitIndex, now);
     changeReplica(world, {
       term: Math.max(term, followed.term),
+      votedFor: followed.term > term ? null : votedFor,
       leader: followed.leader === null ? null : asBrand<DaemonId>(followed.leader),
       currentAsOf: Math.max(currentAsOf, confirmedAt),
     });
--- a/src/service/consensus/common/joining.ts
+++ b/src/service/consensus/common/joining.ts
@@ -1,14 +1,15 @@
 /**
  * Voters whose disk was lost. Such a voter has forgotten its votes and the entries that it
- * acknowledged, so it must not vote before it has caught up with a leader whose lease is valid. An
- * initial voter whose disk is the one of the first start has lost nothing, so it counts as joined
- * from its start. Where the settings list the voters, an empty disk may be a new or a lost one; the
- * first leader of such an installation needs the votes of all voters. A voter with an entry in its
- * log never grants such a vote, so no committed entry can be lost.
+ * acknowledged, so until it has caught up with a leader whose lease is valid, its vote does not count
+ * towards a quorum: it is conditional on the votes of all others. Once every voter has granted its
+ * vote, no disk holds more than the candidate, so no entry that still exists can be lost. An initial
+ * voter whose disk is the one of the first start has lost nothing, so it counts as joined from its
+ * start. Where the settings list the voters, an empty disk may be a new or a lost one.
  */
 import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
 import type { World } from '../../world/common/world.js';
 import { changeReplica, replicaOf, requestWrite } from './replicaLog.js';
+import { GrantedVote, ReplicaState } from './replicaTables.js';
 
 /**
  * Whether the disk of this daemon has been the same since the installation was first started with
@@ -26,18 +27,19 @@
   requestWrite(world, { kind: 'joined' });
 };
 
-/** Whether this daemon can vote for a candidate, given whether the candidate is new. */
-export const canVoteFor = (world: World, isNew: boolean): boolean => {
-  const { hasJoined, lastIndex } = replicaOf(world);
-  return isNew ? lastIndex === 0 : hasJoined;
-};
-
 /**
- * Returns the number of votes that this daemon needs to be elected: a quorum if it has joined,
- * otherwise all voters. Returns infinity if there are no voters.
+ * Returns what the vote of this daemon counts: a voter that may have lost entries, and a daemon that
+ * does not know whether it votes, vote conditionally.
  */
-export const requiredVotes = (world: World): number => {
-  const voters = world.members.size();
-  if (voters === 0) return Number.POSITIVE_INFINITY;
-  return replicaOf(world).hasJoined ? Math.floor(voters / 2) + 1 : voters;
+export const ownVoteOf = (world: World): GrantedVote => {
+  const { hasJoined, state } = replicaOf(world);
+  return hasJoined && state !== ReplicaState.Learner ? GrantedVote.Full : GrantedVote.Conditional;
+};
+
+/** Whether the votes that this daemon was granted elect it. */
+export const hasEnoughVotes = (world: World): boolean => {
+  const votes = [...world.members.rows()].map(({ grantedVote }) => grantedVote);
+  const fullVotes = votes.filter((vote) => vote === GrantedVote.Full);
+  const isUnanimous = votes.length > 0 && !votes.includes(GrantedVote.None);
+  return fullVotes.length > votes.length / 2 || isUnanimous;
 };
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -98,11 +98,21 @@
 /** Returns the identifier of the entry at an index. */
 export const entryIdOf = (index: number): EntryId => asBrand(String(index));
 
+/** The vote of a voter for this daemon in its current pre-vote or election. */
+export const GrantedVote = {
+  None: 'none',
+  /** It counts only if all voters grant theirs; see the module `joining`. */
+  Conditional: 'conditional',
+  /** It counts towards a quorum. */
+  Full: 'full',
+} as const;
+export type GrantedVote = ValueOf<typeof GrantedVote>;
+
 /** A voter, with the replication progress that the leader tracks. */
 export interface MemberRow {
   readonly id: DaemonId;
   readonly isSelf: boolean;
-  readonly hasGrantedVote: boolean;
+  readonly grantedVote: GrantedVote;
   /** Why it refused its last vote to this daemon; null if it granted it or has not answered. */
   readonly voteRefusal: VoteRefusal | null;
   readonly nextIndex: number;
--- a/src/service/consensus/common/voteRefusal.ts
+++ b/src/service/consensus/common/voteRefusal.ts
@@ -8,8 +8,6 @@
 export const VoteRefusal = {
   /** The lease of this voter, or of the last leader that contacted it, may still be valid. */
   HasActiveLeader: 'keepsToLeader',
-  /** The voter or the candidate lost its disk and has not caught up; see the module `joining`. */
-  NotJoined: 'notJoined',
   LogBehind: 'logBehind',
   StaleTerm: 'termPassed',
   VotedForAnother: 'votedForAnother',
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -23,12 +23,18 @@
   nonLeaderColumns,
   toLogEntry,
 } from './replicaLog.js';
-import { entryIdOf, ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
+import {
+  entryIdOf,
+  GrantedVote,
+  ReplicaState,
+  unsentColumns,
+  type MemberRow,
+} from './replicaTables.js';
 
 const createMemberRow = (world: World, id: DaemonId): MemberRow => ({
   id,
   isSelf: id === world.self.name,
-  hasGrantedVote: false,
+  grantedVote: GrantedVote.None,
   voteRefusal: null,
   nextIndex: replicaOf(world).lastIndex + 1,
   ...unsentColumns,
--- a/src/service/consensus/common/votes.ts
+++ b/src/service/consensus/common/votes.ts
@@ -7,7 +7,6 @@
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
 import type { ConsensusMessage } from './consensusMessages.js';
-import { canVoteFor } from './joining.js';
 import { replicaOf } from './replicaLog.js';
 import { ReplicaState } from './replicaTables.js';
 import { VoteRefusal } from './voteRefusal.js';
@@ -36,7 +35,8 @@
 const hasVotedForAnother = (world: World, request: VoteRequest, candidate: DaemonRow): boolean => {
   const { term, votedFor, state } = replicaOf(world);
   if (request.isPreVote || request.term > term) return false;
-  return state !== ReplicaState.Follower || (votedFor !== null && votedFor !== candidate.id);
+  const hasOwnCandidacy = state !== ReplicaState.Follower && state !== ReplicaState.Learner;
+  return hasOwnCandidacy || (votedFor !== null && votedFor !== candidate.id);
 };
 
 /** Returns why this daemon refuses its vote to the candidate, or null if it grants it. */
@@ -50,7 +50,6 @@
     [VoteRefusal.HasActiveLeader, hasActiveLeader(world, now)],
     [VoteRefusal.StaleTerm, isTermStale(world, request)],
     [VoteRefusal.VotedForAnother, hasVotedForAnother(world, request, candidate)],
-    [VoteRefusal.NotJoined, !canVoteFor(world, request.isNew)],
     [VoteRefusal.LogBehind, isLogBehind(world, request)],
   ];
   return checks.find(([, isRefused]) => isRefused)?.[0] ?? null;
@@ -63,7 +62,7 @@
   candidate: DaemonRow,
   refusal: VoteRefusal | null,
 ): void => {
-  const { term, lastTerm, lastIndex } = replicaOf(world);
+  const { term, lastTerm, lastIndex, hasJoined } = replicaOf(world);
   world.events.append({
     kind: EventKind.VoteDecided,
     subject: {
@@ -74,6 +73,7 @@
       term,
       lastTerm,
       lastIndex,
+      hasJoined,
     },
   });
 };
--- a/src/service/consensus/test/common/votes.test.ts
+++ b/src/service/consensus/test/common/votes.test.ts
@@ -37,7 +37,6 @@
       kind: 'voteRequested',
       term,
       isPreVote: false,
-      isNew: true,
       lastIndex: 0,
       lastTerm: 0,
     },
