--- a/src/daemon/fleet/node/votersFile.ts
+++ b/src/daemon/fleet/node/votersFile.ts
@@ -3,7 +3,15 @@
  * installation. Later starts read this file, because by then the configured control daemons may
  * differ from the initial ones.
  */
-import { closeSync, fsyncSync, mkdirSync, openSync, readFileSync, writeSync } from 'node:fs';
+import {
+  closeSync,
+  fsyncSync,
+  mkdirSync,
+  openSync,
+  readFileSync,
+  renameSync,
+  writeSync,
+} from 'node:fs';
 import { join } from 'node:path';
 import { Result } from 'neverthrow';
 import * as z from 'zod';
@@ -23,12 +31,15 @@
   closeSync(descriptor);
 };
 
+/** Stores the voters in one step, so that a power loss leaves either no file or a complete one. */
 const writeVoters = (folder: string, voters: readonly string[]): void => {
   mkdirSync(folder, { recursive: true });
-  const descriptor = openSync(votersPath(folder), 'w');
+  const unfinishedPath = `${votersPath(folder)}.new`;
+  const descriptor = openSync(unfinishedPath, 'w');
   writeSync(descriptor, JSON.stringify(voters));
   fsyncSync(descriptor);
   closeSync(descriptor);
+  renameSync(unfinishedPath, votersPath(folder));
   syncPath(folder);
 };
 
