Count conditional votes only where no voter is missing

Found while looking for ways in which conditional votes could elect a candidate that lacks an accepted entry.

Cause: conditional votes count if all voters that the candidate knows grant theirs. While a voter is missing, there are two: d1 adds d4, and the two accept an entry. d1 loses its disk before d2 has heard of d4. d2 was elected with the vote that d1 had forgotten, although d4 held the entry. Before conditional votes, nobody was elected: d2 needed d1, and did not answer d4, which it did not know as a voter.

Why this fix works: conditional votes need as many voters as there are to be. From such a set on, a change is held by at least two of its voters once it is agreed, so after the loss of one disk another one refuses. A voter answers a candidate that it does not know as a voter, as it may lack the change that added it; the comparison of logs still decides.

Ruled out: adding the new voter before the missing one is removed. The set of four then needs every voter that is left.

--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -195,13 +195,12 @@
 };
 
 /**
- * Whether this daemon answers a candidate: as a voter among the candidate's peers, or as a daemon
- * with a disk that does not know of any voters, because the disk that told them was lost.
+ * Whether this daemon answers candidates: as a voter, or as a daemon with a disk that does not know of
+ * any voters, because the disk that told them was lost. A voter answers one that it does not know as
+ * a voter, too, as it may lack the change that added the candidate.
  */
-const canAnswerCandidate = (world: World, candidate: DaemonRow): boolean =>
-  replicaOf(world).state === ReplicaState.Learner
-    ? canVote(world)
-    : isElectionParticipant(world) && world.members.has(candidate.id);
+const canAnswerCandidates = (world: World): boolean =>
+  replicaOf(world).state === ReplicaState.Learner ? canVote(world) : isElectionParticipant(world);
 
 /** Handlers for the messages of elections. */
 export const electionHandlers: Pick<
@@ -209,7 +208,7 @@
   'voteRequested' | 'voteAnswered'
 > = {
   voteRequested: (request, world, candidate, now) => {
-    if (!canAnswerCandidate(world, candidate)) return;
+    if (!canAnswerCandidates(world)) return;
     const { isPreVote } = request;
     const isNewTerm = !isPreVote && !hasActiveLeader(world, now);
     if (isNewTerm) adoptHigherTerm(world, request.term, now);
--- a/src/service/consensus/common/joining.ts
+++ b/src/service/consensus/common/joining.ts
@@ -36,10 +36,18 @@
   return hasJoined && state !== ReplicaState.Learner ? GrantedVote.Full : GrantedVote.Conditional;
 };
 
+/**
+ * Whether the votes of all voters that this daemon knows are those of all who can hold accepted
+ * entries. While a voter is missing, the one that replaces it and a single other voter can accept
+ * entries that the rest know nothing of, not even that there is another voter.
+ */
+const isVoterSetComplete = (world: World): boolean =>
+  world.deployment.discovery === Discovery.Listed || world.members.size() >= world.fleet.voterCount;
+
 /** Whether the votes that this daemon was granted elect it. */
 export const hasEnoughVotes = (world: World): boolean => {
   const votes = [...world.members.rows()].map(({ grantedVote }) => grantedVote);
   const fullVotes = votes.filter((vote) => vote === GrantedVote.Full);
   const isUnanimous = votes.length > 0 && !votes.includes(GrantedVote.None);
-  return fullVotes.length > votes.length / 2 || isUnanimous;
+  return fullVotes.length > votes.length / 2 || (isUnanimous && isVoterSetComplete(world));
 };
