Count conditional votes only where they can vouch for the voters

What callers would see: an accepted change is gone, or two leaders hand out different configurations, after the loss of one disk. And a voter that missed a change of voters never takes part again, so no leader comes.

Cause: the unanimity of conditional votes is that of the voters that the candidate knows. (1) A leader of two voters adds a third and accepts entries with it. Its disk is lost, and the other of the two, which missed the change, was elected by the emptied one. (2) A voter that was removed and restarts is a learner whose table of entries is empty, while its disk is not; it granted its vote to a candidate without its entries. (3) A voter did not answer a candidate that is not among the voters that it knows, so a successor that was added could not be elected by a voter that had missed its addition.

Why this works: (1) two voters that can change are elected by full votes alone; with three, the next set of voters has every quorum in two of them, so one that exists refuses. Listed voters do not change and keep the rule. (2) Only a learner that knows of no voters answers. (3) A voter answers every candidate; the comparison of logs and the refusal for the sake of an active leader protect it, and its vote counts only where the candidate's voters include it.

Not mended: removed voters that were emptied and restart cut off from their successors still elect a stale candidate.

--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -195,13 +195,15 @@
 };
 
 /**
- * Whether this daemon answers a candidate: as a voter among the candidate's peers, or as a daemon
- * with a disk that does not know of any voters, because the disk that told them was lost.
+ * Whether this daemon answers a candidate. A voter answers those that it does not know as voters,
+ * too, because it may have missed the change that added them. A learner answers only if it knows of
+ * no voters, because its disk was lost: one that was removed has a disk with entries that its table
+ * of entries no longer holds, so it would grant its vote to a candidate without them.
  */
-const canAnswerCandidate = (world: World, candidate: DaemonRow): boolean =>
+const canAnswerCandidate = (world: World): boolean =>
   replicaOf(world).state === ReplicaState.Learner
-    ? canVote(world)
-    : isElectionParticipant(world) && world.members.has(candidate.id);
+    ? canVote(world) && world.members.size() === 0
+    : isElectionParticipant(world);
 
 /** Handlers for the messages of elections. */
 export const electionHandlers: Pick<
@@ -209,7 +211,7 @@
   'voteRequested' | 'voteAnswered'
 > = {
   voteRequested: (request, world, candidate, now) => {
-    if (!canAnswerCandidate(world, candidate)) return;
+    if (!canAnswerCandidate(world)) return;
     const { isPreVote } = request;
     const isNewTerm = !isPreVote && !hasActiveLeader(world, now);
     if (isNewTerm) adoptHigherTerm(world, request.term, now);
--- a/src/service/consensus/common/joining.ts
+++ b/src/service/consensus/common/joining.ts
@@ -36,10 +36,25 @@
   return hasJoined && state !== ReplicaState.Learner ? GrantedVote.Full : GrantedVote.Conditional;
 };
 
+/**
+ * Smallest number of changeable voters of which conditional votes can elect a leader. A leader of two
+ * voters may add a third and accept entries with it alone. If its disk is then lost, the other of the
+ * two holds none of these entries, and neither of the two knows of the third.
+ */
+const minimumVotersForUnanimity = 3;
+
+/** Whether votes that are in part conditional elect a daemon to which every voter grants its vote. */
+const canElectUnanimously = (world: World, voterCount: number): boolean =>
+  world.deployment.discovery === Discovery.Listed
+    ? voterCount > 0
+    : voterCount >= minimumVotersForUnanimity;
+
 /** Whether the votes that this daemon was granted elect it. */
 export const hasEnoughVotes = (world: World): boolean => {
   const votes = [...world.members.rows()].map(({ grantedVote }) => grantedVote);
   const fullVotes = votes.filter((vote) => vote === GrantedVote.Full);
-  const isUnanimous = votes.length > 0 && !votes.includes(GrantedVote.None);
-  return fullVotes.length > votes.length / 2 || isUnanimous;
+  const isUnanimous = !votes.includes(GrantedVote.None);
+  return (
+    fullVotes.length > votes.length / 2 || (isUnanimous && canElectUnanimously(world, votes.length))
+  );
 };
