Show that emptied daemons elect a removed voter (red)

What callers would see: two leaders with leases, two configurations, and entries that differ at one index. Voters are lost one after another and replaced; each disk that is lost is replaced before the next. Then all processes restart while the network splits between the successors and the first voters.

Ruled out: a larger smallest number of voters, as with three the same chain of changes repeats. Counting full votes alone would end it, and gives up the mixtures of voterStates.test.ts in which most disks were lost; this is to be decided.

--- a/src/service/consensus/test/common/staleVoters.test.ts
+++ b/src/service/consensus/test/common/staleVoters.test.ts
@@ -188,4 +188,30 @@
     t.deepEqual(violations(), []);
     t.true([successor, secondSuccessor].includes(leaderOf(installation)!));
   });
+
+  test(`emptied daemons that restart cut off from their successors elect no removed voter (seed ${seed})`, (t) => {
+    const { installation, violations, leader } = createInstallation(seed);
+    const [stale, removed] = initialVoters.filter((name) => name !== leader) as [string, string];
+    const successors = [successor, secondSuccessor];
+    installation.stop(stale);
+    installation.start(successor);
+    installation.runFor(changeMilliseconds);
+    declare(installation, leader, 2, acceptanceMilliseconds);
+    installation.stop(removed);
+    installation.disk(removed).clear();
+    installation.start(secondSuccessor);
+    installation.runFor(changeMilliseconds);
+    installation.start(removed);
+    installation.runFor(changeMilliseconds);
+    t.true(successors.every((name) => worldOf(installation, leader).members.has(asBrand(name))));
+
+    [leader, removed, ...successors].forEach((name) => installation.stop(name));
+    installation.disk(leader).clear();
+    [leader, stale, removed].forEach((name) =>
+      successors.forEach((other) => installation.cut(name, other)),
+    );
+    [leader, stale, removed, ...successors].forEach((name) => installation.start(name));
+    installation.runFor(recoveryMilliseconds);
+    t.deepEqual(violations(), []);
+  });
 });
