Count the votes of all voters only for candidates without entries

What callers would see: two leaders with a valid lease, and an accepted change replaced by another, after disks were lost one after the other.

Cause: unanimity covers the voters that the candidate knows. They may have been replaced since by daemons that hold accepted entries, and a voter that lost its disk cannot tell. A candidate without entries knows the first voters, and while one of them holds an entry, that one refuses.

--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -16,7 +16,7 @@
   minimumElectionTimeoutMilliseconds,
   orderDelayAfterElectionMilliseconds,
 } from './consensusTiming.js';
-import { hasEnoughVotes, markJoined, ownVoteOf } from './joining.js';
+import { hasEnoughVotes, hasLostDisk, markJoined, ownVoteOf } from './joining.js';
 import {
   appendEntry,
   changeReplica,
@@ -29,7 +29,7 @@
 } from './replicaLog.js';
 import { GrantedVote, ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
 import { canVote } from './voters.js';
-import { findVoteRefusal, hasActiveLeader, recordVoteDecision } from './votes.js';
+import { findVoteRefusal, hasActiveLeader, recordVoteDecision, type VoteRequest } from './votes.js';
 
 /** Returns the voters other than this daemon. */
 export const otherMembers = (world: World): MemberRow[] =>
@@ -187,9 +187,16 @@
     electionDeadlineHandlers[state](world, now);
   });
 
-const grantVote = (world: World, candidate: DaemonRow, now: Instant): void => {
+const grantVote = (
+  world: World,
+  request: VoteRequest,
+  candidate: DaemonRow,
+  now: Instant,
+): void => {
   const { term, votedFor } = replicaOf(world);
   if (votedFor === null) setTerm(world, term, candidate.id);
+  // The pre-votes of a candidate without entries have shown that no entry was accepted.
+  if (request.lastIndex === 0 && !hasLostDisk(world)) markJoined(world);
   if (isElectionParticipant(world))
     changeReplica(world, { electionDeadline: nextElectionDeadline(world, now) });
 };
@@ -215,7 +222,7 @@
     const isNewTerm = !isPreVote && !hasActiveLeader(world, now);
     if (isNewTerm) adoptHigherTerm(world, request.term, now);
     const refusal = findVoteRefusal(world, request, candidate, now);
-    if (refusal === null && !isPreVote) grantVote(world, candidate, now);
+    if (refusal === null && !isPreVote) grantVote(world, request, candidate, now);
     recordVoteDecision(world, request, candidate, refusal);
     const term = refusal === null ? request.term : replicaOf(world).term;
     const isConditional = ownVoteOf(world) === GrantedVote.Conditional;
--- a/src/service/consensus/common/joining.ts
+++ b/src/service/consensus/common/joining.ts
@@ -1,10 +1,10 @@
 /**
  * Voters whose disk was lost. Such a voter has forgotten its votes and the entries that it
  * acknowledged, so until it has caught up with a leader whose lease is valid, its vote does not count
- * towards a quorum: it is conditional on the votes of all others. Once every voter has granted its
- * vote, no disk holds more than the candidate, so no entry that still exists can be lost. An initial
- * voter whose disk is the one of the first start has lost nothing, so it counts as joined from its
- * start. Where the settings list the voters, an empty disk may be a new or a lost one.
+ * towards a quorum. An initial voter whose disk is the one of the first start has lost nothing, so it
+ * counts as joined from its start. Where the settings list the voters, an empty disk may be a new or a
+ * lost one: the first leader of an installation in which too few have joined needs the votes of all
+ * voters. One that holds an entry never grants such a vote, so no accepted entry can be lost.
  */
 import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
 import type { World } from '../../world/common/world.js';
@@ -41,17 +41,13 @@
 };
 
 /**
- * Whether the votes of all voters that this daemon knows are those of all who can hold accepted
- * entries. While a voter is missing, the one that replaces it and a single other voter can accept
- * entries that the rest know nothing of, not even that there is another voter.
+ * Whether the votes that this daemon was granted elect it. Conditional votes count only for a
+ * candidate without entries: the voters that another one knows may have been replaced since, by
+ * daemons that hold accepted entries.
  */
-const isVoterSetComplete = (world: World): boolean =>
-  world.deployment.discovery === Discovery.Listed || world.members.size() >= world.fleet.voterCount;
-
-/** Whether the votes that this daemon was granted elect it. */
 export const hasEnoughVotes = (world: World): boolean => {
   const votes = [...world.members.rows()].map(({ grantedVote }) => grantedVote);
   const fullVotes = votes.filter((vote) => vote === GrantedVote.Full);
   const isUnanimous = votes.length > 0 && !votes.includes(GrantedVote.None);
-  return fullVotes.length > votes.length / 2 || (isUnanimous && isVoterSetComplete(world));
+  return fullVotes.length > votes.length / 2 || (isUnanimous && replicaOf(world).lastIndex === 0);
 };
--- a/src/service/consensus/common/votes.ts
+++ b/src/service/consensus/common/votes.ts
@@ -11,7 +11,7 @@
 import { ReplicaState } from './replicaTables.js';
 import { VoteRefusal } from './voteRefusal.js';
 
-type VoteRequest = UnionMember<ConsensusMessage, 'voteRequested'>;
+export type VoteRequest = UnionMember<ConsensusMessage, 'voteRequested'>;
 
 /** Whether this daemon leads with a valid lease, or must still respect the lease of a leader. */
 export const hasActiveLeader = (world: World, now: Instant): boolean => {
--- a/src/service/consensus/test/common/firstElection.test.ts
+++ b/src/service/consensus/test/common/firstElection.test.ts
@@ -101,3 +101,25 @@
     });
   });
 });
+
+const hasTakenLead = (installation: VirtualInstallation): string | undefined =>
+  installation.events().find(({ kind }) => kind === 'leadershipTaken')?.process;
+
+[1, 2, 3, 4, 5].forEach((seed) => {
+  test(`listed voters elect another leader if the first one is lost at once, seed ${seed}`, (t) => {
+    const installation = createVirtualInstallation({
+      deployment: createTestDeployment(3, 3),
+      tree: createTestTree(),
+      seed,
+      latency: () => latencyMilliseconds,
+    });
+    while (hasTakenLead(installation) === undefined) installation.runFor(1);
+    const first = hasTakenLead(installation)!;
+    installation.stop(first);
+    installation.runFor(recoveryMilliseconds);
+    const leaders = installation
+      .events()
+      .filter(({ kind, process }) => kind === 'leadershipTaken' && process !== first);
+    t.true(leaders.length > 0);
+  });
+});
