Name the cause of a refused call at the start of its line

`refusal`, `declaration` and `freshForMilliseconds` come first now, then numbers, then texts of the caller.

Ruled out: cutting long texts, as a request is found by them.

--- a/src/service/forwarding/common/callEvents.ts
+++ b/src/service/forwarding/common/callEvents.ts
@@ -98,7 +98,10 @@
   });
 };
 
-/** Records the end of a call, with its duration; `inputs` are added to the event. */
+/**
+ * Records the end of a call, with its duration; `inputs` are added to the event. What decided comes
+ * first, because some collectors cut lines, and names and paths of callers have any length.
+ */
 export const recordCallEnd = (
   world: World,
   call: CallRow,
@@ -108,18 +111,21 @@
 ): void => {
   const tookMilliseconds = Math.round(now - call.arrivedAt);
   const { route } = call;
+  const { refusal, ...otherInputs } = inputs;
+  const decidingInputs = refusal === undefined ? {} : { refusal };
   world.metrics.observe('calls.latency', tookMilliseconds, { route, end: endLabels[kind] });
   world.events.append({
     kind,
     subject: {
+      ...decidingInputs,
+      declaration: readDeclarationVersion(world),
+      freshForMilliseconds: computeFreshMilliseconds(world, now),
+      attempts: call.attempts,
+      tookMilliseconds,
       request: call.requestId,
       route,
       service: call.service,
-      attempts: call.attempts,
-      tookMilliseconds,
-      declaration: readDeclarationVersion(world),
-      freshForMilliseconds: computeFreshMilliseconds(world, now),
-      ...inputs,
+      ...otherInputs,
     },
   });
 };
