Say by which votes a leader was elected, and what a disk held at a start

Whether a leader rested on a quorum or on the votes of all voters, and whether a store started with its disk or with an empty one, had to be guessed from votes of others.

`leadershipTaken` has `electedBy` (`quorum` or `all`) and the vote of each voter. `storageRecovered` says whether the disk was empty, knew the voters and had joined, and what the daemon counts as now. No decision changes: the basis is computed where the votes were counted before.

--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -16,7 +16,7 @@
   minimumElectionTimeoutMilliseconds,
   orderDelayAfterElectionMilliseconds,
 } from './consensusTiming.js';
-import { hasEnoughVotes, markJoined, ownVoteOf } from './joining.js';
+import { findElectionBasis, markJoined, ownVoteOf } from './joining.js';
 import {
   appendEntry,
   changeReplica,
@@ -28,7 +28,7 @@
   nonLeaderColumns,
 } from './replicaLog.js';
 import { GrantedVote, ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
-import { canVote } from './voters.js';
+import { canVote, joinMemberNames } from './voters.js';
 import { findVoteRefusal, hasActiveLeader, recordVoteDecision } from './votes.js';
 
 /** Returns the voters other than this daemon. */
@@ -63,9 +63,6 @@
     }),
   );
 
-const joinMemberNames = (world: World): string =>
-  [...world.members.rows()].map(({ id }) => id).join(',');
-
 const requestVotes = (world: World, term: number, isPreVote: boolean): void => {
   const { lastIndex, lastTerm } = replicaOf(world);
   world.events.append({
@@ -125,7 +122,22 @@
   requestVotes(world, term, false);
 };
 
+/** Records by which votes this daemon was elected; called before votes and voters change. */
+const recordElection = (world: World): void => {
+  const votes = [...world.members.rows()].map(({ id, grantedVote }) => `${id}=${grantedVote}`);
+  world.events.append({
+    kind: EventKind.LeadershipTaken,
+    subject: {
+      term: replicaOf(world).term,
+      electedBy: findElectionBasis(world),
+      lastIndex: replicaOf(world).lastIndex,
+      votes: votes.join(','),
+    },
+  });
+};
+
 const startLeadership = (world: World, now: Instant): void => {
+  recordElection(world);
   markJoined(world);
   const { term, lastIndex } = replicaOf(world);
   [...world.members.rows()].forEach(({ id }) =>
@@ -153,7 +165,6 @@
     orderDeadline: deadlineAfter(now, orderDelayAfterElectionMilliseconds),
     electionDeadline: deadlineAfter(now, minimumElectionTimeoutMilliseconds),
   });
-  world.events.append({ kind: EventKind.LeadershipTaken, subject: { term } });
 };
 
 /**
@@ -161,7 +172,7 @@
  * have granted their votes. This daemon's own vote counts once it is synced.
  */
 export const advanceElection = (world: World, now: Instant): void => {
-  if (!isSynced(world) || !hasEnoughVotes(world)) return;
+  if (!isSynced(world) || findElectionBasis(world) === null) return;
   const { state } = replicaOf(world);
   if (state === ReplicaState.PreCandidate) startElection(world, now);
   else if (state === ReplicaState.Candidate) startLeadership(world, now);
--- a/src/service/consensus/common/joining.ts
+++ b/src/service/consensus/common/joining.ts
@@ -6,6 +6,7 @@
  * voter whose disk is the one of the first start has lost nothing, so it counts as joined from its
  * start. Where the settings list the voters, an empty disk may be a new or a lost one.
  */
+import type { ValueOf } from '../../../base/common/handlers.js';
 import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
 import type { World } from '../../world/common/world.js';
 import { changeReplica, replicaOf, requestWrite } from './replicaLog.js';
@@ -36,10 +37,20 @@
   return hasJoined && state !== ReplicaState.Learner ? GrantedVote.Full : GrantedVote.Conditional;
 };
 
-/** Whether the votes that this daemon was granted elect it. */
-export const hasEnoughVotes = (world: World): boolean => {
+/** Votes by which a candidate is elected. */
+export const ElectionBasis = {
+  /** Full votes of more than half of the voters. */
+  Quorum: 'quorum',
+  /** Votes of all voters, too few of which are full. */
+  AllVoters: 'all',
+} as const;
+export type ElectionBasis = ValueOf<typeof ElectionBasis>;
+
+/** Returns by which votes this daemon is elected, or null if it was granted too few. */
+export const findElectionBasis = (world: World): ElectionBasis | null => {
   const votes = [...world.members.rows()].map(({ grantedVote }) => grantedVote);
   const fullVotes = votes.filter((vote) => vote === GrantedVote.Full);
+  if (fullVotes.length > votes.length / 2) return ElectionBasis.Quorum;
   const isUnanimous = votes.length > 0 && !votes.includes(GrantedVote.None);
-  return fullVotes.length > votes.length / 2 || isUnanimous;
+  return isUnanimous ? ElectionBasis.AllVoters : null;
 };
--- a/src/service/consensus/common/storageFacts.ts
+++ b/src/service/consensus/common/storageFacts.ts
@@ -8,6 +8,7 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import type { DurableState } from './durableState.js';
 import { electionDeadlineAfterLeadershipEnd, findLeaderInLog } from './endedLeadership.js';
 import { minimumElectionTimeoutMilliseconds } from './consensusTiming.js';
 import { isFoundingVoter, markJoined } from './joining.js';
@@ -18,7 +19,7 @@
   nonLeaderColumns,
   putEntry,
 } from './replicaLog.js';
-import { applyLoggedVoters, becomeLearner } from './voters.js';
+import { applyLoggedVoters, becomeLearner, joinMemberNames } from './voters.js';
 import { ReplicaState, type StorageFact } from './replicaTables.js';
 
 /**
@@ -52,6 +53,22 @@
   });
 };
 
+/** Records what the disk held, from which follows what the vote of this daemon counts. */
+const recordRecovery = (world: World, state: DurableState, isEmpty: boolean): void =>
+  world.events.append({
+    kind: EventKind.StorageRecovered,
+    subject: {
+      isEmpty,
+      knewVoters: isFoundingVoter(world),
+      hadJoined: state.hasJoined,
+      hasJoined: replicaOf(world).hasJoined,
+      state: replicaOf(world).state,
+      term: state.term,
+      lastIndex: state.entries.at(-1)?.index ?? 0,
+      voters: joinMemberNames(world),
+    },
+  });
+
 const handlers: HandlerTable<StorageFact, void, [World, Instant]> = {
   recovered: ({ state }, world, now) => {
     if (replicaOf(world).state !== ReplicaState.Recovering) return;
@@ -77,6 +94,7 @@
     applyLoggedVoters(world);
     if (isFoundingVoter(world)) markJoined(world);
     if (!world.members.has(asBrand<DaemonId>(world.self.name))) becomeLearner(world, now);
+    recordRecovery(world, state, isFirstStart);
   },
   synced: ({ sequence }, world) => {
     changeReplica(world, { syncedSequence: sequence });
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -57,6 +57,10 @@
     .forEach((id) => world.members.put(createMemberRow(world, id)));
 };
 
+/** Returns the names of the voters for an event. */
+export const joinMemberNames = (world: World): string =>
+  [...world.members.rows()].map(({ id }) => id).join(',');
+
 /** Applies the latest change of voters in the log, or the initial voters if there is none. */
 export const applyLoggedVoters = (world: World): void => {
   const { lastIndex, votersIndex } = replicaOf(world);
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -55,6 +55,8 @@
   /** A message between daemons exceeds the frame limit or cannot be read. */
   FrameRefused: 'frameRefused',
   StorageFailed: 'storageFailed',
+  /** A control daemon has read its disk after its start. */
+  StorageRecovered: 'storageRecovered',
   OrderEnded: 'orderEnded',
   BatchWithdrawn: 'batchWithdrawn',
   LotFailed: 'lotFailed',
