Keep the last answer of each voter, and when entries were last heard

A candidate knew the answers of the present vote only, and forgot them with each new request, so a report between two requests could not say who refuses.

Each row of `members` keeps the last answer, its time and the time of the last request; an answer counts for two of the longest election timeouts. `heardAt` of the replica is the time of the last entries, also empty ones. Refused votes are counted by reason, at the voter (`votes.refused`) and at the candidate (`votes.refusalsReceived`). No decision reads them.

--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -29,7 +29,7 @@
 } from './replicaLog.js';
 import { GrantedVote, ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
 import { canVote, joinMemberNames } from './voters.js';
-import { findVoteRefusal, hasActiveLeader, recordVoteDecision } from './votes.js';
+import { findVoteRefusal, hasActiveLeader, recordVoteAnswer, recordVoteDecision } from './votes.js';
 
 /** Returns the voters other than this daemon. */
 export const otherMembers = (world: World): MemberRow[] =>
@@ -55,11 +55,11 @@
 
 const ownId = (world: World): DaemonId => asBrand<DaemonId>(world.self.name);
 
-const resetVotes = (world: World): void =>
+const resetVotes = (world: World, now: Instant): void =>
   [...world.members.rows()].forEach(({ id, isSelf }) =>
     world.members.change(id, {
       grantedVote: isSelf ? ownVoteOf(world) : GrantedVote.None,
-      voteRefusal: null,
+      voteRequestedAt: now,
     }),
   );
 
@@ -102,7 +102,7 @@
 };
 
 const startPreVote = (world: World, now: Instant): void => {
-  resetVotes(world);
+  resetVotes(world, now);
   changeReplica(world, {
     state: ReplicaState.PreCandidate,
     leader: null,
@@ -112,7 +112,7 @@
 };
 
 const startElection = (world: World, now: Instant): void => {
-  resetVotes(world);
+  resetVotes(world, now);
   changeReplica(world, {
     state: ReplicaState.Candidate,
     electionDeadline: nextElectionDeadline(world, now),
@@ -239,8 +239,8 @@
   },
   voteAnswered: (answer, world, voter, now) => {
     if (!isElectionParticipant(world)) return;
+    recordVoteAnswer(world, answer, voter, now);
     if (answer.refusal !== null) {
-      world.members.change(voter.id, { voteRefusal: answer.refusal });
       adoptHigherTerm(world, answer.term, now);
       return;
     }
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -225,6 +225,7 @@
       votedFor: followed.term > term ? null : votedFor,
       leader: followed.leader === null ? null : asBrand<DaemonId>(followed.leader),
       currentAsOf: Math.max(currentAsOf, confirmedAt),
+      heardAt: now,
     });
   },
 };
--- a/src/service/consensus/common/replicaSystem.ts
+++ b/src/service/consensus/common/replicaSystem.ts
@@ -43,6 +43,7 @@
     voteRefusalLeader: null,
     endedTerm: 0,
     currentAsOf: Number.NEGATIVE_INFINITY,
+    heardAt: Number.NEGATIVE_INFINITY,
     followDeadline: isInitialVoter ? never : now,
     relay: null,
     relayDeadline: Number.NEGATIVE_INFINITY,
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -16,7 +16,7 @@
 import type { ProposalId, ProposalOutcome } from './consensusTables.js';
 import type { DurableState, StorageWrite } from './durableState.js';
 import type { LogEntry } from './logEntry.js';
-import type { VoteRefusal } from './voteRefusal.js';
+import type { VoteAnswer } from './voteRefusal.js';
 
 export const ReplicaState = {
   /** A voter whose storage has not been read yet. */
@@ -69,6 +69,8 @@
   readonly leadershipIndex: number;
   /** Last time, by its own clock, at which it was known to have delivered all committed entries. */
   readonly currentAsOf: Instant;
+  /** Last time at which its leader or the daemon that it follows sent entries, or that there are none. */
+  readonly heardAt: Instant;
   /** Time at which a learner sends its next request for entries. */
   readonly followDeadline: Instant;
   /** Daemon that a learner follows. */
@@ -113,8 +115,11 @@
   readonly id: DaemonId;
   readonly isSelf: boolean;
   readonly grantedVote: GrantedVote;
-  /** Why it refused its last vote to this daemon; null if it granted it or has not answered. */
-  readonly voteRefusal: VoteRefusal | null;
+  /** Its last answer to this daemon as a candidate; kept over elections, for reports only. */
+  readonly voteAnswer: VoteAnswer;
+  readonly voteAnsweredAt: Instant;
+  /** Time at which this daemon last requested its vote. */
+  readonly voteRequestedAt: Instant;
   readonly nextIndex: number;
   readonly matchIndex: number;
   /** Index from which sent entries count as unacknowledged. */
--- a/src/service/consensus/common/replication.ts
+++ b/src/service/consensus/common/replication.ts
@@ -155,6 +155,7 @@
   if (replicaOf(world).state !== ReplicaState.Follower) becomeFollower(world, now);
   changeReplica(world, {
     leader: leader.id,
+    heardAt: now,
     voteRefusalLeader: leader.id,
     electionDeadline: nextElectionDeadline(world, now),
     voteRefusalDeadline: deadlineAfter(now, minimumElectionTimeoutMilliseconds),
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -30,12 +30,15 @@
   unsentColumns,
   type MemberRow,
 } from './replicaTables.js';
+import { VoteAnswer } from './voteRefusal.js';
 
 const createMemberRow = (world: World, id: DaemonId): MemberRow => ({
   id,
   isSelf: id === world.self.name,
   grantedVote: GrantedVote.None,
-  voteRefusal: null,
+  voteAnswer: VoteAnswer.NotAsked,
+  voteAnsweredAt: Number.NEGATIVE_INFINITY,
+  voteRequestedAt: Number.NEGATIVE_INFINITY,
   nextIndex: replicaOf(world).lastIndex + 1,
   ...unsentColumns,
   matchIndex: 0,
--- a/src/service/consensus/common/votes.ts
+++ b/src/service/consensus/common/votes.ts
@@ -7,11 +7,16 @@
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { World } from '../../world/common/world.js';
 import type { ConsensusMessage } from './consensusMessages.js';
+import {
+  electionTimeoutJitterMilliseconds,
+  minimumElectionTimeoutMilliseconds,
+} from './consensusTiming.js';
 import { replicaOf } from './replicaLog.js';
-import { ReplicaState } from './replicaTables.js';
-import { VoteRefusal } from './voteRefusal.js';
+import { ReplicaState, type MemberRow } from './replicaTables.js';
+import { VoteAnswer, VoteRefusal } from './voteRefusal.js';
 
 type VoteRequest = UnionMember<ConsensusMessage, 'voteRequested'>;
+type VoteReply = UnionMember<ConsensusMessage, 'voteAnswered'>;
 
 /** Whether this daemon leads with a valid lease, or must still respect the lease of a leader. */
 export const hasActiveLeader = (world: World, now: Instant): boolean => {
@@ -63,6 +68,7 @@
   refusal: VoteRefusal | null,
 ): void => {
   const { term, lastTerm, lastIndex, hasJoined } = replicaOf(world);
+  if (refusal !== null) world.metrics.count('votes.refused', 1, { reason: refusal });
   world.events.append({
     kind: EventKind.VoteDecided,
     subject: {
@@ -77,3 +83,38 @@
     },
   });
 };
+
+/** Records the answer of a voter for reports; it decides nothing. */
+export const recordVoteAnswer = (
+  world: World,
+  { refusal, isConditional }: VoteReply,
+  voter: DaemonRow,
+  now: Instant,
+): void => {
+  const grant = isConditional ? VoteAnswer.Conditional : VoteAnswer.Granted;
+  world.members.change(voter.id, { voteAnswer: refusal ?? grant, voteAnsweredAt: now });
+  if (refusal !== null) world.metrics.count('votes.refusalsReceived', 1, { reason: refusal });
+};
+
+/**
+ * Time for which an answer describes a voter: two of the longest election timeouts, so that the
+ * answers to the request before the last one still count while those to the last one are under way.
+ */
+const voteAnswerMilliseconds =
+  2 * (minimumElectionTimeoutMilliseconds + electionTimeoutJitterMilliseconds);
+
+/** Returns the recent answer of a voter to this daemon as a candidate. */
+export const findRecentVoteAnswer = (
+  { voteAnswer, voteAnsweredAt, voteRequestedAt }: MemberRow,
+  now: Instant,
+): VoteAnswer => {
+  const recentFrom = now - voteAnswerMilliseconds;
+  if (voteAnsweredAt >= recentFrom) return voteAnswer;
+  return voteRequestedAt >= recentFrom ? VoteAnswer.None : VoteAnswer.NotAsked;
+};
+
+/** Returns the number of other voters that have recently answered this daemon as a candidate. */
+export const countVoteAnswers = (world: World, now: Instant): number =>
+  [...world.members.rows()].filter(
+    ({ voteAnsweredAt }) => voteAnsweredAt >= now - voteAnswerMilliseconds,
+  ).length;
