Report a missing leader and a missing declaration, with what is known of the cause

Cause of the silence: voters logged single votes, learners nothing.

The system `absence` reports `leaderMissing` on control daemons after `maximumFailoverMilliseconds`, with each voter's last answer and state, and `configurationMissing` on every daemon, at once where a declaration is too old, after that time where there is none. Reports of a kind are 5 s apart at least, also while it comes and goes; `leaderFound` and `configurationFound` say how long a reported absence lasted. Reports and `storageFailed` are warnings. Each tick reads two rows; all daemons are looked at only when a report is due.

Evidence: absence.test.ts, 8 tests on virtual time (no quorum, conditional votes, refused votes, nothing sent, cut off, no leader, a disk that does not sync, an ordinary change of leaders); the one on the rate fails without `quietDeadline`. eventLog.test.ts for the levels. Ruled out: a scan of voters and daemons on each tick.

--- a/src/daemon/fleet/node/eventLog.ts
+++ b/src/daemon/fleet/node/eventLog.ts
@@ -6,6 +6,7 @@
 import type { Log } from '../../../infrastructure/log/node/log.js';
 import { createEventBudget } from '../../../service/events/common/eventBudget.js';
 import { EventKind, type RecordedEvent } from '../../../service/events/common/eventKind.js';
+import { levelOf } from '../../../service/events/common/eventLevel.js';
 import type { World } from '../../../service/world/common/world.js';
 
 /** Writes recorded events; `drain` runs after each tick. */
@@ -35,7 +36,7 @@
   const write = (event: RecordedEvent, now: Instant): void => {
     const line = { event: event.kind, ...event.subject };
     const bytes = envelopeBytes + JSON.stringify(line).length;
-    if (budget.admits(event, bytes, now)) log.info(line);
+    if (budget.admits(event, bytes, now)) log[levelOf(event.kind)](line);
   };
 
   const reportDropped = (now: Instant): void => {
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -9,6 +9,7 @@
   type System,
   type Ticker,
 } from '../../../infrastructure/tables/common/tick.js';
+import { createAbsenceSystem } from '../../absence/common/absenceSystem.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
 import { createDemandSystem } from '../../admission/common/demandSystem.js';
 import { createCapacitySystem } from '../../capacity/common/capacitySystem.js';
@@ -133,6 +134,7 @@
   createJobReadSystem,
   createMeteringSystem,
   createCapacitySystem,
+  createAbsenceSystem,
 ];
 
 /** Systems of each profile, in the order in which they run in each round of a tick. */
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -54,6 +54,14 @@
   LearnerBehind: 'learnerBehind',
   /** A message between daemons exceeds the frame limit or cannot be read. */
   FrameRefused: 'frameRefused',
+  /** A daemon that can vote knows no leader; repeated at intervals. */
+  LeaderMissing: 'leaderMissing',
+  /** A leader is known again after `leaderMissing`. */
+  LeaderFound: 'leaderFound',
+  /** A daemon holds no declaration that counts as up to date; repeated at intervals. */
+  ConfigurationMissing: 'configurationMissing',
+  /** It holds one again after `configurationMissing`. */
+  ConfigurationFound: 'configurationFound',
   StorageFailed: 'storageFailed',
   /** A control daemon has read its disk after its start. */
   StorageRecovered: 'storageRecovered',
--- a/src/service/timeline/common/explainLog.ts
+++ b/src/service/timeline/common/explainLog.ts
@@ -37,6 +37,8 @@
   EventKind.LeadershipTaken,
   EventKind.LeadershipLost,
   EventKind.VotingChanged,
+  EventKind.LeaderMissing,
+  EventKind.LeaderFound,
   EventKind.VoterBehind,
   EventKind.FrameRefused,
   EventKind.StorageFailed,
@@ -49,6 +51,8 @@
   EventKind.PeerSuspected,
   EventKind.PeerAlive,
   EventKind.DeclarationActivated,
+  EventKind.ConfigurationMissing,
+  EventKind.ConfigurationFound,
   EventKind.RegistrationChanged,
   EventKind.LinesDropped,
 ]);
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -15,6 +15,7 @@
   type FleetSettings,
 } from '../../../infrastructure/settings/common/fleetSettings.js';
 import type { AnyTable } from '../../../infrastructure/tables/common/table.js';
+import { createAbsenceTables } from '../../absence/common/absenceTables.js';
 import { createCapacityTables } from '../../capacity/common/capacityTables.js';
 import { createDemandTables } from '../../admission/common/demandTables.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
@@ -76,6 +77,7 @@
   ...createVersionTables(),
   ...createMeteringTables(),
   ...createCapacityTables(),
+  ...createAbsenceTables(),
 });
 export type Tables = ReturnType<typeof createTables>;
 
