Show on the metrics page for how long a leader and a declaration are missing

Gauges `log.leaderMissingFor` and `declaration.missingFor` in milliseconds, 0 while all is there, `log.voters` and `log.votersAnswered`.

--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -5,8 +5,13 @@
 import { Hono } from 'hono';
 import type { Clock } from '../../../base/common/time.js';
 import type { ScrapedMetrics } from '../../../infrastructure/metrics/node/scrapedMetrics.js';
+import {
+  AbsenceKind,
+  computeMissingMilliseconds,
+} from '../../../service/absence/common/absenceTables.js';
 import { leadershipOf } from '../../../service/consensus/common/lease.js';
 import { replicaOf } from '../../../service/consensus/common/replicaLog.js';
+import { countVoteAnswers } from '../../../service/consensus/common/votes.js';
 import { declarationId } from '../../../service/declaration/common/declarationTables.js';
 import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
 import type { World } from '../../../service/world/common/world.js';
@@ -26,6 +31,12 @@
   'log.commitIndex': (world) => replicaOf(world).commitIndex,
   'log.term': (world) => replicaOf(world).term,
   'log.isLeader': (world) => (leadershipOf(world).isSelf ? 1 : 0),
+  'log.leaderMissingFor': (world, now) =>
+    computeMissingMilliseconds(world, AbsenceKind.Leader, now),
+  'log.voters': (world) => world.members.size(),
+  'log.votersAnswered': countVoteAnswers,
+  'declaration.missingFor': (world, now) =>
+    computeMissingMilliseconds(world, AbsenceKind.Configuration, now),
   'declaration.version': (world) => world.declarations.get(declarationId)?.version ?? 0,
   'declaration.freshFor': (world, now) =>
     Math.max(-1, Math.round(leadershipOf(world).freshnessDeadline - now)),
