Let the reason for a missing leader travel with the entries to every daemon

The voters' answers stood in the logs of the voters alone, and the record had one of three.

An answer to a learner carries, while there is no leader, what its sender knows of the reason (each voter's last answer and state), from a voter or as it heard it. `configurationMissing` ends with it (`leaderAbsence`). The field has a default, so messages without it are still read; no decision uses it.

Ruled out: messages of their own, as the answers of each 500 ms are sent in any case.

--- a/src/service/absence/common/absenceSubjects.ts
+++ b/src/service/absence/common/absenceSubjects.ts
@@ -6,9 +6,9 @@
 import type { Instant } from '../../../base/common/time.js';
 import type { EventSubject } from '../../../infrastructure/timeline/common/timelineEvent.js';
 import { leadershipOf } from '../../consensus/common/lease.js';
+import { describeLeaderAbsence, describeVoters } from '../../consensus/common/leaderAbsence.js';
 import { quorumSize } from '../../consensus/common/election.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
-import type { MemberRow } from '../../consensus/common/replicaTables.js';
 import { findRecentVoteAnswer } from '../../consensus/common/votes.js';
 import { VoteAnswer } from '../../consensus/common/voteRefusal.js';
 import { declarationId } from '../../declaration/common/declarationTables.js';
@@ -21,31 +21,23 @@
 const computeAge = (instant: Instant, now: Instant): number | null =>
   Number.isFinite(instant) ? Math.round(now - instant) : null;
 
-/** Describes a voter as `NAME=ANSWER/STATE`, or `NAME=self`. */
-const describeVoter = (world: World, member: MemberRow, now: Instant): string => {
-  if (member.isSelf) return `${member.id}=self`;
-  const state = world.daemons.get(member.id)?.state ?? DaemonState.Unknown;
-  return `${member.id}=${findRecentVoteAnswer(member, now)}/${state}`;
-};
-
 /** Describes why this daemon may know no leader. */
 export const describeMissingLeader = (world: World, now: Instant): EventSubject => {
   const { state, term, hasJoined, lastIndex, votersIndex, requestedSequence, syncedSequence } =
     replicaOf(world);
-  const members = [...world.members.rows()];
-  const answers = members
+  const answers = [...world.members.rows()]
     .filter(({ isSelf }) => !isSelf)
     .map((member) => findRecentVoteAnswer(member, now));
   return {
     state,
     hasJoined,
-    quorum: quorumSize(world),
+    quorum: world.members.size() === 0 ? 0 : quorumSize(world),
     granted: answers.filter((answer) => answer === VoteAnswer.Granted).length,
     unsyncedWrites: requestedSequence - syncedSequence,
     term,
     lastIndex,
     votersIndex,
-    voters: members.map((member) => describeVoter(world, member, now)).join(','),
+    voters: describeVoters(world, now),
   };
 };
 
@@ -93,6 +85,7 @@
     currentMillisecondsAgo: computeAge(currentAsOf, now),
     ...countControlDaemons(world),
     ...describeRelay(world, now),
+    leaderAbsence: describeLeaderAbsence(world, now) ?? noName,
   };
 };
 
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -115,6 +115,11 @@
    * knew, or if the message does not reach the sender's last entry.
    */
   age: z.number().nonnegative().nullable(),
+  /**
+   * What the sender, or the voter from which it learned of it, knows of the reason why there is no
+   * leader; null if there is one. For reports only.
+   */
+  leaderAbsence: z.string().nullable().default(null),
 });
 
 /** Schema of all messages of the replicated log. */
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -28,6 +28,7 @@
 } from './learnerProgress.js';
 import type { LogEntry } from './logEntry.js';
 import { changeReplica, putEntry, replicaOf, termAt, toLogEntry } from './replicaLog.js';
+import { describeLeaderAbsence } from './leaderAbsence.js';
 import { isCurrentLeader, ReplicaState, type FollowingLearnerRow } from './replicaTables.js';
 
 /** Whether this daemon stores entries of every topic, in order to vote on them or to relay them. */
@@ -118,6 +119,7 @@
       // A partial batch has no age, because it does not include the latest entries. A relay that
       // is behind its learner may know of committed entries that it has not delivered yet.
       age: throughIndex >= Math.max(deliveredIndex, commitIndex) ? stalenessOf(world, now) : null,
+      leaderAbsence: describeLeaderAbsence(world, now),
     },
   });
   world.followingLearners.change(learner.id, {
@@ -214,7 +216,8 @@
     sendLearnerBatch(world, learner, selectLearnerBatch(world, learner), now);
   },
   entriesFollowed: (followed, world, sender, now) => {
-    const { state, relay, commitIndex, term, votedFor, currentAsOf } = replicaOf(world);
+    const { state, relay, commitIndex, term, votedFor, currentAsOf, leaderAbsence } =
+      replicaOf(world);
     if (state !== ReplicaState.Learner || sender.id !== relay) return;
     if (followed.afterIndex > commitIndex) return;
     applyFollowedEntries(world, followed);
@@ -226,6 +229,7 @@
       leader: followed.leader === null ? null : asBrand<DaemonId>(followed.leader),
       currentAsOf: Math.max(currentAsOf, confirmedAt),
       heardAt: now,
+      leaderAbsence: followed.leader === null ? (followed.leaderAbsence ?? leaderAbsence) : null,
     });
   },
 };
--- a/src/service/consensus/common/replicaSystem.ts
+++ b/src/service/consensus/common/replicaSystem.ts
@@ -44,6 +44,7 @@
     endedTerm: 0,
     currentAsOf: Number.NEGATIVE_INFINITY,
     heardAt: Number.NEGATIVE_INFINITY,
+    leaderAbsence: null,
     followDeadline: isInitialVoter ? never : now,
     relay: null,
     relayDeadline: Number.NEGATIVE_INFINITY,
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -71,6 +71,8 @@
   readonly currentAsOf: Instant;
   /** Last time at which its leader or the daemon that it follows sent entries, or that there are none. */
   readonly heardAt: Instant;
+  /** What the daemon that a learner follows has reported on why there is no leader. */
+  readonly leaderAbsence: string | null;
   /** Time at which a learner sends its next request for entries. */
   readonly followDeadline: Instant;
   /** Daemon that a learner follows. */
--- a/src/service/consensus/test/common/echoedInstants.test.ts
+++ b/src/service/consensus/test/common/echoedInstants.test.ts
@@ -196,6 +196,7 @@
       isAcknowledgementDue: false,
       askedAt: foreignInstants(worldOf(installation, entry), nowAt(installation, entry))[origin],
       age: 0,
+      leaderAbsence: null,
     });
     installation.runFor(freshnessMilliseconds - relayedMilliseconds + 100);
     t.false(isFresh(installation, entry));
