Name unsynced writes in the reason for a missing leader

A voter whose disk hangs sends no votes, so at an entry all voters were alive and none answered, without the cause. The text ends with the number of its unsynced writes if there are any. Evidence: absence.test.ts, a disk that does not sync.

--- a/src/service/absence/test/common/absence.test.ts
+++ b/src/service/absence/test/common/absence.test.ts
@@ -211,6 +211,8 @@
   installation.runFor(10_000);
   const last = eventsOf(installation, 'd1', EventKind.LeaderMissing).at(-1)!.subject;
   t.true(Number(last.unsyncedWrites) > 0);
+  const atEntry = eventsOf(installation, entry, EventKind.ConfigurationMissing).at(-1)!.subject;
+  t.regex(String(atEntry.leaderAbsence), /^preCandidate .* unsyncedWrites=1$/);
 });
 
 test('a change of leaders and a restart are no absence', (t) => {
--- a/src/service/consensus/common/leaderAbsence.ts
+++ b/src/service/consensus/common/leaderAbsence.ts
@@ -22,8 +22,10 @@
 
 /** Returns why there is no leader, as far as this daemon knows; null if there is one. */
 export const describeLeaderAbsence = (world: World, now: Instant): string | null => {
-  const { state, leader, leaderAbsence } = replicaOf(world);
+  const { state, leader, leaderAbsence, requestedSequence, syncedSequence } = replicaOf(world);
   if (leader !== null) return null;
   if (state === ReplicaState.Learner) return leaderAbsence;
-  return `${state} ${describeVoters(world, now)}`;
+  const unsyncedWrites = requestedSequence - syncedSequence;
+  const storageText = unsyncedWrites > 0 ? ` unsyncedWrites=${unsyncedWrites}` : '';
+  return `${state} ${describeVoters(world, now)}${storageText}`;
 };
