--- a/src/command/explain/test/node/explainLogs.test.ts
+++ b/src/command/explain/test/node/explainLogs.test.ts
@@ -108,3 +108,23 @@
   t.is(unreadable.exitCode, ExitCode.InvalidInput);
   t.regex(unreadable.error, /check the path and the permissions, and that the file is complete/);
 });
+
+test('explain shows why a refused request met no configuration, on its own and on other daemons', async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), 'logs-'));
+  t.teardown(() => rm(folder, { recursive: true }));
+  const log = join(folder, 'all.log');
+  const lines = [
+    createLogLine(4_000, 'front-1', 'configurationMissing', {
+      leaderAbsence: 'd1=self,d2=logBehind',
+    }),
+    createLogLine(4_100, 'front-2', 'configurationMissing', { leaderAbsence: 'none' }),
+    createLogLine(4_200, 'store-1', 'leaderMissing', { voters: 'd1=self,d2=logBehind' }),
+    createLogLine(5_000, 'front-1', 'callRefused', { refusal: 'notReady', ...request }),
+  ];
+  await writeFile(log, lines.join('\n'));
+  const { output } = await run(['explain', 'r1', log]);
+  const context = output.slice(0, output.indexOf('Log lines:'));
+  t.regex(context, /front-1 configurationMissing leaderAbsence=d1=self,d2=logBehind/);
+  t.regex(context, /store-1 leaderMissing voters=d1=self,d2=logBehind/);
+  t.notRegex(context, /front-2/, 'what another daemon lacks is not a cause');
+});
