--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -16,7 +16,7 @@
   minimumElectionTimeoutMilliseconds,
   orderDelayAfterElectionMilliseconds,
 } from './consensusTiming.js';
-import { hasEnoughVotes, hasLostDisk, markJoined, ownVoteOf } from './joining.js';
+import { findElectionBasis, hasLostDisk, markJoined, ownVoteOf } from './joining.js';
 import {
   appendEntry,
   changeReplica,
@@ -28,8 +28,14 @@
   nonLeaderColumns,
 } from './replicaLog.js';
 import { GrantedVote, ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
-import { canVote } from './voters.js';
-import { findVoteRefusal, hasActiveLeader, recordVoteDecision, type VoteRequest } from './votes.js';
+import { canVote, joinMemberNames } from './voters.js';
+import {
+  findVoteRefusal,
+  hasActiveLeader,
+  recordVoteAnswer,
+  recordVoteDecision,
+  type VoteRequest,
+} from './votes.js';
 
 /** Returns the voters other than this daemon. */
 export const otherMembers = (world: World): MemberRow[] =>
@@ -55,17 +61,14 @@
 
 const ownId = (world: World): DaemonId => asBrand<DaemonId>(world.self.name);
 
-const resetVotes = (world: World): void =>
+const resetVotes = (world: World, now: Instant): void =>
   [...world.members.rows()].forEach(({ id, isSelf }) =>
     world.members.change(id, {
       grantedVote: isSelf ? ownVoteOf(world) : GrantedVote.None,
-      voteRefusal: null,
+      voteRequestedAt: now,
     }),
   );
 
-const joinMemberNames = (world: World): string =>
-  [...world.members.rows()].map(({ id }) => id).join(',');
-
 const requestVotes = (world: World, term: number, isPreVote: boolean): void => {
   const { lastIndex, lastTerm } = replicaOf(world);
   world.events.append({
@@ -105,7 +108,7 @@
 };
 
 const startPreVote = (world: World, now: Instant): void => {
-  resetVotes(world);
+  resetVotes(world, now);
   changeReplica(world, {
     state: ReplicaState.PreCandidate,
     leader: null,
@@ -115,7 +118,7 @@
 };
 
 const startElection = (world: World, now: Instant): void => {
-  resetVotes(world);
+  resetVotes(world, now);
   changeReplica(world, {
     state: ReplicaState.Candidate,
     electionDeadline: nextElectionDeadline(world, now),
@@ -125,7 +128,22 @@
   requestVotes(world, term, false);
 };
 
+/** Records by which votes this daemon was elected; called before votes and voters change. */
+const recordElection = (world: World): void => {
+  const votes = [...world.members.rows()].map(({ id, grantedVote }) => `${id}=${grantedVote}`);
+  world.events.append({
+    kind: EventKind.LeadershipTaken,
+    subject: {
+      term: replicaOf(world).term,
+      electedBy: findElectionBasis(world),
+      lastIndex: replicaOf(world).lastIndex,
+      votes: votes.join(','),
+    },
+  });
+};
+
 const startLeadership = (world: World, now: Instant): void => {
+  recordElection(world);
   markJoined(world);
   const { term, lastIndex } = replicaOf(world);
   [...world.members.rows()].forEach(({ id }) =>
@@ -153,7 +171,6 @@
     orderDeadline: deadlineAfter(now, orderDelayAfterElectionMilliseconds),
     electionDeadline: deadlineAfter(now, minimumElectionTimeoutMilliseconds),
   });
-  world.events.append({ kind: EventKind.LeadershipTaken, subject: { term } });
 };
 
 /**
@@ -161,7 +178,7 @@
  * have granted their votes. This daemon's own vote counts once it is synced.
  */
 export const advanceElection = (world: World, now: Instant): void => {
-  if (!isSynced(world) || !hasEnoughVotes(world)) return;
+  if (!isSynced(world) || findElectionBasis(world) === null) return;
   const { state } = replicaOf(world);
   if (state === ReplicaState.PreCandidate) startElection(world, now);
   else if (state === ReplicaState.Candidate) startLeadership(world, now);
@@ -236,8 +253,8 @@
   },
   voteAnswered: (answer, world, voter, now) => {
     if (!isElectionParticipant(world)) return;
+    recordVoteAnswer(world, answer, voter, now);
     if (answer.refusal !== null) {
-      world.members.change(voter.id, { voteRefusal: answer.refusal });
       adoptHigherTerm(world, answer.term, now);
       return;
     }
--- a/src/service/consensus/common/joining.ts
+++ b/src/service/consensus/common/joining.ts
@@ -6,6 +6,7 @@
  * lost one: the first leader of an installation in which too few have joined needs the votes of all
  * voters. One that holds an entry never grants such a vote, so no accepted entry can be lost.
  */
+import type { ValueOf } from '../../../base/common/handlers.js';
 import { Discovery } from '../../../infrastructure/settings/common/deployment.js';
 import type { World } from '../../world/common/world.js';
 import { changeReplica, replicaOf, requestWrite } from './replicaLog.js';
@@ -40,14 +41,24 @@
   return hasJoined && state !== ReplicaState.Learner ? GrantedVote.Full : GrantedVote.Conditional;
 };
 
+/** Votes by which a candidate is elected. */
+export const ElectionBasis = {
+  /** Full votes of more than half of the voters. */
+  Quorum: 'quorum',
+  /** Votes of all voters, too few of which are full. */
+  AllVoters: 'all',
+} as const;
+export type ElectionBasis = ValueOf<typeof ElectionBasis>;
+
 /**
- * Whether the votes that this daemon was granted elect it. Conditional votes count only for a
- * candidate without entries: the voters that another one knows may have been replaced since, by
- * daemons that hold accepted entries.
+ * Returns by which votes this daemon is elected, or null if it was granted too few. Conditional votes
+ * count only for a candidate without entries: the voters that another one knows may have been
+ * replaced since, by daemons that hold accepted entries.
  */
-export const hasEnoughVotes = (world: World): boolean => {
+export const findElectionBasis = (world: World): ElectionBasis | null => {
   const votes = [...world.members.rows()].map(({ grantedVote }) => grantedVote);
   const fullVotes = votes.filter((vote) => vote === GrantedVote.Full);
+  if (fullVotes.length > votes.length / 2) return ElectionBasis.Quorum;
   const isUnanimous = votes.length > 0 && !votes.includes(GrantedVote.None);
-  return fullVotes.length > votes.length / 2 || (isUnanimous && replicaOf(world).lastIndex === 0);
+  return isUnanimous && replicaOf(world).lastIndex === 0 ? ElectionBasis.AllVoters : null;
 };
--- a/src/service/consensus/common/replicaSystem.ts
+++ b/src/service/consensus/common/replicaSystem.ts
@@ -43,6 +43,8 @@
     voteRefusalLeader: null,
     endedTerm: 0,
     currentAsOf: Number.NEGATIVE_INFINITY,
+    heardAt: Number.NEGATIVE_INFINITY,
+    leaderAbsence: null,
     followDeadline: isInitialVoter ? never : now,
     relay: null,
     relayDeadline: Number.NEGATIVE_INFINITY,
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -30,12 +30,15 @@
   unsentColumns,
   type MemberRow,
 } from './replicaTables.js';
+import { VoteAnswer } from './voteRefusal.js';
 
 const createMemberRow = (world: World, id: DaemonId): MemberRow => ({
   id,
   isSelf: id === world.self.name,
   grantedVote: GrantedVote.None,
-  voteRefusal: null,
+  voteAnswer: VoteAnswer.NotAsked,
+  voteAnsweredAt: Number.NEGATIVE_INFINITY,
+  voteRequestedAt: Number.NEGATIVE_INFINITY,
   nextIndex: replicaOf(world).lastIndex + 1,
   ...unsentColumns,
   matchIndex: 0,
@@ -57,6 +60,10 @@
     .forEach((id) => world.members.put(createMemberRow(world, id)));
 };
 
+/** Returns the names of the voters for an event. */
+export const joinMemberNames = (world: World): string =>
+  [...world.members.rows()].map(({ id }) => id).join(',');
+
 /** Applies the latest change of voters in the log, or the initial voters if there is none. */
 export const applyLoggedVoters = (world: World): void => {
   const { lastIndex, votersIndex } = replicaOf(world);
