Show that removed and unheard voters prevent no election

No, in six mixtures with three seeds each, also where another voter has lost its disk. The test did not fail first, as it guards what holds.

--- a/src/service/consensus/test/common/conditionalVotes.test.ts
+++ b/src/service/consensus/test/common/conditionalVotes.test.ts
@@ -145,3 +145,26 @@
     [],
   );
 });
+
+test('neither a removed voter nor one that has never heard of a leader prevents an election', (t) => {
+  const commands = [
+    { kind: 'leadershipTaken', leader: 'd1' },
+    votersSet('d1', 'd2', 'd3'),
+    testDeclarationCommand(acceptedVersion),
+    votersSet('d1', 'd2'),
+    votersSet('d1', 'd2', 'd4'),
+  ] as const;
+  // d3 was removed, where it is there; d4 has never heard of a leader, where it holds nothing.
+  const mixtures: readonly HeldEntries[] = [
+    { d1: 5, d2: 4, d4: null },
+    { d1: null, d2: 5, d4: null },
+    { d1: 5, d2: 5, d3: 3, d4: 5 },
+    { d1: 5, d2: 4, d3: 3, d4: null },
+    { d1: null, d2: 5, d3: 3, d4: 5 },
+    { d1: null, d2: 5, d3: 3, d4: null },
+  ];
+  t.deepEqual(
+    mixtures.flatMap((held) => [1, 2, 3].flatMap((seed) => findViolations(commands, held, seed))),
+    [],
+  );
+});
