Answer a change that is sent again after it was refused

What callers saw, or would see: a control daemon that had known no leader for 2.5 s answered 503 and then, for 30 s, did not answer the same change at all, although a leader had applied it. Where each daemon had refused it, a desired state that was in force could not be acknowledged for that time: "the configuration did not come". A change that the log had rejected (other content under the version held) got no second answer from any daemon either, also not after a restart.

Cause: the first outcome that was not `unknown` stayed. `noLeader` is a rejection, but says only that nothing was sent, so the outcome of the log, which came later, was dropped, and the row did not change. The port of proposals waits for a change of the row, except for `applied`. So the answer stayed open until the row expired.

Why this fix works: `noLeader` is no final outcome. A final rejection is put again for a proposal that was sent again, so that the port answers. What was applied or rejected by the log is still never overwritten.

Ruled out: proposing under a new identifier each time, as the log could then apply a change twice; a shorter retention of outcomes, which would only shorten the silence.

--- a/src/service/consensus/common/consensusTables.ts
+++ b/src/service/consensus/common/consensusTables.ts
@@ -114,8 +114,18 @@
 const outcomeRetentionMilliseconds = 30_000;
 
 /**
- * Records the outcome of a proposal. A final outcome is never overwritten; only `unknown` is. The
- * proposer reads the changes of the table.
+ * Kind of the rejection of a proposal that no leader has received. Nothing was submitted, so the
+ * same proposal may be applied when it is sent again.
+ */
+export const noLeaderKind = 'noLeader';
+
+const isFinalOutcome = (outcome: ProposalOutcome): boolean =>
+  outcome.kind === 'applied' ||
+  (outcome.kind === 'rejected' && outcome.rejection.kind !== noLeaderKind);
+
+/**
+ * Records the outcome of a proposal. A final outcome is never overwritten. The proposer reads the
+ * changes of the table, so the row of a rejection is put again for a proposal that was sent again.
  */
 export const recordOutcome = (
   { proposalOutcomes }: ConsensusTables,
@@ -124,7 +134,8 @@
   now: Instant,
 ): void => {
   const existing = proposalOutcomes.get(proposal)?.outcome;
-  if (existing !== undefined && existing.kind !== 'unknown') return;
+  if (existing?.kind === 'applied') return;
+  const recorded = existing !== undefined && isFinalOutcome(existing) ? existing : outcome;
   const retentionDeadline = deadlineAfter(now, outcomeRetentionMilliseconds);
-  proposalOutcomes.put({ id: proposal, outcome, retentionDeadline });
+  proposalOutcomes.put({ id: proposal, outcome: recorded, retentionDeadline });
 };
--- a/src/service/consensus/common/proposals.ts
+++ b/src/service/consensus/common/proposals.ts
@@ -12,7 +12,12 @@
 import type { World } from '../../world/common/world.js';
 import { commandSchema, type Command } from './command.js';
 import type { ConsensusMessage } from './consensusMessages.js';
-import { recordOutcome, type Proposal, type ProposalOutcome } from './consensusTables.js';
+import {
+  noLeaderKind,
+  recordOutcome,
+  type Proposal,
+  type ProposalOutcome,
+} from './consensusTables.js';
 import { proposalResendIntervalMilliseconds } from './consensusTiming.js';
 import type { LogEntry } from './logEntry.js';
 import { appendEntry, entryOfProposal, replicaOf } from './replicaLog.js';
@@ -103,7 +108,7 @@
 const notSentOutcome: ProposalOutcome = {
   kind: 'rejected',
   rejection: {
-    kind: 'noLeader',
+    kind: noLeaderKind,
     message:
       'No leader was known before the deadline, so nothing was changed; check that more than ' +
       'half of the control daemons run and can reach each other, then send the request again.',
