--- a/src/service/consensus/test/common/firstElection.test.ts
+++ b/src/service/consensus/test/common/firstElection.test.ts
@@ -123,3 +123,17 @@
     t.true(leaders.length > 0);
   });
 });
+
+test('an installation starts although all initial voters end before they have stored who votes', (t) => {
+  const installation = createVirtualInstallation({
+    deployment: { ...createTestDeployment(3, 3), discovery: Discovery.Announced },
+    tree: createTestTree(),
+    seed: 1,
+    profile: Profile.Declaration,
+    fleet: { ...defaultFleetSettings, voterCount: 3 },
+    voters: () => [],
+    latency: () => latencyMilliseconds,
+  });
+  installation.runFor(recoveryMilliseconds);
+  t.not(hasTakenLead(installation), undefined);
+});
