--- a/src/service/absence/test/common/absence.test.ts
+++ b/src/service/absence/test/common/absence.test.ts
@@ -4,15 +4,9 @@
  */
 import test from 'ava';
 import { asBrand } from '../../../../base/common/brand.js';
-import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
-import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
 import {
-  createTestDeployment,
-  createTestTree,
-} from '../../../../../standins/virtual/testDeployment.js';
-import {
-  createVirtualInstallation,
   type VirtualEvent,
   type VirtualInstallation,
   type VirtualOptions,
@@ -20,7 +14,6 @@
 import { maximumFailoverMilliseconds } from '../../../consensus/common/consensusTiming.js';
 import { replicaOf } from '../../../consensus/common/replicaLog.js';
 import { countVoteAnswers } from '../../../consensus/common/votes.js';
-import { Profile } from '../../../core/common/core.js';
 import { EventKind } from '../../../events/common/eventKind.js';
 import { reportIntervalMilliseconds } from '../../common/absenceSystem.js';
 import { AbsenceKind, computeMissingMilliseconds } from '../../common/absenceTables.js';
@@ -31,15 +24,11 @@
 const settleMilliseconds = 6_000;
 
 const createInstallation = (options: Partial<VirtualOptions> = {}): VirtualInstallation =>
-  createVirtualInstallation({
-    deployment: {
-      ...createTestDeployment(names.length, voters.length),
-      discovery: Discovery.Announced,
-    },
-    tree: createTestTree(),
+  createAnnouncedInstallation({
+    daemonCount: names.length,
+    controlCount: voters.length,
+    voterCount: voters.length,
     seed: 1,
-    profile: Profile.Declaration,
-    fleet: { ...defaultFleetSettings, voterCount: voters.length },
     voters: () => voters,
     ...options,
   });
--- a/src/service/consensus/test/common/conditionalVotes.test.ts
+++ b/src/service/consensus/test/common/conditionalVotes.test.ts
@@ -6,19 +6,10 @@
 import test from 'ava';
 import { asBrand } from '../../../../base/common/brand.js';
 import { encodeRecord } from '../../../../infrastructure/storage/node/recordCodec.js';
-import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
-import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { createControlHistory } from '../../../../../standins/virtual/controlHistory.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
-import {
-  createTestDeployment,
-  createTestTree,
-} from '../../../../../standins/virtual/testDeployment.js';
-import {
-  createVirtualInstallation,
-  type VirtualInstallation,
-} from '../../../../../standins/virtual/virtualInstallation.js';
-import { Profile } from '../../../core/common/core.js';
+import { type VirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
 import { declarationId } from '../../../declaration/common/declarationTables.js';
 import type { Command } from '../../common/command.js';
 import type { StorageWrite } from '../../common/durableState.js';
@@ -61,15 +52,10 @@
   const daemonCount = Math.max(...names.map((name) => Number(name.slice(1))));
   let created: VirtualInstallation | undefined;
   const history = createControlHistory(() => created);
-  const installation = createVirtualInstallation({
-    deployment: {
-      ...createTestDeployment(daemonCount, daemonCount),
-      discovery: Discovery.Announced,
-    },
-    tree: createTestTree(),
+  const installation = createAnnouncedInstallation({
+    daemonCount,
+    voterCount,
     seed,
-    profile: Profile.Declaration,
-    fleet: { ...defaultFleetSettings, voterCount },
     voters: (name) => (initialVoters.includes(name) && held[name] !== null ? initialVoters : []),
     latency: () => latencyMilliseconds,
     initiallyStopped: Array.from({ length: daemonCount }, (_, position) => `d${position + 1}`),
--- a/src/service/consensus/test/common/electionRecords.test.ts
+++ b/src/service/consensus/test/common/electionRecords.test.ts
@@ -2,28 +2,17 @@
  * Guards against elections and starts whose lines don't tell what they rested on.
  */
 import test from 'ava';
-import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
-import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
-import {
-  createTestDeployment,
-  createTestTree,
-} from '../../../../../standins/virtual/testDeployment.js';
-import {
-  createVirtualInstallation,
-  type VirtualInstallation,
-} from '../../../../../standins/virtual/virtualInstallation.js';
-import { Profile } from '../../../core/common/core.js';
+import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
+import { type VirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
 import { EventKind } from '../../../events/common/eventKind.js';
 
 const voters = ['d1', 'd2', 'd3'];
 
 const createInstallation = (founders = voters): VirtualInstallation =>
-  createVirtualInstallation({
-    deployment: { ...createTestDeployment(3, 3), discovery: Discovery.Announced },
-    tree: createTestTree(),
+  createAnnouncedInstallation({
+    daemonCount: 3,
+    voterCount: 3,
     seed: 1,
-    profile: Profile.Declaration,
-    fleet: { ...defaultFleetSettings, voterCount: 3 },
     voters: (name, incarnation) => (founders.includes(name) && incarnation === 1 ? voters : []),
   });
 
--- a/src/service/consensus/test/common/firstElection.test.ts
+++ b/src/service/consensus/test/common/firstElection.test.ts
@@ -5,8 +5,7 @@
 import test from 'ava';
 import { asBrand } from '../../../../base/common/brand.js';
 import type { ValueOf } from '../../../../base/common/handlers.js';
-import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
-import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { createControlHistory } from '../../../../../standins/virtual/controlHistory.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
 import {
@@ -17,7 +16,6 @@
   createVirtualInstallation,
   type VirtualInstallation,
 } from '../../../../../standins/virtual/virtualInstallation.js';
-import { Profile } from '../../../core/common/core.js';
 import { declarationId } from '../../../declaration/common/declarationTables.js';
 
 const initialVoters = ['d1', 'd2', 'd3'];
@@ -62,12 +60,11 @@
 const runLoss = (loss: Loss, lost: string, moment: number, seed: number): readonly string[] => {
   let created: VirtualInstallation | undefined;
   const history = createControlHistory(() => created);
-  const installation = createVirtualInstallation({
-    deployment: { ...createTestDeployment(5, 4), discovery: Discovery.Announced },
-    tree: createTestTree(),
+  const installation = createAnnouncedInstallation({
+    daemonCount: 5,
+    controlCount: 4,
+    voterCount: 3,
     seed,
-    profile: Profile.Declaration,
-    fleet: { ...defaultFleetSettings, voterCount: 3 },
     initiallyStopped: [successor],
     voters: (name, incarnation) =>
       name === entry || (initialVoters.includes(name) && incarnation === 1) ? initialVoters : [],
@@ -125,12 +122,10 @@
 });
 
 test('an installation starts although all initial voters end before they have stored who votes', (t) => {
-  const installation = createVirtualInstallation({
-    deployment: { ...createTestDeployment(3, 3), discovery: Discovery.Announced },
-    tree: createTestTree(),
+  const installation = createAnnouncedInstallation({
+    daemonCount: 3,
+    voterCount: 3,
     seed: 1,
-    profile: Profile.Declaration,
-    fleet: { ...defaultFleetSettings, voterCount: 3 },
     voters: () => [],
     latency: () => latencyMilliseconds,
   });
--- a/src/service/consensus/test/common/staleVoters.test.ts
+++ b/src/service/consensus/test/common/staleVoters.test.ts
@@ -5,19 +5,10 @@
  */
 import test from 'ava';
 import { asBrand } from '../../../../base/common/brand.js';
-import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
-import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { createControlHistory } from '../../../../../standins/virtual/controlHistory.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
-import {
-  createTestDeployment,
-  createTestTree,
-} from '../../../../../standins/virtual/testDeployment.js';
-import {
-  createVirtualInstallation,
-  type VirtualInstallation,
-} from '../../../../../standins/virtual/virtualInstallation.js';
-import { Profile } from '../../../core/common/core.js';
+import { type VirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
 import { declarationId } from '../../../declaration/common/declarationTables.js';
 import { replicaOf } from '../../common/replicaLog.js';
 import { isCurrentLeader, ReplicaState } from '../../common/replicaTables.js';
@@ -91,12 +82,10 @@
 const createInstallation = (seed: number): Omit<Situation, 'stale'> => {
   let created: VirtualInstallation | undefined;
   const history = createControlHistory(() => created);
-  const installation = createVirtualInstallation({
-    deployment: { ...createTestDeployment(5, 5), discovery: Discovery.Announced },
-    tree: createTestTree(),
+  const installation = createAnnouncedInstallation({
+    daemonCount: 5,
+    voterCount: 3,
     seed,
-    profile: Profile.Declaration,
-    fleet: { ...defaultFleetSettings, voterCount: 3 },
     initiallyStopped: [successor, secondSuccessor],
     voters: (name, incarnation) =>
       initialVoters.includes(name) && incarnation === 1 ? initialVoters : [],
--- a/src/service/consensus/test/common/voterStates.test.ts
+++ b/src/service/consensus/test/common/voterStates.test.ts
@@ -7,18 +7,9 @@
 import { asBrand } from '../../../../base/common/brand.js';
 import type { ValueOf } from '../../../../base/common/handlers.js';
 import { encodeRecord } from '../../../../infrastructure/storage/node/recordCodec.js';
-import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
-import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
-import {
-  createTestDeployment,
-  createTestTree,
-} from '../../../../../standins/virtual/testDeployment.js';
-import {
-  createVirtualInstallation,
-  type VirtualInstallation,
-} from '../../../../../standins/virtual/virtualInstallation.js';
-import { Profile } from '../../../core/common/core.js';
+import { type VirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
 import type { Command } from '../../common/command.js';
 import type { StorageWrite } from '../../common/durableState.js';
 import type { LogEntry } from '../../common/logEntry.js';
@@ -99,15 +90,10 @@
 
 const start = (states: readonly DiskState[], seed: number): VirtualInstallation => {
   const stateOf = (name: string): DiskState => states[names.indexOf(name)]!;
-  const installation = createVirtualInstallation({
-    deployment: {
-      ...createTestDeployment(names.length, names.length),
-      discovery: Discovery.Announced,
-    },
-    tree: createTestTree(),
+  const installation = createAnnouncedInstallation({
+    daemonCount: names.length,
+    voterCount: names.length,
     seed,
-    profile: Profile.Declaration,
-    fleet: { ...defaultFleetSettings, voterCount: names.length },
     voters: (name) => (isOriginal[stateOf(name)] ? names : []),
     initiallyStopped: names,
   });
--- a/standins/virtual/test/startingSteps.ts
+++ b/standins/virtual/test/startingSteps.ts
@@ -7,13 +7,10 @@
 import type { HandlerTable } from '../../../src/base/common/handlers.js';
 import { createRandom } from '../../../src/base/common/random.js';
 import type { Instant } from '../../../src/base/common/time.js';
-import { Discovery } from '../../../src/infrastructure/settings/common/deployment.js';
-import { defaultFleetSettings } from '../../../src/infrastructure/settings/common/fleetSettings.js';
-import { Profile } from '../../../src/service/core/common/core.js';
+import { createAnnouncedInstallation } from '../announcedInstallation.js';
 import { createControlHistory } from '../controlHistory.js';
 import { testDeclarationCommand } from '../fleetFixture.js';
-import { createTestDeployment, createTestTree } from '../testDeployment.js';
-import { createVirtualInstallation, type VirtualInstallation } from '../virtualInstallation.js';
+import { type VirtualInstallation } from '../virtualInstallation.js';
 
 const initialVoters = ['d1', 'd2', 'd3'];
 /** Daemons that start while another is gone for good, in this order. */
@@ -59,15 +56,10 @@
   let lossDeadline: Instant = Number.NEGATIVE_INFINITY;
   let created: VirtualInstallation | undefined;
   const history = createControlHistory(() => created);
-  const installation = createVirtualInstallation({
-    deployment: {
-      ...createTestDeployment(names.length, names.length),
-      discovery: Discovery.Announced,
-    },
-    tree: createTestTree(),
+  const installation = createAnnouncedInstallation({
+    daemonCount: names.length,
+    voterCount: initialVoters.length,
     seed,
-    profile: Profile.Declaration,
-    fleet: { ...defaultFleetSettings, voterCount: initialVoters.length },
     initiallyStopped: successors,
     voters: (name) => (withDisk.has(name) ? initialVoters : []),
     latency: () => 1 + random.nextInteger(random.nextInteger(20) === 0 ? 200 : 20),
