--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -39,7 +39,7 @@
   readonly state: ReplicaState;
   readonly term: number;
   readonly votedFor: DaemonId | null;
-  /** Whether it can vote for candidates that have joined; see the module `joining`. */
+  /** Whether it holds every entry that it has acknowledged; see the module `joining`. */
   readonly hasJoined: boolean;
   readonly leader: DaemonId | null;
   readonly lastIndex: number;
--- a/src/service/consensus/common/storageFacts.ts
+++ b/src/service/consensus/common/storageFacts.ts
@@ -33,7 +33,8 @@
 
 /**
  * Time after its start for which a daemon that lost its disk grants no vote. Voters that can elect a
- * leader without it have done so by then, and it has heard of that leader.
+ * leader without it have done so by then, and it has heard of that leader: a failover, and two of its
+ * requests for entries.
  */
 const emptyDiskVoteDelayMilliseconds = maximumFailoverMilliseconds + 1_000;
 
