--- a/src/daemon/consensus/node/replayRecords.ts
+++ b/src/daemon/consensus/node/replayRecords.ts
@@ -9,7 +9,7 @@
 } from '../../../infrastructure/storage/common/storageError.js';
 import {
   createReplay,
-  storageWriteSchema,
+  storageRecordSchema,
   type DurableState,
 } from '../../../service/consensus/common/durableState.js';
 
@@ -20,12 +20,12 @@
 export const replayRecords = (values: readonly unknown[]): Result<DurableState, StorageError> => {
   const replay = createReplay();
   for (const [index, value] of values.entries()) {
-    const parsedWrite = storageWriteSchema.safeParse(value);
-    if (!parsedWrite.success) {
+    const parsedRecord = storageRecordSchema.safeParse(value);
+    if (!parsedRecord.success) {
       const detail = `Storage record ${index + 1} does not match any known record schema.`;
       return err(createStorageError(StorageErrorKind.UnknownRecord, detail));
     }
-    replay.apply(parsedWrite.data);
+    replay.apply(parsedRecord.data);
   }
   return ok(replay.state());
 };
--- a/standins/virtual/fleetCore.ts
+++ b/standins/virtual/fleetCore.ts
@@ -52,7 +52,7 @@
   );
   world.storageFacts.append({
     kind: 'recovered',
-    state: { term: 0, votedFor: null, hasJoined: false, entries: [] },
+    state: { term: 0, votedFor: null, hasJoined: false, snapshot: null, entries: [] },
   });
 
   const tick = (): void => {
