--- a/src/service/consensus/common/consensusHandlers.ts
+++ b/src/service/consensus/common/consensusHandlers.ts
@@ -11,6 +11,7 @@
 import { followHandlers } from './following.js';
 import { proposalHandlers } from './proposals.js';
 import { replicationHandlers } from './replication.js';
+import { snapshotHandlers } from './snapshotTransfer.js';
 
 export const consensusHandlers: HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]> =
   {
@@ -18,4 +19,5 @@
     ...replicationHandlers,
     ...proposalHandlers,
     ...followHandlers,
+    ...snapshotHandlers,
   };
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -6,6 +6,7 @@
 import { echoedInstantSchema } from '../../world/common/echoedInstant.js';
 import { commandSchema } from './command.js';
 import { logEntrySchema } from './logEntry.js';
+import { snapshotHeaderSchema, snapshotPartSchema } from './snapshot.js';
 import { VoteRefusal } from './voteRefusal.js';
 
 const term = z.number().int().nonnegative();
@@ -122,6 +123,34 @@
   leaderAbsence: z.string().nullable().default(null),
 });
 
+/** The sender has a snapshot that stands for entries which the receiver lacks. */
+export const snapshotOfferedSchema = z.object({
+  kind: z.literal('snapshotOffered'),
+  /** Index of the last entry that the snapshot stands for. */
+  index,
+});
+
+/** Asks for parts of a snapshot. */
+export const snapshotRequestedSchema = z.object({
+  kind: z.literal('snapshotRequested'),
+  index,
+  /** Number of the first part to send, from 0. */
+  part: z.number().int().nonnegative(),
+  /** Whether the sender receives the rows of every topic. */
+  isRelay: z.boolean(),
+});
+
+export const snapshotSentSchema = z.object({
+  kind: z.literal('snapshotSent'),
+  header: snapshotHeaderSchema,
+  /** Number of this part, from 0. */
+  part: z.number().int().nonnegative(),
+  /** Number of parts that the receiver is sent in all. */
+  count: z.number().int().positive(),
+  /** The part; null if the snapshot has no rows for the receiver. */
+  content: snapshotPartSchema.nullable(),
+});
+
 /** Schema of all messages of the replicated log. */
 export const consensusMessageSchema = z.discriminatedUnion('kind', [
   voteRequestedSchema,
@@ -132,6 +161,9 @@
   proposalAnsweredSchema,
   followRequestedSchema,
   entriesFollowedSchema,
+  snapshotOfferedSchema,
+  snapshotRequestedSchema,
+  snapshotSentSchema,
 ]);
 
 /** A message of the replicated log. */
--- a/src/service/consensus/common/endedLeadership.ts
+++ b/src/service/consensus/common/endedLeadership.ts
@@ -10,14 +10,28 @@
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { electionJitterAfterLeadershipEndMilliseconds } from './consensusTiming.js';
-import { changeReplica, replicaOf } from './replicaLog.js';
+import { changeReplica, replicaOf, snapshotOf } from './replicaLog.js';
 import { entryIdOf, ReplicaState } from './replicaTables.js';
 
-/** Returns the leader recorded for a term at the end of the log, or null if the log has none. */
-export const findLeaderInLog = (world: World, term: number): DaemonId | null => {
-  for (let index = replicaOf(world).lastIndex; index > 0; index -= 1) {
+/** Returns the leader that the snapshot names for a term, or null if it is of another term. */
+const findLeaderInSnapshot = (world: World, term: number): DaemonId | null => {
+  const header = snapshotOf(world)?.header;
+  return header?.term === term ? (header.leader as DaemonId | null) : null;
+};
+
+/**
+ * Returns the leader recorded for a term in the entries up to `lastIndex`, by default all of them, or
+ * null if there is none.
+ */
+export const findLeaderInLog = (
+  world: World,
+  term: number,
+  lastIndex: number = replicaOf(world).lastIndex,
+): DaemonId | null => {
+  for (let index = lastIndex; index > 0; index -= 1) {
     const entry = world.logEntries.get(entryIdOf(index));
-    if (entry?.term !== term) return null;
+    if (entry === undefined) return findLeaderInSnapshot(world, term);
+    if (entry.term !== term) return null;
     if (entry.command.kind === 'leadershipTaken') return entry.command.leader as DaemonId;
   }
   return null;
--- a/src/service/consensus/common/entryBatch.ts
+++ b/src/service/consensus/common/entryBatch.ts
@@ -32,7 +32,8 @@
 export const computeEntryBytes = (world: World, first: number, last: number): number =>
   [...entryRowsBetween(world, first, last)].reduce((sum, row) => sum + bytesOfEntry(row), 0);
 
-const emptyBatch: Batch<LogEntryRow> = { rows: [], bytes: 0 };
+/** No entries. */
+export const emptyBatch: Batch<LogEntryRow> = { rows: [], bytes: 0 };
 
 /**
  * Selects entries for one message to a follower to which `unacknowledgedBytes` are under way. An
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -7,7 +7,6 @@
 import { asBrand } from '../../../base/common/brand.js';
 import type { HandlerTable, UnionMember } from '../../../base/common/handlers.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
-import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { maximumUnacknowledgedBytes } from '../../../infrastructure/wire/common/frameLimits.js';
 import { distanceTo } from '../../membership/common/contacts.js';
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
@@ -23,16 +22,22 @@
 } from './consensusTiming.js';
 import {
   computeLearnerProgress,
+  needsSnapshot,
   selectLearnerBatch,
   type LearnerBatch,
 } from './learnerProgress.js';
 import type { LogEntry } from './logEntry.js';
-import { changeReplica, putEntry, replicaOf, termAt, toLogEntry } from './replicaLog.js';
+import {
+  changeReplica,
+  hasFullLog,
+  putEntry,
+  replicaOf,
+  termAt,
+  toLogEntry,
+} from './replicaLog.js';
 import { describeLeaderAbsence } from './leaderAbsence.js';
 import { isCurrentLeader, ReplicaState, type FollowingLearnerRow } from './replicaTables.js';
-
-/** Whether this daemon stores entries of every topic, in order to vote on them or to relay them. */
-export const hasFullLog = (world: World): boolean => world.self.roles.includes(Role.Control);
+import { offerSnapshot } from './snapshotTransfer.js';
 
 const relayCandidatesOf = (world: World): DaemonRow[] => {
   const isRelayCandidate = (row: DaemonRow): boolean =>
@@ -153,7 +158,11 @@
 type FollowedEntries = UnionMember<ConsensusMessage, 'entriesFollowed'>;
 
 const deliverEntry = (world: World, entry: LogEntry): void => {
-  if (hasFullLog(world)) putEntry(world, entry);
+  if (hasFullLog(world)) {
+    const { encodedBytes } = putEntry(world, entry);
+    const { bytesSinceSnapshot } = replicaOf(world);
+    changeReplica(world, { bytesSinceSnapshot: bytesSinceSnapshot + encodedBytes });
+  }
   world.committedEntries.append({ ...entry, proposal: asBrand(entry.proposal) });
 };
 
@@ -214,6 +223,7 @@
       silenceDeadline: deadlineAfter(now, learnerTimeoutMilliseconds),
     });
     sendLearnerBatch(world, learner, selectLearnerBatch(world, learner), now);
+    if (needsSnapshot(world, learner.sentIndex)) offerSnapshot(world, sender.id);
   },
   entriesFollowed: (followed, world, sender, now) => {
     const { state, relay, commitIndex, term, votedFor, currentAsOf, leaderAbsence } =
--- a/src/service/consensus/common/learnerProgress.ts
+++ b/src/service/consensus/common/learnerProgress.ts
@@ -10,7 +10,7 @@
 import { Topic, topicOfCommand } from './command.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import { resendDelayMilliseconds } from './consensusTiming.js';
-import { entryRowsBetween, selectEntryBatch } from './entryBatch.js';
+import { emptyBatch, entryRowsBetween, selectEntryBatch } from './entryBatch.js';
 import type { LogEntry } from './logEntry.js';
 import { replicaOf } from './replicaLog.js';
 import type { FollowingLearnerRow, LogEntryRow } from './replicaTables.js';
@@ -38,12 +38,18 @@
   readonly throughIndex: number;
 }
 
+/** Whether a learner that has all entries up to an index lacks some that this daemon has removed. */
+export const needsSnapshot = (world: World, index: number): boolean =>
+  index < replicaOf(world).compactedIndex;
+
 /**
  * Selects the next entries for a learner, and the index up to which they are all that it receives.
  * The index remains the same if the learner must first acknowledge earlier ones.
  */
 export const selectLearnerBatch = (world: World, learner: FollowingLearnerRow): LearnerBatch => {
   const { deliveredIndex } = replicaOf(world);
+  if (needsSnapshot(world, learner.sentIndex))
+    return { ...emptyBatch, throughIndex: learner.sentIndex };
   const pending = receivedRowsBetween(world, learner, learner.sentIndex + 1, deliveredIndex);
   const batch = selectEntryBatch(pending, learner.unacknowledgedBytes);
   const lastSelected = batch.rows.at(-1)?.index ?? learner.sentIndex;
--- a/src/service/consensus/common/memberProgress.ts
+++ b/src/service/consensus/common/memberProgress.ts
@@ -9,16 +9,21 @@
 import type { World } from '../../world/common/world.js';
 import type { ConsensusMessage } from './consensusMessages.js';
 import { catchUpReportMilliseconds } from './consensusTiming.js';
-import { computeEntryBytes, entryRowsBetween, selectEntryBatch } from './entryBatch.js';
-import { replicaOf } from './replicaLog.js';
+import { computeEntryBytes, emptyBatch, entryRowsBetween, selectEntryBatch } from './entryBatch.js';
+import { canContinueFrom, replicaOf } from './replicaLog.js';
 import type { LogEntryRow, MemberRow } from './replicaTables.js';
 
-/** Selects the entries for the next message to a member; none if it must first acknowledge some. */
+/**
+ * Selects the entries for the next message to a member; none if it must first acknowledge some, or
+ * lacks entries that this daemon has removed.
+ */
 export const selectEntriesFor = (world: World, member: MemberRow): Batch<LogEntryRow> =>
-  selectEntryBatch(
-    entryRowsBetween(world, member.nextIndex, replicaOf(world).lastIndex),
-    member.unacknowledgedBytes,
-  );
+  canContinueFrom(world, member.nextIndex - 1)
+    ? selectEntryBatch(
+        entryRowsBetween(world, member.nextIndex, replicaOf(world).lastIndex),
+        member.unacknowledgedBytes,
+      )
+    : emptyBatch;
 
 /** Reports a voter that lacks entries and has acknowledged none of them for a while. */
 export const reportBehind = (world: World, member: MemberRow, now: Instant): void => {
@@ -61,7 +66,8 @@
     matchIndex: Math.max(member.matchIndex, matchIndex),
     nextIndex: Math.max(member.nextIndex, matchIndex + 1),
     acknowledgedIndex,
-    unacknowledgedBytes: Math.max(0, member.unacknowledgedBytes - acknowledgedBytes),
+    // Entries may have been removed before they were acknowledged.
+    unacknowledgedBytes: isBehind ? Math.max(0, member.unacknowledgedBytes - acknowledgedBytes) : 0,
     catchUpDeadline: isBehind ? reportDeadline : never,
   };
 };
--- a/src/service/consensus/common/replicaLog.ts
+++ b/src/service/consensus/common/replicaLog.ts
@@ -5,6 +5,7 @@
 import { asBrand } from '../../../base/common/brand.js';
 import { computeEncodedBytes } from '../../../base/common/encodedSize.js';
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
+import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import type { Message } from '../../messages/common/message.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -15,10 +16,14 @@
 import type { StorageWrite } from './durableState.js';
 import type { LogEntry } from './logEntry.js';
 import { entryIdOf, replicaId, type LogEntryRow, type ReplicaRow } from './replicaTables.js';
+import { snapshotId, type SnapshotRow } from './snapshotTables.js';
 
 /** Returns the row of the replica, which is inserted before the first tick. */
 export const replicaOf = (world: World): ReplicaRow => world.replica.get(replicaId)!;
 
+/** Whether this daemon stores entries of every topic, in order to vote on them or to relay them. */
+export const hasFullLog = (world: World): boolean => world.self.roles.includes(Role.Control);
+
 /** Changes columns of the replica and returns the new row. */
 export const changeReplica = (world: World, columns: Partial<Omit<ReplicaRow, 'id'>>): ReplicaRow =>
   world.replica.change(replicaId, columns)!;
@@ -31,18 +36,33 @@
       world.random.nextInteger(electionTimeoutJitterMilliseconds),
   );
 
-/** Returns the term of the entry at an index: 0 for index 0, undefined if there is no entry. */
-export const termAt = (world: World, index: number): number | undefined =>
-  index === 0 ? 0 : world.logEntries.get(entryIdOf(index))?.term;
+/** Returns the newest snapshot of this daemon, or undefined if it has none. */
+export const snapshotOf = (world: World): SnapshotRow | undefined =>
+  world.snapshots.get(snapshotId);
+
+/**
+ * Returns the term of the entry at an index: 0 for index 0, undefined if there is no entry and no
+ * snapshot that ends with it.
+ */
+export const termAt = (world: World, index: number): number | undefined => {
+  if (index === 0) return 0;
+  const entry = world.logEntries.get(entryIdOf(index));
+  if (entry !== undefined) return entry.term;
+  const header = snapshotOf(world)?.header;
+  return header?.index === index ? header.term : undefined;
+};
+
+/** Whether the log still has the entries after an index, and the term of the one at it. */
+export const canContinueFrom = (world: World, index: number): boolean =>
+  index >= replicaOf(world).compactedIndex && termAt(world, index) !== undefined;
 
 /** Inserts an entry into the log of this daemon, or replaces the one at its index. */
-export const putEntry = (world: World, entry: LogEntry): void => {
+export const putEntry = (world: World, entry: LogEntry): LogEntryRow =>
   world.logEntries.put({
     ...entry,
     id: entryIdOf(entry.index),
     encodedBytes: computeEncodedBytes(entry),
   });
-};
 
 /** Returns the entry of a row, as it is stored and sent. */
 export const toLogEntry = ({ index, term, proposal, origin, command }: LogEntryRow): LogEntry => ({
@@ -53,17 +73,6 @@
   command,
 });
 
-/** Returns the entries from `first` to `last` inclusive, up to the first missing one. */
-export const entriesBetween = (world: World, first: number, last: number): LogEntry[] => {
-  const entries: LogEntry[] = [];
-  for (let index = first; index <= last; index += 1) {
-    const row = world.logEntries.get(entryIdOf(index));
-    if (row === undefined) break;
-    entries.push(toLogEntry(row));
-  }
-  return entries;
-};
-
 /** Requests a write from storage. Messages that depend on it must use `sendAfterSync`. */
 export const requestWrite = (world: World, write: StorageWrite): void => {
   const sequence = replicaOf(world).requestedSequence + 1;
@@ -96,14 +105,28 @@
   world.heldMessages.put({ id, sequence: replicaOf(world).requestedSequence, to, message });
 };
 
+/** Removes the entries after an index. */
+export const truncateLog = (world: World, index: number): void => {
+  const { compactedIndex, lastIndex } = replicaOf(world);
+  for (let removed = lastIndex; removed > Math.max(index, compactedIndex); removed -= 1) {
+    world.logEntries.remove(entryIdOf(removed));
+  }
+};
+
+/** Removes the entries up to an index, for which a snapshot stands. */
+export const removeEntries = (world: World, index: number): void => {
+  const { compactedIndex } = replicaOf(world);
+  for (let removed = compactedIndex + 1; removed <= index; removed += 1) {
+    world.logEntries.remove(entryIdOf(removed));
+  }
+  changeReplica(world, { compactedIndex: Math.max(compactedIndex, index) });
+};
+
 /** Stores entries that extend the log or replace its end, and requests their write. */
 export const storeEntries = (world: World, entries: readonly LogEntry[]): void => {
   const [first] = entries;
   if (first === undefined) return;
-  const { lastIndex } = replicaOf(world);
-  for (let index = lastIndex; index >= first.index; index -= 1) {
-    world.logEntries.remove(entryIdOf(index));
-  }
+  truncateLog(world, first.index - 1);
   entries.forEach((entry) => putEntry(world, entry));
   const last = entries.at(-1)!;
   changeReplica(world, { lastIndex: last.index, lastTerm: last.term });
--- a/src/service/consensus/common/replicaSystem.ts
+++ b/src/service/consensus/common/replicaSystem.ts
@@ -8,14 +8,16 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { entryRowsBetween } from './entryBatch.js';
 import { advanceElection, handleElectionDeadline } from './election.js';
 import { replicateToLearners, sendFollowRequest } from './following.js';
 import { updateLeadership } from './lease.js';
 import { processProposals, resendProposals } from './proposals.js';
-import { changeReplica, entriesBetween, replicaOf, nonLeaderColumns } from './replicaLog.js';
+import { changeReplica, replicaOf, nonLeaderColumns, toLogEntry } from './replicaLog.js';
 import { replicaId, ReplicaState } from './replicaTables.js';
 import { canVote, putVoters } from './voters.js';
 import { advanceCommitIndex, replicate } from './replication.js';
+import { continueReceiving } from './snapshotTransfer.js';
 import { handleStorageFacts } from './storageFacts.js';
 
 /** Inserts the replica and the initial voters; called once, before the first tick. */
@@ -36,6 +38,8 @@
     lastTerm: 0,
     commitIndex: 0,
     deliveredIndex: 0,
+    compactedIndex: 0,
+    bytesSinceSnapshot: 0,
     requestedSequence: 0,
     syncedSequence: 0,
     electionDeadline: never,
@@ -53,11 +57,17 @@
 };
 
 const deliverCommittedEntries = (world: World): void => {
-  const { commitIndex, deliveredIndex } = replicaOf(world);
-  entriesBetween(world, deliveredIndex + 1, commitIndex).forEach((entry) =>
-    world.committedEntries.append({ ...entry, proposal: asBrand(entry.proposal) }),
+  const { commitIndex, deliveredIndex, bytesSinceSnapshot } = replicaOf(world);
+  if (deliveredIndex === commitIndex) return;
+  const rows = [...entryRowsBetween(world, deliveredIndex + 1, commitIndex)];
+  rows.forEach((row) =>
+    world.committedEntries.append({ ...toLogEntry(row), proposal: asBrand(row.proposal) }),
   );
-  changeReplica(world, { deliveredIndex: commitIndex });
+  const deliveredBytes = rows.reduce((sum, { encodedBytes }) => sum + encodedBytes, 0);
+  changeReplica(world, {
+    deliveredIndex: commitIndex,
+    bytesSinceSnapshot: bytesSinceSnapshot + deliveredBytes,
+  });
 };
 
 /** Creates the replica system. */
@@ -82,6 +92,7 @@
       advanceCommitIndex(world);
       replicate(world, now);
       deliverCommittedEntries(world);
+      continueReceiving(world, now);
       sendFollowRequest(world, now);
       replicateToLearners(world, now);
       world.replica.takeDue('order', now);
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -48,6 +48,10 @@
   readonly commitIndex: number;
   /** Index up to which entries have been delivered to the apply system. */
   readonly deliveredIndex: number;
+  /** Index up to which entries have been removed from the log, because a snapshot stands for them. */
+  readonly compactedIndex: number;
+  /** Size of the entries that were delivered since the snapshot was taken. */
+  readonly bytesSinceSnapshot: number;
   /** Sequence number of the last requested write. */
   readonly requestedSequence: number;
   /** Sequence number up to which writes are synced. */
--- a/src/service/consensus/common/replication.ts
+++ b/src/service/consensus/common/replication.ts
@@ -29,6 +29,7 @@
 import {
   changeReplica,
   nextElectionDeadline,
+  canContinueFrom,
   replicaOf,
   sendAfterSync,
   storeEntries,
@@ -36,6 +37,7 @@
   termAt,
   toLogEntry,
 } from './replicaLog.js';
+import { offerSnapshot } from './snapshotTransfer.js';
 import { applyLoggedVoters, becomeVoter, canVote } from './voters.js';
 import {
   isCurrentLeader,
@@ -128,6 +130,7 @@
     const batch = selectEntriesFor(world, member);
     const isDue = dueMemberIds.has(member.id) || member.sentCommitIndex < commitIndex;
     if (isDue || batch.rows.length > 0) sendEntries(world, member, batch, now);
+    if (isDue && !canContinueFrom(world, member.nextIndex - 1)) offerSnapshot(world, member.id);
   });
   if (due.some((member) => member.isSelf)) renewOwnLease(world, now);
 };
@@ -163,7 +166,11 @@
 };
 
 const storeNewEntries = (world: World, entries: readonly LogEntry[]): void => {
-  const position = entries.findIndex((entry) => termAt(world, entry.index) !== entry.term);
+  // Committed entries are the same on all daemons, and may have been removed here.
+  const { commitIndex } = replicaOf(world);
+  const position = entries.findIndex(
+    (entry) => entry.index > commitIndex && termAt(world, entry.index) !== entry.term,
+  );
   if (position < 0) return;
   const stored = entries.slice(position);
   const isReplacingVoters = stored[0]!.index <= replicaOf(world).votersIndex;
--- a/src/service/consensus/common/snapshot.ts
+++ b/src/service/consensus/common/snapshot.ts
@@ -31,13 +31,12 @@
 });
 export type SnapshotHeader = z.infer<typeof snapshotHeaderSchema>;
 
-/** Schema of a complete snapshot. */
-export const snapshotSchema = z.object({
-  header: snapshotHeaderSchema,
+/** A complete snapshot. */
+export interface Snapshot {
+  readonly header: SnapshotHeader;
   /** Parts in the order in which they are restored. A table without rows has none. */
-  parts: z.array(snapshotPartSchema),
-});
-export type Snapshot = z.infer<typeof snapshotSchema>;
+  readonly parts: readonly SnapshotPart[];
+}
 
 /** The topics whose rows a receiver of entries holds: those of all entries, or of configuration. */
 export const topicsOf = (isRelay: boolean): readonly Topic[] =>
--- a/src/service/consensus/common/storageFacts.ts
+++ b/src/service/consensus/common/storageFacts.ts
@@ -8,6 +8,7 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { putSnapshot } from './compaction.js';
 import type { DurableState } from './durableState.js';
 import { electionDeadlineAfterLeadershipEnd, findLeaderInLog } from './endedLeadership.js';
 import {
@@ -22,6 +23,8 @@
   nonLeaderColumns,
   putEntry,
 } from './replicaLog.js';
+import { restoreReplicatedState } from './replicatedState.js';
+import { topicsOf } from './snapshot.js';
 import { applyLoggedVoters, becomeLearner, joinMemberNames } from './voters.js';
 import { ReplicaState, type StorageFact } from './replicaTables.js';
 
@@ -63,6 +66,19 @@
   });
 };
 
+const lastIndexOf = ({ entries, snapshot }: DurableState): number =>
+  entries.at(-1)?.index ?? snapshot?.header.index ?? 0;
+
+/** Restores the snapshot and the entries after it. */
+const restoreLog = (world: World, { snapshot, entries }: DurableState, now: Instant): void => {
+  entries.forEach((entry) => putEntry(world, entry));
+  if (snapshot === null) return;
+  const { index } = snapshot.header;
+  putSnapshot(world, snapshot, now);
+  restoreReplicatedState(world, snapshot.parts, topicsOf(true), now);
+  changeReplica(world, { compactedIndex: index, commitIndex: index, deliveredIndex: index });
+};
+
 /** Records what the disk held, from which follows what the vote of this daemon counts. */
 const recordRecovery = (world: World, state: DurableState, isEmpty: boolean): void =>
   world.events.append({
@@ -74,7 +90,7 @@
       hasJoined: replicaOf(world).hasJoined,
       state: replicaOf(world).state,
       term: state.term,
-      lastIndex: state.entries.at(-1)?.index ?? 0,
+      lastIndex: lastIndexOf(state),
       voters: joinMemberNames(world),
     },
   });
@@ -83,16 +99,16 @@
   recovered: ({ state }, world, now) => {
     if (replicaOf(world).state !== ReplicaState.Recovering) return;
     // A voter syncs its term before it answers a leader, so an empty disk has not answered any.
-    const isEmpty = state.term === 0 && state.entries.length === 0;
+    const isEmpty = state.term === 0 && lastIndexOf(state) === 0;
     const isFirstStart = isEmpty && !hasLostDisk(world);
-    state.entries.forEach((entry) => putEntry(world, entry));
+    restoreLog(world, state, now);
     changeReplica(world, {
       state: ReplicaState.Follower,
       term: state.term,
       votedFor: state.votedFor === null ? null : asBrand<DaemonId>(state.votedFor),
       hasJoined: state.hasJoined,
-      lastIndex: state.entries.at(-1)?.index ?? 0,
-      lastTerm: state.entries.at(-1)?.term ?? 0,
+      lastIndex: lastIndexOf(state),
+      lastTerm: state.entries.at(-1)?.term ?? state.snapshot?.header.term ?? 0,
       electionDeadline: isFirstStart
         ? deadlineAfter(now, world.random.nextInteger(firstElectionJitterMilliseconds))
         : nextElectionDeadline(world, now),
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -6,22 +6,16 @@
 import { never, type Instant } from '../../../base/common/time.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import { EventKind } from '../../events/common/eventKind.js';
-import {
-  divideIntoBatches,
-  maximumBatchBytes,
-} from '../../../infrastructure/wire/common/frameLimits.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
-import { maximumEntriesPerMessage } from './consensusTiming.js';
-import { entryRowsBetween } from './entryBatch.js';
 import {
   changeReplica,
   nextElectionDeadline,
   replicaOf,
-  requestWrite,
+  snapshotOf,
   termAt,
+  truncateLog,
   nonLeaderColumns,
-  toLogEntry,
 } from './replicaLog.js';
 import {
   entryIdOf,
@@ -30,6 +24,8 @@
   unsentColumns,
   type MemberRow,
 } from './replicaTables.js';
+import type { SnapshotHeader } from './snapshot.js';
+import { requestStateReplacement } from './stateReplacement.js';
 import { VoteAnswer } from './voteRefusal.js';
 
 const createMemberRow = (world: World, id: DaemonId): MemberRow => ({
@@ -64,19 +60,26 @@
 export const joinMemberNames = (world: World): string =>
   [...world.members.rows()].map(({ id }) => id).join(',');
 
-/** Applies the latest change of voters in the log, or the initial voters if there is none. */
-export const applyLoggedVoters = (world: World): void => {
-  const { lastIndex, votersIndex } = replicaOf(world);
+/** Voters, and the index of the entry that defines them; no names and 0 for the initial voters. */
+type LoggedVoters = Pick<SnapshotHeader, 'votersIndex' | 'voters'>;
+
+/** Returns the latest change of voters up to an index, in the log or in the snapshot before it. */
+export const findVotersAt = (world: World, lastIndex: number): LoggedVoters => {
   for (let index = lastIndex; index > 0; index -= 1) {
     const command = world.logEntries.get(entryIdOf(index))?.command;
-    if (command?.kind === 'votersSet') {
-      if (index !== votersIndex) changeReplica(world, { votersIndex: index });
-      putVoters(world, command.voters);
-      return;
-    }
+    if (command === undefined) break;
+    if (command.kind === 'votersSet') return { votersIndex: index, voters: command.voters };
   }
-  changeReplica(world, { votersIndex: 0 });
-  putVoters(world, world.initialVoters);
+  const header = snapshotOf(world)?.header;
+  return { votersIndex: header?.votersIndex ?? 0, voters: header?.voters ?? [] };
+};
+
+/** Applies the latest change of voters in the log, or the initial voters if there is none. */
+export const applyLoggedVoters = (world: World): void => {
+  const { lastIndex } = replicaOf(world);
+  const { votersIndex, voters } = findVotersAt(world, lastIndex);
+  changeReplica(world, { votersIndex });
+  putVoters(world, votersIndex === 0 ? world.initialVoters : voters);
 };
 
 /** Whether this daemon can vote: it has the role `control` and a data folder. */
@@ -91,33 +94,26 @@
   });
 };
 
-/** Turns this learner into a voter, and writes the entries that it has received to disk. */
+/** Turns this learner into a voter, and writes what it has received to disk. */
 export const becomeVoter = (world: World, now: Instant): void => {
   const { commitIndex } = replicaOf(world);
-  const rows = [...entryRowsBetween(world, 1, commitIndex)];
-  const lastIndex = rows.at(-1)?.index ?? 0;
   changeReplica(world, {
     ...nonLeaderColumns,
     state: ReplicaState.Follower,
-    lastIndex,
-    lastTerm: termAt(world, lastIndex) ?? 0,
+    lastIndex: commitIndex,
+    lastTerm: termAt(world, commitIndex) ?? 0,
     followDeadline: never,
     electionDeadline: nextElectionDeadline(world, now),
   });
-  divideIntoBatches(rows, ({ encodedBytes }) => encodedBytes, {
-    maximumRows: maximumEntriesPerMessage,
-    maximumBytes: maximumBatchBytes,
-  }).forEach((batch) => requestWrite(world, { kind: 'entries', entries: batch.map(toLogEntry) }));
+  requestStateReplacement(world, false);
   applyLoggedVoters(world);
   recordVotingChange(world, true);
 };
 
 /** Turns this daemon into a learner, and removes entries that are not committed. */
 export const becomeLearner = (world: World, now: Instant): void => {
-  const { commitIndex, lastIndex } = replicaOf(world);
-  for (let index = lastIndex; index > commitIndex; index -= 1) {
-    world.logEntries.remove(entryIdOf(index));
-  }
+  const { commitIndex } = replicaOf(world);
+  truncateLog(world, commitIndex);
   changeReplica(world, {
     ...nonLeaderColumns,
     state: ReplicaState.Learner,
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -20,6 +20,7 @@
 import { createRevocationSystem } from '../../configuration/common/revocationSystem.js';
 import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
+import { createCompactionSystem } from '../../consensus/common/compaction.js';
 import { createVoterSystem } from '../../consensus/common/voterSystem.js';
 import { createReplicaSystem, insertReplica } from '../../consensus/common/replicaSystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
@@ -82,6 +83,7 @@
   createInboxSystem,
   createReplicaSystem,
   createApplySystem,
+  createCompactionSystem,
   createPublicationSystem,
   createRotationSystem,
   createRevocationSystem,
@@ -115,6 +117,7 @@
   createReplicaSystem,
   createVoterSystem,
   createApplySystem,
+  createCompactionSystem,
   createDaemonSystem,
   createRegistrySystem,
   createQuarantineSystemFor(callQuarantinePolicy),
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -52,6 +52,14 @@
   VoterBehind: 'voterBehind',
   /** A learner has acknowledged none of the entries that were sent to it; they are sent again. */
   LearnerBehind: 'learnerBehind',
+  /** A daemon has compacted its log. */
+  SnapshotTaken: 'snapshotTaken',
+  /** A daemon has replaced its log and its replicated rows by the snapshot of another one. */
+  SnapshotInstalled: 'snapshotInstalled',
+  /** A received snapshot has rows that this daemon cannot read. */
+  SnapshotRefused: 'snapshotRefused',
+  /** The parts of a snapshot have stopped to arrive before it was complete. */
+  SnapshotAbandoned: 'snapshotAbandoned',
   /** A message between daemons exceeds the frame limit or cannot be read. */
   FrameRefused: 'frameRefused',
   /** A daemon that can vote knows no leader; repeated at intervals. */
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -38,6 +38,7 @@
 import { createRetryTables } from '../../dispatch/common/retryTables.js';
 import { createQuarantineTables } from '../../quarantine/common/quarantineTables.js';
 import { createReplicaTables } from '../../consensus/common/replicaTables.js';
+import { createSnapshotTables } from '../../consensus/common/snapshotTables.js';
 import { createRetirementTables } from '../../consensus/common/retirementTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
@@ -52,6 +53,7 @@
   ...createConfigurationTables(),
   ...createConsensusTables(),
   ...createReplicaTables(),
+  ...createSnapshotTables(),
   ...createRetirementTables(),
   ...createDemandTables(),
   ...createRetryTables(),
