--- a/src/infrastructure/wire/common/frameLimits.ts
+++ b/src/infrastructure/wire/common/frameLimits.ts
@@ -59,6 +59,10 @@
   return { rows: taken, bytes };
 };
 
+function* rowsFrom<Row>(rows: readonly Row[], start: number): Generator<Row, void, undefined> {
+  for (let position = start; position < rows.length; position += 1) yield rows[position]!;
+}
+
 /** Divides a list into batches that are each within the limits. */
 export const divideIntoBatches = <Row>(
   rows: readonly Row[],
@@ -68,7 +72,7 @@
   const batches: (readonly Row[])[] = [];
   let position = 0;
   while (position < rows.length) {
-    const batch = takeBatch(rows.slice(position), bytesOf, limits);
+    const batch = takeBatch(rowsFrom(rows, position), bytesOf, limits);
     batches.push(batch.rows);
     position += batch.rows.length;
   }
--- a/src/service/declaration/common/applyDeclaration.ts
+++ b/src/service/declaration/common/applyDeclaration.ts
@@ -11,7 +11,7 @@
 import type { World } from '../../world/common/world.js';
 import type { Declaration } from './declaration.js';
 import type { DeclarationSet } from './declarationCommands.js';
-import { declarationId, type CallerKeyRow } from './declarationTables.js';
+import { declarationId, type CallerKeyRow, type RouteRow } from './declarationTables.js';
 
 const replaceRows = <Row extends Entity>(
   table: Pick<Table<Row>, 'rows' | 'remove' | 'put'>,
@@ -27,14 +27,20 @@
     keys.map((key) => ({ id: asBrand(key), workspace: name, workspacePriority: priority })),
   );
 
+const createRouteRows = ({ routes }: Declaration): RouteRow[] =>
+  routes.map((route) => ({ ...route, id: asBrand(`${route.host} ${route.prefix}`) }));
+
+/** Replaces the rows of routes and keys by those of the declaration in force, if there is one. */
+export const replaceDerivedRows = (world: World): void => {
+  const declaration = world.declarations.get(declarationId)?.declaration;
+  replaceRows(world.routes, declaration === undefined ? [] : createRouteRows(declaration));
+  replaceRows(world.callerKeys, declaration === undefined ? [] : createKeyRows(declaration));
+};
+
 const activate = (world: World, command: DeclarationSet): void => {
   const { version, digest, document, declaration } = command;
   world.declarations.put({ id: declarationId, version, digest, document, declaration });
-  replaceRows(
-    world.routes,
-    declaration.routes.map((route) => ({ ...route, id: asBrand(`${route.host} ${route.prefix}`) })),
-  );
-  replaceRows(world.callerKeys, createKeyRows(declaration));
+  replaceDerivedRows(world);
   world.events.append({ kind: EventKind.DeclarationActivated, subject: { version, digest } });
 };
 
--- a/src/service/rollout/common/ledgerHandlers.ts
+++ b/src/service/rollout/common/ledgerHandlers.ts
@@ -6,7 +6,6 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import { asBrand } from '../../../base/common/brand.js';
-import { deadlineAfter, never } from '../../../base/common/time.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
 import type { ApplyHandlers } from '../../consensus/common/applyHandlers.js';
 import type { Rejection } from '../../consensus/common/consensusTables.js';
@@ -16,7 +15,7 @@
 import { advanceTrainer, assignSamples, completeSample, withdrawBatch } from './ledgerChanges.js';
 import type { LedgerCommand } from './ledgerCommands.js';
 import { LotState, SampleState, type LotRow } from './ledgerRows.js';
-import { isSameSpecification, putLot } from './putLot.js';
+import { isSameSpecification, putLot, removeLotClock, stopLotClock } from './putLot.js';
 
 /** Reasons for which the ledger rejects a command. */
 export const LedgerRejection = {
@@ -52,8 +51,6 @@
   return lot === undefined ? reject(LedgerRejection.UnknownLot) : applyChange(lot);
 };
 
-const failedRetentionMilliseconds = 600_000;
-
 /** Handlers of the ledger commands, by `kind`. */
 export const ledgerApplyHandlers: ApplyHandlers<LedgerCommand> = {
   lotOpened: (command, world, _, now) => {
@@ -106,10 +103,7 @@
     withExistingLot(world, command.lot, (lot) => {
       if (lot.state !== LotState.Open) return reject(LedgerRejection.LotClosed);
       world.lots.change(lot.id, { state: LotState.Failed, failure: command.failure });
-      world.lotClocks.change(lot.id, {
-        lotDeadline: never,
-        retentionDeadline: deadlineAfter(now, failedRetentionMilliseconds),
-      });
+      stopLotClock(world, lot.id, now);
       world.events.append({
         kind: EventKind.LotFailed,
         subject: { lot: lot.id, failure: command.failure },
@@ -133,8 +127,7 @@
       world.samples.where('lot', lot.id).forEach((sample) => world.samples.remove(sample.id));
       world.batches.where('lot', lot.id).forEach((batch) => world.batches.remove(batch.id));
       world.lots.remove(lot.id);
-      world.lotClocks.remove(lot.id);
-      world.bodyDeletions.append(lot.id);
+      removeLotClock(world, lot.id);
       world.events.append({ kind: EventKind.LotDropped, subject: { lot: lot.id } });
       return ok(undefined);
     }),
--- a/src/service/rollout/common/ledgerRows.ts
+++ b/src/service/rollout/common/ledgerRows.ts
@@ -3,6 +3,7 @@
  * daemons, and only the handlers of ledger commands may change them.
  */
 import type { ValueOf } from '../../../base/common/handlers.js';
+import type { Milliseconds } from '../../../base/common/time.js';
 import type { VersionSpan } from '../../traffic/common/trafficTables.js';
 import type {
   AttemptId,
@@ -55,6 +56,11 @@
   readonly nextCursor: number;
   /** Number of samples that are not in a batch. */
   readonly undelivered: number;
+  /**
+   * Milliseconds that were left to deliver the lot when it was opened, from which each daemon derives
+   * a deadline on its own clock.
+   */
+  readonly remaining: Milliseconds;
 }
 
 /** States of a sample. */
--- a/src/service/rollout/common/putLot.ts
+++ b/src/service/rollout/common/putLot.ts
@@ -3,7 +3,7 @@
  * identical on all control daemons.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { BodyId, GroupId, LotId, SampleId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -16,6 +16,9 @@
 /** Time after its deadline for which a lot whose last batch is not acknowledged is kept. */
 const deliveredRetentionMilliseconds = 600_000;
 
+/** Time for which a failed lot is kept. */
+const failedRetentionMilliseconds = 600_000;
+
 /** Returns the identifier of the group at a position in the lot. */
 export const groupIdOf = (lot: LotId, position: number): GroupId => asBrand(`${lot}/${position}`);
 
@@ -59,20 +62,55 @@
   holders: command.holders.map((holder) => asBrand(holder)),
   nextCursor: 0,
   undelivered: command.groupCount * command.groupSize,
+  remaining: command.remaining,
 });
 
+/** Sets the deadlines of an open lot. */
+const startLotClock = (world: World, { id, remaining }: LotRow, now: Instant): void => {
+  const lotDeadline = deadlineAfter(now, remaining);
+  world.lotClocks.put({
+    id,
+    lotDeadline,
+    retentionDeadline: deadlineAfter(lotDeadline, deliveredRetentionMilliseconds),
+  });
+};
+
+/** Sets the deadlines of a lot that has failed. */
+export const stopLotClock = (world: World, id: LotId, now: Instant): void => {
+  const retentionDeadline = deadlineAfter(now, failedRetentionMilliseconds);
+  world.lotClocks.change(id, { lotDeadline: never, retentionDeadline });
+};
+
+/** Removes the deadlines of a lot that was dropped, and has its bodies deleted. */
+export const removeLotClock = (world: World, id: LotId): void => {
+  world.lotClocks.remove(id);
+  world.bodyDeletions.append(id);
+};
+
+const restoreLotClock = (world: World, lot: LotRow, now: Instant): void => {
+  if (!world.lotClocks.has(lot.id)) startLotClock(world, lot, now);
+  const isRunning = world.lotClocks.get(lot.id)!.lotDeadline !== never;
+  if (lot.state === LotState.Failed && isRunning) stopLotClock(world, lot.id, now);
+};
+
+/**
+ * Adapts the deadlines of lots to lots that did not come one by one. Deadlines that exist are kept,
+ * as they are the earlier ones; others start anew, as after a restart.
+ */
+export const restoreLotClocks = (world: World, now: Instant): void => {
+  [...world.lotClocks.rows()]
+    .filter(({ id }) => !world.lots.has(id))
+    .forEach(({ id }) => removeLotClock(world, id));
+  [...world.lots.rows()].forEach((lot) => restoreLotClock(world, lot, now));
+};
+
 /** Inserts the rows of a lot and its samples, and sets the deadlines of the lot. */
 export const putLot = (world: World, command: LotOpened, now: Instant): void => {
   const lot = world.lots.put(createLotRow(command));
   Array.from({ length: lot.groupCount }, (_, position) =>
     putGroup(world, lot.id, position, lot.groupSize),
   );
-  const lotDeadline = deadlineAfter(now, command.remaining);
-  world.lotClocks.put({
-    id: lot.id,
-    lotDeadline,
-    retentionDeadline: deadlineAfter(lotDeadline, deliveredRetentionMilliseconds),
-  });
+  startLotClock(world, lot, now);
   const { workspace, owner, undelivered } = lot;
   const subject = { lot: lot.id, workspace, owner, samples: undelivered };
   world.events.append({ kind: EventKind.LotOpened, subject });
