--- a/standins/virtual/virtualDisk.ts
+++ b/standins/virtual/virtualDisk.ts
@@ -39,31 +39,34 @@
 
 /** Creates an empty disk. */
 export const createVirtualDisk = (): VirtualDisk => {
-  let synced: Buffer = Buffer.alloc(0);
-  let unsynced: Buffer = Buffer.alloc(0);
+  // Kept as they were written: joining the bytes at each write takes time by the square of the log.
+  let synced: readonly Buffer[] = [];
+  let unsynced: Buffer[] = [];
   const faults: DiskFaults = {};
+  const sync = (): void => {
+    synced = [...synced, ...unsynced];
+    unsynced = [];
+  };
   return {
     faults,
     write: (bytes) => {
-      unsynced = Buffer.concat([unsynced, bytes]);
-    },
-    sync: () => {
-      synced = Buffer.concat([synced, unsynced]);
-      unsynced = Buffer.alloc(0);
+      unsynced.push(bytes);
     },
-    read: () => Buffer.concat([synced, unsynced]),
+    sync,
+    read: () => Buffer.concat([...synced, ...unsynced]),
     crash: (random) => {
-      const survivingBytes = unsynced.subarray(0, random.nextInteger(unsynced.length + 1));
-      synced = Buffer.concat([synced, survivingBytes]);
-      unsynced = Buffer.alloc(0);
+      const bytes = Buffer.concat(unsynced);
+      unsynced = [bytes.subarray(0, random.nextInteger(bytes.length + 1))];
+      sync();
     },
     flipBit: (byte) => {
-      synced = Buffer.from(synced);
-      synced[byte] = synced[byte]! ^ 1; // eslint-disable-line no-bitwise -- flips one bit
+      const bytes = Buffer.concat(synced);
+      bytes[byte] = bytes[byte]! ^ 1; // eslint-disable-line no-bitwise -- flips one bit
+      synced = [bytes];
     },
     clear: () => {
-      synced = Buffer.alloc(0);
-      unsynced = Buffer.alloc(0);
+      synced = [];
+      unsynced = [];
     },
   };
 };
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -1,7 +1,7 @@
 /**
  * Production cores on virtual time: outgoing messages are delivered between daemons after a
  * latency, and fakes replace the ports. Daemons can be frozen, stopped and started, and links
- * between pairs of them cut.
+ * between pairs of them cut. Links have no bandwidth unless one is given.
  */
 import { asBrand } from '../../src/base/common/brand.js';
 import { createRandom } from '../../src/base/common/random.js';
@@ -14,6 +14,7 @@
 import type { RecordedEvent } from '../../src/service/events/common/eventKind.js';
 import type { Message } from '../../src/service/messages/common/message.js';
 import type { DaemonId } from '../../src/service/world/common/identifiers.js';
+import { createLinkDelays } from './linkDelays.js';
 import { createVirtualDisk, createVirtualStoragePort, type VirtualDisk } from './virtualDisk.js';
 import { createVirtualTime } from './virtualTime.js';
 
@@ -50,6 +51,8 @@
   readonly seed: number;
   /** One-way latency between two daemons, by name. */
   readonly latency?: (from: string, to: string) => Milliseconds;
+  /** Bytes per second of each link in each direction; by default unlimited. */
+  readonly bandwidth?: number;
   /** Whether a port replaces the replicated log; no storage port is created then. */
   readonly hasFakeLog?: boolean;
   /** Selects the systems of the daemons; by default those of the settings tree. */
@@ -126,6 +129,7 @@
   const nextTickDeadlines = new Map<string, Instant>();
   const syncDelay = options.syncDelay ?? defaultSyncDelay;
   const latency = options.latency ?? (() => defaultLatency);
+  const linkDelays = createLinkDelays({ latency, bandwidth: options.bandwidth, now: time.now });
 
   const deliverMessage = (from: string, to: string, message: unknown): void => {
     const daemon = daemons.get(to);
@@ -150,7 +154,7 @@
       options.onDidSendMessage?.(daemon.name, to, message);
       if (cutLinks.has(linkKeyOf(daemon.name, to))) return;
       if (options.isLost?.(daemon.name, to, message) === true) return;
-      time.schedule(latency(daemon.name, to), () =>
+      time.schedule(linkDelays.delayOf(daemon.name, to, message), () =>
         runWhenThawed(to, () => deliverMessage(daemon.name, to, message)),
       );
     });
@@ -268,6 +272,7 @@
       nextTickDeadlines.delete(name);
       disks.get(name)!.crash(diskRandom);
       ports.delete(name);
+      linkDelays.forget(name);
       frozen.delete(name);
       deferredActions.delete(name);
     },
