--- a/src/service/consensus/common/replication.ts
+++ b/src/service/consensus/common/replication.ts
@@ -181,12 +181,13 @@
 
 const storeAppendedEntries = (world: World, append: Append): number => {
   storeNewEntries(world, append.entries);
-  const matchIndex = append.previousIndex + append.entries.length;
+  const appendedIndex = append.previousIndex + append.entries.length;
   const { commitIndex } = replicaOf(world);
   changeReplica(world, {
-    commitIndex: Math.max(commitIndex, Math.min(append.commitIndex, matchIndex)),
+    commitIndex: Math.max(commitIndex, Math.min(append.commitIndex, appendedIndex)),
   });
-  return matchIndex;
+  // Every later leader holds what is committed here, also if it came by a snapshot.
+  return Math.max(appendedIndex, commitIndex);
 };
 
 const recordFreshness = (world: World, append: Append, now: Instant): void => {
