--- a/src/service/absence/common/absenceSystem.ts
+++ b/src/service/absence/common/absenceSystem.ts
@@ -1,7 +1,7 @@
 /**
- * Reports what a daemon cannot serve without: a leader, on control daemons, and a declaration that
- * counts as up to date. An absence is reported once it has lasted for a while, then at intervals, and
- * so is its end. The system only records events; it reads two rows on each tick and looks at all
+ * Reports what a daemon cannot serve without: on control daemons a leader, and the entries without
+ * which their vote does not count; on all daemons a declaration that counts as up to date. An absence is reported once it has lasted for a while, then at intervals, and
+ * so is its end. The system only records events; it reads a few rows on each tick and looks at all
  * daemons only when a report is due.
  */
 import {
@@ -17,6 +17,7 @@
   freshnessMilliseconds,
   maximumFailoverMilliseconds,
 } from '../../consensus/common/consensusTiming.js';
+import { resetJoinProgress, sampleJoinProgress } from '../../consensus/common/joinProgress.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { ReplicaState } from '../../consensus/common/replicaTables.js';
 import { canVote } from '../../consensus/common/voters.js';
@@ -37,6 +38,7 @@
   describeMissingConfiguration,
   describeMissingLeader,
 } from './absenceSubjects.js';
+import { describeJoined, describeNotJoined, hasNotJoined } from './joinSubjects.js';
 
 /**
  * Shortest interval between two reports of the same kind. Some 100 bytes a second, of the 3 KB a
@@ -57,6 +59,9 @@
   readonly foundEvent: EventKind;
   readonly describeMissing: (world: World, now: Instant) => EventSubject;
   readonly describeFound: (world: World) => EventSubject;
+  /** Remembers what the next report compares with; called at the start and after each report. */
+  readonly recordStart?: (world: World) => void;
+  readonly recordReport?: (world: World, now: Instant) => void;
 }
 
 /** A learner keeps the name of the last leader, so it counts only as long as entries arrive. */
@@ -95,10 +100,24 @@
     describeMissing: describeMissingConfiguration,
     describeFound: describeConfiguration,
   },
+  joining: {
+    isWatched: canVote,
+    isMissing: hasNotJoined,
+    findStart: (_world, now) => now,
+    // A second disk must not be lost from the first moment on.
+    usualMilliseconds: () => 0,
+    missingEvent: EventKind.NotJoined,
+    foundEvent: EventKind.Joined,
+    describeMissing: describeNotJoined,
+    describeFound: describeJoined,
+    recordStart: resetJoinProgress,
+    recordReport: sampleJoinProgress,
+  },
 };
 
 const startAbsence = (world: World, row: AbsenceRow, now: Instant): void => {
-  const { findStart, usualMilliseconds } = watches[row.kind];
+  const { findStart, usualMilliseconds, recordStart } = watches[row.kind];
+  recordStart?.(world);
   const missingSince = findStart(world, now);
   const usualDeadline = deadlineAfter(missingSince, usualMilliseconds(world));
   world.absences.put({
@@ -128,10 +147,11 @@
 };
 
 const reportAbsence = (world: World, { id, kind }: AbsenceRow, now: Instant): void => {
-  const { missingEvent, describeMissing } = watches[kind];
+  const { missingEvent, describeMissing, recordReport } = watches[kind];
   const forMilliseconds = computeMissingMilliseconds(world, kind, now);
   const subject = { forMilliseconds, ...describeMissing(world, now) };
   world.events.append({ kind: missingEvent, subject });
+  recordReport?.(world, now);
   const nextDeadline = deadlineAfter(now, reportIntervalMilliseconds);
   world.absences.change(id, {
     isReported: true,
--- a/src/service/absence/common/absenceTables.ts
+++ b/src/service/absence/common/absenceTables.ts
@@ -12,6 +12,8 @@
   Leader: 'leader',
   /** A declaration that counts as up to date. */
   Configuration: 'configuration',
+  /** The accepted entries that a daemon which can vote must hold before its vote counts. */
+  Joining: 'joining',
 } as const;
 export type AbsenceKind = ValueOf<typeof AbsenceKind>;
 
--- a/src/service/consensus/common/consensusHandlers.ts
+++ b/src/service/consensus/common/consensusHandlers.ts
@@ -9,10 +9,21 @@
 import type { ConsensusMessage } from './consensusMessages.js';
 import { electionHandlers } from './election.js';
 import { followHandlers } from './following.js';
+import { joinRecorders } from './joinProgress.js';
 import { proposalHandlers } from './proposals.js';
 import { replicationHandlers } from './replication.js';
 import { snapshotHandlers } from './snapshotTransfer.js';
 
+type Handler<Received> = (message: Received, world: World, sender: DaemonRow, now: Instant) => void;
+
+/** Records for reports what a message says, before it is handled. */
+const recordThenHandle =
+  <Received>(record: Handler<Received>, handle: Handler<Received>): Handler<Received> =>
+  (message, world, sender, now) => {
+    record(message, world, sender, now);
+    handle(message, world, sender, now);
+  };
+
 export const consensusHandlers: HandlerTable<ConsensusMessage, void, [World, DaemonRow, Instant]> =
   {
     ...electionHandlers,
@@ -20,4 +31,17 @@
     ...proposalHandlers,
     ...followHandlers,
     ...snapshotHandlers,
+    entriesAppended: recordThenHandle(
+      joinRecorders.entriesAppended,
+      replicationHandlers.entriesAppended,
+    ),
+    entriesFollowed: recordThenHandle(
+      joinRecorders.entriesFollowed,
+      followHandlers.entriesFollowed,
+    ),
+    snapshotOffered: recordThenHandle(
+      joinRecorders.snapshotOffered,
+      snapshotHandlers.snapshotOffered,
+    ),
+    snapshotSent: recordThenHandle(joinRecorders.snapshotSent, snapshotHandlers.snapshotSent),
   };
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -121,6 +121,8 @@
    * leader; null if there is one. For reports only.
    */
   leaderAbsence: z.string().nullable().default(null),
+  /** Index up to which the sender holds all entries; older senders do not say. For reports only. */
+  deliveredIndex: index.optional(),
 });
 
 /** The sender has a snapshot that stands for entries which the receiver lacks. */
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -125,6 +125,7 @@
       // is behind its learner may know of committed entries that it has not delivered yet.
       age: throughIndex >= Math.max(deliveredIndex, commitIndex) ? stalenessOf(world, now) : null,
       leaderAbsence: describeLeaderAbsence(world, now),
+      deliveredIndex,
     },
   });
   world.followingLearners.change(learner.id, {
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -8,6 +8,7 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { recordNamedVoters } from './joinProgress.js';
 import {
   changeReplica,
   nextElectionDeadline,
@@ -136,6 +137,7 @@
   reported: { readonly index: number; readonly names: readonly string[] },
   now: Instant,
 ): void => {
+  recordNamedVoters(world, reported);
   const { state, votersIndex } = replicaOf(world);
   const isRemoved = reported.index > votersIndex && !reported.names.includes(world.self.name);
   const isVoter = state !== ReplicaState.Learner && state !== ReplicaState.Recovering;
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -50,6 +50,14 @@
   VotingChanged: 'votingChanged',
   /** A voter lacks entries and has acknowledged none of them for a while. */
   VoterBehind: 'voterBehind',
+  /** A daemon that can vote lacks accepted entries, so its vote does not count; repeated at intervals. */
+  NotJoined: 'notJoined',
+  /** It holds all of them again after `notJoined`. */
+  Joined: 'joined',
+  /** A voter, at the leader: silent, not joined or without an accepted entry; repeated at intervals. */
+  VoterLagging: 'voterLagging',
+  /** It answers, has joined and holds what it lacked, after `voterLagging`. */
+  VoterCaughtUp: 'voterCaughtUp',
   /** A learner has acknowledged none of the entries that were sent to it; they are sent again. */
   LearnerBehind: 'learnerBehind',
   /** A daemon has compacted its log. */
--- a/src/service/events/common/eventLevel.ts
+++ b/src/service/events/common/eventLevel.ts
@@ -13,6 +13,9 @@
   [EventKind.LeaderMissing]: EventLevel.Warning,
   [EventKind.ConfigurationMissing]: EventLevel.Warning,
   [EventKind.StorageFailed]: EventLevel.Warning,
+  [EventKind.NotJoined]: EventLevel.Warning,
+  [EventKind.VoterLagging]: EventLevel.Warning,
+  [EventKind.SnapshotRefused]: EventLevel.Warning,
 };
 
 /** Returns the level of the line of an event. */
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -39,6 +39,7 @@
 import { createQuarantineTables } from '../../quarantine/common/quarantineTables.js';
 import { createReplicaTables } from '../../consensus/common/replicaTables.js';
 import { createSnapshotTables } from '../../consensus/common/snapshotTables.js';
+import { createJoinTables } from '../../consensus/common/joinTables.js';
 import { createRetirementTables } from '../../consensus/common/retirementTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
@@ -54,6 +55,7 @@
   ...createConsensusTables(),
   ...createReplicaTables(),
   ...createSnapshotTables(),
+  ...createJoinTables(),
   ...createRetirementTables(),
   ...createDemandTables(),
   ...createRetryTables(),
