--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -9,8 +9,12 @@
   AbsenceKind,
   computeMissingMilliseconds,
 } from '../../../service/absence/common/absenceTables.js';
+import { countCurrentVoters } from '../../../service/absence/common/voterLagTables.js';
 import { leadershipOf } from '../../../service/consensus/common/lease.js';
-import { replicaOf } from '../../../service/consensus/common/replicaLog.js';
+import { countLackingEntries } from '../../../service/consensus/common/joinProgress.js';
+import { replicaOf, snapshotOf } from '../../../service/consensus/common/replicaLog.js';
+import { ReplicaState } from '../../../service/consensus/common/replicaTables.js';
+import { countNotJoined } from '../../../service/consensus/common/voterStatements.js';
 import { countVoteAnswers } from '../../../service/consensus/common/votes.js';
 import { declarationId } from '../../../service/declaration/common/declarationTables.js';
 import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
@@ -29,6 +33,19 @@
   'members.known': (world) => world.daemons.size(),
   'log.lastIndex': (world) => replicaOf(world).lastIndex,
   'log.commitIndex': (world) => replicaOf(world).commitIndex,
+  'log.snapshotIndex': (world) => snapshotOf(world)?.header.index ?? 0,
+  'log.compactedIndex': (world) => replicaOf(world).compactedIndex,
+  'log.bytesSinceSnapshot': (world) => replicaOf(world).bytesSinceSnapshot,
+  'log.hasJoined': (world) => (replicaOf(world).hasJoined ? 1 : 0),
+  'log.notJoinedFor': (world, now) => computeMissingMilliseconds(world, AbsenceKind.Joining, now),
+  // -1: it has not heard how many entries there are.
+  'log.entriesLacking': (world) =>
+    replicaOf(world).hasJoined ? 0 : (countLackingEntries(world) ?? -1),
+  // Of the leader; 0 on all others, so that the largest one is that of the installation.
+  'log.votersCurrent': (world) =>
+    replicaOf(world).state === ReplicaState.Leader ? 1 + countCurrentVoters(world) : 0,
+  'log.votersNotJoined': (world, now) =>
+    replicaOf(world).state === ReplicaState.Leader ? countNotJoined(world, now) : 0,
   'log.term': (world) => replicaOf(world).term,
   'log.isLeader': (world) => (leadershipOf(world).isSelf ? 1 : 0),
   'log.leaderMissingFor': (world, now) =>
--- a/src/service/consensus/common/consensusHandlers.ts
+++ b/src/service/consensus/common/consensusHandlers.ts
@@ -13,6 +13,7 @@
 import { proposalHandlers } from './proposals.js';
 import { replicationHandlers } from './replication.js';
 import { snapshotHandlers } from './snapshotTransfer.js';
+import { voterRecorders } from './voterStatements.js';
 
 type Handler<Received> = (message: Received, world: World, sender: DaemonRow, now: Instant) => void;
 
@@ -44,4 +45,9 @@
       snapshotHandlers.snapshotOffered,
     ),
     snapshotSent: recordThenHandle(joinRecorders.snapshotSent, snapshotHandlers.snapshotSent),
+    voteAnswered: recordThenHandle(voterRecorders.voteAnswered, electionHandlers.voteAnswered),
+    appendAnswered: recordThenHandle(
+      voterRecorders.appendAnswered,
+      replicationHandlers.appendAnswered,
+    ),
   };
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -22,6 +22,17 @@
   lastTerm: term,
 });
 
+/** What a voter says of itself, for the reports of a candidate; no decision rests on it. */
+export const voterStatementSchema = z.object({
+  hasJoined: z.boolean(),
+  lastIndex: index,
+  /** Index up to which it knows that there are entries; null if it does not know. */
+  reportedIndex: index.nullable(),
+  /** Milliseconds for which it has not joined; null if it has, or keeps no record of it. */
+  notJoinedMilliseconds: z.number().nonnegative().nullable(),
+});
+export type VoterStatement = z.infer<typeof voterStatementSchema>;
+
 export const voteAnsweredSchema = z.object({
   kind: z.literal('voteAnswered'),
   /** The requested term if the vote is granted, otherwise the term of the sender. */
@@ -31,6 +42,8 @@
   refusal: z.enum(VoteRefusal).nullable(),
   /** Whether the vote counts only together with those of all voters; see the module `joining`. */
   isConditional: z.boolean(),
+  /** Older voters do not send it. */
+  statement: voterStatementSchema.optional(),
 });
 
 export const entriesAppendedSchema = z.object({
--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -28,6 +28,7 @@
   nonLeaderColumns,
 } from './replicaLog.js';
 import { GrantedVote, ReplicaState, unsentColumns, type MemberRow } from './replicaTables.js';
+import { createVoterStatement } from './voterStatements.js';
 import { canVote, joinMemberNames } from './voters.js';
 import {
   findVoteRefusal,
@@ -249,6 +250,7 @@
       isPreVote,
       refusal,
       isConditional,
+      statement: createVoterStatement(world, now),
     });
   },
   voteAnswered: (answer, world, voter, now) => {
--- a/src/service/consensus/common/joinTables.ts
+++ b/src/service/consensus/common/joinTables.ts
@@ -35,6 +35,8 @@
   readonly reportedIndex: number | null;
   /** Time since which it has not joined; null if it has, or did not say. */
   readonly notJoinedSince: Instant | null;
+  /** Time at which it said so; what it said may have changed since. */
+  readonly saidAt: Instant;
 }
 
 /** The newest voters that other daemons have named, as far as they concern this daemon. */
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -10,6 +10,7 @@
   type Ticker,
 } from '../../../infrastructure/tables/common/tick.js';
 import { createAbsenceSystem } from '../../absence/common/absenceSystem.js';
+import { createVoterLagSystem } from '../../absence/common/voterLagSystem.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
 import { createDemandSystem } from '../../admission/common/demandSystem.js';
 import { createCapacitySystem } from '../../capacity/common/capacitySystem.js';
@@ -138,6 +139,7 @@
   createMeteringSystem,
   createCapacitySystem,
   createAbsenceSystem,
+  createVoterLagSystem,
 ];
 
 /** Systems of each profile, in the order in which they run in each round of a tick. */
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -16,6 +16,7 @@
 } from '../../../infrastructure/settings/common/fleetSettings.js';
 import type { AnyTable } from '../../../infrastructure/tables/common/table.js';
 import { createAbsenceTables } from '../../absence/common/absenceTables.js';
+import { createVoterLagTables } from '../../absence/common/voterLagTables.js';
 import { createCapacityTables } from '../../capacity/common/capacityTables.js';
 import { createDemandTables } from '../../admission/common/demandTables.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
@@ -82,6 +83,7 @@
   ...createMeteringTables(),
   ...createCapacityTables(),
   ...createAbsenceTables(),
+  ...createVoterLagTables(),
 });
 export type Tables = ReturnType<typeof createTables>;
 
