--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -16,6 +16,7 @@
 } from '../../../infrastructure/settings/common/fleetSettings.js';
 import type { AnyTable } from '../../../infrastructure/tables/common/table.js';
 import { createAbsenceTables } from '../../absence/common/absenceTables.js';
+import { createVoterLagTables } from '../../absence/common/voterLagTables.js';
 import { createCapacityTables } from '../../capacity/common/capacityTables.js';
 import { createDemandTables } from '../../admission/common/demandTables.js';
 import { createConfigurationTables } from '../../configuration/common/configurationTables.js';
@@ -39,6 +40,7 @@
 import { createQuarantineTables } from '../../quarantine/common/quarantineTables.js';
 import { createReplicaTables } from '../../consensus/common/replicaTables.js';
 import { createSnapshotTables } from '../../consensus/common/snapshotTables.js';
+import { createJoinTables } from '../../consensus/common/joinTables.js';
 import { createRetirementTables } from '../../consensus/common/retirementTables.js';
 import { createEventTables } from '../../events/common/eventKind.js';
 import { createMembershipTables } from '../../membership/common/membershipTables.js';
@@ -54,6 +56,7 @@
   ...createConsensusTables(),
   ...createReplicaTables(),
   ...createSnapshotTables(),
+  ...createJoinTables(),
   ...createRetirementTables(),
   ...createDemandTables(),
   ...createRetryTables(),
@@ -80,6 +83,7 @@
   ...createMeteringTables(),
   ...createCapacityTables(),
   ...createAbsenceTables(),
+  ...createVoterLagTables(),
 });
 export type Tables = ReturnType<typeof createTables>;
 
