Replace all records of a data folder in one step

A base file is written beside the segments, synced, renamed to `log-N.base` and the folder synced; only then the files below N are removed. The highest base counts, so which files are obsolete is unambiguous, and opening removes them after it has synced the folder.

The empty segment N exists before the base has its name. So records that are appended later follow the base, and also follow the old segments if the name is lost: an error of the rename or of the folder's sync does not tell which of the two is on the disk. The last record of a base counts the others, as a base cut between two records would be read as a smaller state. Segment 1 never has a base, so that an earlier release finds a missing segment and not a shorter log.

A segment may now end inside a record where all later ones have no bytes: a replacement that failed while it created its segment leaves an empty one, and the log goes on in the one before. It is as strict as before, since the end of a last segment is not known.

Ruled out: a pointer file to the base (a second file to keep in agreement), and going back to the old segment after a failed rename (loses what is appended there if the rename was carried out).

--- a/src/infrastructure/storage/node/segmentStore.ts
+++ b/src/infrastructure/storage/node/segmentStore.ts
@@ -1,95 +1,61 @@
 /**
  * Stores records in numbered segment files of one folder. Records are appended to the last segment
  * and are durable once `append` resolves. Opening reads all records and truncates a torn write at
- * the end, which was never synced; corrupt or missing files are errors.
+ * the end, which was never synced; corrupt or missing files are errors. `replace` exchanges all
+ * records for new ones in one step, by a base file that takes its name only when it is complete.
  */
-import { mkdirSync, readdirSync, readFileSync } from 'node:fs';
-import { open, type FileHandle } from 'node:fs/promises';
-import { join } from 'node:path';
-import { err, ok, Result, ResultAsync } from 'neverthrow';
+import { mkdirSync } from 'node:fs';
+import type { FileHandle } from 'node:fs/promises';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import type { AsyncDisposable, Disposable } from '../../../base/common/disposable.js';
 import { createDisposable } from '../../../base/common/disposable.js';
-import { createStorageError, StorageErrorKind, type StorageError } from '../common/storageError.js';
+import type { StorageError } from '../common/storageError.js';
 import { lockFolder } from './folderLock.js';
-import { decodeRecords } from './recordCodec.js';
+import { nodeFiles, toStorageError, type SegmentFiles } from './segmentFiles.js';
+import {
+  basePath,
+  encodeBaseEnd,
+  firstSegmentNumber,
+  readFolder,
+  removeObsoleteFiles,
+  segmentPath,
+  unfinishedBasePath,
+} from './segmentFolder.js';
+
+export type { OpenFile } from './segmentFiles.js';
 
 /** Once a segment has reached this size, the next append starts a new one. */
 const maximumSegmentBytes = 8 * 1024 * 1024;
-const segmentPattern = /^log-(\d{8})\.segment$/;
-const segmentNumberDigits = 8;
 
-const segmentName = (number: number): string =>
-  `log-${String(number).padStart(segmentNumberDigits, '0')}.segment`;
+/**
+ * Size from which records of a base are written together. They are encoded and written in turn, so
+ * it bounds the memory, and the time for which ticks wait for the encoding (a few milliseconds).
+ */
+const baseChunkBytes = 1024 * 1024;
 
-/** An open data folder. */
+/** An open data folder. At most one of its operations may run at a time. */
 export interface SegmentStore extends AsyncDisposable {
   /** The decoded records that existed when the folder was opened, in order. */
   readonly values: readonly unknown[];
   /** Appends and syncs encoded records. After an error the same records can be appended again. */
   readonly append: (records: readonly Buffer[]) => ResultAsync<void, StorageError>;
+  /**
+   * Replaces all records by others in one step; `records` is read no faster than it is written.
+   * After an error, the folder has either the old or the new records. So they must result in the same
+   * state, or the call must be repeated until it succeeds before anything else is appended.
+   */
+  readonly replace: (records: Iterable<Buffer>) => ResultAsync<void, StorageError>;
 }
 
-const kindByCode: Readonly<Record<string, StorageErrorKind>> = {
-  ENOSPC: StorageErrorKind.DiskFull,
-  EDQUOT: StorageErrorKind.DiskFull,
-};
-
-const toStorageError = (error: unknown): StorageError => {
-  const { code = '', message } = error as NodeJS.ErrnoException;
-  const kind = kindByCode[code] ?? StorageErrorKind.Failed;
-  return createStorageError(kind, `A storage operation failed (${message}).`);
-};
-
-const findSegments = (folder: string): Result<number[], StorageError> => {
-  const numbers = readdirSync(folder)
-    .map((name) => segmentPattern.exec(name)?.[1])
-    .filter((digits) => digits !== undefined)
-    .map(Number)
-    .sort((first, second) => first - second);
-  const missing = numbers.findIndex((number, position) => number !== position + 1);
-  if (missing < 0) return ok(numbers);
-  const detail = `The segment file ${segmentName(missing + 1)} is missing in ${folder}.`;
-  return err(createStorageError(StorageErrorKind.SegmentMissing, detail));
-};
-
-interface ReadSegment {
-  readonly values: readonly unknown[];
-  readonly validBytes: number;
-}
-
-const readSegment = (
-  folder: string,
-  number: number,
-  isLast: boolean,
-): Result<ReadSegment, StorageError> => {
-  const file = join(folder, segmentName(number));
-  const bytes = readFileSync(file);
-  return decodeRecords(bytes)
-    .mapErr((error) => ({ ...error, message: `${file}: ${error.message}` }))
-    .andThen((read) => {
-      if (isLast || read.validBytes === bytes.length) return ok(read);
-      const detail = `The segment file ${file} ends inside a record but is not the last segment.`;
-      return err(createStorageError(StorageErrorKind.Corrupt, detail));
-    });
-};
-
-/** Opens a file for appending. */
-export type OpenFile = (path: string, flags: 'a') => Promise<FileHandle>;
-
-const syncFolder = async (folder: string): Promise<void> => {
-  const handle = await open(folder, 'r');
-  await handle.sync();
-  await handle.close();
-};
-
 const prepareSegment = async (
   handle: FileHandle,
   folder: string,
   length: number,
+  files: SegmentFiles,
 ): Promise<FileHandle> => {
   await handle.truncate(length);
   await handle.sync();
-  await syncFolder(folder);
+  await files.syncFolder(folder);
   return handle;
 };
 
@@ -101,30 +67,68 @@
   folder: string,
   number: number,
   length: number,
-  openFile: OpenFile,
+  files: SegmentFiles,
 ): Promise<FileHandle> => {
-  const handle = await openFile(join(folder, segmentName(number)), 'a');
+  const handle = await files.openFile(segmentPath(folder, number), 'a');
   try {
-    return await prepareSegment(handle, folder, length);
+    return await prepareSegment(handle, folder, length, files);
   } catch (error) {
     await handle.close();
     throw error;
   }
 };
 
+/** Joins the records of a base, and its end, to chunks. */
+function* createBaseChunks(records: Iterable<Buffer>): Generator<Buffer, void, undefined> {
+  let chunk: Buffer[] = [];
+  let chunkBytes = 0;
+  let recordCount = 0;
+  for (const record of records) {
+    chunk.push(record);
+    chunkBytes += record.length;
+    recordCount += 1;
+    if (chunkBytes >= baseChunkBytes) {
+      yield Buffer.concat(chunk);
+      chunk = [];
+      chunkBytes = 0;
+    }
+  }
+  yield Buffer.concat([...chunk, encodeBaseEnd(recordCount)]);
+}
+
+/** Writes and syncs a base under a name that opening a folder ignores. */
+const writeUnfinishedBase = async (
+  folder: string,
+  records: Iterable<Buffer>,
+  files: SegmentFiles,
+): Promise<void> => {
+  const handle = await files.openFile(unfinishedBasePath(folder), 'a');
+  try {
+    // What a failed replacement could not remove.
+    await handle.truncate(0);
+    for (const chunk of createBaseChunks(records)) {
+      // eslint-disable-next-line no-await-in-loop -- the event loop runs between chunks
+      await handle.appendFile(chunk);
+    }
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+};
+
 const createAppender = async (
   folder: string,
   lastNumber: number,
   lastBytes: number,
-  openFile: OpenFile,
+  files: SegmentFiles,
 ) => {
   let number = lastNumber;
   let bytes = lastBytes;
-  let handle = await openSegment(folder, number, bytes, openFile);
+  let handle = await openSegment(folder, number, bytes, files);
 
   /** The current segment stays open until the next one is, so that an error changes nothing. */
   const startNextSegment = async (): Promise<void> => {
-    const next = await openSegment(folder, number + 1, 0, openFile);
+    const next = await openSegment(folder, number + 1, 0, files);
     const previous = handle;
     number += 1;
     bytes = 0;
@@ -134,10 +138,30 @@
 
   let hasPartialWrite = false;
 
+  /** Removes the partial record that a failed write may have left. */
+  const discardPartialWrite = async (): Promise<void> => {
+    if (!hasPartialWrite) return;
+    await handle.truncate(bytes);
+    // Durable before a next segment is: only the last segment may end inside a record.
+    await handle.datasync();
+    hasPartialWrite = false;
+  };
+
+  /**
+   * Gives the written base its name. The segment of the same number exists before, and is empty, so
+   * that what is appended from then on follows the base, and also follows the old segments if the
+   * name is lost with the power. The first segment has no base: an earlier release, which ignores
+   * bases, must find a segment missing.
+   */
+  const finishBase = async (): Promise<void> => {
+    if (bytes > 0 || number === firstSegmentNumber) await startNextSegment();
+    await files.renameFile(unfinishedBasePath(folder), basePath(folder, number));
+    await files.syncFolder(folder);
+  };
+
   return {
     append: async (records: readonly Buffer[]): Promise<void> => {
-      // A failed write may have left a partial record.
-      if (hasPartialWrite) await handle.truncate(bytes);
+      await discardPartialWrite();
       if (bytes >= maximumSegmentBytes) await startNextSegment();
       const batch = Buffer.concat(records);
       hasPartialWrite = true;
@@ -146,49 +170,59 @@
       hasPartialWrite = false;
       bytes += batch.length;
     },
+    replace: async (records: Iterable<Buffer>): Promise<void> => {
+      try {
+        await discardPartialWrite();
+        await writeUnfinishedBase(folder, records, files);
+        await finishBase();
+      } catch (error) {
+        // Appends need its space. If that fails too, the next replacement or start removes it.
+        await files.removeFile(unfinishedBasePath(folder)).catch(() => {});
+        throw error;
+      }
+      await removeObsoleteFiles(folder, number, files);
+    },
     dispose: () => handle.close(),
   };
 };
 
-const readFolder = (folder: string): Result<ReadSegment[], StorageError> =>
-  findSegments(folder).andThen((numbers) =>
-    Result.combine(numbers.map((number) => readSegment(folder, number, number === numbers.length))),
-  );
-
 const openWithoutLock = async (
   folder: string,
-  openFile: OpenFile,
+  files: SegmentFiles,
 ): Promise<Result<SegmentStore, StorageError>> => {
-  const segments = readFolder(folder);
-  if (segments.isErr()) return err(segments.error);
-  const lastNumber = Math.max(1, segments.value.length);
-  const lastBytes = segments.value.at(-1)?.validBytes ?? 0;
-  const appender = await createAppender(folder, lastNumber, lastBytes, openFile);
+  const contents = readFolder(folder);
+  if (contents.isErr()) return err(contents.error);
+  const { values, baseNumber, lastNumber, lastBytes } = contents.value;
+  // Syncs the folder, and with it the name of a base that was not synced before its process ended.
+  const appender = await createAppender(folder, lastNumber, lastBytes, files);
+  await removeObsoleteFiles(folder, baseNumber ?? firstSegmentNumber, files);
   return ok({
-    values: segments.value.flatMap(({ values }) => values),
+    values,
     append: (records) => ResultAsync.fromPromise(appender.append(records), toStorageError),
+    replace: (records) => ResultAsync.fromPromise(appender.replace(records), toStorageError),
     dispose: appender.dispose,
   });
 };
 
-/** Options for opening a folder. */
-export interface SegmentStoreOptions {
+/** Options for opening a folder; operations of the file system are those of the runtime by default. */
+export interface SegmentStoreOptions extends Partial<SegmentFiles> {
   /** Whether to lock the folder against a second process; requires hard links. */
   readonly shouldLock: boolean;
-  /** Opens a segment file; by default the function of the runtime. */
-  readonly openFile?: OpenFile;
 }
 
 const noLock: Disposable = createDisposable(() => {});
 
 const openWithLock = async (
   folder: string,
-  { shouldLock, openFile = open }: SegmentStoreOptions,
+  { shouldLock, ...files }: SegmentStoreOptions,
 ): Promise<Result<SegmentStore, StorageError>> => {
   mkdirSync(folder, { recursive: true });
   const lock = shouldLock ? lockFolder(folder) : ok(noLock);
   if (lock.isErr()) return err(lock.error);
-  const outcome = await ResultAsync.fromPromise(openWithoutLock(folder, openFile), toStorageError);
+  const outcome = await ResultAsync.fromPromise(
+    openWithoutLock(folder, { ...nodeFiles, ...files }),
+    toStorageError,
+  );
   const store = outcome.andThen((result) => result);
   if (store.isErr()) lock.value.dispose();
   return store.map((opened) => ({
