Storage port: replace the records by a complete state, in order with other writes

An optional replacement that fails (no space for old and new at once) is a log line and `consensus.failedReplacements`; its sequence counts as synced, the log goes on in the old files at once, and the next one tries again. A required one is retried like an append, and nothing after it is synced before. An optional one is left out where a later replacement is queued. The state is encoded while it is written, so that its encoding never is in memory as a whole.

Ruled out: writing an optional replacement beside appends. It would take the space that appends need, and what a slow disk delays is bounded by the size of the state.

--- a/src/daemon/consensus/node/storagePort.ts
+++ b/src/daemon/consensus/node/storagePort.ts
@@ -1,10 +1,11 @@
 /**
  * Port between the replica tables and the segment files in the data folder. It drains write
- * requests after each tick and appends them in batches: requests that arrive during a sync form
- * the next batch.
+ * requests after each tick and carries them out in order. Records are appended in batches: requests
+ * that arrive during a sync form the next batch. A complete state replaces all records.
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import type { ValueOf } from '../../../base/common/handlers.js';
 import { delay } from '../../../base/node/delay.js';
 import type { StorageError } from '../../../infrastructure/storage/common/storageError.js';
 import { encodeRecord } from '../../../infrastructure/storage/node/recordCodec.js';
@@ -13,6 +14,10 @@
   type SegmentStore,
   type SegmentStoreOptions,
 } from '../../../infrastructure/storage/node/segmentStore.js';
+import {
+  createRecords,
+  type DurableState,
+} from '../../../service/consensus/common/durableState.js';
 import type { StorageRequest } from '../../../service/consensus/common/replicaTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { replayRecords } from './replayRecords.js';
@@ -37,24 +42,58 @@
 /** Maximum size of the records of one append, unless a single record exceeds it. */
 const maximumAppendBytes = 4 * 1024 * 1024;
 
-interface EncodedRequest {
-  readonly sequence: number;
-  readonly record: Buffer;
-}
+const StepKind = {
+  /** Appends the records up to the next replacement, or as many as one append takes. */
+  Append: 'append',
+  /** Replaces all records, and does not go on before. */
+  Replace: 'replace',
+  /** Replaces all records if the disk permits it, in order to free space. */
+  TryToReplace: 'tryToReplace',
+  /** Leaves out a replacement that only frees space, as a later one frees more. */
+  Skip: 'skip',
+} as const;
+type StepKind = ValueOf<typeof StepKind>;
+
+const isReplacement = ({ write }: StorageRequest): boolean => write.kind === 'stateReplaced';
+
+const selectStepKind = ([first, ...later]: readonly StorageRequest[]): StepKind => {
+  const { write } = first!;
+  if (write.kind !== 'stateReplaced') return StepKind.Append;
+  if (!write.isOptional) return StepKind.Replace;
+  return later.some(isReplacement) ? StepKind.Skip : StepKind.TryToReplace;
+};
 
 /** Encodes writes from the start of a list, up to the size of one append and at least one. */
-const takeWrites = (requests: readonly StorageRequest[]): EncodedRequest[] => {
-  const taken: EncodedRequest[] = [];
+const takeRecords = (requests: readonly StorageRequest[]): readonly Buffer[] => {
+  const records: Buffer[] = [];
   let bytes = 0;
-  for (const { sequence, write } of requests) {
-    if (bytes >= maximumAppendBytes) break;
-    const record = encodeRecord(write);
-    taken.push({ sequence, record });
+  for (const request of requests) {
+    if (bytes >= maximumAppendBytes || isReplacement(request)) break;
+    const record = encodeRecord(request.write);
+    records.push(record);
     bytes += record.length;
   }
-  return taken;
+  return records;
 };
 
+/** Encodes the records of a state while they are written. */
+function* encodeState(state: DurableState): Generator<Buffer, void, undefined> {
+  for (const record of createRecords(state)) yield encodeRecord(record);
+}
+
+const encodeReplacement = ({ write }: StorageRequest): Iterable<Buffer> =>
+  write.kind === 'stateReplaced' ? encodeState(write.state) : [];
+
+const describeFailedReplacement = (error: StorageError): StorageError => ({
+  ...error,
+  message:
+    'The log in the data folder was not replaced by its snapshot. It goes on with the old files, ' +
+    `and the next snapshot is tried again. ${error.message}`,
+});
+
+/** The number of requests, from the first one on, that a step has carried out. */
+type StepResult = Result<number, StorageError>;
+
 const createPort = (
   world: World,
   store: SegmentStore,
@@ -74,31 +113,56 @@
     wake();
   };
 
-  /** Appends records; with `retriesWrites`, retries while the disk is full or rejects writes. */
-  const appendOrRetry = async (records: readonly Buffer[]): Promise<Result<void, StorageError>> => {
-    let result = await store.append(records);
+  /** Carries out a write; with `retriesWrites`, retries while the disk is full or rejects it. */
+  const writeOrRetry = async (
+    write: () => PromiseLike<Result<void, StorageError>>,
+  ): Promise<Result<void, StorageError>> => {
+    let result = await write();
     while (result.isErr() && options.retriesWrites === true && !isDisposed) {
       onDidFail(result.error);
       // eslint-disable-next-line no-await-in-loop -- delay between retries
       await delay(writeRetryMilliseconds);
       // eslint-disable-next-line no-await-in-loop -- attempts are sequential
-      result = await store.append(records);
+      result = await write();
     }
     return result;
   };
 
+  /** The old records result in the same state, so a failure is recorded and the log goes on. */
+  const tryToReplace = async (request: StorageRequest): Promise<void> => {
+    const result = await store.replace(encodeReplacement(request));
+    if (result.isOk()) return;
+    world.metrics.count('consensus.failedReplacements');
+    onDidFail(describeFailedReplacement(result.error));
+  };
+
+  const steps: Readonly<
+    Record<StepKind, (requests: readonly StorageRequest[]) => Promise<StepResult>>
+  > = {
+    append: async (requests) => {
+      const records = takeRecords(requests);
+      return (await writeOrRetry(() => store.append(records))).map(() => records.length);
+    },
+    replace: async ([request]) =>
+      (await writeOrRetry(() => store.replace(encodeReplacement(request!)))).map(() => 1),
+    tryToReplace: async ([request]) => {
+      await tryToReplace(request!);
+      return ok(1);
+    },
+    skip: () => Promise.resolve(ok(1)),
+  };
+
   const writePending = async (): Promise<void> => {
     while (pendingRequests.length > 0 && !hasFailed) {
-      const batch = takeWrites(pendingRequests);
-      pendingRequests = pendingRequests.slice(batch.length);
-      const records = batch.map(({ record }) => record);
-      // eslint-disable-next-line no-await-in-loop -- batches are synced sequentially
-      const result = await appendOrRetry(records);
+      // eslint-disable-next-line no-await-in-loop -- writes are synced in order
+      const result = await steps[selectStepKind(pendingRequests)](pendingRequests);
       if (result.isErr()) {
         reportFailure(result.error);
         return;
       }
-      world.storageFacts.append({ kind: 'synced', sequence: batch.at(-1)!.sequence });
+      const { sequence } = pendingRequests[result.value - 1]!;
+      pendingRequests = pendingRequests.slice(result.value);
+      world.storageFacts.append({ kind: 'synced', sequence });
       wake();
     }
   };
