--- a/src/command/explain/test/node/explainLogs.test.ts
+++ b/src/command/explain/test/node/explainLogs.test.ts
@@ -119,6 +119,8 @@
     }),
     createLogLine(4_100, 'front-2', 'configurationMissing', { leaderAbsence: 'none' }),
     createLogLine(4_200, 'store-1', 'leaderMissing', { voters: 'd1=self,d2=logBehind' }),
+    createLogLine(4_300, 'store-2', 'notJoined', { holds: 186, of: 892 }),
+    createLogLine(4_400, 'store-1', 'voterLagging', { voter: 'd2', holds: 186 }),
     createLogLine(5_000, 'front-1', 'callRefused', { refusal: 'notReady', ...request }),
   ];
   await writeFile(log, lines.join('\n'));
@@ -126,5 +128,7 @@
   const context = output.slice(0, output.indexOf('Log lines:'));
   t.regex(context, /front-1 configurationMissing leaderAbsence=d1=self,d2=logBehind/);
   t.regex(context, /store-1 leaderMissing voters=d1=self,d2=logBehind/);
+  t.regex(context, /store-2 notJoined holds=186 of=892/);
+  t.regex(context, /store-1 voterLagging voter=d2 holds=186/);
   t.notRegex(context, /front-2/, 'what another daemon lacks is not a cause');
 });
--- a/src/service/absence/common/absenceSubjects.ts
+++ b/src/service/absence/common/absenceSubjects.ts
@@ -6,7 +6,12 @@
 import type { Instant } from '../../../base/common/time.js';
 import type { EventSubject } from '../../../infrastructure/timeline/common/timelineEvent.js';
 import { leadershipOf } from '../../consensus/common/lease.js';
-import { describeLeaderAbsence, describeVoters } from '../../consensus/common/leaderAbsence.js';
+import {
+  describeLeaderAbsence,
+  describeLastIndices,
+  describeNotJoinedVoters,
+  describeVoters,
+} from '../../consensus/common/leaderAbsence.js';
 import { quorumSize } from '../../consensus/common/election.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { findRecentVoteAnswer } from '../../consensus/common/votes.js';
@@ -23,14 +28,15 @@
 
 /** Describes why this daemon may know no leader. */
 export const describeMissingLeader = (world: World, now: Instant): EventSubject => {
-  const { state, term, hasJoined, lastIndex, votersIndex, requestedSequence, syncedSequence } =
-    replicaOf(world);
+  const { state, term, hasJoined, lastIndex, votersIndex, leaderAbsence } = replicaOf(world);
+  const { requestedSequence, syncedSequence } = replicaOf(world);
   const answers = [...world.members.rows()]
     .filter(({ isSelf }) => !isSelf)
     .map((member) => findRecentVoteAnswer(member, now));
   return {
     state,
     hasJoined,
+    notJoined: describeNotJoinedVoters(world, now),
     quorum: world.members.size() === 0 ? 0 : quorumSize(world),
     granted: answers.filter((answer) => answer === VoteAnswer.Granted).length,
     unsyncedWrites: requestedSequence - syncedSequence,
@@ -38,6 +44,9 @@
     lastIndex,
     votersIndex,
     voters: describeVoters(world, now),
+    lastIndices: describeLastIndices(world, now),
+    // What a candidate has told: a daemon that knows no voters knows of the others only by it.
+    relayed: leaderAbsence ?? noName,
   };
 };
 
@@ -77,6 +86,7 @@
   const { state, leader, heardAt, currentAsOf } = replicaOf(world);
   return {
     declaration: readDeclarationVersion(world),
+    leaderAbsence: describeLeaderAbsence(world, now) ?? noName,
     // It holds all entries there are, so that version 0 means that none was ever accepted.
     isLogCurrent: now < leadershipOf(world).freshnessDeadline,
     leader: leader ?? noName,
@@ -85,7 +95,6 @@
     currentMillisecondsAgo: computeAge(currentAsOf, now),
     ...countControlDaemons(world),
     ...describeRelay(world, now),
-    leaderAbsence: describeLeaderAbsence(world, now) ?? noName,
   };
 };
 
--- a/src/service/absence/common/absenceSystem.ts
+++ b/src/service/absence/common/absenceSystem.ts
@@ -13,13 +13,9 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import type { EventSubject } from '../../../infrastructure/timeline/common/timelineEvent.js';
 import { leadershipOf } from '../../consensus/common/lease.js';
-import {
-  freshnessMilliseconds,
-  maximumFailoverMilliseconds,
-} from '../../consensus/common/consensusTiming.js';
+import { maximumFailoverMilliseconds } from '../../consensus/common/consensusTiming.js';
 import { resetJoinProgress, sampleJoinProgress } from '../../consensus/common/joinProgress.js';
-import { replicaOf } from '../../consensus/common/replicaLog.js';
-import { ReplicaState } from '../../consensus/common/replicaTables.js';
+import { isLeaderKnown } from '../../consensus/common/leaderAbsence.js';
 import { canVote } from '../../consensus/common/voters.js';
 import { declarationId } from '../../declaration/common/declarationTables.js';
 import { isDeclarationFresh } from '../../declaration/common/findRoute.js';
@@ -64,13 +60,6 @@
   readonly recordReport?: (world: World, now: Instant) => void;
 }
 
-/** A learner keeps the name of the last leader, so it counts only as long as entries arrive. */
-const isLeaderKnown = (world: World, now: Instant): boolean => {
-  const { state, leader, currentAsOf } = replicaOf(world);
-  if (leader === null) return false;
-  return state !== ReplicaState.Learner || now < deadlineAfter(currentAsOf, freshnessMilliseconds);
-};
-
 const findStalenessStart = (world: World, now: Instant): Instant => {
   const { freshnessDeadline } = leadershipOf(world);
   const isOutdated = world.declarations.has(declarationId) && Number.isFinite(freshnessDeadline);
--- a/src/service/consensus/common/consensusHandlers.ts
+++ b/src/service/consensus/common/consensusHandlers.ts
@@ -45,6 +45,7 @@
       snapshotHandlers.snapshotOffered,
     ),
     snapshotSent: recordThenHandle(joinRecorders.snapshotSent, snapshotHandlers.snapshotSent),
+    voteRequested: recordThenHandle(voterRecorders.voteRequested, electionHandlers.voteRequested),
     voteAnswered: recordThenHandle(voterRecorders.voteAnswered, electionHandlers.voteAnswered),
     appendAnswered: recordThenHandle(
       voterRecorders.appendAnswered,
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -20,6 +20,8 @@
   isPreVote: z.boolean(),
   lastIndex: index,
   lastTerm: term,
+  /** What the candidate knows of the reason why there is no leader. For reports only. */
+  leaderAbsence: z.string().nullable().optional(),
 });
 
 /** What a voter says of itself, for the reports of a candidate; no decision rests on it. */
--- a/src/service/consensus/common/election.ts
+++ b/src/service/consensus/common/election.ts
@@ -17,6 +17,7 @@
   orderDelayAfterElectionMilliseconds,
 } from './consensusTiming.js';
 import { findElectionBasis, hasLostDisk, markJoined, ownVoteOf } from './joining.js';
+import { describeLeaderAbsence } from './leaderAbsence.js';
 import {
   appendEntry,
   changeReplica,
@@ -70,7 +71,7 @@
     }),
   );
 
-const requestVotes = (world: World, term: number, isPreVote: boolean): void => {
+const requestVotes = (world: World, term: number, isPreVote: boolean, now: Instant): void => {
   const { lastIndex, lastTerm } = replicaOf(world);
   world.events.append({
     kind: EventKind.VotesRequested,
@@ -82,6 +83,7 @@
     isPreVote,
     lastIndex,
     lastTerm,
+    leaderAbsence: describeLeaderAbsence(world, now),
   } as const;
   otherMembers(world).forEach(({ id }) => sendAfterSync(world, id, message));
 };
@@ -115,7 +117,7 @@
     leader: null,
     electionDeadline: nextElectionDeadline(world, now),
   });
-  requestVotes(world, replicaOf(world).term + 1, true);
+  requestVotes(world, replicaOf(world).term + 1, true, now);
 };
 
 const startElection = (world: World, now: Instant): void => {
@@ -126,7 +128,7 @@
   });
   const term = replicaOf(world).term + 1;
   setTerm(world, term, ownId(world));
-  requestVotes(world, term, false);
+  requestVotes(world, term, false, now);
 };
 
 /** Records by which votes this daemon was elected; called before votes and voters change. */
--- a/src/service/consensus/common/following.ts
+++ b/src/service/consensus/common/following.ts
@@ -240,7 +240,8 @@
       leader: followed.leader === null ? null : asBrand<DaemonId>(followed.leader),
       currentAsOf: Math.max(currentAsOf, confirmedAt),
       heardAt: now,
-      leaderAbsence: followed.leader === null ? (followed.leaderAbsence ?? leaderAbsence) : null,
+      // A relay that hears nothing still names the last leader, and says with it what is amiss.
+      leaderAbsence: followed.leaderAbsence ?? (followed.leader === null ? leaderAbsence : null),
     });
   },
 };
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -75,7 +75,7 @@
   readonly currentAsOf: Instant;
   /** Last time at which its leader or the daemon that it follows sent entries, or that there are none. */
   readonly heardAt: Instant;
-  /** What the daemon that a learner follows has reported on why there is no leader. */
+  /** What the daemon that a learner follows, or a candidate, has told it on why there is no leader. */
   readonly leaderAbsence: string | null;
   /** Time at which a learner sends its next request for entries. */
   readonly followDeadline: Instant;
--- a/src/service/consensus/common/voterStatements.ts
+++ b/src/service/consensus/common/voterStatements.ts
@@ -11,7 +11,7 @@
 import type { ConsensusMessage, VoterStatement } from './consensusMessages.js';
 import { joinProgressOf } from './joinProgress.js';
 import type { VoterStatementRow } from './joinTables.js';
-import { replicaOf } from './replicaLog.js';
+import { changeReplica, replicaOf } from './replicaLog.js';
 import { ReplicaState } from './replicaTables.js';
 
 /** Returns what this daemon says of itself. */
@@ -29,14 +29,20 @@
 };
 
 type AppendAnswer = UnionMember<ConsensusMessage, 'appendAnswered'>;
+type VoteRequest = UnionMember<ConsensusMessage, 'voteRequested'>;
 type VoteReply = UnionMember<ConsensusMessage, 'voteAnswered'>;
 
 const putStatement = (world: World, statement: VoterStatementRow): void => {
   if (world.members.has(statement.id)) world.voterStatements.put(statement);
 };
 
-/** Recorders of the answers of voters. */
+/** Recorders of the requests of candidates, and of the answers of voters. */
 export const voterRecorders = {
+  /** A store that has lost its log knows no voters, and hears of the others only by their requests. */
+  voteRequested: ({ leaderAbsence }: VoteRequest, world: World): void => {
+    if (replicaOf(world).state !== ReplicaState.Learner || !leaderAbsence) return;
+    changeReplica(world, { leaderAbsence });
+  },
   appendAnswered: (
     { term, isNew, accepted, matchIndex }: AppendAnswer,
     world: World,
--- a/src/service/timeline/common/explainLog.ts
+++ b/src/service/timeline/common/explainLog.ts
@@ -40,6 +40,12 @@
   EventKind.LeaderMissing,
   EventKind.LeaderFound,
   EventKind.VoterBehind,
+  EventKind.NotJoined,
+  EventKind.Joined,
+  EventKind.VoterLagging,
+  EventKind.VoterCaughtUp,
+  EventKind.SnapshotRefused,
+  EventKind.SnapshotAbandoned,
   EventKind.FrameRefused,
   EventKind.StorageFailed,
 ]);
