--- a/src/daemon/fleet/test/node/eventLog.test.ts
+++ b/src/daemon/fleet/test/node/eventLog.test.ts
@@ -19,13 +19,21 @@
   const kinds = [
     EventKind.LeaderMissing,
     EventKind.ConfigurationMissing,
+    EventKind.NotJoined,
+    EventKind.VoterLagging,
+    EventKind.SnapshotRefused,
+    EventKind.StorageFailed,
     EventKind.LeaderFound,
     EventKind.ConfigurationFound,
+    EventKind.Joined,
+    EventKind.VoterCaughtUp,
+    EventKind.SnapshotInstalled,
+    EventKind.SnapshotAbandoned,
   ];
   kinds.forEach((kind) => world.events.append({ kind, subject: {} }));
   events.drain();
   t.deepEqual(
     lines.map((line) => (JSON.parse(line) as { level: number }).level),
-    [warningLevel, warningLevel, informationLevel, informationLevel],
+    [...Array<number>(6).fill(warningLevel), ...Array<number>(6).fill(informationLevel)],
   );
 });
--- a/src/service/events/test/common/eventBudget.test.ts
+++ b/src/service/events/test/common/eventBudget.test.ts
@@ -58,3 +58,15 @@
   while (budget.admits(createEvent(0), budgetBytesPerSecond, 0));
   t.true(budget.admits({ kind: EventKind.LeadershipLost, subject: {} }, lineBytes, 0));
 });
+
+test('a log that is compacted all the time, or a snapshot that is refused again and again, fills the log', (t) => {
+  const budget = createEventBudget(0);
+  const countWritten = (kind: EventKind): number =>
+    Array.from({ length: 1_000 }, (_, position) => position * 10).filter((at) =>
+      budget.admits({ kind, subject: {} }, lineBytes, at),
+    ).length;
+  t.is(countWritten(EventKind.SnapshotTaken), 10, 'one a second');
+  t.is(countWritten(EventKind.SnapshotRefused), 2, 'one each 5 s');
+  t.is(countWritten(EventKind.SnapshotInstalled), 1_000, 'each one is progress');
+  t.is(budget.takeDropped(), 0, 'they are counted by their own metrics');
+});
