--- a/src/infrastructure/storage/node/segmentStore.ts
+++ b/src/infrastructure/storage/node/segmentStore.ts
@@ -33,6 +33,22 @@
  */
 const baseChunkBytes = 1024 * 1024;
 
+/**
+ * Size up to which the runtime passes a buffer to the system in one write. After a loss of power, each
+ * write since the last sync may be missing by itself, so a log is synced after each one: a missing
+ * write between two others would make the records after it unreadable.
+ */
+const maximumWriteBytes = 512 * 1024;
+
+const appendAndSync = async (handle: FileHandle, bytes: Buffer): Promise<void> => {
+  for (let offset = 0; offset < bytes.length; offset += maximumWriteBytes) {
+    // eslint-disable-next-line no-await-in-loop -- each write is synced before the next one
+    await handle.appendFile(bytes.subarray(offset, offset + maximumWriteBytes));
+    // eslint-disable-next-line no-await-in-loop -- as above
+    await handle.datasync();
+  }
+};
+
 /** An open data folder. At most one of its operations may run at a time. */
 export interface SegmentStore extends AsyncDisposable {
   /** The decoded records that existed when the folder was opened, in order. */
@@ -165,8 +181,7 @@
       if (bytes >= maximumSegmentBytes) await startNextSegment();
       const batch = Buffer.concat(records);
       hasPartialWrite = true;
-      await handle.appendFile(batch);
-      await handle.datasync();
+      await appendAndSync(handle, batch);
       hasPartialWrite = false;
       bytes += batch.length;
     },
