Virtual disks: replacements of all bytes, and disks too small for them

A replacement takes effect at its sync as a whole; a crash before keeps the old bytes and nothing that was written after it. A disk without space leaves out an optional replacement and fails for a required one; the fault `isTooSmallToReplace` still takes appends.

--- a/standins/virtual/virtualDisk.ts
+++ b/standins/virtual/virtualDisk.ts
@@ -1,7 +1,7 @@
 /**
  * In-memory disks for the replicated log. Synced bytes survive a crash, and a random prefix of the
- * unsynced bytes does too. Bytes use the production record format, so that torn writes and flipped
- * bits run through the same checks.
+ * unsynced bytes does too. A replacement of all bytes takes effect at its sync as a whole. Bytes use
+ * the production record format, so that torn writes and flipped bits run through the same checks.
  */
 import type { Random } from '../../src/base/common/random.js';
 import type { Milliseconds } from '../../src/base/common/time.js';
@@ -11,13 +11,19 @@
   StorageErrorKind,
 } from '../../src/infrastructure/storage/common/storageError.js';
 import { decodeRecords, encodeRecord } from '../../src/infrastructure/storage/node/recordCodec.js';
-import type { StorageFact } from '../../src/service/consensus/common/replicaTables.js';
+import { createRecords } from '../../src/service/consensus/common/durableState.js';
+import type {
+  StorageFact,
+  StorageRequest,
+} from '../../src/service/consensus/common/replicaTables.js';
 import type { VirtualContext, VirtualPort } from './virtualInstallation.js';
 
 /** Injected faults of a disk. */
 export interface DiskFaults {
   /** Whether further writes fail. */
   isFull?: boolean;
+  /** Whether old and new bytes do not fit at once, so that replacements fail and writes do not. */
+  isTooSmallToReplace?: boolean;
   /** Milliseconds added to each sync. */
   extraSyncDelay?: Milliseconds;
 }
@@ -26,10 +32,15 @@
 export interface VirtualDisk {
   readonly faults: DiskFaults;
   readonly write: (bytes: Buffer) => void;
+  /** Replaces all bytes, also those written before, once it is synced. */
+  readonly replace: (bytes: Buffer) => void;
   /** Makes all bytes written so far durable. */
   readonly sync: () => void;
   readonly read: () => Buffer;
-  /** Simulates a crash of the VM: only a random prefix of the unsynced bytes is kept. */
+  /**
+   * Simulates a crash of the VM: only a random prefix of the unsynced bytes is kept, and nothing from
+   * an unsynced replacement on.
+   */
   readonly crash: (random: Random) => void;
   /** Flips one bit of the synced byte at an offset. */
   readonly flipBit: (byte: number) => void;
@@ -41,30 +52,35 @@
 export const createVirtualDisk = (): VirtualDisk => {
   let synced: Buffer = Buffer.alloc(0);
   let unsynced: Buffer = Buffer.alloc(0);
+  /** The bytes of an unsynced replacement and those after it; undefined if there is none. */
+  let replacement: Buffer | undefined;
   const faults: DiskFaults = {};
+  const setSynced = (bytes: Buffer): void => {
+    synced = bytes;
+    unsynced = Buffer.alloc(0);
+    replacement = undefined;
+  };
+  const readAll = (): Buffer => replacement ?? Buffer.concat([synced, unsynced]);
   return {
     faults,
     write: (bytes) => {
-      unsynced = Buffer.concat([unsynced, bytes]);
+      if (replacement === undefined) unsynced = Buffer.concat([unsynced, bytes]);
+      else replacement = Buffer.concat([replacement, bytes]);
     },
-    sync: () => {
-      synced = Buffer.concat([synced, unsynced]);
-      unsynced = Buffer.alloc(0);
+    replace: (bytes) => {
+      replacement = bytes;
     },
-    read: () => Buffer.concat([synced, unsynced]),
+    sync: () => setSynced(readAll()),
+    read: readAll,
     crash: (random) => {
       const survivingBytes = unsynced.subarray(0, random.nextInteger(unsynced.length + 1));
-      synced = Buffer.concat([synced, survivingBytes]);
-      unsynced = Buffer.alloc(0);
+      setSynced(Buffer.concat([synced, survivingBytes]));
     },
     flipBit: (byte) => {
       synced = Buffer.from(synced);
       synced[byte] = synced[byte]! ^ 1; // eslint-disable-line no-bitwise -- flips one bit
     },
-    clear: () => {
-      synced = Buffer.alloc(0);
-      unsynced = Buffer.alloc(0);
-    },
+    clear: () => setSynced(Buffer.alloc(0)),
   };
 };
 
@@ -83,6 +99,23 @@
     );
 };
 
+/** Whether the production port would go on with the old bytes instead of executing a write. */
+const isLeftOut = (disk: VirtualDisk, { write }: StorageRequest): boolean => {
+  const { isFull, isTooSmallToReplace } = disk.faults;
+  const cannotReplace = isFull === true || isTooSmallToReplace === true;
+  return write.kind === 'stateReplaced' && write.isOptional && cannotReplace;
+};
+
+const canExecute = (disk: VirtualDisk, { write }: StorageRequest): boolean => {
+  const { isFull, isTooSmallToReplace } = disk.faults;
+  return isFull !== true && (write.kind !== 'stateReplaced' || isTooSmallToReplace !== true);
+};
+
+const execute = (disk: VirtualDisk, { write }: StorageRequest): void => {
+  if (write.kind !== 'stateReplaced') disk.write(encodeRecord(write));
+  else disk.replace(Buffer.concat([...createRecords(write.state)].map(encodeRecord)));
+};
+
 /** Creates the storage port of one daemon process over its disk. */
 export const createVirtualStoragePort = (
   { daemon, schedule }: VirtualContext,
@@ -101,7 +134,8 @@
     drain: () => {
       const requests = storageRequests.takeAll();
       if (requests.length === 0) return;
-      if (disk.faults.isFull === true) {
+      const writes = requests.filter((request) => !isLeftOut(disk, request));
+      if (!writes.every((request) => canExecute(disk, request))) {
         const failure = createStorageError(
           StorageErrorKind.DiskFull,
           'The disk is full; free space on it.',
@@ -109,7 +143,7 @@
         schedule(syncDelay, () => storageFacts.append({ kind: 'failed', failure }));
         return;
       }
-      requests.forEach(({ write }) => disk.write(encodeRecord(write)));
+      writes.forEach((request) => execute(disk, request));
       const delay = syncDelay + (disk.faults.extraSyncDelay ?? 0);
       schedule(delay, () => completeSync(requests.at(-1)!.sequence));
     },
