--- a/src/service/rollout/common/ledgerHandlers.ts
+++ b/src/service/rollout/common/ledgerHandlers.ts
@@ -103,7 +103,7 @@
     withExistingLot(world, command.lot, (lot) => {
       if (lot.state !== LotState.Open) return reject(LedgerRejection.LotClosed);
       world.lots.change(lot.id, { state: LotState.Failed, failure: command.failure });
-      stopLotClock(world, lot.id, now);
+      stopLotClock(world, lot, now);
       world.events.append({
         kind: EventKind.LotFailed,
         subject: { lot: lot.id, failure: command.failure },
--- a/src/service/rollout/common/putLot.ts
+++ b/src/service/rollout/common/putLot.ts
@@ -9,6 +9,7 @@
 import type { World } from '../../world/common/world.js';
 import type { LedgerCommand } from './ledgerCommands.js';
 import { LotState, SampleState, type LotRow } from './ledgerRows.js';
+import type { LotClockRow } from './runRows.js';
 
 /** The command that opens a lot. */
 export type LotOpened = Extract<LedgerCommand, { readonly kind: 'lotOpened' }>;
@@ -76,9 +77,9 @@
 };
 
 /** Sets the deadlines of a lot that has failed. */
-export const stopLotClock = (world: World, id: LotId, now: Instant): void => {
+export const stopLotClock = (world: World, { id }: LotRow, now: Instant): void => {
   const retentionDeadline = deadlineAfter(now, failedRetentionMilliseconds);
-  world.lotClocks.change(id, { lotDeadline: never, retentionDeadline });
+  world.lotClocks.put({ id, lotDeadline: never, retentionDeadline });
 };
 
 /** Removes the deadlines of a lot that was dropped, and has its bodies deleted. */
@@ -87,10 +88,29 @@
   world.bodyDeletions.append(id);
 };
 
-const restoreLotClock = (world: World, lot: LotRow, now: Instant): void => {
-  if (!world.lotClocks.has(lot.id)) startLotClock(world, lot, now);
-  const isRunning = world.lotClocks.get(lot.id)!.lotDeadline !== never;
-  if (lot.state === LotState.Failed && isRunning) stopLotClock(world, lot.id, now);
+type ClockHandler = (
+  world: World,
+  lot: LotRow,
+  clock: LotClockRow | undefined,
+  now: Instant,
+) => void;
+
+/** A clock that does not run belongs to an earlier lot with the identifier. */
+const keepRunning: ClockHandler = (world, lot, clock, now) => {
+  if (clock === undefined || clock.lotDeadline === never) startLotClock(world, lot, now);
+};
+
+/** Handlers that adapt the deadlines of a restored lot, by its state. */
+const clockHandlers: Readonly<Record<LotState, ClockHandler>> = {
+  open: keepRunning,
+  delivered: keepRunning,
+  // The owner stops the clock and shortens the retention.
+  acknowledged: (world, lot, clock, now) => {
+    if (clock === undefined) startLotClock(world, lot, now);
+  },
+  failed: (world, lot, clock, now) => {
+    if (clock?.lotDeadline !== never) stopLotClock(world, lot, now);
+  },
 };
 
 /**
@@ -101,7 +121,9 @@
   [...world.lotClocks.rows()]
     .filter(({ id }) => !world.lots.has(id))
     .forEach(({ id }) => removeLotClock(world, id));
-  [...world.lots.rows()].forEach((lot) => restoreLotClock(world, lot, now));
+  [...world.lots.rows()].forEach((lot) =>
+    clockHandlers[lot.state](world, lot, world.lotClocks.get(lot.id), now),
+  );
 };
 
 /** Inserts the rows of a lot and its samples, and sets the deadlines of the lot. */
