Restore only the rows that differ

Rows that stay at their place and are equal are now left alone; rows out of place are removed and inserted again, since the order is part of the state.

Failed first: 'restoring marks only the rows that differ as changed' is new with this change; the case of rows in another order pins the removal.

--- a/src/service/consensus/common/replicatedState.ts
+++ b/src/service/consensus/common/replicatedState.ts
@@ -5,6 +5,7 @@
  */
 import { Result } from 'neverthrow';
 import { computeEncodedBytes } from '../../../base/common/encodedSize.js';
+import { isStructurallyEqual } from '../../../base/common/structuralEquality.js';
 import type { Instant } from '../../../base/common/time.js';
 import type { Entity } from '../../../infrastructure/tables/common/table.js';
 import {
@@ -94,9 +95,25 @@
   checkParts(parts).unwrapOr(false);
 
 /**
- * Removes all rows before it inserts others, also those that stay: the tables keep rows in the order
- * of their insertion, and handlers rely on it.
+ * Removes the rows that do not stay, or not at their place: tables keep rows in the order of their
+ * insertion, and handlers rely on it.
  */
+const removeObsoleteRows = (
+  table: RestorableTable<Entity>,
+  current: readonly Entity[],
+  restored: readonly Entity[],
+): void => {
+  const restoredIds = new Set(restored.map(({ id }) => id));
+  const remaining = current.filter(({ id }) => restoredIds.has(id));
+  const isMoved = ({ id }: Entity, position: number): boolean => id !== restored[position]!.id;
+  const firstMoved = remaining.findIndex(isMoved);
+  const moved = firstMoved < 0 ? [] : remaining.slice(firstMoved);
+  [...current.filter(({ id }) => !restoredIds.has(id)), ...moved].forEach(({ id }) =>
+    table.remove(id),
+  );
+};
+
+/** Only rows that change are put, so that readers of changes see no others. */
 const restoreTable = (
   world: World,
   name: ReplicatedTableName,
@@ -104,11 +121,14 @@
 ): void => {
   const table = tableOf(world, name);
   const { rowSchema } = descriptionOf(name);
-  replicatedRowsOf(world, name).forEach(({ id }) => table.remove(id));
-  parts
+  const restored = parts
     .filter((part) => part.table === name)
     .flatMap(({ rows }) => rows)
-    .forEach((row) => table.put(rowSchema.parse(row)));
+    .map((row) => rowSchema.parse(row));
+  removeObsoleteRows(table, replicatedRowsOf(world, name), restored);
+  restored
+    .filter((row) => !isStructurallyEqual(table.get(row.id), row))
+    .forEach((row) => table.put(row));
 };
 
 /** Replaces the rows of all replicated tables of these topics. The parts must be readable. */
--- a/src/service/consensus/test/common/restoredState.test.ts
+++ b/src/service/consensus/test/common/restoredState.test.ts
@@ -57,6 +57,30 @@
   t.deepEqual(describeState(receiver.world, true), describeState(sender.world, true));
 });
 
+test('restoring marks only the rows that differ as changed, in the order of the log', (t) => {
+  const entries = createNamedVersions(30);
+  const sender = createApplier(true);
+  sender.apply(entries);
+  const { world, apply } = createApplier(true);
+  apply(entries.slice(0, 10));
+  const changes = world.rememberedOutcomes.createChangeReader();
+  restore(world, transfer(sender.world, true), true);
+  t.deepEqual(
+    changes.take(),
+    entries.slice(10).map(({ proposal }) => proposal),
+  );
+});
+
+test('rows in another order are put in the order of the snapshot', (t) => {
+  const entries = createNamedVersions(6);
+  const sender = createApplier(true);
+  sender.apply(entries);
+  const receiver = createApplier(true);
+  receiver.apply([...entries].reverse());
+  restore(receiver.world, transfer(sender.world, true), true);
+  t.deepEqual(describeState(receiver.world, true), describeState(sender.world, true));
+});
+
 test('a proposal whose entry is in the snapshot gets its outcome', (t) => {
   const [entry] = createNamedVersions(1);
   const sender = createApplier(true);
