--- a/src/service/consensus/common/replicatedTable.ts
+++ b/src/service/consensus/common/replicatedTable.ts
@@ -11,7 +11,10 @@
 import type { Topic } from './command.js';
 
 /** The operations of a table that restoring uses. */
-export type RestorableTable<Row extends Entity> = Pick<Table<Row>, 'get' | 'rows' | 'put' | 'remove'>;
+export type RestorableTable<Row extends Entity> = Pick<
+  Table<Row>,
+  'get' | 'rows' | 'put' | 'remove'
+>;
 
 /** Row type of a table of the world; `never` for queues. */
 export type RowOf<Name extends keyof Tables> = Tables[Name] extends {
