--- a/src/service/consensus/common/replicatedState.ts
+++ b/src/service/consensus/common/replicatedState.ts
@@ -96,39 +96,42 @@
 
 /**
  * Removes the rows that do not stay, or not at their place: tables keep rows in the order of their
- * insertion, and handlers rely on it.
+ * insertion, and handlers rely on it. Returns their number.
  */
 const removeObsoleteRows = (
   table: RestorableTable<Entity>,
   current: readonly Entity[],
   restored: readonly Entity[],
-): void => {
+): number => {
   const restoredIds = new Set(restored.map(({ id }) => id));
   const remaining = current.filter(({ id }) => restoredIds.has(id));
   const isMoved = ({ id }: Entity, position: number): boolean => id !== restored[position]!.id;
   const firstMoved = remaining.findIndex(isMoved);
   const moved = firstMoved < 0 ? [] : remaining.slice(firstMoved);
-  [...current.filter(({ id }) => !restoredIds.has(id)), ...moved].forEach(({ id }) =>
-    table.remove(id),
-  );
+  const obsolete = [...current.filter(({ id }) => !restoredIds.has(id)), ...moved];
+  obsolete.forEach(({ id }) => table.remove(id));
+  return obsolete.length;
 };
 
-/** Only rows that change are put, so that readers of changes see no others. */
+/**
+ * Only rows that change are put, so that readers of changes see no others. Returns whether there are
+ * any.
+ */
 const restoreTable = (
   world: World,
   name: ReplicatedTableName,
   parts: readonly SnapshotPart[],
-): void => {
+): boolean => {
   const table = tableOf(world, name);
   const { rowSchema } = descriptionOf(name);
   const restored = parts
     .filter((part) => part.table === name)
     .flatMap(({ rows }) => rows)
     .map((row) => rowSchema.parse(row));
-  removeObsoleteRows(table, replicatedRowsOf(world, name), restored);
-  restored
-    .filter((row) => !isStructurallyEqual(table.get(row.id), row))
-    .forEach((row) => table.put(row));
+  const removedCount = removeObsoleteRows(table, replicatedRowsOf(world, name), restored);
+  const changed = restored.filter((row) => !isStructurallyEqual(table.get(row.id), row));
+  changed.forEach((row) => table.put(row));
+  return removedCount + changed.length > 0;
 };
 
 /** Replaces the rows of all replicated tables of these topics. The parts must be readable. */
@@ -138,7 +141,6 @@
   topics: readonly Topic[],
   now: Instant,
 ): void => {
-  const names = selectTableNames(topics);
-  names.forEach((name) => restoreTable(world, name, parts));
-  names.forEach((name) => descriptionOf(name).onDidRestore?.(world, now));
+  const changedNames = selectTableNames(topics).filter((name) => restoreTable(world, name, parts));
+  changedNames.forEach((name) => descriptionOf(name).onDidRestore?.(world, now));
 };
--- a/src/service/consensus/test/common/restoredState.test.ts
+++ b/src/service/consensus/test/common/restoredState.test.ts
@@ -7,6 +7,7 @@
 import { computeEncodedBytes } from '../../../../base/common/encodedSize.js';
 import { never } from '../../../../base/common/time.js';
 import { maximumBatchBytes } from '../../../../infrastructure/wire/common/frameLimits.js';
+import { EventKind } from '../../../events/common/eventKind.js';
 import type { World } from '../../../world/common/world.js';
 import { Topic, type Command } from '../../common/command.js';
 import type { CommittedEntry } from '../../common/consensusTables.js';
@@ -16,6 +17,7 @@
   selectParts,
 } from '../../common/replicatedState.js';
 import type { SnapshotPart } from '../../common/snapshot.js';
+import { commandArbitraries } from './arbitraryCommands.js';
 import {
   anySequence,
   createApplier,
@@ -150,6 +152,20 @@
   t.deepEqual(world.bodyDeletions.takeAll(), [asBrand('lot')]);
 });
 
+test('a declaration that comes with a snapshot is reported as in force, once', (t) => {
+  const [command] = fc.sample(commandArbitraries.declarationSet, { numRuns: 1, seed });
+  const sender = createApplier(true);
+  sender.apply(createEntries([command!]));
+  const { world } = createApplier(false);
+  const parts = transfer(sender.world, false);
+  [1, 2].forEach(() => restore(world, parts, false));
+  const reported = world.events
+    .takeAll()
+    .filter(({ kind }) => kind === EventKind.DeclarationActivated)
+    .map(({ subject }) => subject.version);
+  t.deepEqual(reported, [command!.version]);
+});
+
 test('the tree of a settings file is neither captured nor replaced', (t) => {
   const sender = createApplier(true);
   t.deepEqual(captureReplicatedState(sender.world), []);
--- a/src/service/declaration/common/applyDeclaration.ts
+++ b/src/service/declaration/common/applyDeclaration.ts
@@ -31,17 +31,25 @@
   routes.map((route) => ({ ...route, id: asBrand(`${route.host} ${route.prefix}`) }));
 
 /** Replaces the rows of routes and keys by those of the declaration in force, if there is one. */
-export const replaceDerivedRows = (world: World): void => {
+const replaceDerivedRows = (world: World): void => {
   const declaration = world.declarations.get(declarationId)?.declaration;
   replaceRows(world.routes, declaration === undefined ? [] : createRouteRows(declaration));
   replaceRows(world.callerKeys, declaration === undefined ? [] : createKeyRows(declaration));
 };
 
+/** Puts the routes and keys of the declaration into force, if there is one. */
+export const activateDeclaration = (world: World): void => {
+  replaceDerivedRows(world);
+  const row = world.declarations.get(declarationId);
+  if (row === undefined) return;
+  const { version, digest } = row;
+  world.events.append({ kind: EventKind.DeclarationActivated, subject: { version, digest } });
+};
+
 const activate = (world: World, command: DeclarationSet): void => {
   const { version, digest, document, declaration } = command;
   world.declarations.put({ id: declarationId, version, digest, document, declaration });
-  replaceDerivedRows(world);
-  world.events.append({ kind: EventKind.DeclarationActivated, subject: { version, digest } });
+  activateDeclaration(world);
 };
 
 /** Handlers of committed declaration commands, by `kind`. */
--- a/src/service/declaration/common/replicatedDeclarationTables.ts
+++ b/src/service/declaration/common/replicatedDeclarationTables.ts
@@ -6,7 +6,7 @@
   createIdentifierSchema,
   type ReplicatedTables,
 } from '../../consensus/common/replicatedTable.js';
-import { replaceDerivedRows } from './applyDeclaration.js';
+import { activateDeclaration } from './applyDeclaration.js';
 import { declarationSetSchema } from './declarationCommands.js';
 import type { DeclarationRow } from './declarationTables.js';
 
@@ -16,6 +16,6 @@
     rowSchema: declarationSetSchema
       .omit({ kind: true })
       .extend({ id: createIdentifierSchema<DeclarationRow['id']>() }),
-    onDidRestore: replaceDerivedRows,
+    onDidRestore: activateDeclaration,
   },
 };
