--- a/src/service/consensus/test/common/disksLostInTurn.test.ts
+++ b/src/service/consensus/test/common/disksLostInTurn.test.ts
@@ -43,6 +43,8 @@
   Leader: "the leader's",
   Follower: "a follower's",
   FollowerAndPower: "a follower's, and the power of all",
+  /** The first store keeps running, and feeds the emptied leader what it has. */
+  LeaderAndKill: "the leader's, and the process of the third store",
 } as const;
 type SecondLoss = ValueOf<typeof SecondLoss>;
 
@@ -143,6 +145,13 @@
     all.filter((name) => name !== follower).forEach((name) => installation.stop(name));
     return all;
   },
+  [SecondLoss.LeaderAndKill]: ({ installation, loseDisk }, first) => {
+    const leader = leaderOf(installation)!;
+    const [third] = followersOf(installation, first);
+    loseDisk(leader);
+    installation.stop(third!);
+    return [leader, third!];
+  },
 };
 
 const describeStores = (installation: VirtualInstallation): string =>
