--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import { runTrafficBench } from './traffic/trafficBench.js';
 import { runRolloutBench } from './rollout/rolloutBench.js';
 import { runTickBench } from './tick/tickBench.js';
+import { runJoiningBench } from './joining/joiningBench.js';
 
 /** Every bench by its name. */
 const benches: Readonly<Record<string, Bench>> = {
@@ -18,6 +19,7 @@
   traffic: runTrafficBench,
   rollout: runRolloutBench,
   control: runControlBench,
+  joining: runJoiningBench,
 };
 
 const requestedNames = process.argv.slice(2);
