--- a/bench/joining/installation.ts
+++ b/bench/joining/installation.ts
@@ -162,6 +162,14 @@
     start(machine, true);
   };
 
+  /** A run that is ended early leaves no processes and no files behind. */
+  process.once('exit', () => {
+    [...stores, ...fronts].forEach(({ child }) => child?.kill('SIGKILL'));
+    rmSync(folder, { recursive: true, force: true, maxRetries: 3 });
+  });
+  process.once('SIGTERM', () => process.exit(1));
+  process.once('SIGINT', () => process.exit(1));
+
   /** Relays are open all the time; connections go to them while the flag file exists. */
   const relays = await Promise.all(
     [1, 2, 3].map((number) => openPacedRelay(ipOf(number), ports.internal, () => link!)),
