--- a/bench/joining/observations.ts
+++ b/bench/joining/observations.ts
@@ -61,6 +61,8 @@
   const isVoter = findLastLine(store, 'votingChanged')?.isVoting !== false;
   const gauges = await readGauges(store);
   if (gauges === undefined || !isVoter) return false;
+  // Releases without snapshots have no gauge of it; their disk is asked after a restart.
+  if (gauges.log_has_joined === 0) return false;
   return gauges.log_commit_index! >= commitIndex && gauges.declaration_fresh_for! > 0;
 };
 
