--- a/src/service/consensus/common/durableState.ts
+++ b/src/service/consensus/common/durableState.ts
@@ -6,10 +6,7 @@
 import * as z from 'zod';
 import { computeEncodedBytes } from '../../../base/common/encodedSize.js';
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
-import {
-  divideIntoBatches,
-  maximumBatchBytes,
-} from '../../../infrastructure/wire/common/frameLimits.js';
+import { maximumBatchBytes, takeBatch } from '../../../infrastructure/wire/common/frameLimits.js';
 import { maximumEntriesPerMessage } from './consensusTiming.js';
 import { logEntrySchema, type LogEntry } from './logEntry.js';
 import {
@@ -81,11 +78,17 @@
   }
   yield { kind: 'vote', term, votedFor };
   if (hasJoined) yield { kind: 'joined' };
-  const batches = divideIntoBatches(entries, computeEncodedBytes, {
-    maximumRows: maximumEntriesPerMessage,
-    maximumBytes: maximumBatchBytes,
-  });
-  for (const batch of batches) yield { kind: 'entries', entries: [...batch] };
+  let position = 0;
+  while (position < entries.length) {
+    // Measured batch by batch: storage writes records as they are yielded, and ticks run in between.
+    const next = entries.slice(position, position + maximumEntriesPerMessage);
+    const { rows } = takeBatch(next, computeEncodedBytes, {
+      maximumRows: maximumEntriesPerMessage,
+      maximumBytes: maximumBatchBytes,
+    });
+    yield { kind: 'entries', entries: [...rows] };
+    position += rows.length;
+  }
 }
 
 /** Creates a replay that starts from the state of a daemon that has never run. */
