--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,7 +9,7 @@
 import { runTrafficBench } from './traffic/trafficBench.js';
 import { runRolloutBench } from './rollout/rolloutBench.js';
 import { runTickBench } from './tick/tickBench.js';
-import { runJoiningBench } from './joining/joiningBench.js';
+import { runJoiningBench } from '../platform/bench/joining/joiningBench.js';
 
 /** Every bench by its name. */
 const benches: Readonly<Record<string, Bench>> = {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -115,7 +115,7 @@
   {
     files: [
       '**/test/**/*.ts',
-      'bench/**/*.ts',
+      'platform/bench/**', 'bench/**/*.ts',
       'scripts/**/*.ts',
       'standins/**/*.ts',
       'proof/**/*.ts',
