--- a/eslint.config.js
+++ b/eslint.config.js
@@ -115,7 +115,8 @@
   {
     files: [
       '**/test/**/*.ts',
-      'platform/bench/**', 'bench/**/*.ts',
+      'platform/bench/**',
+      'bench/**/*.ts',
       'scripts/**/*.ts',
       'standins/**/*.ts',
       'proof/**/*.ts',
