--- a/src/service/consensus/test/common/snapshotFixture.ts
+++ b/src/service/consensus/test/common/snapshotFixture.ts
@@ -44,6 +44,8 @@
 
 export interface SnapshotFixtureOptions {
   readonly seed: number;
+  /** Bytes per second of each link; undefined for no limit. */
+  readonly bandwidth?: number;
   readonly isLost?: (from: string, to: string, message: Message) => boolean;
   readonly onDidSend?: (installation: VirtualInstallation, from: string, message: Message) => void;
 }
@@ -56,6 +58,7 @@
 
 export const openSnapshotFixture = ({
   seed,
+  bandwidth,
   isLost,
   onDidSend,
 }: SnapshotFixtureOptions): SnapshotFixture => {
@@ -77,6 +80,7 @@
       if (created !== undefined) onDidSend?.(created, from, message);
     },
     ...(isLost === undefined ? {} : { isLost }),
+    ...(bandwidth === undefined ? {} : { bandwidth }),
   });
   created = installation;
   installation.runFor(recoveryMilliseconds);
--- a/standins/virtual/virtualDisk.ts
+++ b/standins/virtual/virtualDisk.ts
@@ -26,6 +26,8 @@
   isTooSmallToReplace?: boolean;
   /** Milliseconds added to each sync. */
   extraSyncDelay?: Milliseconds;
+  /** Milliseconds that a replacement takes; later writes wait for it, as in the production port. */
+  replaceDelay?: Milliseconds;
 }
 
 /** The disk of one daemon. */
@@ -131,6 +133,9 @@
     storageFacts.append({ kind: 'synced', sequence });
   };
 
+  /** Milliseconds of replacements that are under way. */
+  let replacing = 0;
+
   return {
     drain: () => {
       const requests = storageRequests.takeAll();
@@ -145,7 +150,15 @@
         return;
       }
       writes.forEach((request) => execute(disk, request));
-      const delay = syncDelay + (disk.faults.extraSyncDelay ?? 0);
+      const hasReplacement = writes.some(({ write }) => write.kind === 'stateReplaced');
+      const { extraSyncDelay = 0, replaceDelay = 0 } = disk.faults;
+      if (hasReplacement && replaceDelay > 0) {
+        replacing = replaceDelay;
+        schedule(replaceDelay, () => {
+          replacing = 0;
+        });
+      }
+      const delay = syncDelay + extraSyncDelay + replacing;
       schedule(delay, () => completeSync(requests.at(-1)!.sequence));
     },
   };
