--- a/src/service/consensus/test/common/slowCompaction.test.ts
+++ b/src/service/consensus/test/common/slowCompaction.test.ts
@@ -7,7 +7,7 @@
 import { EventKind } from '../../../events/common/eventKind.js';
 import { entry, openSnapshotFixture, versionAt, voters } from './snapshotFixture.js';
 
-[500, 1_000, 2_000].forEach((replaceDelay) => {
+[500, 1_000, 1_300, 1_500, 2_000].forEach((replaceDelay) => {
   test(`the leader is lost while files are replaced by a snapshot, for ${replaceDelay} ms`, (t) => {
     const fixture = openSnapshotFixture({ seed: 12 });
     const { installation } = fixture;
--- a/src/service/consensus/test/common/slowTransfer.test.ts
+++ b/src/service/consensus/test/common/slowTransfer.test.ts
@@ -17,7 +17,7 @@
 const jobCount = 20;
 const bodyBytes = 200_000;
 
-[4_000_000, 1_000_000, 400_000].forEach((bandwidth) => {
+[4_000_000, 1_000_000, 800_000, 600_000, 500_000, 400_000].forEach((bandwidth) => {
   test.serial(`a snapshot of many parts arrives at ${bandwidth} bytes a second`, (t) => {
     let partBytes = 0;
     const fixture = openSnapshotFixture({
