--- a/src/service/consensus/test/common/largeStateTicks.test.ts
+++ b/src/service/consensus/test/common/largeStateTicks.test.ts
@@ -48,7 +48,9 @@
       restoreReplicatedState(other, parts, Object.values(Topic), now);
       putSnapshot(other, { header, parts }, now);
     });
-    t.log(`${parts.length} parts; taking ${taking.toFixed(0)} ms, installing ${installing.toFixed(0)} ms`);
+    t.log(
+      `${parts.length} parts; taking ${taking.toFixed(0)} ms, installing ${installing.toFixed(0)} ms`,
+    );
     t.true(taking < leaseDurationMilliseconds && installing < leaseDurationMilliseconds);
   });
 });
--- a/src/service/consensus/test/common/removedBySnapshot.test.ts
+++ b/src/service/consensus/test/common/removedBySnapshot.test.ts
@@ -44,7 +44,11 @@
     installation.wake(leader);
   };
   sendOffer();
-  for (let waited = 0; waited < 1_000 && snapshotOf(core.world)?.header.index !== snapshot.header.index; waited += 5)
+  for (
+    let waited = 0;
+    waited < 1_000 && snapshotOf(core.world)?.header.index !== snapshot.header.index;
+    waited += 5
+  )
     installation.runFor(5);
   t.log(replicaOf(core.world).state, snapshotOf(core.world)?.header.index, snapshot.header.index);
   installation.runFor(recoveryMilliseconds);
--- a/src/service/consensus/test/common/slowTransfer.test.ts
+++ b/src/service/consensus/test/common/slowTransfer.test.ts
@@ -66,7 +66,9 @@
     }
     installation.runFor(10_000);
     const leader = leaderOf(fixture)!;
-    t.log(`state: ${worldOf(fixture, leader).jobs.size()} jobs, compacted ${replicaOf(worldOf(fixture, leader)).compactedIndex}`);
+    t.log(
+      `state: ${worldOf(fixture, leader).jobs.size()} jobs, compacted ${replicaOf(worldOf(fixture, leader)).compactedIndex}`,
+    );
     t.true(replicaOf(worldOf(fixture, leader)).compactedIndex > 0);
     const store = followerOf(fixture);
     installation.stop(store);
--- a/src/service/consensus/test/common/transferStorm.test.ts
+++ b/src/service/consensus/test/common/transferStorm.test.ts
@@ -3,13 +3,7 @@
  * as the voter receives a snapshot.
  */
 import test from 'ava';
-import {
-  entry,
-  followerOf,
-  leaderOf,
-  openSnapshotFixture,
-  voters,
-} from './snapshotFixture.js';
+import { entry, followerOf, leaderOf, openSnapshotFixture, voters } from './snapshotFixture.js';
 
 const countedMilliseconds = 2_000;
 /** Eight renewals, as many answers that are due at once, and some for new commit indices. */
