--- a/eslint.config.js
+++ b/eslint.config.js
@@ -115,6 +115,7 @@
   {
     files: [
       '**/test/**/*.ts',
+      'platform/bench/**',
       'bench/**/*.ts',
       'scripts/**/*.ts',
       'standins/**/*.ts',
--- a/src/service/consensus/common/consensusMessages.ts
+++ b/src/service/consensus/common/consensusMessages.ts
@@ -6,6 +6,7 @@
 import { echoedInstantSchema } from '../../world/common/echoedInstant.js';
 import { commandSchema } from './command.js';
 import { logEntrySchema } from './logEntry.js';
+import { snapshotHeaderSchema, snapshotPartSchema } from './snapshot.js';
 import { VoteRefusal } from './voteRefusal.js';
 
 const term = z.number().int().nonnegative();
@@ -19,8 +20,21 @@
   isPreVote: z.boolean(),
   lastIndex: index,
   lastTerm: term,
+  /** What the candidate knows of the reason why there is no leader. For reports only. */
+  leaderAbsence: z.string().nullable().optional(),
 });
 
+/** What a voter says of itself, for the reports of a candidate; no decision rests on it. */
+export const voterStatementSchema = z.object({
+  hasJoined: z.boolean(),
+  lastIndex: index,
+  /** Index up to which it knows that there are entries; null if it does not know. */
+  reportedIndex: index.nullable(),
+  /** Milliseconds for which it has not joined; null if it has, or keeps no record of it. */
+  notJoinedMilliseconds: z.number().nonnegative().nullable(),
+});
+export type VoterStatement = z.infer<typeof voterStatementSchema>;
+
 export const voteAnsweredSchema = z.object({
   kind: z.literal('voteAnswered'),
   /** The requested term if the vote is granted, otherwise the term of the sender. */
@@ -30,6 +44,8 @@
   refusal: z.enum(VoteRefusal).nullable(),
   /** Whether the vote counts only together with those of all voters; see the module `joining`. */
   isConditional: z.boolean(),
+  /** Older voters do not send it. */
+  statement: voterStatementSchema.optional(),
 });
 
 export const entriesAppendedSchema = z.object({
@@ -120,6 +136,38 @@
    * leader; null if there is one. For reports only.
    */
   leaderAbsence: z.string().nullable().default(null),
+  /** Index up to which the sender holds all entries; older senders do not say. For reports only. */
+  deliveredIndex: index.optional(),
+});
+
+/** The sender has a snapshot that stands for entries which the receiver lacks. */
+export const snapshotOfferedSchema = z.object({
+  kind: z.literal('snapshotOffered'),
+  /** Index of the last entry that the snapshot stands for. */
+  index,
+});
+
+/** Asks for parts of a snapshot. */
+export const snapshotRequestedSchema = z.object({
+  kind: z.literal('snapshotRequested'),
+  index,
+  /** Number of the first part to send, from 0. */
+  part: z.number().int().nonnegative(),
+  /** Whether the sender receives the rows of every topic. */
+  isRelay: z.boolean(),
+});
+
+export const snapshotSentSchema = z.object({
+  kind: z.literal('snapshotSent'),
+  /** Term of the sender, at least the one in which the entries were committed. */
+  term,
+  header: snapshotHeaderSchema,
+  /** Number of this part, from 0. */
+  part: z.number().int().nonnegative(),
+  /** Number of parts that the receiver is sent in all. */
+  count: z.number().int().positive(),
+  /** The part; null if the snapshot has no rows for the receiver. */
+  content: snapshotPartSchema.nullable(),
 });
 
 /** Schema of all messages of the replicated log. */
@@ -132,6 +180,9 @@
   proposalAnsweredSchema,
   followRequestedSchema,
   entriesFollowedSchema,
+  snapshotOfferedSchema,
+  snapshotRequestedSchema,
+  snapshotSentSchema,
 ]);
 
 /** A message of the replicated log. */
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -48,8 +48,14 @@
   readonly commitIndex: number;
   /** Index up to which entries have been delivered to the apply system. */
   readonly deliveredIndex: number;
+  /** Index up to which entries have been removed from the log, because a snapshot stands for them. */
+  readonly compactedIndex: number;
+  /** Size of the entries that were delivered since the snapshot was taken. */
+  readonly bytesSinceSnapshot: number;
   /** Sequence number of the last requested write. */
   readonly requestedSequence: number;
+  /** Sequence number of the last requested write on which messages rest: one that is not optional. */
+  readonly requiredSequence: number;
   /** Sequence number up to which writes are synced. */
   readonly syncedSequence: number;
   /** Time at which a voter requests votes, or a leader steps down. */
@@ -71,7 +77,7 @@
   readonly currentAsOf: Instant;
   /** Last time at which its leader or the daemon that it follows sent entries, or that there are none. */
   readonly heardAt: Instant;
-  /** What the daemon that a learner follows has reported on why there is no leader. */
+  /** What the daemon that a learner follows, or a candidate, has told it on why there is no leader. */
   readonly leaderAbsence: string | null;
   /** Time at which a learner sends its next request for entries. */
   readonly followDeadline: Instant;
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -10,6 +10,7 @@
   type Ticker,
 } from '../../../infrastructure/tables/common/tick.js';
 import { createAbsenceSystem } from '../../absence/common/absenceSystem.js';
+import { createVoterLagSystem } from '../../absence/common/voterLagSystem.js';
 import { createAdmissionSystem } from '../../admission/common/admissionSystem.js';
 import { createDemandSystem } from '../../admission/common/demandSystem.js';
 import { createCapacitySystem } from '../../capacity/common/capacitySystem.js';
@@ -20,6 +21,7 @@
 import { createRevocationSystem } from '../../configuration/common/revocationSystem.js';
 import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
+import { createCompactionSystem } from '../../consensus/common/compaction.js';
 import { createVoterSystem } from '../../consensus/common/voterSystem.js';
 import { createReplicaSystem, insertReplica } from '../../consensus/common/replicaSystem.js';
 import { createAttemptFactSystem } from '../../dispatch/common/attemptFactSystem.js';
@@ -82,6 +84,7 @@
   createInboxSystem,
   createReplicaSystem,
   createApplySystem,
+  createCompactionSystem,
   createPublicationSystem,
   createRotationSystem,
   createRevocationSystem,
@@ -115,6 +118,7 @@
   createReplicaSystem,
   createVoterSystem,
   createApplySystem,
+  createCompactionSystem,
   createDaemonSystem,
   createRegistrySystem,
   createQuarantineSystemFor(callQuarantinePolicy),
@@ -135,6 +139,7 @@
   createMeteringSystem,
   createCapacitySystem,
   createAbsenceSystem,
+  createVoterLagSystem,
 ];
 
 /** Systems of each profile, in the order in which they run in each round of a tick. */
--- a/src/service/declaration/common/applyDeclaration.ts
+++ b/src/service/declaration/common/applyDeclaration.ts
@@ -11,7 +11,7 @@
 import type { World } from '../../world/common/world.js';
 import type { Declaration } from './declaration.js';
 import type { DeclarationSet } from './declarationCommands.js';
-import { declarationId, type CallerKeyRow } from './declarationTables.js';
+import { declarationId, type CallerKeyRow, type RouteRow } from './declarationTables.js';
 
 const replaceRows = <Row extends Entity>(
   table: Pick<Table<Row>, 'rows' | 'remove' | 'put'>,
@@ -27,15 +27,29 @@
     keys.map((key) => ({ id: asBrand(key), workspace: name, workspacePriority: priority })),
   );
 
+const createRouteRows = ({ routes }: Declaration): RouteRow[] =>
+  routes.map((route) => ({ ...route, id: asBrand(`${route.host} ${route.prefix}`) }));
+
+/** Replaces the rows of routes and keys by those of the declaration in force, if there is one. */
+const replaceDerivedRows = (world: World): void => {
+  const declaration = world.declarations.get(declarationId)?.declaration;
+  replaceRows(world.routes, declaration === undefined ? [] : createRouteRows(declaration));
+  replaceRows(world.callerKeys, declaration === undefined ? [] : createKeyRows(declaration));
+};
+
+/** Puts the routes and keys of the declaration into force, if there is one. */
+export const activateDeclaration = (world: World): void => {
+  replaceDerivedRows(world);
+  const row = world.declarations.get(declarationId);
+  if (row === undefined) return;
+  const { version, digest } = row;
+  world.events.append({ kind: EventKind.DeclarationActivated, subject: { version, digest } });
+};
+
 const activate = (world: World, command: DeclarationSet): void => {
   const { version, digest, document, declaration } = command;
   world.declarations.put({ id: declarationId, version, digest, document, declaration });
-  replaceRows(
-    world.routes,
-    declaration.routes.map((route) => ({ ...route, id: asBrand(`${route.host} ${route.prefix}`) })),
-  );
-  replaceRows(world.callerKeys, createKeyRows(declaration));
-  world.events.append({ kind: EventKind.DeclarationActivated, subject: { version, digest } });
+  activateDeclaration(world);
 };
 
 /** Handlers of committed declaration commands, by `kind`. */
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -50,8 +50,24 @@
   VotingChanged: 'votingChanged',
   /** A voter lacks entries and has acknowledged none of them for a while. */
   VoterBehind: 'voterBehind',
+  /** A daemon that can vote lacks accepted entries, so its vote does not count; repeated at intervals. */
+  NotJoined: 'notJoined',
+  /** It holds all of them again after `notJoined`. */
+  Joined: 'joined',
+  /** A voter, at the leader: silent, not joined or without an accepted entry; repeated at intervals. */
+  VoterLagging: 'voterLagging',
+  /** It answers, has joined and holds what it lacked, after `voterLagging`. */
+  VoterCaughtUp: 'voterCaughtUp',
   /** A learner has acknowledged none of the entries that were sent to it; they are sent again. */
   LearnerBehind: 'learnerBehind',
+  /** A daemon has compacted its log. */
+  SnapshotTaken: 'snapshotTaken',
+  /** A daemon has replaced its log and its replicated rows by the snapshot of another one. */
+  SnapshotInstalled: 'snapshotInstalled',
+  /** A received snapshot has rows that this daemon cannot read. */
+  SnapshotRefused: 'snapshotRefused',
+  /** The parts of a snapshot have stopped to arrive before it was complete. */
+  SnapshotAbandoned: 'snapshotAbandoned',
   /** A message between daemons exceeds the frame limit or cannot be read. */
   FrameRefused: 'frameRefused',
   /** A daemon that can vote knows no leader; repeated at intervals. */
--- a/standins/virtual/virtualDisk.ts
+++ b/standins/virtual/virtualDisk.ts
@@ -1,7 +1,7 @@
 /**
  * In-memory disks for the replicated log. Synced bytes survive a crash, and a random prefix of the
- * unsynced bytes does too. Bytes use the production record format, so that torn writes and flipped
- * bits run through the same checks.
+ * unsynced bytes does too. A replacement of all bytes takes effect at its sync as a whole. Bytes use
+ * the production record format, so that torn writes and flipped bits run through the same checks.
  */
 import type { Random } from '../../src/base/common/random.js';
 import type { Milliseconds } from '../../src/base/common/time.js';
@@ -11,25 +11,38 @@
   StorageErrorKind,
 } from '../../src/infrastructure/storage/common/storageError.js';
 import { decodeRecords, encodeRecord } from '../../src/infrastructure/storage/node/recordCodec.js';
-import type { StorageFact } from '../../src/service/consensus/common/replicaTables.js';
+import { createRecords } from '../../src/service/consensus/common/durableState.js';
+import type {
+  StorageFact,
+  StorageRequest,
+} from '../../src/service/consensus/common/replicaTables.js';
 import type { VirtualContext, VirtualPort } from './virtualInstallation.js';
 
 /** Injected faults of a disk. */
 export interface DiskFaults {
   /** Whether further writes fail. */
   isFull?: boolean;
+  /** Whether old and new bytes do not fit at once, so that replacements fail and writes do not. */
+  isTooSmallToReplace?: boolean;
   /** Milliseconds added to each sync. */
   extraSyncDelay?: Milliseconds;
+  /** Milliseconds that a replacement takes; later writes wait for it, as in the production port. */
+  replaceDelay?: Milliseconds;
 }
 
 /** The disk of one daemon. */
 export interface VirtualDisk {
   readonly faults: DiskFaults;
   readonly write: (bytes: Buffer) => void;
+  /** Replaces all bytes, also those written before, once it is synced. */
+  readonly replace: (bytes: Buffer) => void;
   /** Makes all bytes written so far durable. */
   readonly sync: () => void;
   readonly read: () => Buffer;
-  /** Simulates a crash of the VM: only a random prefix of the unsynced bytes is kept. */
+  /**
+   * Simulates a crash of the VM: only a random prefix of the unsynced bytes is kept, and nothing from
+   * an unsynced replacement on.
+   */
   readonly crash: (random: Random) => void;
   /** Flips one bit of the synced byte at an offset. */
   readonly flipBit: (byte: number) => void;
@@ -39,32 +52,38 @@
 
 /** Creates an empty disk. */
 export const createVirtualDisk = (): VirtualDisk => {
-  let synced: Buffer = Buffer.alloc(0);
-  let unsynced: Buffer = Buffer.alloc(0);
+  // Kept as they were written: joining the bytes at each write takes time by the square of the log.
+  let synced: readonly Buffer[] = [];
+  let unsynced: Buffer[] = [];
+  /** The bytes of an unsynced replacement and those after it; undefined if there is none. */
+  let replacement: Buffer[] | undefined;
   const faults: DiskFaults = {};
+  const setSynced = (chunks: readonly Buffer[]): void => {
+    synced = chunks;
+    unsynced = [];
+    replacement = undefined;
+  };
+  const allChunks = (): readonly Buffer[] => replacement ?? [...synced, ...unsynced];
   return {
     faults,
     write: (bytes) => {
-      unsynced = Buffer.concat([unsynced, bytes]);
+      (replacement ?? unsynced).push(bytes);
     },
-    sync: () => {
-      synced = Buffer.concat([synced, unsynced]);
-      unsynced = Buffer.alloc(0);
+    replace: (bytes) => {
+      replacement = [bytes];
     },
-    read: () => Buffer.concat([synced, unsynced]),
+    sync: () => setSynced(allChunks()),
+    read: () => Buffer.concat(allChunks()),
     crash: (random) => {
-      const survivingBytes = unsynced.subarray(0, random.nextInteger(unsynced.length + 1));
-      synced = Buffer.concat([synced, survivingBytes]);
-      unsynced = Buffer.alloc(0);
+      const bytes = Buffer.concat(unsynced);
+      setSynced([...synced, bytes.subarray(0, random.nextInteger(bytes.length + 1))]);
     },
     flipBit: (byte) => {
-      synced = Buffer.from(synced);
-      synced[byte] = synced[byte]! ^ 1; // eslint-disable-line no-bitwise -- flips one bit
-    },
-    clear: () => {
-      synced = Buffer.alloc(0);
-      unsynced = Buffer.alloc(0);
+      const bytes = Buffer.concat(synced);
+      bytes[byte] = bytes[byte]! ^ 1; // eslint-disable-line no-bitwise -- flips one bit
+      synced = [bytes];
     },
+    clear: () => setSynced([]),
   };
 };
 
@@ -83,6 +102,23 @@
     );
 };
 
+/** Whether the production port would go on with the old bytes instead of executing a write. */
+const isLeftOut = (disk: VirtualDisk, { write }: StorageRequest): boolean => {
+  const { isFull, isTooSmallToReplace } = disk.faults;
+  const cannotReplace = isFull === true || isTooSmallToReplace === true;
+  return write.kind === 'stateReplaced' && write.isOptional && cannotReplace;
+};
+
+const canExecute = (disk: VirtualDisk, { write }: StorageRequest): boolean => {
+  const { isFull, isTooSmallToReplace } = disk.faults;
+  return isFull !== true && (write.kind !== 'stateReplaced' || isTooSmallToReplace !== true);
+};
+
+const execute = (disk: VirtualDisk, { write }: StorageRequest): void => {
+  if (write.kind !== 'stateReplaced') disk.write(encodeRecord(write));
+  else disk.replace(Buffer.concat([...createRecords(write.state)].map(encodeRecord)));
+};
+
 /** Creates the storage port of one daemon process over its disk. */
 export const createVirtualStoragePort = (
   { daemon, schedule }: VirtualContext,
@@ -97,11 +133,15 @@
     storageFacts.append({ kind: 'synced', sequence });
   };
 
+  /** Milliseconds of replacements that are under way. */
+  let replacing = 0;
+
   return {
     drain: () => {
       const requests = storageRequests.takeAll();
       if (requests.length === 0) return;
-      if (disk.faults.isFull === true) {
+      const writes = requests.filter((request) => !isLeftOut(disk, request));
+      if (!writes.every((request) => canExecute(disk, request))) {
         const failure = createStorageError(
           StorageErrorKind.DiskFull,
           'The disk is full; free space on it.',
@@ -109,8 +149,16 @@
         schedule(syncDelay, () => storageFacts.append({ kind: 'failed', failure }));
         return;
       }
-      requests.forEach(({ write }) => disk.write(encodeRecord(write)));
-      const delay = syncDelay + (disk.faults.extraSyncDelay ?? 0);
+      writes.forEach((request) => execute(disk, request));
+      const hasReplacement = writes.some(({ write }) => write.kind === 'stateReplaced');
+      const { extraSyncDelay = 0, replaceDelay = 0 } = disk.faults;
+      if (hasReplacement && replaceDelay > 0) {
+        replacing = replaceDelay;
+        schedule(replaceDelay, () => {
+          replacing = 0;
+        });
+      }
+      const delay = syncDelay + extraSyncDelay + replacing;
       schedule(delay, () => completeSync(requests.at(-1)!.sequence));
     },
   };
