--- a/src/service/consensus/test/common/changingStores.ts
+++ b/src/service/consensus/test/common/changingStores.ts
@@ -4,12 +4,11 @@
  */
 import { asBrand } from '../../../../base/common/brand.js';
 import { createRandom, type Random } from '../../../../base/common/random.js';
+import { worldOf } from '../../../../../standins/virtual/inspection.js';
 import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { createControlHistory } from '../../../../../standins/virtual/controlHistory.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
 import type { VirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
-import { replicaOf } from '../../common/replicaLog.js';
-import { isCurrentLeader } from '../../common/replicaTables.js';
 
 const storeCount = 3;
 const initialStores = ['d1', 'd2', 'd3'];
@@ -37,14 +36,6 @@
   readonly runFor: (duration: number) => void;
 }
 
-export const worldOf = (installation: VirtualInstallation, name: string) =>
-  installation.daemon(name).core.world;
-
-export const leaderOf = (installation: VirtualInstallation): string | undefined =>
-  installation
-    .runningNames()
-    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()));
-
 export const pick = <Item>(random: Random, items: readonly Item[]): Item =>
   items[random.nextInteger(items.length)]!;
 
--- a/src/service/consensus/test/common/disksLostInTurn.test.ts
+++ b/src/service/consensus/test/common/disksLostInTurn.test.ts
@@ -6,14 +6,13 @@
 import test from 'ava';
 import { asBrand } from '../../../../base/common/brand.js';
 import type { ValueOf } from '../../../../base/common/handlers.js';
+import { leaderOf, versionAt, worldOf } from '../../../../../standins/virtual/inspection.js';
 import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { createControlHistory } from '../../../../../standins/virtual/controlHistory.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
 import type { VirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
-import { declarationId } from '../../../declaration/common/declarationTables.js';
 import { freshnessMilliseconds } from '../../common/consensusTiming.js';
 import { replicaOf } from '../../common/replicaLog.js';
-import { isCurrentLeader } from '../../common/replicaTables.js';
 
 const stores = ['d1', 'd2', 'd3'];
 const entry = 'd4';
@@ -48,17 +47,6 @@
 } as const;
 type SecondLoss = ValueOf<typeof SecondLoss>;
 
-const worldOf = (installation: VirtualInstallation, name: string) =>
-  installation.daemon(name).core.world;
-
-const leaderOf = (installation: VirtualInstallation): string | undefined =>
-  installation
-    .runningNames()
-    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()));
-
-const versionAt = (installation: VirtualInstallation, name: string): number =>
-  worldOf(installation, name).declarations.get(declarationId)?.version ?? 0;
-
 interface Situation {
   readonly installation: VirtualInstallation;
   readonly violations: () => readonly string[];
--- a/src/service/consensus/test/common/forgottenAcknowledgements.test.ts
+++ b/src/service/consensus/test/common/forgottenAcknowledgements.test.ts
@@ -6,14 +6,14 @@
  */
 import test from 'ava';
 import { asBrand } from '../../../../base/common/brand.js';
+import { leaderOf, versionAt, worldOf } from '../../../../../standins/virtual/inspection.js';
 import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { createControlHistory } from '../../../../../standins/virtual/controlHistory.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
 import type { VirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
-import { declarationId } from '../../../declaration/common/declarationTables.js';
 import { EventKind } from '../../../events/common/eventKind.js';
 import { replicaOf } from '../../common/replicaLog.js';
-import { isCurrentLeader, ReplicaState } from '../../common/replicaTables.js';
+import { ReplicaState } from '../../common/replicaTables.js';
 import { VoteAnswer } from '../../common/voteRefusal.js';
 
 const stores = ['d1', 'd2', 'd3'];
@@ -24,17 +24,6 @@
 const recoveryMilliseconds = 12_000;
 const latencyMilliseconds = 2;
 
-const worldOf = (installation: VirtualInstallation, name: string) =>
-  installation.daemon(name).core.world;
-
-const leaderOf = (installation: VirtualInstallation): string | undefined =>
-  installation
-    .runningNames()
-    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()));
-
-const versionAt = (installation: VirtualInstallation, name: string): number =>
-  worldOf(installation, name).declarations.get(declarationId)?.version ?? 0;
-
 const declare = (installation: VirtualInstallation, name: string, version: number): void => {
   worldOf(installation, name).proposals.append({
     id: asBrand(`declare-${version}`),
--- a/src/service/consensus/test/common/joinedInTime.test.ts
+++ b/src/service/consensus/test/common/joinedInTime.test.ts
@@ -10,15 +10,8 @@
 import { declarationId } from '../../../declaration/common/declarationTables.js';
 import { replicaOf } from '../../common/replicaLog.js';
 import { ReplicaState } from '../../common/replicaTables.js';
-import {
-  between,
-  createSituation,
-  entry,
-  leaderOf,
-  pick,
-  worldOf,
-  type Situation,
-} from './changingStores.js';
+import { leaderOf, worldOf } from '../../../../../standins/virtual/inspection.js';
+import { between, createSituation, entry, pick, type Situation } from './changingStores.js';
 
 const settleMilliseconds = 6_000;
 /** `catchUpS` and `recoveryS` of the users' requirements. */
--- a/src/service/consensus/test/common/largeEntries.test.ts
+++ b/src/service/consensus/test/common/largeEntries.test.ts
@@ -13,6 +13,7 @@
   maximumUnacknowledgedBytes,
 } from '../../../../infrastructure/wire/common/frameLimits.js';
 import { encodeFrame } from '../../../../infrastructure/wire/node/frames.js';
+import { leaderOf, versionAt, worldOf } from '../../../../../standins/virtual/inspection.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
 import {
   createTestDeployment,
@@ -23,12 +24,10 @@
   type VirtualInstallation,
 } from '../../../../../standins/virtual/virtualInstallation.js';
 import { Profile } from '../../../core/common/core.js';
-import { declarationId } from '../../../declaration/common/declarationTables.js';
 import { EventKind } from '../../../events/common/eventKind.js';
 import type { Message } from '../../../messages/common/message.js';
 import type { DaemonId } from '../../../world/common/identifiers.js';
 import { replicaOf } from '../../common/replicaLog.js';
-import { isCurrentLeader } from '../../common/replicaTables.js';
 
 const voters = ['d1', 'd2', 'd3'];
 const entry = 'd4';
@@ -84,14 +83,6 @@
   return { installation, sizes, loseEntriesTo: (name) => cut.add(name) };
 };
 
-const worldOf = (installation: VirtualInstallation, name: string) =>
-  installation.daemon(name).core.world;
-
-const leaderOf = (installation: VirtualInstallation): string | undefined =>
-  installation
-    .runningNames()
-    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()));
-
 const propose = (installation: VirtualInstallation, name: string, version: number): void => {
   worldOf(installation, name).proposals.append({
     id: asBrand(`declare-${version}`),
@@ -108,9 +99,6 @@
   }
 };
 
-const versionAt = (installation: VirtualInstallation, name: string): number =>
-  worldOf(installation, name).declarations.get(declarationId)?.version ?? 0;
-
 test('RECOVER: an entry catches up with more than a frame of log after a restart of all', (t) => {
   const { installation, sizes } = openFixture(1);
   declareAll(installation);
--- a/src/service/consensus/test/common/staleVoters.test.ts
+++ b/src/service/consensus/test/common/staleVoters.test.ts
@@ -5,13 +5,13 @@
  */
 import test from 'ava';
 import { asBrand } from '../../../../base/common/brand.js';
+import { leaderOf, versionAt, worldOf } from '../../../../../standins/virtual/inspection.js';
 import { createAnnouncedInstallation } from '../../../../../standins/virtual/announcedInstallation.js';
 import { createControlHistory } from '../../../../../standins/virtual/controlHistory.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
 import { type VirtualInstallation } from '../../../../../standins/virtual/virtualInstallation.js';
-import { declarationId } from '../../../declaration/common/declarationTables.js';
 import { replicaOf } from '../../common/replicaLog.js';
-import { isCurrentLeader, ReplicaState } from '../../common/replicaTables.js';
+import { ReplicaState } from '../../common/replicaTables.js';
 
 const initialVoters = ['d1', 'd2', 'd3'];
 const successor = 'd4';
@@ -43,21 +43,10 @@
   readonly stale: string;
 }
 
-const worldOf = (installation: VirtualInstallation, name: string) =>
-  installation.daemon(name).core.world;
-
-const leaderOf = (installation: VirtualInstallation): string | undefined =>
-  installation
-    .runningNames()
-    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()));
-
 /** Whether the leader has written the change that adds the successor; nobody has received it yet. */
 const hasLoggedSuccessor = (installation: VirtualInstallation, leader: string): boolean =>
   worldOf(installation, leader).members.has(asBrand(successor));
 
-const versionAt = (installation: VirtualInstallation, name: string): number =>
-  worldOf(installation, name).declarations.get(declarationId)?.version ?? 0;
-
 const declare = (
   installation: VirtualInstallation,
   name: string,
--- a/src/service/consensus/test/common/voters.test.ts
+++ b/src/service/consensus/test/common/voters.test.ts
@@ -2,6 +2,7 @@
 import { asBrand } from '../../../../base/common/brand.js';
 import { Discovery } from '../../../../infrastructure/settings/common/deployment.js';
 import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import { leaderOf, versionAt, worldOf } from '../../../../../standins/virtual/inspection.js';
 import { testDeclarationCommand } from '../../../../../standins/virtual/fleetFixture.js';
 import {
   createTestDeployment,
@@ -12,9 +13,7 @@
   type VirtualInstallation,
 } from '../../../../../standins/virtual/virtualInstallation.js';
 import { Profile } from '../../../core/common/core.js';
-import { declarationId } from '../../../declaration/common/declarationTables.js';
 import { replicaOf } from '../../common/replicaLog.js';
-import { isCurrentLeader } from '../../common/replicaTables.js';
 
 const initialVoters = ['d1', 'd2', 'd3'];
 const settleMilliseconds = 6_000;
@@ -33,14 +32,6 @@
       initialVoters.includes(name) && incarnation === 1 ? initialVoters : [],
   });
 
-const worldOf = (installation: VirtualInstallation, name: string) =>
-  installation.daemon(name).core.world;
-
-const leaderOf = (installation: VirtualInstallation): string | undefined =>
-  installation
-    .runningNames()
-    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()));
-
 const votersAt = (installation: VirtualInstallation, name: string): string[] =>
   [...worldOf(installation, name).members.rows()].map(({ id }) => String(id)).sort();
 
@@ -54,9 +45,6 @@
   installation.runFor(changeMilliseconds);
 };
 
-const versionAt = (installation: VirtualInstallation, name: string): number =>
-  worldOf(installation, name).declarations.get(declarationId)?.version ?? 0;
-
 [1, 2, 3, 4, 5].forEach((seed) => {
   test(`a permanently lost voter is replaced by a new daemon (seed ${seed})`, (t) => {
     const installation = createInstallation(seed);
