--- a/scripts/incidents/disks-lost-in-turn/case.mjs
+++ b/scripts/incidents/disks-lost-in-turn/case.mjs
@@ -18,7 +18,7 @@
   hasTrouble,
   openFleet,
   parse,
-} from '../common/harness.mjs';
+} from '../../../review/common/harness.mjs';
 
 const { env } = process;
 const changeCount = Number(env.CHANGES ?? 600);
