--- a/src/service/absence/common/absenceSystem.ts
+++ b/src/service/absence/common/absenceSystem.ts
@@ -1,8 +1,9 @@
 /**
  * Reports what a daemon cannot serve without: on control daemons a leader, and the entries without
- * which their vote does not count; on all daemons a declaration that counts as up to date. An absence is reported once it has lasted for a while, then at intervals, and
- * so is its end. The system only records events; it reads a few rows on each tick and looks at all
- * daemons only when a report is due.
+ * which their vote does not count; on all daemons a declaration that counts as up to date. An
+ * absence is reported once it has lasted for a while, then at intervals, and so is its end. The
+ * system only records events; it reads a few rows on each tick and looks at all daemons only when a
+ * report is due.
  */
 import {
   deadlineAfter,
--- a/src/service/consensus/common/compaction.ts
+++ b/src/service/consensus/common/compaction.ts
@@ -27,12 +27,15 @@
 import { findVotersAt } from './voters.js';
 
 /**
- * Size of the entries from which a snapshot pays, however small the state is: a daemon that joins
- * receives as much besides the snapshot, some 0.3 s of a link of 50 Mbit/s.
+ * Least size of the entries since a snapshot at which the next one is taken, however small the state
+ * is. A daemon that joins receives as much besides the snapshot: 0.3 s at 50 Mbit/s.
  */
 const minimumCompactionBytes = 2 * 1024 * 1024;
 
-/** Longest time for which a snapshot is kept because other daemons receive it. */
+/**
+ * Longest time for which a snapshot is kept because other daemons receive it. 15 MB arrive within it
+ * at the 4 Mbit/s for which the timeouts of parts are made; the log grows meanwhile.
+ */
 const maximumTransferMilliseconds: Milliseconds = 30_000;
 
 /** Whether a replica in a state applies entries and may discard them. */
