--- a/src/infrastructure/settings/common/fleetSettings.ts
+++ b/src/infrastructure/settings/common/fleetSettings.ts
@@ -1,5 +1,5 @@
 /**
- * Settings for singleton duties (usage reports, capacity orders) and for batch jobs. The operators
+ * Settings for singleton duties (usage reports, capacity orders), batch jobs and places. The operators
  * of an installation agree on these limits with the operators of its upstreams.
  */
 import type { Milliseconds } from '../../../base/common/time.js';
@@ -12,6 +12,34 @@
   readonly lateMilliseconds: Milliseconds;
 }
 
+/** How much more than the declared rate a cold upstream takes in any second. */
+export interface ColdLimit {
+  /** Multiple of the declared requests a second. */
+  readonly factor: number;
+  /** Number of requests in addition. */
+  readonly slack: number;
+}
+
+/** The places of an installation, and which decisions by place it asks for. */
+export interface PlaceSettings {
+  /** Region of each availability zone, by the name of the zone. */
+  readonly regionByZone: Readonly<Record<string, string>>;
+  /** Null if cold upstreams are not limited. */
+  readonly coldLimit: ColdLimit | null;
+  /** Whether the operator may evacuate availability zones. */
+  readonly canEvacuate: boolean;
+  /** Number of availability zones whose loss at the same time must be survived. */
+  readonly toleratedZoneLosses: number;
+}
+
+/** The settings of an installation that decides nothing by place. */
+export const defaultPlaceSettings: PlaceSettings = {
+  regionByZone: {},
+  coldLimit: null,
+  canEvacuate: false,
+  toleratedZoneLosses: 0,
+};
+
 export interface FleetSettings {
   /** Null if usage is not reported. */
   readonly metering: MeteringSettings | null;
@@ -23,6 +51,7 @@
   readonly voterCount: number;
   /** How long the results of a job are retained, counted from its submission. */
   readonly jobRetentionMilliseconds: Milliseconds;
+  readonly places: PlaceSettings;
 }
 
 const defaultJobRetentionMilliseconds = 120_000; // 2 minutes; trainers read results within one step
@@ -34,4 +63,5 @@
   holder: '',
   voterCount: 0,
   jobRetentionMilliseconds: defaultJobRetentionMilliseconds,
+  places: defaultPlaceSettings,
 };
--- a/src/service/declaration/common/applyDeclaration.ts
+++ b/src/service/declaration/common/applyDeclaration.ts
@@ -1,5 +1,5 @@
 /**
- * Applies committed declarations and replaces the rows of routes and keys. The highest version
+ * Applies committed declarations and replaces the rows of routes, workspaces and keys. The highest version
  * wins; a declaration with a lower or equal version is accepted without effect, but different
  * content under the version in force is rejected.
  */
@@ -11,7 +11,12 @@
 import type { World } from '../../world/common/world.js';
 import type { Declaration } from './declaration.js';
 import type { DeclarationSet } from './declarationCommands.js';
-import { declarationId, type CallerKeyRow, type RouteRow } from './declarationTables.js';
+import {
+  declarationId,
+  type CallerKeyRow,
+  type RouteRow,
+  type WorkspaceRow,
+} from './declarationTables.js';
 
 const replaceRows = <Row extends Entity>(
   table: Pick<Table<Row>, 'rows' | 'remove' | 'put'>,
@@ -30,11 +35,21 @@
 const createRouteRows = ({ routes }: Declaration): RouteRow[] =>
   routes.map((route) => ({ ...route, id: asBrand(`${route.host} ${route.prefix}`) }));
 
-/** Replaces the rows of routes and keys by those of the declaration in force, if there is one. */
+const createWorkspaceRows = ({ workspaces }: Declaration): WorkspaceRow[] =>
+  (workspaces ?? []).map(({ name, homeRegions }) => ({
+    id: asBrand(name),
+    homeRegions: homeRegions ?? [],
+  }));
+
+/** Replaces the rows of routes, workspaces and keys by those of the declaration in force, if there is one. */
 const replaceDerivedRows = (world: World): void => {
   const declaration = world.declarations.get(declarationId)?.declaration;
   replaceRows(world.routes, declaration === undefined ? [] : createRouteRows(declaration));
   replaceRows(world.callerKeys, declaration === undefined ? [] : createKeyRows(declaration));
+  replaceRows(
+    world.declaredWorkspaces,
+    declaration === undefined ? [] : createWorkspaceRows(declaration),
+  );
 };
 
 /** Puts the routes and keys of the declaration into force, if there is one. */
--- a/src/service/declaration/common/declaration.ts
+++ b/src/service/declaration/common/declaration.ts
@@ -50,6 +50,19 @@
   readonly dueMilliseconds: Milliseconds | null;
   /** Time after the submission of a job at which its unfinished items may be abandoned. */
   readonly itemLifetimeMilliseconds: Milliseconds | null;
+  /**
+   * Regions in which requests may be served and stored; no limit if empty, or absent as in entries of
+   * earlier releases.
+   */
+  readonly homeRegions?: readonly string[];
+}
+
+/** What upstreams of a service tolerate while they are cold. */
+export interface ColdStartDeclaration {
+  /** Time for which an upstream is cold after its start. */
+  readonly milliseconds: Milliseconds;
+  /** Requests a second that a cold upstream tolerates from all daemons together. */
+  readonly requestsPerSecond: number;
 }
 
 /** Bounds on the number of upstreams of a service, and their relative prices. */
@@ -74,6 +87,10 @@
   readonly models: readonly string[];
   /** Null if no upstreams are ordered for the service. */
   readonly scaling: ScalingDeclaration | null;
+  /**
+   * Null if upstreams take their full load from their start; absent in entries of earlier releases.
+   */
+  readonly coldStart?: ColdStartDeclaration | null;
 }
 
 /** A workspace and the keys of its callers. */
@@ -81,6 +98,8 @@
   readonly name: string;
   readonly keys: readonly string[];
   readonly priority: number | null;
+  /** As for routes; a request is bound by the home regions of its route and of its workspace. */
+  readonly homeRegions?: readonly string[];
 }
 
 /** Limits on the size of callers' requests and on the time to receive them. */
--- a/src/service/declaration/common/declarationTables.ts
+++ b/src/service/declaration/common/declarationTables.ts
@@ -34,6 +34,13 @@
   readonly workspacePriority: number | null;
 }
 
+/** A workspace of the declaration in force; the identifier is its name. */
+export interface WorkspaceRow {
+  readonly id: Brand<'workspace'>;
+  /** Empty if its requests may be served in any region. */
+  readonly homeRegions: readonly string[];
+}
+
 /** Creates the tables of the declaration in force. */
 export const createDeclarationTables = () => ({
   declarations: createTable<DeclarationRow>({ name: 'declarations', indices: {}, deadlines: {} }),
@@ -43,4 +50,9 @@
     deadlines: {},
   }),
   callerKeys: createTable<CallerKeyRow>({ name: 'callerKeys', indices: {}, deadlines: {} }),
+  declaredWorkspaces: createTable<WorkspaceRow>({
+    name: 'declaredWorkspaces',
+    indices: {},
+    deadlines: {},
+  }),
 });
