--- a/src/daemon/consensus/node/storagePort.ts
+++ b/src/daemon/consensus/node/storagePort.ts
@@ -1,7 +1,8 @@
 /**
  * Port between the replica tables and the segment files in the data folder. It drains write
  * requests after each tick and carries them out in order. Records are appended in batches: requests
- * that arrive during a sync form the next batch. A complete state replaces all records.
+ * that arrive during a sync form the next batch. A complete state replaces all records; while one
+ * that only frees space is written, records are appended.
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
@@ -47,7 +48,7 @@
   Append: 'append',
   /** Replaces all records, and does not go on before. */
   Replace: 'replace',
-  /** Replaces all records if the disk permits it, in order to free space. */
+  /** Starts to replace all records, in order to free space, if the disk permits it. */
   TryToReplace: 'tryToReplace',
   /** Leaves out a replacement that only frees space, as a later one frees more. */
   Skip: 'skip',
@@ -128,14 +129,27 @@
     return result;
   };
 
+  let isCompacting = false;
+
   /** The old records result in the same state, so a failure is recorded and the log goes on. */
-  const tryToReplace = async (request: StorageRequest): Promise<void> => {
-    const result = await store.replace(encodeReplacement(request));
+  const handleCompactionEnd = (result: Result<void, StorageError>): void => {
+    isCompacting = false;
     if (result.isOk()) return;
     world.metrics.count('consensus.failedReplacements');
     onDidFail(describeFailedReplacement(result.error));
   };
 
+  /** Appends that waited for a slow replacement cost a leader its leadership (issue 41). */
+  const tryToReplace = async (request: StorageRequest): Promise<void> => {
+    if (isCompacting) {
+      world.metrics.count('consensus.skippedReplacements');
+      return;
+    }
+    isCompacting = true;
+    const started = await store.compact(encodeReplacement(request), handleCompactionEnd);
+    if (started.isErr()) handleCompactionEnd(started);
+  };
+
   const steps: Readonly<
     Record<StepKind, (requests: readonly StorageRequest[]) => Promise<StepResult>>
   > = {
--- a/src/infrastructure/storage/node/segmentStore.ts
+++ b/src/infrastructure/storage/node/segmentStore.ts
@@ -1,8 +1,9 @@
 /**
  * Stores records in numbered segment files of one folder. Records are appended to the last segment
  * and are durable once `append` resolves. Opening reads all records and truncates a torn write at
- * the end, which was never synced; corrupt or missing files are errors. `replace` exchanges all
- * records for new ones in one step, by a base file that takes its name only when it is complete.
+ * the end, which was never synced; corrupt or missing files are errors. `replace` and `compact`
+ * exchange all records for new ones in one step, by a base file that takes its name only when it is
+ * complete; records can be appended while `compact` writes it.
  */
 import { mkdirSync } from 'node:fs';
 import type { FileHandle } from 'node:fs/promises';
@@ -10,16 +11,14 @@
 import type { AsyncDisposable, Disposable } from '../../../base/common/disposable.js';
 import { createDisposable } from '../../../base/common/disposable.js';
 import type { StorageError } from '../common/storageError.js';
+import { writeBase } from './baseFile.js';
 import { lockFolder } from './folderLock.js';
 import { nodeFiles, toStorageError, type SegmentFiles } from './segmentFiles.js';
 import {
-  basePath,
-  encodeBaseEnd,
   firstSegmentNumber,
   readFolder,
   removeObsoleteFiles,
   segmentPath,
-  unfinishedBasePath,
 } from './segmentFolder.js';
 
 export type { OpenFile } from './segmentFiles.js';
@@ -27,12 +26,6 @@
 /** Once a segment has reached this size, the next append starts a new one. */
 const maximumSegmentBytes = 8 * 1024 * 1024;
 
-/**
- * Size from which records of a base are written together. They are encoded and written in turn, so
- * it bounds the memory, and the time for which ticks wait for the encoding (a few milliseconds).
- */
-const baseChunkBytes = 1024 * 1024;
-
 /**
  * Size up to which the runtime passes a buffer to the system in one write. After a loss of power, each
  * write since the last sync may be missing by itself, so a log is synced after each one: a missing
@@ -61,6 +54,16 @@
    * state, or the call must be repeated until it succeeds before anything else is appended.
    */
   readonly replace: (records: Iterable<Buffer>) => ResultAsync<void, StorageError>;
+  /**
+   * Starts to replace the records so far by others that result in the same state. Resolves once
+   * records can be appended again, which is before `records` is read. `onDidEnd` is called when the
+   * replacement has ended; after an error the folder keeps the old records. It must not be called
+   * while an earlier compaction runs.
+   */
+  readonly compact: (
+    records: Iterable<Buffer>,
+    onDidEnd: (result: Result<void, StorageError>) => void,
+  ) => ResultAsync<void, StorageError>;
 }
 
 const prepareSegment = async (
@@ -94,44 +97,6 @@
   }
 };
 
-/** Joins the records of a base, and its end, to chunks. */
-function* createBaseChunks(records: Iterable<Buffer>): Generator<Buffer, void, undefined> {
-  let chunk: Buffer[] = [];
-  let chunkBytes = 0;
-  let recordCount = 0;
-  for (const record of records) {
-    chunk.push(record);
-    chunkBytes += record.length;
-    recordCount += 1;
-    if (chunkBytes >= baseChunkBytes) {
-      yield Buffer.concat(chunk);
-      chunk = [];
-      chunkBytes = 0;
-    }
-  }
-  yield Buffer.concat([...chunk, encodeBaseEnd(recordCount)]);
-}
-
-/** Writes and syncs a base under a name that opening a folder ignores. */
-const writeUnfinishedBase = async (
-  folder: string,
-  records: Iterable<Buffer>,
-  files: SegmentFiles,
-): Promise<void> => {
-  const handle = await files.openFile(unfinishedBasePath(folder), 'a');
-  try {
-    // What a failed replacement could not remove.
-    await handle.truncate(0);
-    for (const chunk of createBaseChunks(records)) {
-      // eslint-disable-next-line no-await-in-loop -- the event loop runs between chunks
-      await handle.appendFile(chunk);
-    }
-    await handle.sync();
-  } finally {
-    await handle.close();
-  }
-};
-
 const createAppender = async (
   folder: string,
   lastNumber: number,
@@ -163,41 +128,62 @@
     hasPartialWrite = false;
   };
 
-  /**
-   * Gives the written base its name. The segment of the same number exists before, and is empty, so
-   * that what is appended from then on follows the base, and also follows the old segments if the
-   * name is lost with the power. The first segment has no base: an earlier release, which ignores
-   * bases, must find a segment missing.
-   */
-  const finishBase = async (): Promise<void> => {
+  /** Starts the segment that follows a base, unless the current one can follow it. */
+  const startSegmentOfBase = async (): Promise<number> => {
     if (bytes > 0 || number === firstSegmentNumber) await startNextSegment();
-    await files.renameFile(unfinishedBasePath(folder), basePath(folder, number));
-    await files.syncFolder(folder);
+    return number;
+  };
+
+  /** Settles when the compaction that was started last has ended. */
+  let compaction: Promise<void> | undefined;
+
+  const appendBatch = async (batch: Buffer): Promise<void> => {
+    await discardPartialWrite();
+    if (bytes >= maximumSegmentBytes) await startNextSegment();
+    hasPartialWrite = true;
+    await appendAndSync(handle, batch);
+    hasPartialWrite = false;
+    bytes += batch.length;
   };
 
   return {
     append: async (records: readonly Buffer[]): Promise<void> => {
-      await discardPartialWrite();
-      if (bytes >= maximumSegmentBytes) await startNextSegment();
       const batch = Buffer.concat(records);
-      hasPartialWrite = true;
-      await appendAndSync(handle, batch);
-      hasPartialWrite = false;
-      bytes += batch.length;
-    },
-    replace: async (records: Iterable<Buffer>): Promise<void> => {
       try {
-        await discardPartialWrite();
-        await writeUnfinishedBase(folder, records, files);
-        await finishBase();
+        await appendBatch(batch);
       } catch (error) {
-        // Appends need its space. If that fails too, the next replacement or start removes it.
-        await files.removeFile(unfinishedBasePath(folder)).catch(() => {});
-        throw error;
+        if (compaction === undefined) throw error;
+        // On a full disk, the end of a compaction frees the space of its unfinished base.
+        await compaction;
+        await appendBatch(batch);
       }
-      await removeObsoleteFiles(folder, number, files);
     },
-    dispose: () => handle.close(),
+    replace: async (records: Iterable<Buffer>): Promise<void> => {
+      await compaction;
+      await discardPartialWrite();
+      await writeBase(folder, records, startSegmentOfBase, files);
+    },
+    compact: async (
+      records: Iterable<Buffer>,
+      onDidEnd: (result: Result<void, StorageError>) => void,
+    ): Promise<void> => {
+      await discardPartialWrite();
+      // What is appended from now on is not in the base, so it must follow the base.
+      const baseNumber = await startSegmentOfBase();
+      const written = ResultAsync.fromPromise(
+        writeBase(folder, records, () => Promise.resolve(baseNumber), files),
+        toStorageError,
+      );
+      compaction = (async () => {
+        const result = await written;
+        compaction = undefined;
+        onDidEnd(result);
+      })();
+    },
+    dispose: async (): Promise<void> => {
+      await compaction;
+      await handle.close();
+    },
   };
 };
 
@@ -215,6 +201,8 @@
     values,
     append: (records) => ResultAsync.fromPromise(appender.append(records), toStorageError),
     replace: (records) => ResultAsync.fromPromise(appender.replace(records), toStorageError),
+    compact: (records, onDidEnd) =>
+      ResultAsync.fromPromise(appender.compact(records, onDidEnd), toStorageError),
     dispose: appender.dispose,
   });
 };
--- a/src/infrastructure/storage/test/node/replacementPowerLoss.test.ts
+++ b/src/infrastructure/storage/test/node/replacementPowerLoss.test.ts
@@ -7,6 +7,7 @@
 import type { Fault, FolderFiles } from './powerLoss.js';
 import {
   append,
+  compact,
   createChecker,
   createRun,
   execute,
@@ -30,6 +31,9 @@
   append('d'),
   replace('abcd', true),
   append('e'),
+  compact('abcde'),
+  append('h'),
+  append('i'),
   replace('xyz', false),
   replace('xyz', true),
   append('f'),
