Send calls, items and scoring requests only to their home regions

Cause: no selection of an upstream asked isPlaceAllowed.

Change: sendSystem, assignmentSystem, runMigrationSystem and streamContinuation filter by isPlaceAllowed, with the home regions of the declaration in force at the moment of the send. A call row keeps the identifier of its route, the workspace that binds it, and the home regions at its admission, which bind it if route or workspace are withdrawn. Scoring requests carry the workspace of their job for this; the header with the workspace is unchanged. A call that did not run is refused at once with noUpstreamInHomes if no upstream is registered in its home regions; one that may have run waits. Of the services of a route, one with upstreams in the home regions is selected.

Where home regions are declared, calls are sent only by a leader with a valid lease or while the declaration was known to be current 3,000 ms ago at most; isDeclarationFresh alone allows 4,000 ms, which is longer than a change of home regions may take.

--- a/src/service/forwarding/common/callRefusal.ts
+++ b/src/service/forwarding/common/callRefusal.ts
@@ -15,6 +15,8 @@
   Leaving: 'leaving',
   /** No upstream accepted the call in time. */
   NoUpstream: 'noUpstream',
+  /** No upstream of the service is registered in the home regions of the call. */
+  NoUpstreamInHomes: 'noUpstreamInHomes',
   /** The deadline has passed, and the call did not run. */
   DeadlinePassed: 'deadlinePassed',
   /** The deadline has passed, and an upstream may have run the call. */
@@ -48,6 +50,9 @@
 /** Approximate time until a fully loaded upstream completes one of its requests. */
 const noUpstreamRetryMilliseconds = 150;
 
+/** Time in which an upstream that has started again is registered. */
+const noUpstreamInHomesRetryMilliseconds = 500;
+
 /** Time in which a control daemon that was out of contact is replaced by another one. */
 const originRetryMilliseconds = 500;
 
@@ -77,6 +82,13 @@
     message: 'All upstreams of the service are busy or unavailable; send the request again later.',
     retryMilliseconds: noUpstreamRetryMilliseconds,
   },
+  noUpstreamInHomes: {
+    isNotRun: true,
+    message:
+      'No upstream is available in the home regions of the route and the workspace; the request ' +
+      'did not run. Send it again later, or declare a home region with upstreams of the service.',
+    retryMilliseconds: noUpstreamInHomesRetryMilliseconds,
+  },
   deadlinePassed: {
     isNotRun: true,
     message: 'The deadline passed before an upstream accepted the request; allow more time.',
--- a/src/service/forwarding/common/callSystem.ts
+++ b/src/service/forwarding/common/callSystem.ts
@@ -7,11 +7,12 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { RouteKind } from '../../declaration/common/declaration.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
-import { selectService } from '../../declaration/common/findRoute.js';
 import { fingerprintOf } from '../../quarantine/common/fingerprint.js';
+import { selectAllowedService } from '../../places/common/serviceChoice.js';
 import type { World } from '../../world/common/world.js';
 import { recordAdmission } from './callEvents.js';
 import { CallRefusalKind } from './callRefusal.js';
+import { homesOfCallOnRoute, isHeldForDeclaration, refuseForPlacement } from './callPlaces.js';
 import { checkCaller } from './checkCaller.js';
 import { cancelCall, removeExpiredCalls, refuseCall } from './endCall.js';
 import { locateStream, refuseUnlocatedCalls } from './streamContinuation.js';
@@ -45,6 +46,9 @@
   workspace: null,
   fingerprint: null,
   route: '',
+  routeId: null,
+  homeWorkspace: null,
+  admittedHomes: null,
   service: '',
   state: CallState.Waiting,
   arrivedAt: now,
@@ -85,12 +89,18 @@
   workspace: string | null,
   now: Instant,
 ): void => {
+  const homeWorkspace = arrived.jobWorkspace ?? workspace;
+  const { isInternal } = arrived;
+  const admittedHomes = homesOfCallOnRoute(world, route, { homeWorkspace, isInternal });
   const call = world.calls.put({
     ...createCallRow(arrived, now),
     workspace,
+    routeId: route.id,
+    homeWorkspace,
+    admittedHomes,
     fingerprint: fingerprintOf(workspace, arrived.digest),
     route: route.name,
-    service: selectService(world, route),
+    service: selectAllowedService(world, route, admittedHomes),
     isIdempotent: route.kind === RouteKind.Idempotent,
     isResumable: isResumableRoute(route),
     continuation: continuationOf(arrived, route),
@@ -150,7 +160,9 @@
 };
 
 const refuseUnsentCall = (world: World, call: CallRow, now: Instant): void => {
-  if (call.attempts === 0) refuseCall(world, call, CallRefusalKind.NoUpstream, now);
+  if (call.attempts > 0) return;
+  if (isHeldForDeclaration(world, now)) refuseCall(world, call, CallRefusalKind.NotReady, now);
+  else refuseForPlacement(world, call, CallRefusalKind.NoUpstream, now);
 };
 
 /** Lets the calls that have not ended get their final answers before this process stops. */
--- a/src/service/forwarding/common/endCall.ts
+++ b/src/service/forwarding/common/endCall.ts
@@ -81,13 +81,14 @@
   endCall(world, call, { state: CallState.Refused, refusal }, now);
 };
 
-/** Ends a call with a refusal and abandons its sends. */
+/** Ends a call with a refusal and abandons its sends; `inputs` are added to the event. */
 export const refuseCall = (
   world: World,
   call: CallRow,
   kind: CallRefusalKind,
   now: Instant,
-): void => endRefusedCall(world, call, createCallRefusal(kind), {}, now);
+  inputs: EventSubject = {},
+): void => endRefusedCall(world, call, createCallRefusal(kind), inputs, now);
 
 /** Refuses a call that did not run, because processes ended under calls with the same content. */
 export const refuseQuarantinedCall = (world: World, call: CallRow, now: Instant): void => {
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -8,6 +8,8 @@
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
+import type { RouteRow } from '../../declaration/common/declarationTables.js';
+import type { Homes } from '../../places/common/homes.js';
 import type { Fingerprint } from '../../quarantine/common/fingerprint.js';
 import type { UpstreamProcess } from '../../quarantine/common/quarantineTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
@@ -48,6 +50,8 @@
   readonly remaining: Milliseconds | null;
   /** Whether this system makes the call itself; internal calls need no key. */
   readonly isInternal: boolean;
+  /** Workspace of the job for which an internal call is made; absent if it is made for none. */
+  readonly jobWorkspace?: string | null;
   readonly urgency: CallUrgency;
   /** The stream that the call takes up after its last received event; null if it begins one. */
   readonly takesUp: StreamReference | null;
@@ -75,6 +79,12 @@
   readonly fingerprint: Fingerprint | null;
   /** Name of the route; empty if no route matches. */
   readonly route: string;
+  /** Null if no route matches. */
+  readonly routeId: RouteRow['id'] | null;
+  /** Workspace whose home regions bind the call; that of the job if the call is internal. */
+  readonly homeWorkspace: string | null;
+  /** Home regions at the admission, which bind the call if its route or workspace is withdrawn. */
+  readonly admittedHomes: Homes;
   readonly service: string;
   readonly state: CallState;
   /** Time of arrival. */
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -15,6 +15,7 @@
 import type { World } from '../../world/common/world.js';
 import { recordSendStart } from './callEvents.js';
 import { CallRefusalKind } from './callRefusal.js';
+import { isHeldForDeclaration, listAllowedUpstreams, placeCall } from './callPlaces.js';
 import {
   answerCall,
   endSend,
@@ -68,9 +69,9 @@
 
 /** Selects the least loaded upstream; prefers those that neither failed recently nor were tried. */
 const selectUpstream = (world: World, call: CallRow, now: Instant): RegistrationRow | undefined => {
-  const rows = world.registrations
-    .where('service', call.service)
-    .filter((row) => canRunVersion(call, row) && row.ownRunning < countUsableSlots(call, row));
+  const rows = listAllowedUpstreams(world, call).filter(
+    (row) => canRunVersion(call, row) && row.ownRunning < countUsableSlots(call, row),
+  );
   const preferred = rows.filter((row) => isPreferred(row, call, now));
   const notLastTried = rows.filter((row) => row.id !== call.triedUpstreams.at(-1));
   const fallback = notLastTried.length > 0 ? notLastTried : rows;
@@ -126,8 +127,10 @@
     return;
   }
   if (call.backoffDeadline > now) return;
-  const upstream = selectUpstream(world, call, now);
-  if (upstream !== undefined) startSend(world, call, upstream, now);
+  const placedCall = placeCall(world, call, now);
+  if (placedCall === undefined) return;
+  const upstream = selectUpstream(world, placedCall, now);
+  if (upstream !== undefined) startSend(world, placedCall, upstream, now);
 };
 
 const compareUrgency = ({ urgency: first }: CallRow, { urgency: second }: CallRow): number => {
@@ -139,12 +142,14 @@
 /**
  * Sends waiting calls: first those of callers in order of arrival, then internal ones by urgency.
  */
-const sendWaitingCalls = (world: World, now: Instant): void =>
+const sendWaitingCalls = (world: World, now: Instant): void => {
+  if (isHeldForDeclaration(world, now)) return;
   [...world.calls.values('waiting')].forEach((service) =>
     [...world.calls.where('waiting', service)]
       .sort(compareUrgency)
       .forEach((call) => sendIfPossible(world, call, now)),
   );
+};
 
 const avoidUpstream = (world: World, { upstream }: SendRow, now: Instant): void => {
   const avoidDeadline = deadlineAfter(now, avoidanceMilliseconds);
--- a/src/service/forwarding/common/streamContinuation.ts
+++ b/src/service/forwarding/common/streamContinuation.ts
@@ -7,7 +7,10 @@
 import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { listOtherControlDaemons } from '../../membership/common/contacts.js';
+import { isPlaceAllowed } from '../../places/common/eligibility.js';
+import { hasAllowedUpstream } from '../../places/common/serviceChoice.js';
 import type { World } from '../../world/common/world.js';
+import { homesOfCall, refuseForPlacement } from './callPlaces.js';
 import { CallRefusalKind } from './callRefusal.js';
 import { refuseCall } from './endCall.js';
 import { CallState, type CallRow } from './forwardingTables.js';
@@ -19,10 +22,31 @@
  */
 const locationMilliseconds: Milliseconds = 200;
 
-const isVersionServed = (world: World, service: string, softwareVersion: string): boolean =>
-  world.registrations
+/** Whether an upstream of a software version serves at a place that is allowed for the call. */
+const isVersionServed = (
+  world: World,
+  call: CallRow,
+  service: string,
+  softwareVersion: string,
+): boolean => {
+  const homes = homesOfCall(world, call);
+  return world.registrations
     .where('service', service)
-    .some((row) => row.softwareVersion === softwareVersion);
+    .some((row) => row.softwareVersion === softwareVersion && isPlaceAllowed(world, row, homes));
+};
+
+/** Refuses a call whose stream cannot go on; it can begin anew where the home regions have upstreams. */
+const refuseUnservedVersion = (
+  world: World,
+  call: CallRow,
+  service: string,
+  now: Instant,
+): void => {
+  const homes = homesOfCall(world, call);
+  if (homes !== null && !hasAllowedUpstream(world, service, homes))
+    refuseForPlacement(world, call, CallRefusalKind.NoUpstreamInHomes, now);
+  else refuseForPlacement(world, call, CallRefusalKind.VersionNotServed, now);
+};
 
 /** Lets a call wait for an upstream of the software version that began its stream. */
 export const continueStream = (
@@ -43,8 +67,8 @@
   const isAllowed = call.continuation?.services.includes(service) === true;
   if (softwareVersion === null || !isAllowed)
     refuseCall(world, call, CallRefusalKind.OriginUnknown, now);
-  else if (!isVersionServed(world, service, softwareVersion))
-    refuseCall(world, call, CallRefusalKind.VersionNotServed, now);
+  else if (!isVersionServed(world, call, service, softwareVersion))
+    refuseUnservedVersion(world, call, service, now);
   else
     world.calls.change(call.id, {
       state: CallState.Waiting,
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -10,9 +10,12 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
-import { selectService, findRoute } from '../../declaration/common/findRoute.js';
+import { findRoute } from '../../declaration/common/findRoute.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { isPlaceAllowed } from '../../places/common/eligibility.js';
+import { homesOfRoute, type Homes } from '../../places/common/homes.js';
+import { selectAllowedService } from '../../places/common/serviceChoice.js';
 import { isOverdue } from '../../registry/common/registrySystem.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
@@ -76,21 +79,32 @@
 
 interface FreeEngines {
   readonly service: string;
+  /** Regions in which the run may be served. */
+  readonly homes: Homes;
   readonly all: readonly RegistrationRow[];
   /** Those that are neither slow nor overdue and had no failure recently. */
   readonly preferred: readonly RegistrationRow[];
 }
 
+/** Lists the engines of a service at places that are allowed for a run. */
+const listAllowedEngines = (
+  world: World,
+  service: string,
+  homes: Homes,
+): readonly RegistrationRow[] =>
+  world.registrations.where('service', service).filter((row) => isPlaceAllowed(world, row, homes));
+
 const findFreeEngines = (world: World, { job, route }: Candidate, now: Instant): FreeEngines => {
-  const service = selectService(world, route);
+  const homes = homesOfRoute(world, route, job.workspace);
+  const service = selectAllowedService(world, route, homes);
   const slowEngineIds = findSlowEngines(world, service);
-  const all = world.registrations
-    .where('service', service)
-    .filter((row) => canServeVersion(world, row, job, now) && freeSlotsOf(world, row) > 0);
+  const all = listAllowedEngines(world, service, homes).filter(
+    (row) => canServeVersion(world, row, job, now) && freeSlotsOf(world, row) > 0,
+  );
   const preferred = all.filter(
     (row) => row.avoidDeadline <= now && !slowEngineIds.has(row.id) && !isOverdue(row, now),
   );
-  return { service, all, preferred };
+  return { service, homes, all, preferred };
 };
 
 /**
@@ -101,12 +115,12 @@
 const findEligibleEngines = (
   world: World,
   { run, job }: Candidate,
-  { service, all, preferred }: FreeEngines,
+  { service, homes, all, preferred }: FreeEngines,
   now: Instant,
 ): readonly RegistrationRow[] => {
   const continuing = preferred.filter((row) => canContinueText(run, row));
   if (continuing.length > 0) return continuing;
-  if (!hasText(run) || !isTextServed(world, service, run, job, now))
+  if (!hasText(run) || !isTextServed(world, service, run, job, homes, now))
     return preferred.length > 0 ? preferred : all;
   return preferred.length > 0 ? [] : all.filter((row) => canContinueText(run, row));
 };
@@ -180,6 +194,8 @@
     world.runs.createChangeReader(),
     world.registrations.createChangeReader(),
     world.weightOrders.createChangeReader(),
+    // A change of home regions may allow or forbid engines for runs that wait.
+    world.declarations.createChangeReader(),
   ];
   return {
     name: 'assignment',
--- a/src/service/jobs/common/runMigrationSystem.ts
+++ b/src/service/jobs/common/runMigrationSystem.ts
@@ -7,7 +7,10 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
+import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { isPlaceAllowed } from '../../places/common/eligibility.js';
+import { homesOfRoute } from '../../places/common/homes.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { isSingleVersion } from './allowedVersions.js';
@@ -39,11 +42,16 @@
   run: RunRow,
   job: JobRow,
   now: Instant,
-): EngineCapacity | undefined =>
-  capacities.find(
+): EngineCapacity | undefined => {
+  const homes = homesOfRoute(world, findRoute(world, job.host, job.path), job.workspace);
+  return capacities.find(
     ({ engine, free }) =>
-      free > 0 && canContinueText(run, engine) && canServeVersion(world, engine, job, now),
+      free > 0 &&
+      isPlaceAllowed(world, engine, homes) &&
+      canContinueText(run, engine) &&
+      canServeVersion(world, engine, job, now),
   );
+};
 
 const migrateRun = (
   world: World,
--- a/src/service/jobs/common/scoring.ts
+++ b/src/service/jobs/common/scoring.ts
@@ -48,6 +48,7 @@
     digest: null,
     remaining: null,
     isInternal: true,
+    jobWorkspace: world.jobs.get(run.job)?.workspace ?? null,
     urgency: urgencyOf(world, run),
     takesUp: null,
   });
--- a/src/service/jobs/common/textContinuation.ts
+++ b/src/service/jobs/common/textContinuation.ts
@@ -12,6 +12,8 @@
 } from '../../../base/common/time.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { isOverdue } from '../../registry/common/registrySystem.js';
+import { isPlaceAllowed } from '../../places/common/eligibility.js';
+import type { Homes } from '../../places/common/homes.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import type { JobRow, RunRow } from './jobTables.js';
@@ -30,18 +32,23 @@
 export const canContinueText = (run: RunRow, { softwareVersion }: RegistrationRow): boolean =>
   !hasText(run) || (run.softwareVersion !== null && run.softwareVersion === softwareVersion);
 
-/** Whether an engine of the service reports in time that it could go on with the text of a run. */
+/**
+ * Whether an engine of the service, at a place that is allowed for the run, reports in time that it
+ * could go on with its text.
+ */
 export const isTextServed = (
   world: World,
   service: string,
   run: RunRow,
   job: JobRow,
+  homes: Homes,
   now: Instant,
 ): boolean =>
   world.registrations
     .where('service', service)
     .some(
       (row) =>
+        isPlaceAllowed(world, row, homes) &&
         canContinueText(run, row) &&
         !isOverdue(row, now) &&
         row.models.some(({ name }) => name === job.model),
--- a/src/service/places/common/homes.ts
+++ b/src/service/places/common/homes.ts
@@ -48,3 +48,8 @@
   homes: Homes,
   { zone }: Pick<RegistrationRow, 'zone'>,
 ): boolean => isInHomes(homes, regionOfZone(world, zone));
+
+/** Whether the declaration in force gives any route or workspace home regions. */
+export const hasHomeRegions = (world: World): boolean =>
+  [...world.routes.rows()].some(({ homeRegions }) => (homeRegions ?? []).length > 0) ||
+  [...world.declaredWorkspaces.rows()].some(({ homeRegions }) => homeRegions.length > 0);
