Place engines of a model in the home regions of its jobs

Cause: engines were distributed among the models over all regions alike, so a model could have none where its jobs may run, and their items would wait.

Change: demand is counted by model and home regions. Each such need has at least one engine in its home regions, beyond that its share; new engines go there first, and an engine leaves a need only if it does not take one back. Without jobs that have home regions the placement is as before.

--- a/src/service/weights/common/placement.ts
+++ b/src/service/weights/common/placement.ts
@@ -1,18 +1,20 @@
 /**
  * Distributes the engines among the models in proportion to the demand of their jobs. An engine is
- * moved only if a model is short of almost a whole engine.
+ * moved only if a model is short of almost a whole engine. Models whose jobs have home regions are
+ * given engines there first; see the module `homePlacement`.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import type { Milliseconds } from '../../../base/common/time.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { versionLagOf } from './engines.js';
-
-/** Demand is summed over several steps of a trainer, so that engines do not move with each step. */
-const demandWindowMilliseconds: Milliseconds = 20_000;
-
-/** Number of engines by which models must deviate from their shares before an engine is moved. */
-const minimumDeficitToMove = 0.75;
+import {
+  canReleaseEngine,
+  computeHomeNeeds,
+  findEngineToMoveHome,
+  findNeedOfEngine,
+  type HomeNeed,
+} from './homePlacement.js';
+import { demandWindowMilliseconds, minimumDeficitToMove } from './placementLimits.js';
 
 type AmountByModel = ReadonlyMap<string, number>;
 
@@ -57,7 +59,17 @@
   ...new Set(engines.flatMap(({ models }) => models.map(({ name }) => name))),
 ];
 
-const placeNewEngine = (world: World, shares: AmountByModel, row: RegistrationRow): void => {
+const placeNewEngine = (
+  world: World,
+  shares: AmountByModel,
+  needs: readonly HomeNeed[],
+  row: RegistrationRow,
+): void => {
+  const need = findNeedOfEngine(world, needs, row);
+  if (need !== undefined) {
+    world.placements.put({ id: row.id, model: need.model });
+    return;
+  }
   const models = row.models.map(({ name }) => name);
   const modelsByLag = [...models].sort(
     (first, second) => versionLagOf(world, row, first) - versionLagOf(world, row, second),
@@ -69,6 +81,7 @@
 const rebalanceOneEngine = (
   world: World,
   shares: AmountByModel,
+  needs: readonly HomeNeed[],
   engines: readonly RegistrationRow[],
   models: readonly string[],
 ): void => {
@@ -81,9 +94,10 @@
     deficitOf(world, shares, overservedModel) <= -minimumDeficitToMove &&
     world.placements.count('model', overservedModel) > 1;
   const engineToMove = engines.find(
-    ({ id, models: held }) =>
-      world.placements.get(id)?.model === overservedModel &&
-      held.some(({ name }) => name === underservedModel),
+    (row) =>
+      world.placements.get(row.id)?.model === overservedModel &&
+      row.models.some(({ name }) => name === underservedModel) &&
+      canReleaseEngine(world, needs, row),
   );
   if (shouldMove && engineToMove !== undefined) {
     world.placements.put({ id: engineToMove.id, model: underservedModel });
@@ -103,8 +117,13 @@
   const models = modelsOf(engines);
   if (models.length === 0) return;
   const shares = sharesOf(models, demandOf(world), engines.length);
+  const needs = computeHomeNeeds(world, engines);
   engines
     .filter(({ id }) => !world.placements.has(id))
-    .forEach((row) => placeNewEngine(world, shares, row));
-  rebalanceOneEngine(world, shares, engines, models);
+    .forEach((row) => placeNewEngine(world, shares, needs, row));
+  const move = findEngineToMoveHome(world, needs, engines, (model) =>
+    deficitOf(world, shares, model),
+  );
+  if (move === undefined) rebalanceOneEngine(world, shares, needs, engines, models);
+  else world.placements.put({ id: move.engine.id, model: move.model });
 };
