Order capacity only in zones where the demand may run

Cause: upstreams were ordered by price over all zones, also for items that may not run there, and room in other regions counted as room for them.

Change: demand is measured apart for each set of home regions, and planned for the most limited one first. In a zone to which no request may be sent, orders are only lowered to what is present. Demand without home regions is planned as before.

--- a/src/service/capacity/common/capacitySystem.ts
+++ b/src/service/capacity/common/capacitySystem.ts
@@ -1,6 +1,7 @@
 /**
  * Orders reclaimable upstreams for the services that declare a price for them, based on the peak
- * demand of the last 15 to 30 seconds. Runs each tick, and replans at fixed intervals. Only the
+ * demand of the last 15 to 30 seconds. Demand with home regions is measured apart, and upstreams for
+ * it are ordered only in their zones. Runs each tick, and replans at fixed intervals. Only the
  * leader may order, and each order carries its fencing token.
  */
 import { asBrand } from '../../../base/common/brand.js';
@@ -13,16 +14,15 @@
   ServiceDeclaration,
 } from '../../declaration/common/declaration.js';
 import { declarationId } from '../../declaration/common/declarationTables.js';
-import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
-import { RunState, type RunRow } from '../../jobs/common/jobTables.js';
+import { isPlaceAllowed } from '../../places/common/eligibility.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
-import { planCapacity, type NonReclaimableCapacity } from './capacityPlan.js';
+import { recordDemands } from './capacityDemand.js';
+import { planCapacityByZones, type NonReclaimableCapacity } from './capacityPlan.js';
 import {
   capacityOrderIdOf,
   type CapacityClockRow,
-  type CapacityDemandRow,
   type CapacityOrderFact,
   type CapacityOrderRow,
 } from './capacityTables.js';
@@ -32,11 +32,6 @@
  */
 const checkIntervalMilliseconds = 500;
 
-/**
- * Demand is the peak of the last one to two such windows, which span several steps of a trainer.
- */
-const peakWindowMilliseconds = 15_000;
-
 /**
  * Delay before an order that was not accepted is retried; upstreams may be unavailable for seconds.
  */
@@ -67,33 +62,6 @@
 const scaledServices = (world: World): ScaledService[] =>
   (world.declarations.get(declarationId)?.declaration.services ?? []).filter(isScaled);
 
-const isRoutedToService = (world: World, run: RunRow, service: string): boolean => {
-  const job = world.jobs.get(run.job);
-  const route = job === undefined ? undefined : findRoute(world, job.host, job.path);
-  return route?.targets.some((target) => target.service === service) === true;
-};
-
-const countCurrentDemand = (world: World, service: string): number =>
-  [RunState.Waiting, RunState.Running]
-    .flatMap((state) => world.runs.where('state', state))
-    .filter((run) => isRoutedToService(world, run, service)).length;
-
-const recordDemand = (world: World, service: string, now: Instant): CapacityDemandRow => {
-  const id: CapacityDemandRow['id'] = asBrand(service);
-  const existing = world.capacityDemands.get(id);
-  const currentDemand = countCurrentDemand(world, service);
-  const isWindowOver = existing === undefined || existing.rotationDeadline <= now;
-  return world.capacityDemands.put({
-    id,
-    service,
-    peak: Math.max(currentDemand, isWindowOver ? 0 : existing.peak),
-    earlierPeak: isWindowOver ? (existing?.peak ?? null) : existing.earlierPeak,
-    rotationDeadline: isWindowOver
-      ? deadlineAfter(now, peakWindowMilliseconds)
-      : existing.rotationDeadline,
-  });
-};
-
 const upstreamsOf = (world: World, service: string): RegistrationRow[] =>
   [...world.registrations.rows()].filter((row) => row.service === service);
 
@@ -110,7 +78,6 @@
   const nonReclaimable = rows.filter(({ isReclaimable }) => !isReclaimable);
   const capacity: NonReclaimableCapacity = {
     byZone: countByZone(nonReclaimable),
-    concurrentRequests: nonReclaimable.length * engineSlots,
     concurrentRequestsPerUpstream: engineSlots,
   };
   return capacity;
@@ -156,20 +123,45 @@
   world.capacityOrders.change(id, { count, fencing, sendDeadline });
 };
 
+/**
+ * Returns the number to order in a zone. In a zone to which no request may be sent, orders are only
+ * lowered to what is present, so that nothing new starts there and nothing that runs is reclaimed.
+ */
+const computeOrderCount = (
+  world: World,
+  service: ScaledService,
+  zone: string,
+  { planned, minimum, present }: Readonly<Record<'planned' | 'minimum' | 'present', number>>,
+): number => {
+  if (isPlaceAllowed(world, { zone }, null)) return Math.max(planned, minimum);
+  const ordered = world.capacityOrders.get(capacityOrderIdOf(service.name, zone))?.count;
+  return Math.min(ordered ?? present, present);
+};
+
 const planService = (world: World, service: ScaledService, now: Instant): void => {
   const rows = upstreamsOf(world, service.name);
   const present = countByZone(rows.filter(({ isReclaimable }) => isReclaimable));
-  const { peak, earlierPeak } = recordDemand(world, service.name, now);
-  const demand = Math.ceil(Math.max(peak, earlierPeak ?? 0) * slotsPerItem);
-  planCapacity(service.scaling, computeNonReclaimableCapacity(rows, service), demand).forEach(
-    (count, zone) => {
-      const presentCount = present.get(zone) ?? 0;
-      // In its first window a new leader has not yet observed the demand for which its predecessor
-      // ordered.
-      const minimumCount = earlierPeak === null ? presentCount : 0;
-      putOrder(world, service, zone, Math.max(count, minimumCount), presentCount, now);
-    },
+  const demandRows = recordDemands(world, service.name, now);
+  const isFirstWindow = demandRows.some(
+    ({ homes, earlierPeak }) => homes === null && earlierPeak === null,
   );
+  const demands = demandRows.map(({ homes, peak, earlierPeak }) => ({
+    demand: Math.ceil(Math.max(peak, earlierPeak ?? 0) * slotsPerItem),
+    isZoneAllowed: (zone: string) => isPlaceAllowed(world, { zone }, homes),
+  }));
+  const capacity = computeNonReclaimableCapacity(rows, service);
+  planCapacityByZones(service.scaling, capacity, demands).forEach((planned, zone) => {
+    const presentCount = present.get(zone) ?? 0;
+    // In its first window a new leader has not yet observed the demand for which its predecessor
+    // ordered.
+    const minimum = isFirstWindow ? presentCount : 0;
+    const count = computeOrderCount(world, service, zone, {
+      planned,
+      minimum,
+      present: presentCount,
+    });
+    putOrder(world, service, zone, count, presentCount, now);
+  });
 };
 
 const recordOrderOutcome = (world: World, row: CapacityOrderRow, outcome: string): void =>
--- a/src/service/capacity/common/capacityTables.ts
+++ b/src/service/capacity/common/capacityTables.ts
@@ -6,6 +6,7 @@
 import { never, type Instant } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
+import type { Homes } from '../../places/common/homes.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
 
 /** Identifier of a capacity order: its service and availability zone. */
@@ -29,11 +30,13 @@
 }
 
 /**
- * Peak number of concurrent items of a service in the current and in the previous window of time.
+ * Peak number of concurrent items of a service with the same home regions, in the current and in the
+ * previous window of time.
  */
 export interface CapacityDemandRow {
   readonly id: Brand<'capacityDemand'>;
   readonly service: string;
+  readonly homes: Homes;
   readonly peak: number;
   /** Peak of the previous window; null in the first window of a leader. */
   readonly earlierPeak: number | null;
