Count calls refused by placement and items that wait for their home regions

The counter places.callsRefused has the home region and the refusal, the gauge places.itemsWaiting the region. The line of a refused call names its home regions and the regions of the registered upstreams, also where they were full.

--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -17,6 +17,7 @@
 import { countNotJoined } from '../../../service/consensus/common/voterStatements.js';
 import { countVoteAnswers } from '../../../service/consensus/common/votes.js';
 import { declarationId } from '../../../service/declaration/common/declarationTables.js';
+import { countItemsWaitingByRegion } from '../../../service/jobs/common/homeWaits.js';
 import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import type { RouteEnvironment } from '../../front/node/decoding.js';
@@ -72,6 +73,9 @@
   routes.get(path, async () => {
     const now = clock();
     Object.entries(gaugeReaders).forEach(([name, read]) => metrics.gauge(name, read(world, now)));
+    countItemsWaitingByRegion(world).forEach((count, region) =>
+      metrics.gauge('places.itemsWaiting', count, { region }),
+    );
     return new Response(await metrics.text(), { headers: { 'content-type': metrics.contentType } });
   });
   return routes;
--- a/src/service/places/test/common/homesOfCalls.test.ts
+++ b/src/service/places/test/common/homesOfCalls.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type { MetricTags } from '../../../../infrastructure/metrics/common/metrics.js';
 import { EventKind } from '../../../events/common/eventKind.js';
 import { CallRefusalKind } from '../../../forwarding/common/callRefusal.js';
 import { CallState } from '../../../forwarding/common/forwardingTables.js';
@@ -178,3 +179,34 @@
     t.deepEqual(upstreamsOfCall(core, id), ['e1'], id);
   });
 });
+
+test('calls refused by placement are counted by home region', (t) => {
+  const core = createHomeCore({ routes: { book: ['east', 'south'] } });
+  const counted: (MetricTags | undefined)[] = [];
+  const metrics = {
+    ...core.world.metrics,
+    count: (name: string, _amount?: number, tags?: MetricTags) => {
+      if (name === 'places.callsRefused') counted.push(tags);
+    },
+  };
+  Object.assign(core.world, { metrics });
+  sendBookCall(core, 'call');
+  t.deepEqual(counted, [
+    { region: 'east', kind: CallRefusalKind.NoUpstreamInHomes },
+    { region: 'south', kind: CallRefusalKind.NoUpstreamInHomes },
+  ]);
+});
+
+test('a call refused because its home regions are full names them in its log line', (t) => {
+  const core = createHomeCore(eastRoute);
+  reportUpstreams(core, { e1: plainUpstream('z1'), e2: plainUpstream('z2', 100) });
+  sendBookCall(core, 'first');
+  sendBookCall(core, 'second');
+  core.runFor(100);
+  const line = takeEvents(core).find(({ kind }) => kind === EventKind.CallRefused);
+  t.like(line?.subject, {
+    refusal: CallRefusalKind.NoUpstream,
+    homeRegions: 'east',
+    candidateRegions: 'east,west',
+  });
+});
--- a/src/service/places/test/common/homesOfItems.test.ts
+++ b/src/service/places/test/common/homesOfItems.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type { FleetCore } from '../../../../../standins/virtual/fleetCore.js';
 import { testItem, testJob } from '../../../../../standins/virtual/fleetFixture.js';
+import { countItemsWaitingByRegion } from '../../../jobs/common/homeWaits.js';
 import { itemIdOf, RunState, type RunFact, type RunRow } from '../../../jobs/common/jobTables.js';
 import {
   createHomeCore,
@@ -69,6 +70,17 @@
   reportUpstreams(core, { e1: { zone: 'z1' }, e2: { zone: 'z2' } });
   submitItems(core, ['a']);
   t.is(runOf(core, 'a').state, RunState.Waiting);
+  t.is(countItemsWaitingByRegion(core.world).get('none'), 1);
+});
+
+test('items that wait are counted by home region, and those that run are not', (t) => {
+  const core = createHomeCore({ routes: { plan: ['east', 'north'] } });
+  reportUpstreams(core, { e1: { zone: 'z1', slots: 1 }, e2: { zone: 'z2', slots: 8 } });
+  submitItems(core, ['a', 'b', 'c']);
+  const counts = { none: 0, east: 2, west: 0, north: 2 };
+  t.deepEqual(Object.fromEntries(countItemsWaitingByRegion(core.world)), counts);
+  declareHomes(core, 2, {});
+  t.is(countItemsWaitingByRegion(core.world).get('east'), 0);
 });
 
 test('a change of home regions applies to an item that waits, without any other change', (t) => {
