Let a removed voter become a learner again after a late append

Cause: a voter that was cut off and removed became a learner when the cut healed. An append that the leader had sent before, held up by the partition, then made it a voter again. Its log names voters without it, so nobody sends it entries, and reports of other voters did not count, because they rest on the change that it already holds.

Change: one that has lost the leader and holds the change that removed it becomes a learner when another daemon reports that change.

voters.test.ts: the new test failed before (preCandidate), passes now; 97 tests of voters, retirement and joining pass.

--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -128,6 +128,16 @@
   recordVotingChange(world, false);
 };
 
+/**
+ * Whether this daemon holds the change that removed it, and has lost the leader. A late append of the
+ * time before the change makes a learner a voter again, which then gets no further entries. A new
+ * voter whose change it does not hold yet hears from the leader.
+ */
+const isRemovedByHeldChange = (world: World, reportedIndex: number): boolean => {
+  const { state, votersIndex } = replicaOf(world);
+  return state === ReplicaState.PreCandidate && reportedIndex === votersIndex;
+};
+
 /**
  * Handles the voters that another daemon reports. A voter that was removed becomes a learner, so
  * that it does not request votes.
@@ -139,7 +149,9 @@
 ): void => {
   recordNamedVoters(world, reported);
   const { state, votersIndex } = replicaOf(world);
-  const isRemoved = reported.index > votersIndex && !reported.names.includes(world.self.name);
+  const isRemoved =
+    !reported.names.includes(world.self.name) &&
+    (reported.index > votersIndex || isRemovedByHeldChange(world, reported.index));
   const isVoter = state !== ReplicaState.Learner && state !== ReplicaState.Recovering;
   if (isRemoved && isVoter && state !== ReplicaState.Failed) becomeLearner(world, now);
 };
--- a/src/service/consensus/test/common/voters.test.ts
+++ b/src/service/consensus/test/common/voters.test.ts
@@ -101,3 +101,37 @@
   t.is(replicaOf(worldOf(installation, 'd3')).state, 'learner');
   t.is(replicaOf(worldOf(installation, leaderOf(installation)!)).term, term);
 });
+
+test('a removed voter that a late append of the leader reaches becomes a learner again', (t) => {
+  const installation = createInstallation(9);
+  installation.runFor(settleMilliseconds);
+  installation.stop('d3');
+  installation.start('d4');
+  installation.runFor(changeMilliseconds);
+  installation.start('d3');
+  installation.runFor(changeMilliseconds);
+  const leader = leaderOf(installation)!;
+  const removed = worldOf(installation, 'd3');
+
+  // Sent while d3 was a voter, and held up by a partition of the link.
+  const { term, incarnation } = { ...replicaOf(removed), ...worldOf(installation, leader) };
+  removed.incomingMessages.append({
+    from: asBrand(leader),
+    message: {
+      kind: 'entriesAppended',
+      term,
+      previousIndex: 0,
+      previousTerm: 0,
+      entries: [],
+      commitIndex: 0,
+      renewal: { incarnation, at: 0 },
+      currentAsOf: null,
+    },
+  });
+  installation.wake('d3');
+  installation.runFor(changeMilliseconds);
+  t.is(replicaOf(removed).state, 'learner');
+
+  declare(installation, leader, 3);
+  t.is(versionAt(installation, 'd3'), 3);
+});
