--- a/src/service/forwarding/common/callEvents.ts
+++ b/src/service/forwarding/common/callEvents.ts
@@ -111,8 +111,11 @@
 ): void => {
   const tookMilliseconds = Math.round(now - call.arrivedAt);
   const { route } = call;
-  const { refusal, ...otherInputs } = inputs;
-  const decidingInputs = refusal === undefined ? {} : { refusal };
+  const { refusal, homeRegions, candidateRegions, ...otherInputs } = inputs;
+  const decidingInputs = {
+    ...(refusal === undefined ? {} : { refusal }),
+    ...(homeRegions === undefined ? {} : { homeRegions, candidateRegions }),
+  };
   world.metrics.observe('calls.latency', tookMilliseconds, { route, end: endLabels[kind] });
   world.events.append({
     kind,
--- a/src/service/forwarding/common/callPlaces.ts
+++ b/src/service/forwarding/common/callPlaces.ts
@@ -107,12 +107,13 @@
 /**
  * Checks before a send that an upstream is registered at an allowed place, and returns the call;
  * undefined if it cannot be sent now. A call that did not run goes to another service of its route
- * if only that one has such upstreams, and is refused if none has. One that may have run waits.
+ * if only that one has such upstreams, and is refused if none has. One that may have run waits, and
+ * so does any call while this daemon knows no upstream at all, as shortly after its start.
  */
 export const placeCall = (world: World, call: CallRow, now: Instant): CallRow | undefined => {
   const homes = homesOfCall(world, call);
   if (homes === null || hasAllowedUpstream(world, call.service, homes)) return call;
-  if (call.attempts > 0) return undefined;
+  if (call.attempts > 0 || world.registrations.size() === 0) return undefined;
   const route = routeOf(world, call);
   const service =
     route === undefined || call.continuation !== null
--- a/src/service/places/test/common/homesOfCalls.test.ts
+++ b/src/service/places/test/common/homesOfCalls.test.ts
@@ -100,6 +100,13 @@
   });
 });
 
+test('a daemon that knows no upstream yet lets a call wait instead of refusing it at once', (t) => {
+  const core = createHomeCore({ ...eastRoute, columns: { objectiveMilliseconds: 2_000 } });
+  t.is(sendBookCall(core, 'call').state, CallState.Waiting);
+  reportUpstreams(core, { e1: plainUpstream('z1') });
+  t.deepEqual(upstreamsOfCall(core, 'call'), ['e1']);
+});
+
 test('a call that may have run waits for its home regions and is never said not to have run', (t) => {
   const core = createHomeCore(eastRoute);
   reportUpstreams(core, { e1: plainUpstream('z1'), e2: plainUpstream('z2', 100) });
@@ -190,6 +197,7 @@
     },
   };
   Object.assign(core.world, { metrics });
+  reportUpstreams(core, { e2: plainUpstream('z2') });
   sendBookCall(core, 'call');
   t.deepEqual(counted, [
     { region: 'east', kind: CallRefusalKind.NoUpstreamInHomes },
