Spread the voters over zones where the loss of a zone is to be tolerated

With all initial voters in one zone, or after replacements from a crowded zone, the loss of one zone ended the quorum. Voters are now added from the zone with the fewest voters. A zone that holds more voters than a majority can afford to lose gives one up for a learner of a zone with room, one change at a time, and never the leader itself. A lost voter is replaced only by a learner of a zone with room or of its own zone. Nothing changes where toleratedZoneLosses is 0.

--- a/src/service/consensus/common/voterSystem.ts
+++ b/src/service/consensus/common/voterSystem.ts
@@ -1,9 +1,10 @@
 /**
  * Maintains the number of voters; acts only on the leader. It removes an unresponsive voter if a
- * learner can replace it, adds learners while voters are missing, and replaces retiring voters. A
- * change must be committed before the next one starts. A leader that retires resigns and is removed
- * by its successor; a leader that is being stopped also resigns, so that no voter waits for its
- * lease to expire.
+ * learner can replace it, adds learners while voters are missing, and replaces retiring voters. Where
+ * the settings ask to tolerate the loss of zones, it spreads the voters over zones. A change must be
+ * committed before the next one starts. A leader that retires resigns and is removed by its
+ * successor; a leader that is being stopped also resigns, so that no voter waits for its lease to
+ * expire.
  */
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
@@ -17,6 +18,14 @@
 import { changeReplica, replicaOf } from './replicaLog.js';
 import { isCurrentLeader, type ReplicaRow } from './replicaTables.js';
 import { areVotersCaughtUp, isRetiring } from './retirement.js';
+import {
+  computeZoneLimit,
+  findBestLearner,
+  findReplaceableVoter,
+  findSpreadingLearner,
+  findSurplusVoter,
+  type PlacedDaemon,
+} from './voterPlacement.js';
 
 const proposalTimeoutMilliseconds = 5_000;
 
@@ -58,12 +67,25 @@
       !isRetiring(world, row.id),
   );
 
-/** Returns a voter that is suspected or unknown to this daemon, or undefined if there is none. */
-const findUnresponsiveVoter = (world: World): string | undefined =>
-  [...world.members.rows()].find(({ id, isSelf }) => {
-    const daemon = world.daemons.get(id);
-    return !isSelf && (daemon === undefined || daemon.state === DaemonState.Suspected);
-  })?.id;
+const placeOf = (world: World, name: string): PlacedDaemon => ({
+  id: name,
+  zone: world.daemons.get(asBrand<DaemonId>(name))?.zone ?? '',
+});
+
+const placesOf = (world: World, names: readonly string[]): PlacedDaemon[] =>
+  names.map((name) => placeOf(world, name));
+
+const zoneLimitOf = ({ fleet }: World): number =>
+  computeZoneLimit(fleet.voterCount, fleet.places.toleratedZoneLosses);
+
+/** Returns the voters that are suspected or unknown to this daemon. */
+const unresponsiveVotersOf = (world: World): PlacedDaemon[] =>
+  [...world.members.rows()]
+    .filter(({ id, isSelf }) => {
+      const daemon = world.daemons.get(id);
+      return !isSelf && (daemon === undefined || daemon.state === DaemonState.Suspected);
+    })
+    .map(({ id }) => placeOf(world, id));
 
 const voterNamesOf = (world: World): string[] => [...world.members.rows()].map(({ id }) => id);
 
@@ -79,11 +101,32 @@
   voters: readonly string[],
   retiring: string,
 ): string[] | undefined => {
-  const [learner] = eligibleLearnersOf(world);
+  const remaining = voters.filter((name) => name !== retiring);
+  const learner = findBestLearner(
+    placesOf(world, remaining),
+    eligibleLearnersOf(world),
+    zoneLimitOf(world),
+  );
   const isReplaced = voters.length > world.fleet.voterCount;
   if (!isReplaced) return learner === undefined ? undefined : [...voters, learner.id];
   const canRemove = areVotersCaughtUp(world) && retiring !== world.self.name;
-  return canRemove ? voters.filter((name) => name !== retiring) : undefined;
+  return canRemove ? remaining : undefined;
+};
+
+/**
+ * Returns the voters without one that became superfluous because a learner was promoted to spread
+ * the voters over zones; undefined if there is none or the promoted learner lacks entries.
+ */
+const computeVotersWithoutSurplus = (
+  world: World,
+  voters: readonly string[],
+): string[] | undefined => {
+  const [unresponsive] = unresponsiveVotersOf(world);
+  const surplus = areVotersCaughtUp(world)
+    ? findSurplusVoter(placesOf(world, voters), world.self.name, zoneLimitOf(world))
+    : undefined;
+  const removed = unresponsive ?? surplus;
+  return removed === undefined ? undefined : voters.filter((name) => name !== removed.id);
 };
 
 /** Returns the voters after the next change, or undefined if no change is due. */
@@ -93,11 +136,20 @@
   if (replicaOf(world).votersIndex === 0) return voters;
   const retiring = voters.find((name) => isRetiringVoter(world, name));
   if (retiring !== undefined) return computeVotersForRetirement(world, voters, retiring);
-  const [learner] = eligibleLearnersOf(world);
+  const zoneLimit = zoneLimitOf(world);
+  const isSpread = Number.isFinite(zoneLimit);
+  if (isSpread && voters.length > world.fleet.voterCount)
+    return computeVotersWithoutSurplus(world, voters);
+  const learners = eligibleLearnersOf(world);
+  const places = placesOf(world, voters);
+  const learner = findBestLearner(places, learners, zoneLimit);
   if (learner === undefined) return undefined;
   if (voters.length < world.fleet.voterCount) return [...voters, learner.id];
-  const unresponsive = findUnresponsiveVoter(world);
-  return unresponsive === undefined ? undefined : voters.filter((name) => name !== unresponsive);
+  const unresponsive = unresponsiveVotersOf(world);
+  const replaced = findReplaceableVoter(places, unresponsive, learners, zoneLimit);
+  if (replaced !== undefined) return voters.filter((name) => name !== replaced.id);
+  const promoted = findSpreadingLearner(places, learners, zoneLimit);
+  return promoted === undefined ? undefined : [...voters, promoted.id];
 };
 
 const proposeVoters = (world: World, voters: string[], now: Instant): void => {
