Run jobs with home regions on runners that the leader appoints

Items of a job with home regions would have run on the leader, whatever its region. Runners and the leader tell each other how many runs they have on each engine. Partial texts of these jobs are not saved. Nothing changes for jobs without home regions.

--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -13,6 +13,7 @@
   type RunFact,
   type RunRow,
 } from '../../../service/jobs/common/jobTables.js';
+import { findItemBody } from '../../../service/jobs/common/jobContents.js';
 import { maximumEventsOf } from '../../../service/jobs/common/outputLimit.js';
 import type { World } from '../../../service/world/common/world.js';
 import { discardBody } from '../../forwarding/node/discardBody.js';
@@ -144,6 +145,11 @@
       report({ kind: 'notRun', item, start, reason: 'item, job or upstream no longer exists' });
       return;
     }
+    const body = findItemBody(world, jobItem);
+    if (body === undefined) {
+      report({ kind: 'notRun', item, start, reason: 'this daemon does not hold the body yet' });
+      return;
+    }
     const headers = dialect.createHeaders({
       host: job.host,
       requestId: jobItem.item,
@@ -159,7 +165,7 @@
       method: 'POST',
       path: jobItem.path,
       headers: jobItem.headers,
-      body: jobItem.body,
+      body,
     };
     const connection = sendNamed(
       {
--- a/src/service/consensus/test/common/arbitraryCommands.ts
+++ b/src/service/consensus/test/common/arbitraryCommands.ts
@@ -256,6 +256,7 @@
   }),
   jobEnded: fc.record({ kind: kindOf('jobEnded'), job }),
   jobForgotten: fc.record({ kind: kindOf('jobForgotten'), job }),
+  runnerSet: fc.record({ kind: kindOf('runnerSet'), job, runner: oneOf('d1', 'd2') }),
   versionNamed: fc.record({
     kind: kindOf('versionNamed'),
     model: oneOf('model-1', 'model-2'),
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -36,10 +36,12 @@
 import { createOriginSystem } from '../../forwarding/common/originSystem.js';
 import { createSendSystem } from '../../forwarding/common/sendSystem.js';
 import { createAssignmentSystem } from '../../jobs/common/assignmentSystem.js';
+import { createEngineLoadSystem } from '../../jobs/common/engineLoads.js';
 import { createJobRetentionSystem } from '../../jobs/common/jobRetentionSystem.js';
 import { createJobReadSystem } from '../../jobs/common/jobReads.js';
 import { createRunMigrationSystem } from '../../jobs/common/runMigrationSystem.js';
 import { createResultListingSystem } from '../../jobs/common/listItems.js';
+import { createRunnerSystem } from '../../jobs/common/runnerSystem.js';
 import { createRunSystem } from '../../jobs/common/runSystem.js';
 import { createTextSavingSystem } from '../../jobs/common/saveTexts.js';
 import { createScoringSystem } from '../../jobs/common/scoring.js';
@@ -127,6 +129,7 @@
   createSendSystem,
   createOriginSystem,
   createTextSourceSystem,
+  createRunnerSystem,
   createRunSystem,
   createTextSavingSystem,
   createScoringSystem,
@@ -135,6 +138,7 @@
   createWeightSystem,
   createAssignmentSystem,
   createRunMigrationSystem,
+  createEngineLoadSystem,
   createJobReadSystem,
   createMeteringSystem,
   createCapacitySystem,
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -89,6 +89,8 @@
   DeclarationActivated: 'declarationInForce',
   RegistrationChanged: 'registrationChanged',
   VotersChanging: 'votersChanging',
+  /** The leader appoints the daemon that runs the items of a job with home regions. */
+  RunnerAppointed: 'runnerAppointed',
   CallAdmitted: 'callAdmitted',
   CallAnswered: 'callAnswered',
   CallCancelled: 'callCancelled',
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -2,13 +2,15 @@
  * Applies the committed commands of batch jobs to the replicated rows. Every voter runs these
  * handlers in log order, so they may depend only on the command and on replicated rows.
  */
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { asBrand } from '../../../base/common/brand.js';
 import type { ApplyHandlers } from '../../consensus/common/applyHandlers.js';
+import type { Rejection } from '../../consensus/common/consensusTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { ModelVersionRow } from '../../weights/common/versionTables.js';
 import type { World } from '../../world/common/world.js';
 import type { JobCommand, JobSubmitted, ListedItem, SavedItem } from './jobCommands.js';
+import { hasHomeRegions } from './jobRunner.js';
 import { itemIdOf, JobState, resultIdOf, type JobId, type JobRow } from './jobTables.js';
 
 const emptyBody = new Uint8Array();
@@ -25,7 +27,16 @@
     asBrand<ModelVersionRow['id']>(command.model),
   )?.version;
   const newestVersion = namedVersion ?? initialVersion;
-  world.jobs.put({ ...columns, id, state: JobState.Open, newestVersion, tokens, total, listed: 0 });
+  world.jobs.put({
+    ...columns,
+    id,
+    state: JobState.Open,
+    newestVersion,
+    tokens,
+    total,
+    listed: 0,
+    runner: null,
+  });
   items.forEach((item) =>
     world.jobItems.put({
       ...item,
@@ -80,13 +91,26 @@
   });
 };
 
+const createNotRunnerRejection = (
+  job: string,
+  origin: string,
+  runner: string | null,
+): Rejection => ({
+  kind: 'notRunner',
+  message:
+    `The daemon ${origin} does not run the job ${job}; its runner is ${runner ?? 'not appointed'}. ` +
+    'The runner lists the items, so the results of another daemon can be dropped.',
+});
+
 export const jobApplyHandlers: ApplyHandlers<JobCommand> = {
   jobSubmitted: (command, world) => {
     if (!world.jobs.has(asBrand(command.job))) insertJob(world, command);
     return ok(undefined);
   },
-  itemsListed: ({ job, results }, world) => {
+  itemsListed: ({ job, results }, world, { origin }) => {
     const jobRow = world.jobs.get(asBrand(job));
+    if (jobRow !== undefined && hasHomeRegions(jobRow) && jobRow.runner !== origin)
+      return err(createNotRunnerRejection(job, origin, jobRow.runner));
     if (jobRow?.state === JobState.Open)
       results.forEach((result) => applyListedItem(world, jobRow, result));
     return ok(undefined);
@@ -106,6 +130,11 @@
     world.events.append({ kind: EventKind.JobEnded, subject: { job } });
     return ok(undefined);
   },
+  runnerSet: ({ job, runner }, world) => {
+    const jobRow = world.jobs.get(asBrand(job));
+    if (jobRow !== undefined && hasHomeRegions(jobRow)) world.jobs.change(jobRow.id, { runner });
+    return ok(undefined);
+  },
   jobForgotten: ({ job }, world) => {
     const id = asBrand<JobId>(job);
     world.jobItems.where('job', id).forEach((item) => world.jobItems.remove(item.id));
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -1,6 +1,7 @@
 /**
- * Assigns waiting runs to engines that have free slots. Only the leader assigns runs, so no slot
- * is booked twice. Runs are ordered by the priority of the route, then groups that the trainer
+ * Assigns waiting runs to engines that have free slots. Only the leader assigns the runs of jobs
+ * without home regions, so no slot is booked twice; it shares the slots with the runners of the
+ * other jobs, as they report them to each other. Runs are ordered by the priority of the route, then groups that the trainer
  * waits for before spare ones, then older jobs, then the longest items. Items of one group are
  * assigned to the same engine where possible, because the engine then processes their common
  * prompt only once. A run with text goes to an engine of the software version that began it; it waits
@@ -8,8 +9,6 @@
  */
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { replicaOf } from '../../consensus/common/replicaLog.js';
-import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import { selectService, findRoute } from '../../declaration/common/findRoute.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
@@ -18,6 +17,7 @@
 import type { World } from '../../world/common/world.js';
 import { expectedVersionOf, freeSlotsOf, canServeVersion } from './engineChoice.js';
 import { findSlowEngines } from './enginePace.js';
+import { isRunnerOf } from './jobRunner.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
 import {
   canContinueText,
@@ -171,6 +171,7 @@
     .filter(({ backoffDeadline }) => backoffDeadline <= now)
     .map((run) => candidateOf(world, run))
     .filter((candidate) => candidate !== undefined)
+    .filter(({ job }) => isRunnerOf(world, job, now))
     .sort(compareCandidates)
     .forEach((candidate) => assignRun(world, candidate, now));
 
@@ -180,6 +181,7 @@
     world.runs.createChangeReader(),
     world.registrations.createChangeReader(),
     world.weightOrders.createChangeReader(),
+    world.engineLoads.createChangeReader(),
   ];
   return {
     name: 'assignment',
@@ -189,8 +191,7 @@
       const hasDiscardedTexts = discardOverdueTexts(world, now);
       const hasDueRows =
         world.runs.takeDue('backoff', now).length > 0 || hasDueLoad || hasDiscardedTexts;
-      const isLeader = isCurrentLeader(replicaOf(world), now);
-      if ((hasChanges || hasDueRows) && isLeader) assignWaitingRuns(world, now);
+      if (hasChanges || hasDueRows) assignWaitingRuns(world, now);
     },
   };
 };
--- a/src/service/jobs/common/engineChoice.ts
+++ b/src/service/jobs/common/engineChoice.ts
@@ -39,6 +39,8 @@
   return order?.model === job.model ? order.version : null;
 };
 
-/** Returns the number of slots of an engine that no run of this daemon occupies. */
+/** Returns the number of slots of an engine that no run of this daemon or another runner occupies. */
 export const freeSlotsOf = (world: World, row: RegistrationRow): number =>
-  row.slots - world.runs.count('upstream', row.id);
+  world.engineLoads
+    .where('upstream', row.id)
+    .reduce((free, { count }) => free - count, row.slots - world.runs.count('upstream', row.id));
--- a/src/service/jobs/common/jobCommands.ts
+++ b/src/service/jobs/common/jobCommands.ts
@@ -56,6 +56,10 @@
   /** Wall-clock time at the daemon that received the job, in milliseconds since the Unix epoch. */
   submittedAt: z.number(),
   items: z.array(jobItemSchema),
+  /** Regions in which it may run and be stored; empty or absent for any, as in earlier releases. */
+  homeRegions: z.array(z.string()).optional(),
+  /** Names of the daemons that hold its contents; absent for jobs without home regions. */
+  holders: z.array(z.string()).optional(),
 });
 export type JobSubmitted = z.infer<typeof jobSubmittedSchema>;
 
@@ -116,6 +120,13 @@
 /** Removes an ended job with its items and results. */
 export const jobForgottenSchema = z.object({ kind: z.literal('jobForgotten'), job: z.string() });
 
+/** Appoints the daemon that runs the items of a job with home regions; proposed by the leader. */
+export const runnerSetSchema = z.object({
+  kind: z.literal('runnerSet'),
+  job: z.string(),
+  runner: z.string(),
+});
+
 export const jobCommandSchemas = [
   jobSubmittedSchema,
   itemsListedSchema,
@@ -123,5 +134,6 @@
   textsDiscardedSchema,
   jobEndedSchema,
   jobForgottenSchema,
+  runnerSetSchema,
 ] as const;
 export type JobCommand = z.infer<(typeof jobCommandSchemas)[number]>;
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -1,7 +1,7 @@
 /**
  * Tables of batch jobs. Jobs, items and results are replicated rows, identical on all voters. Runs
- * exist only on the leader, which assigns items to upstreams. An upstream that serves a model is
- * called an engine.
+ * exist only on the daemon that assigns the items of a job to upstreams: the leader, or the runner of
+ * a job with home regions. An upstream that serves a model is called an engine.
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import type { ValueOf } from '../../../base/common/handlers.js';
@@ -35,8 +35,16 @@
   readonly total: number;
   /** Number of listed results. */
   readonly listed: number;
+  /** Daemon that runs the items of a job with home regions; null for other jobs. */
+  readonly runner: string | null;
 }
 
+/** The only value of the index of open jobs with home regions. */
+export const homeJobGroup = 'home';
+
+const isOpenHomeJob = ({ state, homeRegions }: JobRow): boolean =>
+  state === JobState.Open && homeRegions !== undefined && homeRegions.length > 0;
+
 export interface JobItemRow extends JobItem {
   readonly id: ItemId;
   readonly job: JobId;
@@ -63,7 +71,7 @@
 } as const;
 export type RunState = ValueOf<typeof RunState>;
 
-/** The execution of an unlisted item; exists only on the leader. */
+/** The execution of an unlisted item; exists only on the daemon that runs its job. */
 export interface RunRow {
   readonly id: ItemId;
   readonly job: JobId;
@@ -185,9 +193,12 @@
 }
 
 export const createJobTables = () => ({
-  jobs: createTable<JobRow, 'state'>({
+  jobs: createTable<JobRow, 'state' | 'home'>({
     name: 'jobs',
-    indices: { state: (row) => row.state },
+    indices: {
+      state: (row) => row.state,
+      home: (row) => (isOpenHomeJob(row) ? homeJobGroup : undefined),
+    },
     deadlines: {},
   }),
   jobItems: createTable<JobItemRow, 'unlisted' | 'job' | 'item'>({
--- a/src/service/jobs/common/listItems.ts
+++ b/src/service/jobs/common/listItems.ts
@@ -2,18 +2,31 @@
  * Proposes the results of items to the replicated log. The results of one job that are queued
  * within one tick are proposed together, in commands of limited size.
  */
+import { asBrand } from '../../../base/common/brand.js';
 import type { ValueOf } from '../../../base/common/handlers.js';
-import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { deadlineAfter, type Instant, type Milliseconds } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import { divideIntoCommands } from './commandBatches.js';
 import { ItemResult, type ListedItem } from './jobCommands.js';
-import { RunState, type RunRow } from './jobTables.js';
+import { hasHomeRegions } from './jobRunner.js';
+import { RunState, type JobId, type RunRow } from './jobTables.js';
 
 /** A leader that cannot commit a result within this time has lost its lease long before. */
 const proposalTimeoutMilliseconds = 10_000;
 
+/**
+ * Time for which a runner keeps a complete text until a leader accepts it. Elections take seconds;
+ * voters that lost power together take tens of seconds to start.
+ */
+const runnerProposalTimeoutMilliseconds = 60_000;
+
+const proposalTimeoutOf = (world: World, job: string): Milliseconds =>
+  hasHomeRegions(world.jobs.get(asBrand<JobId>(job)) ?? {})
+    ? runnerProposalTimeoutMilliseconds
+    : proposalTimeoutMilliseconds;
+
 /** Reason why an item is listed as dead. */
 export const ItemFailureCause = {
   /** Engines failed the item as often as its route allows. */
@@ -78,7 +91,7 @@
     world.proposals.append({
       id: world.identifiers.next('listed'),
       command: { kind: 'itemsListed', job, results },
-      proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
+      proposalDeadline: deadlineAfter(now, proposalTimeoutOf(world, job)),
     }),
   );
 
--- a/src/service/jobs/common/runMigrationSystem.ts
+++ b/src/service/jobs/common/runMigrationSystem.ts
@@ -5,14 +5,13 @@
  */
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { replicaOf } from '../../consensus/common/replicaLog.js';
-import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { isSingleVersion } from './allowedVersions.js';
 import { freeSlotsOf, canServeVersion } from './engineChoice.js';
 import { findSlowEngines } from './enginePace.js';
+import { isRunnerOf } from './jobRunner.js';
 import { RunState, type JobRow, type RunRow } from './jobTables.js';
 import { avoidUpstream, recordRunEvent, requeueRun } from './runChanges.js';
 import { canContinueText } from './textContinuation.js';
@@ -52,7 +51,7 @@
   now: Instant,
 ): void => {
   const job = world.jobs.get(run.job);
-  if (job === undefined || isSingleVersion(world, job)) return;
+  if (job === undefined || !isRunnerOf(world, job, now) || isSingleVersion(world, job)) return;
   const capacity = findCapacity(world, capacities, run, job, now);
   if (capacity === undefined) return;
   capacity.free -= 1;
@@ -80,7 +79,7 @@
     run: (now) => {
       world.enginePaces.takeDue('retention', now).forEach(({ id }) => world.enginePaces.remove(id));
       const hasChanges = changeReaders.map((reader) => reader.take().length > 0).includes(true);
-      if (!hasChanges || !isCurrentLeader(replicaOf(world), now)) return;
+      if (!hasChanges) return;
       if (world.runs.count('state', RunState.Waiting) > 0) return;
       [...world.enginePaces.values('service')].forEach((service) =>
         migrateFromSlowEngines(world, service, now),
--- a/src/service/jobs/common/runSystem.ts
+++ b/src/service/jobs/common/runSystem.ts
@@ -1,7 +1,7 @@
 /**
- * Manages the runs of open jobs while this daemon is the leader. It creates a run for each item
- * without a listed result and applies the facts that the port reports; the assignment system
- * assigns the runs to upstreams. A text whose stream broke continues after its last complete event
+ * Manages the runs of the open jobs that this daemon runs. There is a run for each item without a
+ * listed result. It applies the facts that the port reports; the assignment system assigns the runs
+ * to upstreams. A text whose stream broke continues after its last complete event
  * on another upstream of the same software version.
  */
 import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
@@ -14,12 +14,13 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import { ItemResult } from './jobCommands.js';
-import { JobState, RunState, type JobRow, type RunFact, type RunRow } from './jobTables.js';
+import { RunState, type JobRow, type RunFact, type RunRow } from './jobTables.js';
 import { isVersionSetAllowed } from './allowedVersions.js';
 import { recordEnginePace } from './enginePace.js';
-import { cancelScoring, ItemFailureCause, queueItemResult } from './listItems.js';
+import { isRunnerCurrent } from './jobRunner.js';
+import { ItemFailureCause, queueItemResult } from './listItems.js';
 import { saveIntervalMilliseconds, queueTextRemoval, queueUnsavedText } from './saveTexts.js';
-import { insertRuns } from './insertRuns.js';
+import { removeExpiredResults, updateRuns } from './ownRuns.js';
 import {
   avoidUpstream,
   computeBackoff,
@@ -57,12 +58,6 @@
  */
 const neededConfirmations = 3;
 
-const removeRuns = (world: World, runs: readonly RunRow[]): void =>
-  runs.forEach((run) => {
-    cancelScoring(world, run);
-    world.runs.remove(run.id);
-  });
-
 const appendEvents = (text: string, events: readonly string[], hasEvents: boolean): string => {
   if (events.length === 0) return text;
   const added = events.join('\n');
@@ -234,60 +229,43 @@
   requeueRun(world, run, {}, now);
 };
 
-/**
- * Whether a run is no longer needed. A result that this daemon proposed under an earlier lease can
- * be committed after its item has got a new run.
- */
-const isRunObsolete = (world: World, job: JobRow, run: RunRow): boolean =>
-  job.state === JobState.Ended || world.jobItems.get(run.id)?.isListed !== false;
-
-const processJob = (world: World, job: JobRow, now: Instant): void => {
-  const runs = world.runs.where('job', job.id);
-  removeRuns(
-    world,
-    runs.filter((run) => isRunObsolete(world, job, run)),
-  );
-  if (job.state === JobState.Open) insertRuns(world, job, now);
-};
-
 /** Creates the system that manages runs. */
 export const createRunSystem = (world: World): System => {
   const jobChanges = world.jobs.createChangeReader();
   let lastLedTerm = 0;
+  let wasCurrent = false;
 
-  const processAllJobs = (now: Instant): void =>
-    [...world.jobs.rows()].forEach((job) => processJob(world, job, now));
+  /** Returns whether this daemon became or stopped being the leader, or current. */
+  const updateRole = (now: Instant): boolean => {
+    const ledTerm = isCurrentLeader(replicaOf(world), now) ? leadershipOf(world).term : 0;
+    const isCurrent = isRunnerCurrent(world, now);
+    const hasChanged = ledTerm !== lastLedTerm || isCurrent !== wasCurrent;
+    if (isCurrent && !wasCurrent) removeExpiredResults(world);
+    lastLedTerm = ledTerm;
+    wasCurrent = isCurrent;
+    return hasChanged;
+  };
 
-  const runAsLeader = (now: Instant): void => {
-    const { term } = leadershipOf(world);
-    const changedJobIds = jobChanges.take();
-    if (lastLedTerm !== term) processAllJobs(now);
-    else {
-      changedJobIds
-        .map((id) => world.jobs.get(id))
-        .filter((job) => job !== undefined)
-        .forEach((job) => processJob(world, job, now));
-    }
-    lastLedTerm = term;
-    world.runs
-      .takeDue('life', now)
-      .forEach((run) => abandonItem(world, run, ItemFailureCause.LifetimeExpired));
-    world.runs
-      .takeDue('progress', now)
-      .forEach((run) => abandonUnresponsiveEngine(world, run, now));
+  const updateAllRuns = (now: Instant): void => {
+    const runJobIds = [...world.runs.rows()].map(({ job }) => job);
+    new Set([...[...world.jobs.rows()].map(({ id }) => id), ...runJobIds]).forEach((id) =>
+      updateRuns(world, id, now),
+    );
   };
 
   return {
     name: 'run',
     run: (now) => {
       world.runFacts.takeAll().forEach((fact) => handleRunFact(world, fact, now));
-      if (isCurrentLeader(replicaOf(world), now)) {
-        runAsLeader(now);
-        return;
-      }
-      jobChanges.take();
-      lastLedTerm = 0;
-      removeRuns(world, [...world.runs.rows()]);
+      const changedJobIds = jobChanges.take();
+      if (updateRole(now)) updateAllRuns(now);
+      else changedJobIds.forEach((id) => updateRuns(world, id, now));
+      world.runs
+        .takeDue('life', now)
+        .forEach((run) => abandonItem(world, run, ItemFailureCause.LifetimeExpired));
+      world.runs
+        .takeDue('progress', now)
+        .forEach((run) => abandonUnresponsiveEngine(world, run, now));
     },
   };
 };
--- a/src/service/jobs/common/scoring.ts
+++ b/src/service/jobs/common/scoring.ts
@@ -13,6 +13,7 @@
 } from '../../forwarding/common/forwardingTables.js';
 import type { World } from '../../world/common/world.js';
 import { ItemResult, type Scorer } from './jobCommands.js';
+import { isRunnerOf } from './jobRunner.js';
 import { RunState, type RunRow, type ScoreFact } from './jobTables.js';
 import { ItemFailureCause, queueItemResult } from './listItems.js';
 
@@ -100,6 +101,17 @@
   if (run !== undefined) handleScoringFailure(world, run, call.failureCount, now);
 };
 
+/** Sends the scoring request of a run again, or later if this daemon does not run its job now. */
+const rescore = (world: World, run: RunRow, now: Instant): void => {
+  const job = world.jobs.get(run.job);
+  if (job !== undefined && isRunnerOf(world, job, now)) {
+    startScoring(world, run);
+    return;
+  }
+  const scoreRetryDeadline = deadlineAfter(now, scoreRetryDelayMilliseconds);
+  world.runs.change(run.id, { scoreRetryDeadline });
+};
+
 /** Creates the system that handles scores and retries scoring requests. */
 export const createScoringSystem = (world: World): System => {
   const callChanges = world.calls.createChangeReader();
@@ -108,7 +120,7 @@
     run: (now) => {
       world.scoreFacts.takeAll().forEach((fact) => handleScoreFact(world, fact, now));
       callChanges.take().forEach((id) => handleRefusedCall(world, id, now));
-      world.runs.takeDue('rescore', now).forEach((run) => startScoring(world, run));
+      world.runs.takeDue('rescore', now).forEach((run) => rescore(world, run, now));
     },
   };
 };
--- a/src/service/jobs/common/textReuse.ts
+++ b/src/service/jobs/common/textReuse.ts
@@ -5,11 +5,15 @@
  */
 import type { World } from '../../world/common/world.js';
 import { isVersionSetAllowed, isSingleVersion } from './allowedVersions.js';
+import { hasHomeRegions } from './jobRunner.js';
 import { ItemResult, type SavedText } from './jobCommands.js';
 import type { JobItemRow, JobRow } from './jobTables.js';
 import { maximumEventsOf } from './outputLimit.js';
 
-/** Returns the rows of the same item in other jobs of the same model and workspace. */
+/**
+ * Returns the rows of the same item in other jobs of the same model and workspace. Texts of jobs with
+ * home regions are not in the log, so they are not reused.
+ */
 export const findSameItemInOtherJobs = (
   world: World,
   job: JobRow,
@@ -21,6 +25,7 @@
       (row) =>
         row.job !== job.id &&
         row.path === item.path &&
+        !hasHomeRegions(world.jobs.get(row.job) ?? {}) &&
         world.jobs.get(row.job)?.model === job.model &&
         world.jobs.get(row.job)?.workspace === job.workspace,
     );
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -24,6 +24,7 @@
 } from '../../consensus/common/consensusMessages.js';
 import { originMessageSchemas } from '../../forwarding/common/originMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
+import { engineLoadsReportedSchema } from '../../jobs/common/runnerTables.js';
 import {
   crashesReceivedSchema,
   crashesReportedSchema,
@@ -67,6 +68,7 @@
   upstreamDepartedSchema,
   upstreamLeavingSchema,
   ...jobReadSchemas,
+  engineLoadsReportedSchema,
   ...originMessageSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -32,6 +32,7 @@
 import { createPaceTables } from '../../jobs/common/enginePace.js';
 import { createJobReadTables } from '../../jobs/common/jobReads.js';
 import { createJobTables } from '../../jobs/common/jobTables.js';
+import { createRunnerTables } from '../../jobs/common/runnerTables.js';
 import { createTextSourceTables } from '../../jobs/common/textSources.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
 import { createRegistryTables } from '../../registry/common/registryTables.js';
@@ -77,6 +78,7 @@
   ...createStreamOriginTables(),
   ...createJobTables(),
   ...createPaceTables(),
+  ...createRunnerTables(),
   ...createTextSourceTables(),
   ...createJobReadTables(),
   ...createVersionTables(),
