--- a/src/service/capacity/common/capacitySystem.ts
+++ b/src/service/capacity/common/capacitySystem.ts
@@ -15,7 +15,8 @@
 import { declarationId } from '../../declaration/common/declarationTables.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
-import { RunState, type RunRow } from '../../jobs/common/jobTables.js';
+import { isAppointedRunner, openHomeJobsOf } from '../../jobs/common/jobRunner.js';
+import { RunState, type JobId } from '../../jobs/common/jobTables.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { planCapacity, type NonReclaimableCapacity } from './capacityPlan.js';
@@ -67,16 +68,23 @@
 const scaledServices = (world: World): ScaledService[] =>
   (world.declarations.get(declarationId)?.declaration.services ?? []).filter(isScaled);
 
-const isRoutedToService = (world: World, run: RunRow, service: string): boolean => {
-  const job = world.jobs.get(run.job);
+const isRoutedToService = (world: World, id: JobId, service: string): boolean => {
+  const job = world.jobs.get(id);
   const route = job === undefined ? undefined : findRoute(world, job.host, job.path);
   return route?.targets.some((target) => target.service === service) === true;
 };
 
+/** Returns the number of unlisted items of a service in jobs that other daemons run. */
+const countItemsOfOtherRunners = (world: World, service: string): number =>
+  openHomeJobsOf(world)
+    .filter((job) => !isAppointedRunner(world, job) && isRoutedToService(world, job.id, service))
+    .reduce((sum, { id }) => sum + world.jobItems.count('unlisted', id), 0);
+
 const countCurrentDemand = (world: World, service: string): number =>
   [RunState.Waiting, RunState.Running]
     .flatMap((state) => world.runs.where('state', state))
-    .filter((run) => isRoutedToService(world, run, service)).length;
+    .filter((run) => isRoutedToService(world, run.job, service)).length +
+  countItemsOfOtherRunners(world, service);
 
 const recordDemand = (world: World, service: string, now: Instant): CapacityDemandRow => {
   const id: CapacityDemandRow['id'] = asBrand(service);
--- a/src/service/capacity/test/common/capacity.test.ts
+++ b/src/service/capacity/test/common/capacity.test.ts
@@ -71,6 +71,15 @@
   return core;
 };
 
+test('items that another daemon runs count as demand of the leader', (t) => {
+  const core = createCore();
+  const homes = { homeRegions: ['r2'], holders: ['d9'] };
+  core.propose('job', testJob('j', items(2), homes));
+  runFor(core, 2_000);
+  t.is(core.world.runs.size(), 0);
+  t.deepEqual(describeOrdersInFlight(core), ['z2: 1']);
+});
+
 test('nothing is ordered while there are 1.5 slots per item', (t) => {
   const core = createCore();
   core.propose('job', testJob('j', items(1)));
