--- a/src/service/capacity/common/capacityDemand.ts
+++ b/src/service/capacity/common/capacityDemand.ts
@@ -5,7 +5,8 @@
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
-import { RunState, type RunRow } from '../../jobs/common/jobTables.js';
+import { isAppointedRunner, openHomeJobsOf } from '../../jobs/common/jobRunner.js';
+import { RunState, type JobId, type JobRow } from '../../jobs/common/jobTables.js';
 import { homesOfRoute, type Homes } from '../../places/common/homes.js';
 import type { World } from '../../world/common/world.js';
 import type { CapacityDemandRow } from './capacityTables.js';
@@ -15,8 +16,7 @@
  */
 const peakWindowMilliseconds = 15_000;
 
-const isRoutedToService = (world: World, run: RunRow, service: string): boolean => {
-  const job = world.jobs.get(run.job);
+const isRoutedToService = (world: World, job: JobRow | undefined, service: string): boolean => {
   const route = job === undefined ? undefined : findRoute(world, job.host, job.path);
   return route?.targets.some((target) => target.service === service) === true;
 };
@@ -30,6 +30,21 @@
   readonly count: number;
 }
 
+/** Counts the current items of each job: those of this daemon's runs, and all of other runners. */
+const itemCountsOf = (world: World): ReadonlyMap<JobId, number> => {
+  const counts = new Map<JobId, number>();
+  const add = (job: JobId, items: number): void => {
+    counts.set(job, (counts.get(job) ?? 0) + items);
+  };
+  [RunState.Waiting, RunState.Running]
+    .flatMap((state) => world.runs.where('state', state))
+    .forEach(({ job }) => add(job, 1));
+  openHomeJobsOf(world)
+    .filter((job) => !isAppointedRunner(world, job))
+    .forEach(({ id }) => add(id, world.jobItems.count('unlisted', id)));
+  return counts;
+};
+
 /**
  * Counts the current items of a service by home regions. Those without a limit, and home regions
  * with earlier items, are included also if there are no items.
@@ -41,15 +56,13 @@
   [...world.capacityDemands.rows()]
     .filter((row) => row.service === service)
     .forEach(({ id, homes }) => demands.set(id, { homes, count: 0 }));
-  [RunState.Waiting, RunState.Running]
-    .flatMap((state) => world.runs.where('state', state))
-    .filter((run) => isRoutedToService(world, run, service))
-    .forEach((run) => {
-      const { host, path, workspace } = world.jobs.get(run.job)!;
-      const homes = homesOfRoute(world, findRoute(world, host, path), workspace);
-      const id = demandIdOf(service, homes);
-      demands.set(id, { homes, count: (demands.get(id)?.count ?? 0) + 1 });
-    });
+  itemCountsOf(world).forEach((items, id) => {
+    const job = world.jobs.get(id);
+    if (job === undefined || !isRoutedToService(world, job, service)) return;
+    const homes = homesOfRoute(world, findRoute(world, job.host, job.path), job.workspace);
+    const demand = demandIdOf(service, homes);
+    demands.set(demand, { homes, count: (demands.get(demand)?.count ?? 0) + items });
+  });
   return [...demands.values()];
 };
 
