Limit requests to cold upstreams by permits of the leader

Cause: an upstream that just started takes a declared number of requests a second and ends above it; nothing limits what all daemons send to it together.

Change: registrations carry the remaining cold time; the leader grants permits from one budget for each upstream, and calls and items to a cold upstream start only with one. The ports check the permit once more before they write. Where the settings or the declaration have no limit, nothing of this runs.

--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -142,6 +142,11 @@
       report({ kind: 'notRun', send: send.id, reason: 'call or upstream no longer exists' });
       return;
     }
+    // The process may have been suspended since the permit was taken.
+    if (clock() >= send.permitDeadline) {
+      report({ kind: 'notRun', send: send.id, reason: 'permit for the cold upstream expired' });
+      return;
+    }
     const headers = dialect.createHeaders({
       host: hostByCall.get(call.id) ?? pending.content.headers.host ?? '',
       requestId: call.requestId,
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -144,6 +144,11 @@
       report({ kind: 'notRun', item, start, reason: 'item, job or upstream no longer exists' });
       return;
     }
+    // The process may have been suspended since the permit was taken.
+    if (clock() >= run.permitDeadline) {
+      report({ kind: 'notRun', item, start, reason: 'permit for the cold upstream expired' });
+      return;
+    }
     const headers = dialect.createHeaders({
       host: job.host,
       requestId: jobItem.item,
--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -18,6 +18,7 @@
 import { countVoteAnswers } from '../../../service/consensus/common/votes.js';
 import { declarationId } from '../../../service/declaration/common/declarationTables.js';
 import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
+import { coldGroup } from '../../../service/places/common/coldTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import type { RouteEnvironment } from '../../front/node/decoding.js';
 
@@ -30,6 +31,7 @@
   'runs.confirming': (world) => world.runs.count('state', RunState.Confirming),
   'runs.scoring': (world) => world.runs.count('state', RunState.Scoring),
   'registrations.known': (world) => world.registrations.size(),
+  'places.upstreamsCold': (world) => world.coldStates.count('cold', coldGroup),
   'members.known': (world) => world.daemons.size(),
   'log.lastIndex': (world) => replicaOf(world).lastIndex,
   'log.commitIndex': (world) => replicaOf(world).commitIndex,
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -45,6 +45,7 @@
 import { createScoringSystem } from '../../jobs/common/scoring.js';
 import { createTextSourceSystem } from '../../jobs/common/textSources.js';
 import { createMeteringSystem } from '../../metering/common/meteringSystem.js';
+import { createColdSystem } from '../../places/common/coldSystem.js';
 import { createCrashSpreadSystem } from '../../quarantine/common/crashSpreadSystem.js';
 import {
   callQuarantinePolicy,
@@ -135,6 +136,7 @@
   createWeightSystem,
   createAssignmentSystem,
   createRunMigrationSystem,
+  createColdSystem,
   createJobReadSystem,
   createMeteringSystem,
   createCapacitySystem,
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -88,6 +88,12 @@
   LotDropped: 'lotDropped',
   DeclarationActivated: 'declarationInForce',
   RegistrationChanged: 'registrationChanged',
+  /** An upstream is cold, so requests to it need permits; written by each daemon. */
+  UpstreamCold: 'upstreamCold',
+  /** It is warm again after `upstreamCold`. */
+  UpstreamWarm: 'upstreamWarm',
+  /** The leader has granted all permits of a cold upstream and refuses more for now. */
+  ColdPermitsRefused: 'coldPermitsRefused',
   VotersChanging: 'votersChanging',
   CallAdmitted: 'callAdmitted',
   CallAnswered: 'callAnswered',
--- a/src/service/forwarding/common/forwardingTables.ts
+++ b/src/service/forwarding/common/forwardingTables.ts
@@ -153,6 +153,8 @@
   readonly startedAt: Instant;
   /** Time by which the upstream must answer. */
   readonly silenceDeadline: Instant;
+  /** Time from which the port must not send it, because its permit expires; `never` without one. */
+  readonly permitDeadline: Instant;
 }
 
 /** The result of a send, as reported by the port. */
--- a/src/service/forwarding/common/sendSystem.ts
+++ b/src/service/forwarding/common/sendSystem.ts
@@ -11,6 +11,8 @@
 import { callQuarantinePolicy } from '../../quarantine/common/quarantinePolicy.js';
 import { AddressState, SuspicionCause } from '../../quarantine/common/quarantineTables.js';
 import { suspectRun } from '../../quarantine/common/suspicions.js';
+import { takePermit } from '../../places/common/coldPermits.js';
+import { selectSendable } from '../../places/common/coldSelection.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { recordSendStart } from './callEvents.js';
@@ -74,7 +76,7 @@
   const preferred = rows.filter((row) => isPreferred(row, call, now));
   const notLastTried = rows.filter((row) => row.id !== call.triedUpstreams.at(-1));
   const fallback = notLastTried.length > 0 ? notLastTried : rows;
-  return selectLeastLoaded(world, preferred.length > 0 ? preferred : fallback);
+  return selectLeastLoaded(world, selectSendable(world, [preferred, fallback], now));
 };
 
 /** Whether a call that may have run can be sent once more. */
@@ -91,6 +93,8 @@
 };
 
 const startSend = (world: World, call: CallRow, upstream: RegistrationRow, now: Instant): void => {
+  const permitDeadline = takePermit(world, upstream, now);
+  if (permitDeadline === undefined) return;
   incrementRunningCount(world, upstream.id);
   recordSendStart(world, call, upstream, now);
   recordStreamOrigin(world, call, upstream, now);
@@ -107,6 +111,7 @@
     state: SendState.Running,
     startedAt: now,
     silenceDeadline: computeSilenceDeadline(call, now),
+    permitDeadline,
   });
   world.calls.change(call.id, {
     state: CallState.Running,
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -13,6 +13,8 @@
 import { selectService, findRoute } from '../../declaration/common/findRoute.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { takePermit } from '../../places/common/coldPermits.js';
+import { selectSendable } from '../../places/common/coldSelection.js';
 import { isOverdue } from '../../registry/common/registrySystem.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
@@ -122,7 +124,8 @@
   const isHeldForVersion = eligible.length === 0 && freeEngines.preferred.length > 0;
   if (isHeldForVersion && run.continuationDeadline === never)
     world.runs.change(run.id, { continuationDeadline: continuationDeadlineOf(run, now) });
-  return engineOfGroup(world, candidate, eligible) ?? engineWithMostFreeSlots(world, eligible);
+  const sendable = selectSendable(world, [eligible], now);
+  return engineOfGroup(world, candidate, sendable) ?? engineWithMostFreeSlots(world, sendable);
 };
 
 const recordRunStart = (
@@ -146,7 +149,8 @@
 
 const assignRun = (world: World, candidate: Candidate, now: Instant): void => {
   const engine = selectEngine(world, candidate, now);
-  if (engine === undefined) return;
+  const permitDeadline = engine === undefined ? undefined : takePermit(world, engine, now);
+  if (engine === undefined || permitDeadline === undefined) return;
   const run = canContinueText(candidate.run, engine)
     ? candidate.run
     : discardText(world, candidate.run, 'no engine of its software version serves');
@@ -161,6 +165,7 @@
     expectedVersion: expectedVersionOf(world, engine, candidate.job),
     start: run.start + 1,
     progressDeadline: deadlineAfter(now, firstEventTimeoutMilliseconds),
+    permitDeadline,
   })!;
   recordTextSource(world, startedRun, engine, now);
 };
@@ -180,6 +185,8 @@
     world.runs.createChangeReader(),
     world.registrations.createChangeReader(),
     world.weightOrders.createChangeReader(),
+    world.coldStates.createChangeReader(),
+    world.coldRequests.createChangeReader(),
   ];
   return {
     name: 'assignment',
--- a/src/service/jobs/common/insertRuns.ts
+++ b/src/service/jobs/common/insertRuns.ts
@@ -68,6 +68,7 @@
     continuationDeadline: never,
     lastProgressAt: Number.NEGATIVE_INFINITY,
     progressDeadline: never,
+    permitDeadline: never,
     lifetimeDeadline,
     call: null,
     scoreFailures: 0,
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -106,6 +106,8 @@
   readonly lastProgressAt: Instant;
   /** Time at which a running run times out for lack of progress. */
   readonly progressDeadline: Instant;
+  /** Time from which the port must not send it, because its permit expires; `never` without one. */
+  readonly permitDeadline: Instant;
   /** Time at which the item is abandoned. */
   readonly lifetimeDeadline: Instant;
   readonly call: CallId | null;
--- a/src/service/membership/common/daemonSystem.ts
+++ b/src/service/membership/common/daemonSystem.ts
@@ -45,10 +45,13 @@
 const createListFields = (
   world: World,
   receiver: DaemonRow,
+  now: Instant,
 ): Pick<Heartbeat, 'listsVersion' | 'lists'> => {
   const listsVersion = ownListsVersionOf(world);
   const isOutdated = receiver.heldLists !== null && receiver.heldLists !== listsVersion;
-  return isOutdated ? { listsVersion, lists: createListsFor(world, receiver) } : { listsVersion };
+  return isOutdated
+    ? { listsVersion, lists: createListsFor(world, receiver, now) }
+    : { listsVersion };
 };
 
 const createVoterFields = (world: World): Pick<Heartbeat, 'voters' | 'endedTerm'> => {
@@ -68,7 +71,7 @@
   return {
     ...(departures.length === 0 ? {} : { departures }),
     ...(reports.length === 0 ? {} : { reports }),
-    ...createListFields(world, receiver),
+    ...createListFields(world, receiver, now),
     ...createVoterFields(world),
   };
 };
--- a/src/service/membership/common/membershipLists.ts
+++ b/src/service/membership/common/membershipLists.ts
@@ -69,7 +69,11 @@
 };
 
 /** Creates the lists of this daemon for a receiver. */
-export const createListsFor = (world: World, receiver: DaemonRow): MembershipLists => {
+export const createListsFor = (
+  world: World,
+  receiver: DaemonRow,
+  now: Instant,
+): MembershipLists => {
   const controlDaemons = [...world.daemons.rows()]
     .filter((row) => row.isControl && row.state === DaemonState.Alive)
     .map(createMember);
@@ -79,7 +83,7 @@
     version,
     controlDaemons,
     entries: selectEntriesFor(world, receiver),
-    registrations: listRegistrationsForEntries(world),
+    registrations: listRegistrationsForEntries(world, now),
   };
 };
 
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -15,6 +15,7 @@
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
 import { crashHandlers } from '../../quarantine/common/crashMessages.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import { coldHandlers } from '../../places/common/coldPermits.js';
 import { bodyHandlers } from '../../rollout/common/bodyHandlers.js';
 import type { World } from '../../world/common/world.js';
 import type { IncomingMessage, Message } from './message.js';
@@ -31,6 +32,7 @@
   ...registryHandlers,
   ...jobReadHandlers,
   ...originHandlers,
+  ...coldHandlers,
 };
 
 /**
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -23,6 +23,7 @@
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
 import { originMessageSchemas } from '../../forwarding/common/originMessages.js';
+import { coldMessageSchemas } from '../../places/common/coldMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
 import {
   crashesReceivedSchema,
@@ -68,6 +69,7 @@
   upstreamLeavingSchema,
   ...jobReadSchemas,
   ...originMessageSchemas,
+  ...coldMessageSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- /dev/null
+++ b/src/service/places/common/coldState.ts
@@ -0,0 +1,83 @@
+/**
+ * Decides whether an upstream counts as cold. Only upstreams of services that declare cold starts
+ * do, and only where the settings limit requests to them. A daemon that does not know takes the
+ * upstream for cold, because it can lose contact with those who know.
+ */
+import { asBrand } from '../../../base/common/brand.js';
+import { never, type Instant, type Milliseconds } from '../../../base/common/time.js';
+import { declarationId } from '../../declaration/common/declarationTables.js';
+import { isOverdue } from '../../registry/common/registrySystem.js';
+import type { RegistrationRow } from '../../registry/common/registryTables.js';
+import type { World } from '../../world/common/world.js';
+import type { ColdLimits } from './coldBudget.js';
+import type { ColdZoneRow } from './coldTables.js';
+
+/** What a service declares of cold starts, with the limit of the settings. */
+export interface ServiceColdLimits extends ColdLimits {
+  /** Time for which an upstream is cold after its start. */
+  readonly milliseconds: Milliseconds;
+}
+
+/** Returns the limits of a service; undefined if its upstreams are not limited while cold. */
+export const coldLimitsOf = (world: World, service: string): ServiceColdLimits | undefined => {
+  const { coldLimit } = world.fleet.places;
+  if (coldLimit === null) return undefined;
+  const coldStart = world.declarations
+    .get(declarationId)
+    ?.declaration.services.find(({ name }) => name === service)?.coldStart;
+  if (coldStart === null || coldStart === undefined) return undefined;
+  if (coldStart.milliseconds <= 0 || coldStart.requestsPerSecond <= 0) return undefined;
+  return { ...coldStart, ...coldLimit };
+};
+
+/** The columns of a registration that tell how long the upstream is cold. */
+export type ColdColumns = Pick<
+  RegistrationRow,
+  'reportDeadline' | 'coldDeadline' | 'isColdReported' | 'firstHeardAt'
+>;
+
+/**
+ * Returns the time until which an upstream counts as cold; `never` if only a report can end it.
+ * `zoneColdSince` is the time at which its zone was marked as cold, or negative infinity.
+ */
+export const computeColdEnd = (
+  row: ColdColumns,
+  zoneColdSince: Instant,
+  milliseconds: Milliseconds,
+  now: Instant,
+): Instant => {
+  if (isOverdue(row, now)) return never;
+  const presumedEnd = row.isColdReported
+    ? Number.NEGATIVE_INFINITY
+    : row.firstHeardAt + milliseconds;
+  return Math.max(row.coldDeadline, presumedEnd, zoneColdSince + milliseconds);
+};
+
+const coldZoneIdOf = (zone: string): ColdZoneRow['id'] => asBrand(zone);
+
+/** Returns the time until which a registered upstream counts as cold, for a service with limits. */
+export const coldEndOf = (
+  world: World,
+  row: RegistrationRow,
+  { milliseconds }: ServiceColdLimits,
+  now: Instant,
+): Instant => {
+  const zone = world.coldZones.get(coldZoneIdOf(row.zone));
+  return computeColdEnd(row, zone?.coldSince ?? Number.NEGATIVE_INFINITY, milliseconds, now);
+};
+
+/** Whether requests to an upstream need a permit now. */
+export const isUpstreamCold = (world: World, row: RegistrationRow, now: Instant): boolean => {
+  const limits = coldLimitsOf(world, row.service);
+  return limits !== undefined && coldEndOf(world, row, limits, now) > now;
+};
+
+/**
+ * Makes the upstreams of a zone count as cold for the time that their services declare, whatever
+ * their reports say. Called when an evacuation is withdrawn: they may have become cold without
+ * requests.
+ */
+export const markZoneCold = (world: World, zone: string, now: Instant): void => {
+  if (world.fleet.places.coldLimit === null) return;
+  world.coldZones.put({ id: coldZoneIdOf(zone), coldSince: now });
+};
--- a/src/service/registry/common/applyRegistration.ts
+++ b/src/service/registry/common/applyRegistration.ts
@@ -12,6 +12,7 @@
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { effectiveStateOf } from './leavingUpstreams.js';
+import { coldColumnsOf } from './coldColumns.js';
 import { reportTimeoutsByState, routingFieldsOf } from './registrations.js';
 import type { Registration, RegistrationRow } from './registryTables.js';
 
@@ -116,7 +117,7 @@
   registration: Registration,
   now: Instant,
 ): RegistrationDifference => {
-  const { upstream, ...fields } = registration;
+  const { upstream, coldMilliseconds, ...fields } = registration;
   const id = asBrand<UpstreamId>(upstream);
   const existing = world.registrations.get(id);
   const isIgnored =
@@ -135,6 +136,7 @@
     isListed: existing?.isListed ?? false,
     avoidDeadline: isSameStart ? existing.avoidDeadline : Number.NEGATIVE_INFINITY,
     ownRunning: existing?.ownRunning ?? 0,
+    ...coldColumnsOf(world, coldMilliseconds, isSameStart ? existing : undefined, now),
   });
   removeEarlierStarts(world, row);
   recordRegistrationChange(world, row, existing);
--- a/src/service/registry/common/registrations.ts
+++ b/src/service/registry/common/registrations.ts
@@ -3,7 +3,7 @@
  * its reports in heartbeats to the other control daemons; entries receive the registrations of one
  * control daemon as a list, without the columns that only the leader uses.
  */
-import type { Instant, Milliseconds } from '../../../base/common/time.js';
+import { remainingUntil, type Instant, type Milliseconds } from '../../../base/common/time.js';
 import type { World } from '../../world/common/world.js';
 import { RegistrationState, type Registration, type RegistrationRow } from './registryTables.js';
 
@@ -22,7 +22,7 @@
 /** Returns the columns of a registration that decide where requests are sent, as one value. */
 export const routingFieldsOf = (
   row: Pick<
-    Registration,
+    RegistrationRow,
     | 'state'
     | 'address'
     | 'service'
@@ -31,6 +31,7 @@
     | 'isReclaimable'
     | 'startedAt'
     | 'softwareVersion'
+    | 'coldDeadline'
   >,
 ): string =>
   [
@@ -42,25 +43,36 @@
     row.isReclaimable,
     row.startedAt,
     row.softwareVersion,
+    row.coldDeadline,
   ].join('|');
 
 /** Returns the columns of a row that its upstream reported. */
-const createRegistration = ({
-  id,
-  reportDeadline: _reportDeadline,
-  repeatDeadline: _repeatDeadline,
-  avoidDeadline: _avoidDeadline,
-  isListed: _isListed,
-  ownRunning: _ownRunning,
-  ...reported
-}: RegistrationRow): Registration => ({ upstream: id, ...reported });
+const createRegistration = (
+  {
+    id,
+    coldDeadline,
+    isColdReported,
+    firstHeardAt: _firstHeardAt,
+    reportDeadline: _reportDeadline,
+    repeatDeadline: _repeatDeadline,
+    avoidDeadline: _avoidDeadline,
+    isListed: _isListed,
+    ownRunning: _ownRunning,
+    ...reported
+  }: RegistrationRow,
+  now: Instant,
+): Registration => ({
+  upstream: id,
+  ...reported,
+  ...(isColdReported ? { coldMilliseconds: remainingUntil(coldDeadline, now) } : {}),
+});
 
 /** Returns the reports that upstreams recently sent to this daemon. */
 export const listOwnReports = (world: World, now: Instant): Registration[] =>
   [...world.registrations.rows()]
     .filter(({ repeatDeadline }) => repeatDeadline > now)
-    .map(createRegistration);
+    .map((row) => createRegistration(row, now));
 
 /** Returns all registrations without their models, which entries do not use. */
-export const listRegistrationsForEntries = (world: World): Registration[] =>
-  [...world.registrations.rows()].map((row) => ({ ...createRegistration(row), models: [] }));
+export const listRegistrationsForEntries = (world: World, now: Instant): Registration[] =>
+  [...world.registrations.rows()].map((row) => ({ ...createRegistration(row, now), models: [] }));
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -47,8 +47,16 @@
  * Whether the reports of an upstream are overdue; it may have stopped without announcing its
  * departure.
  */
-export const isOverdue = ({ reportDeadline }: RegistrationRow, now: Instant): boolean =>
-  reportDeadline - reportTimeoutMilliseconds + overdueThresholdMilliseconds < now;
+export const isOverdue = (
+  { reportDeadline }: Pick<RegistrationRow, 'reportDeadline'>,
+  now: Instant,
+): boolean => reportDeadline - reportTimeoutMilliseconds + overdueThresholdMilliseconds < now;
+
+/** Returns the time from which the reports of an upstream are overdue unless another one arrives. */
+export const overdueInstantOf = ({
+  reportDeadline,
+}: Pick<RegistrationRow, 'reportDeadline'>): Instant =>
+  reportDeadline - reportTimeoutMilliseconds + overdueThresholdMilliseconds + 1;
 
 const sendToFollowingEntries = (world: World, message: RegistryMessage): void =>
   listFollowingEntries(world).forEach(({ id: to }) =>
--- a/src/service/registry/common/registryTables.ts
+++ b/src/service/registry/common/registryTables.ts
@@ -46,6 +46,11 @@
   startedAt: z.number(),
   /** Increases with each report of the same start. */
   sequence: z.number(),
+  /**
+   * Time for which the upstream stays cold, counted from the time of sending; absent if its reports
+   * do not say, or if a daemon that does not pass it on relayed them.
+   */
+  coldMilliseconds: z.number().nonnegative().optional(),
 });
 export type Registration = z.infer<typeof registrationSchema>;
 
@@ -90,8 +95,14 @@
   | z.infer<typeof upstreamLeavingSchema>;
 
 /** The latest registration of an upstream, with the state that this daemon keeps about it. */
-export interface RegistrationRow extends Omit<Registration, 'upstream'> {
+export interface RegistrationRow extends Omit<Registration, 'upstream' | 'coldMilliseconds'> {
   readonly id: UpstreamId;
+  /** Time until which it is cold by its reports; negative infinity if they have not said so. */
+  readonly coldDeadline: Instant;
+  /** Whether reports of this start say for how long it is cold. */
+  readonly isColdReported: boolean;
+  /** Time at which this daemon first heard of this start. */
+  readonly firstHeardAt: Instant;
   /** Time at which the row is removed unless another report arrives. */
   readonly reportDeadline: Instant;
   /** Time until which heartbeats repeat the report that the upstream sent to this daemon. */
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -34,6 +34,7 @@
 import { createJobTables } from '../../jobs/common/jobTables.js';
 import { createTextSourceTables } from '../../jobs/common/textSources.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
+import { createColdTables } from '../../places/common/coldTables.js';
 import { createRegistryTables } from '../../registry/common/registryTables.js';
 import { createVersionTables } from '../../weights/common/versionTables.js';
 import { createRetryTables } from '../../dispatch/common/retryTables.js';
@@ -73,6 +74,7 @@
   ...createUsageTables(),
   ...createDeclarationTables(),
   ...createRegistryTables(),
+  ...createColdTables(),
   ...createForwardingTables(),
   ...createStreamOriginTables(),
   ...createJobTables(),
