--- a/src/service/places/common/coldPermits.ts
+++ b/src/service/places/common/coldPermits.ts
@@ -29,7 +29,7 @@
   type ColdLimits,
 } from './coldBudget.js';
 import type { ColdMessage } from './coldMessages.js';
-import { coldLimitsOf, isUpstreamCold } from './coldState.js';
+import { coldEndOf, coldLimitsOf } from './coldState.js';
 import type { ColdBudgetRow, ColdLeadershipRow, ColdPermitRow } from './coldTables.js';
 
 /**
@@ -206,14 +206,15 @@
     .where('upstream', id)
     .find((permit) => permit.startedAt === startedAt && permit.permitDeadline > now);
 
-/** Whether a request can be sent to a cold upstream now. */
-export const hasPermit = (world: World, upstream: RegistrationRow, now: Instant): boolean => {
-  const limits = coldLimitsOf(world, upstream.service);
-  return (
-    findHeldPermit(world, upstream, now) !== undefined ||
-    (limits !== undefined && countGrantable(world, upstream.id, limits, now) > 0)
-  );
-};
+/** Whether a request can be sent to a cold upstream of a service with these limits now. */
+export const hasPermit = (
+  world: World,
+  upstream: RegistrationRow,
+  limits: ColdLimits,
+  now: Instant,
+): boolean =>
+  findHeldPermit(world, upstream, now) !== undefined ||
+  countGrantable(world, upstream.id, limits, now) > 0;
 
 /**
  * Uses a permit immediately before a request is sent. Returns the time from which the request must
@@ -224,9 +225,10 @@
   upstream: RegistrationRow,
   now: Instant,
 ): Instant | undefined => {
-  if (!isUpstreamCold(world, upstream, now)) return never;
+  const limits = coldLimitsOf(world, upstream.service);
+  if (limits === undefined || coldEndOf(world, upstream, limits, now) <= now) return never;
+  if (!hasPermit(world, upstream, limits, now)) return undefined;
   const held = findHeldPermit(world, upstream, now);
-  if (held === undefined && !hasPermit(world, upstream, now)) return undefined;
   world.metrics.count('coldPermits.used');
   if (held === undefined) {
     recordGrants(world, upstream.id, 1, now);
--- a/src/service/places/common/coldSelection.ts
+++ b/src/service/places/common/coldSelection.ts
@@ -7,20 +7,21 @@
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { hasPermit } from './coldPermits.js';
-import { isUpstreamCold } from './coldState.js';
+import { coldEndOf, coldLimitsOf, type ServiceColdLimits } from './coldState.js';
 
 const selectFrom = (
   world: World,
   rows: readonly RegistrationRow[],
+  limits: ServiceColdLimits,
   now: Instant,
 ): readonly RegistrationRow[] => {
-  const warm = rows.filter((row) => !isUpstreamCold(world, row, now));
-  return warm.length > 0 ? warm : rows.filter((row) => hasPermit(world, row, now));
+  const warm = rows.filter((row) => coldEndOf(world, row, limits, now) <= now);
+  return warm.length > 0 ? warm : rows.filter((row) => hasPermit(world, row, limits, now));
 };
 
 /**
- * Returns the upstreams among which one is selected. `choices` are lists of upstreams with free
- * slots, the preferred list first; of the first list with a usable upstream, the warm ones are
+ * Returns the upstreams among which one is selected. `choices` are lists of upstreams of one service
+ * with free slots, the preferred list first; of the first list with a usable upstream, the warm ones are
  * returned, else those with a permit.
  */
 export const selectSendable = (
@@ -29,12 +30,13 @@
   now: Instant,
 ): readonly RegistrationRow[] => {
   const nonEmpty = choices.filter((rows) => rows.length > 0);
-  if (world.fleet.places.coldLimit === null) return nonEmpty[0] ?? [];
+  const [wanted] = nonEmpty;
+  const limits = wanted === undefined ? undefined : coldLimitsOf(world, wanted[0]!.service);
+  if (wanted === undefined || limits === undefined) return wanted ?? [];
   const usable = nonEmpty
-    .map((rows) => selectFrom(world, rows, now))
+    .map((rows) => selectFrom(world, rows, limits, now))
     .find((rows) => rows.length > 0);
   if (usable !== undefined) return usable;
-  const [wanted] = nonEmpty;
-  if (wanted !== undefined) world.coldDemands.append({ upstreams: wanted.map(({ id }) => id) });
+  world.coldDemands.append({ upstreams: wanted.map(({ id }) => id) });
   return [];
 };
--- a/src/service/places/common/coldState.ts
+++ b/src/service/places/common/coldState.ts
@@ -4,13 +4,18 @@
  * upstream for cold, because it can lose contact with those who know.
  */
 import { asBrand } from '../../../base/common/brand.js';
-import { never, type Instant, type Milliseconds } from '../../../base/common/time.js';
+import {
+  deadlineAfter,
+  never,
+  type Instant,
+  type Milliseconds,
+} from '../../../base/common/time.js';
 import { declarationId } from '../../declaration/common/declarationTables.js';
-import { isOverdue } from '../../registry/common/registrySystem.js';
+import { isOverdue, overdueThresholdMilliseconds } from '../../registry/common/registrySystem.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import type { ColdLimits } from './coldBudget.js';
-import type { ColdZoneRow } from './coldTables.js';
+import type { ColdClockRow, ColdZoneRow } from './coldTables.js';
 
 /** What a service declares of cold starts, with the limit of the settings. */
 export interface ServiceColdLimits extends ColdLimits {
@@ -53,6 +58,37 @@
   return Math.max(row.coldDeadline, presumedEnd, zoneColdSince + milliseconds);
 };
 
+/** Time without a tick after which a daemon was suspended: heartbeats cause two ticks a second. */
+const suspensionMilliseconds: Milliseconds = 1_000;
+
+/** Time in which a daemon reads the messages that arrived while it was suspended. */
+const backlogMilliseconds: Milliseconds = 300;
+
+/**
+ * Time after a suspension for which a daemon trusts no report. Those that arrived meanwhile look
+ * like new ones when they are read; if no later one arrives, they are overdue after this time.
+ */
+const doubtMilliseconds: Milliseconds = overdueThresholdMilliseconds + backlogMilliseconds;
+
+const coldClockId: ColdClockRow['id'] = asBrand('coldClock');
+
+/** Returns the time until which this daemon cannot trust what it knows of upstreams. */
+const doubtDeadlineOf = (world: World, now: Instant): Instant => {
+  const clock = world.coldClocks.get(coldClockId);
+  if (clock === undefined) return Number.NEGATIVE_INFINITY;
+  return now - clock.lastRunAt > suspensionMilliseconds
+    ? deadlineAfter(now, doubtMilliseconds)
+    : clock.doubtDeadline;
+};
+
+/** Notes that the daemon runs; returns whether it was suspended before. */
+export const updateColdClock = (world: World, now: Instant): boolean => {
+  const previous = world.coldClocks.get(coldClockId);
+  const doubtDeadline = doubtDeadlineOf(world, now);
+  world.coldClocks.put({ id: coldClockId, lastRunAt: now, doubtDeadline });
+  return previous !== undefined && doubtDeadline > previous.doubtDeadline;
+};
+
 const coldZoneIdOf = (zone: string): ColdZoneRow['id'] => asBrand(zone);
 
 /** Returns the time until which a registered upstream counts as cold, for a service with limits. */
@@ -63,13 +99,11 @@
   now: Instant,
 ): Instant => {
   const zone = world.coldZones.get(coldZoneIdOf(row.zone));
-  return computeColdEnd(row, zone?.coldSince ?? Number.NEGATIVE_INFINITY, milliseconds, now);
-};
-
-/** Whether requests to an upstream need a permit now. */
-export const isUpstreamCold = (world: World, row: RegistrationRow, now: Instant): boolean => {
-  const limits = coldLimitsOf(world, row.service);
-  return limits !== undefined && coldEndOf(world, row, limits, now) > now;
+  const zoneColdSince = zone?.coldSince ?? Number.NEGATIVE_INFINITY;
+  return Math.max(
+    doubtDeadlineOf(world, now),
+    computeColdEnd(row, zoneColdSince, milliseconds, now),
+  );
 };
 
 /**
--- a/src/service/places/common/coldSystem.ts
+++ b/src/service/places/common/coldSystem.ts
@@ -19,7 +19,7 @@
   permitLifetimeMilliseconds,
 } from './coldBudget.js';
 import { coldLeadershipId, repeatMilliseconds, roomInstantOf } from './coldPermits.js';
-import { coldEndOf, coldLimitsOf } from './coldState.js';
+import { coldEndOf, coldLimitsOf, updateColdClock } from './coldState.js';
 import type { ColdDemand, ColdStateRow } from './coldTables.js';
 
 /** Notes the term in which this daemon leads, and when permits of earlier leaders have expired. */
@@ -164,7 +164,9 @@
 ): readonly UpstreamId[] => {
   const changed = registrations.take();
   const due = world.coldStates.takeDue('review', now).map(({ id }) => id);
-  const isAllChanged = others.map((reader) => reader.take().length > 0).includes(true);
+  const wasSuspended = updateColdClock(world, now);
+  const isAllChanged =
+    others.map((reader) => reader.take().length > 0).includes(true) || wasSuspended;
   if (!isAllChanged) return [...changed, ...due];
   return [...world.registrations.rows()].map(({ id }) => id);
 };
--- a/src/service/places/common/coldTables.ts
+++ b/src/service/places/common/coldTables.ts
@@ -31,6 +31,15 @@
   readonly coldSince: Instant;
 }
 
+/** The single row by which a daemon notices that it was suspended. */
+export interface ColdClockRow {
+  readonly id: Brand<'coldClock'>;
+  /** Time of the last tick. */
+  readonly lastRunAt: Instant;
+  /** Time until which reports that were held up while it was suspended may still arrive. */
+  readonly doubtDeadline: Instant;
+}
+
 /** Permits that one grant gave to this daemon. */
 export interface ColdPermitRow {
   readonly id: Brand<'coldPermit'>;
@@ -91,6 +100,7 @@
     deadlines: { review: (row) => row.reviewDeadline },
   }),
   coldZones: createTable<ColdZoneRow>({ name: 'coldZones', indices: {}, deadlines: {} }),
+  coldClocks: createTable<ColdClockRow>({ name: 'coldClocks', indices: {}, deadlines: {} }),
   coldPermits: createTable<ColdPermitRow, 'upstream', 'permit'>({
     name: 'coldPermits',
     indices: { upstream: (row) => row.upstream },
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -32,7 +32,7 @@
  * An upstream that has not reported for this time receives new work only if no other upstream can
  * run it. Reports arrive about every 1.2 s, so one report was missed and the next one is late.
  */
-const overdueThresholdMilliseconds = 2_200;
+export const overdueThresholdMilliseconds = 2_200;
 
 /** Heartbeats that repeat a report of an upstream: two, because one may be lost, and some slack. */
 const repeatIntervals = 2.2;
