Spread the repeated requests of refused daemons

Cause: refused daemons asked again within two windows, so 900 entries with 20 calls a second each sent 523 requests a second for one cold upstream (a run of the schedules' fixture).

--- a/src/service/places/common/coldBudget.ts
+++ b/src/service/places/common/coldBudget.ts
@@ -71,13 +71,19 @@
   return deadlineAfter(counted[counted.length - budget] ?? now, budgetWindowMilliseconds);
 };
 
-/** Refused daemons are given different times to ask again within this many windows. */
-const refusalWindows = 2;
+/**
+ * Refused daemons that may ask again for each permit of the budget. With fewer, an upstream can stay
+ * idle, because some have no request left when their time comes; each one costs two messages.
+ */
+const askersPerPermit = 4;
+
+/** Refused daemons are given different times within this many windows, then the first one again. */
+const refusalWindows = 10;
 
 /**
- * Returns the time at which a refused daemon may ask again: when there is room, one interval of the
- * budget after the daemon that was refused before it. So daemons do not all ask at once, and there
- * is always one that asks when there is room. `lastInstant` is what the one before was given.
+ * Returns the time at which a refused daemon may ask again: when there is room, and a part of the
+ * interval between permits after the daemon that was refused before it. So the number of messages
+ * does not grow with the number of daemons. `lastInstant` is what the one before was given.
  */
 export const computeRetryInstant = (
   limits: ColdLimits,
@@ -85,8 +91,8 @@
   lastInstant: Instant,
   now: Instant,
 ): Instant => {
-  const interval = budgetWindowMilliseconds / Math.max(1, computeBudget(limits));
-  const next = lastInstant + interval;
+  const permits = Math.max(1, computeBudget(limits));
+  const next = lastInstant + budgetWindowMilliseconds / (permits * askersPerPermit);
   const isWithinRefusalWindows = next < now + refusalWindows * budgetWindowMilliseconds;
   return isWithinRefusalWindows ? Math.max(roomInstant, next) : roomInstant;
 };
