--- a/src/service/places/common/coldPermits.ts
+++ b/src/service/places/common/coldPermits.ts
@@ -56,7 +56,7 @@
   grants: [],
   refusedUntil: Number.NEGATIVE_INFINITY,
   isRefusing: false,
-  retentionDeadline: never,
+  retentionDeadline: Number.NEGATIVE_INFINITY,
 });
 
 const budgetOf = (world: World, upstream: UpstreamId): ColdBudgetRow =>
@@ -79,12 +79,15 @@
   world.coldBudgets.put({
     ...budget,
     grants: [...listCountedGrants(budget.grants, now), ...Array.from({ length: count }, () => now)],
-    retentionDeadline: deadlineAfter(now, budgetWindowMilliseconds),
+    retentionDeadline: Math.max(
+      budget.retentionDeadline,
+      deadlineAfter(now, budgetWindowMilliseconds),
+    ),
   });
   world.metrics.count('coldPermits.granted', count);
 };
 
-/** Counts a refusal, and logs the first one since the budget was unused. */
+/** Records a refusal, and logs the first one since the budget was unused. */
 const recordRefusal = (
   world: World,
   upstream: UpstreamId,
@@ -92,9 +95,15 @@
   refusedUntil: Instant,
 ): void => {
   const budget = budgetOf(world, upstream);
+  const isExhausted = budget.grants.length > 0;
   world.metrics.count('coldPermits.refused');
-  world.coldBudgets.put({ ...budget, refusedUntil, isRefusing: true });
-  if (budget.isRefusing) return;
+  world.coldBudgets.put({
+    ...budget,
+    refusedUntil,
+    isRefusing: budget.isRefusing || isExhausted,
+    retentionDeadline: Math.max(budget.retentionDeadline, refusedUntil),
+  });
+  if (budget.isRefusing || !isExhausted) return;
   world.events.append({
     kind: EventKind.ColdPermitsRefused,
     subject: {
@@ -117,7 +126,7 @@
   const grantInstant = grantInstantOf(world, now);
   const roomInstant = Math.max(grantInstant, computeRoomInstant(limits, grants, now));
   const retryInstant = computeRetryInstant(limits, roomInstant, refusedUntil, now);
-  if (grants.length > 0) recordRefusal(world, upstream, limits, retryInstant);
+  recordRefusal(world, upstream, limits, retryInstant);
   return retryInstant;
 };
 
--- a/src/service/places/common/coldTables.ts
+++ b/src/service/places/common/coldTables.ts
@@ -75,7 +75,7 @@
   readonly refusedUntil: Instant;
   /** Whether a refusal has been logged since the budget was unused. */
   readonly isRefusing: boolean;
-  /** Time at which no grant counts any more. */
+  /** Time from which no grant counts and no refused daemon is expected. */
   readonly retentionDeadline: Instant;
 }
 
--- a/src/service/places/test/common/coldFleet.ts
+++ b/src/service/places/test/common/coldFleet.ts
@@ -5,40 +5,22 @@
  */
 import { asBrand } from '../../../../base/common/brand.js';
 import type { Random } from '../../../../base/common/random.js';
-import { never, type Instant, type Milliseconds } from '../../../../base/common/time.js';
-import { noopMetrics } from '../../../../infrastructure/metrics/common/metrics.js';
-import { defaultFleetSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
-import { createTicker, type Ticker } from '../../../../infrastructure/tables/common/tick.js';
-import { testDeclaration, testEngine } from '../../../../../standins/virtual/fleetFixture.js';
-import {
-  createTestDeployment,
-  createTestTree,
-} from '../../../../../standins/virtual/testDeployment.js';
+import { type Instant, type Milliseconds } from '../../../../base/common/time.js';
+import { type Ticker } from '../../../../infrastructure/tables/common/tick.js';
+import { testEngine } from '../../../../../standins/virtual/fleetFixture.js';
+import { createTestDeployment } from '../../../../../standins/virtual/testDeployment.js';
 import { replicaOf } from '../../../consensus/common/replicaLog.js';
-import { insertReplica } from '../../../consensus/common/replicaSystem.js';
 import { ReplicaState, type ReplicaRow } from '../../../consensus/common/replicaTables.js';
-import { declarationId } from '../../../declaration/common/declarationTables.js';
-import { createSendSystem } from '../../../forwarding/common/sendSystem.js';
-import {
-  CallState,
-  SendState,
-  type CallId,
-  type CallRow,
-} from '../../../forwarding/common/forwardingTables.js';
-import { insertDaemons } from '../../../membership/common/daemonRows.js';
-import { createInboxSystem } from '../../../messages/common/inboxSystem.js';
+import { SendState } from '../../../forwarding/common/forwardingTables.js';
 import type { Message } from '../../../messages/common/message.js';
-import { createRegistrySystem } from '../../../registry/common/registrySystem.js';
 import type { Registration } from '../../../registry/common/registryTables.js';
 import type { DaemonId } from '../../../world/common/identifiers.js';
-import { createWorld, type World } from '../../../world/common/world.js';
+import { type World } from '../../../world/common/world.js';
 import type { ColdLimits } from '../../common/coldBudget.js';
-import { createColdSystem } from '../../common/coldSystem.js';
+import { createColdProcess, createWaitingCall } from './coldProcess.js';
 
-const service = 'planner';
 /** Longest delay of messages and reports, except those that wait for a frozen daemon. */
 const maximumDelay: Milliseconds = 120;
-const callMilliseconds: Milliseconds = 300;
 
 /** A defect that a schedule is run with, by the effect that it has on the rows. */
 export interface Mutation {
@@ -59,11 +41,13 @@
   world: World;
   ticker: Ticker;
   incarnation: number;
-  frozenUntil: Instant;
-  cutUntil: Instant;
-  held: Transit[];
-  /** Duration of the freeze before its next write; 0 for none. */
-  freezeBeforeWrite: Milliseconds;
+  readonly faults: {
+    frozenUntil: Instant;
+    cutUntil: Instant;
+    /** Duration of the freeze before its next write; 0 for none. */
+    freezeBeforeWrite: Milliseconds;
+  };
+  readonly held: Transit[];
   /** Sends that are decided but not written, because the daemon froze in between. */
   unwritten: { readonly permitDeadline: Instant }[];
 }
@@ -105,108 +89,26 @@
   deliveredIndex: 0,
 });
 
-const waitingCall = (id: string, now: Instant): CallRow => ({
-  id: asBrand<CallId>(id),
-  requestId: id,
-  workspace: null,
-  fingerprint: null,
-  route: 'r',
-  service,
-  state: CallState.Waiting,
-  arrivedAt: now,
-  isInternal: false,
-  urgency: [],
-  isIdempotent: false,
-  isResumable: false,
-  continuation: null,
-  softwareVersion: null,
-  locationDeadline: never,
-  maximumAttempts: 1,
-  attempts: 0,
-  failureCount: 0,
-  brokenUpstreams: [],
-  triedUpstreams: [],
-  offerDeadline: never,
-  silenceMilliseconds: never,
-  callDeadline: now + callMilliseconds,
-  backoffDeadline: Number.NEGATIVE_INFINITY,
-  answer: null,
-  refusal: null,
-  retentionDeadline: never,
-});
-
 /** Creates daemons that know their declaration and no upstream. */
 export const createColdFleet = (options: ColdFleetOptions): ColdFleet => {
   const { random, limits, mutation } = options;
   const deployment = createTestDeployment(options.daemons, options.daemons);
-  const tree = createTestTree();
-  const { requestsPerSecond, ...coldLimit } = limits;
-  const declaration = testDeclaration();
-  const coldStart = { milliseconds: options.coldMilliseconds, requestsPerSecond };
-  const declared = {
-    ...declaration,
-    services: declaration.services.map((row) => ({ ...row, coldStart })),
+  const coldStart = {
+    milliseconds: options.coldMilliseconds,
+    requestsPerSecond: limits.requestsPerSecond,
   };
   const transits: Transit[] = [];
   const sendInstants: Instant[] = [];
   let now: Instant = 0;
   let callCount = 0;
 
-  const createProcess = (index: number, incarnation: number): Process => {
-    const { places } = defaultFleetSettings;
-    const world = createWorld({
-      deployment,
-      self: deployment.daemons[index]!,
-      tree,
-      incarnation,
-      random,
-      metrics: noopMetrics,
-      fleet: { ...defaultFleetSettings, places: { ...places, coldLimit } },
-    });
-    insertDaemons(world, now);
-    insertReplica(world, now);
-    world.replica.change(replicaOf(world).id, { state: ReplicaState.Follower });
-    world.declarations.put({
-      id: declarationId,
-      version: 1,
-      digest: 'd',
-      document: '',
-      declaration: declared,
-    } as never);
-    const systems = [
-      createInboxSystem,
-      createRegistrySystem,
-      createSendSystem,
-      createColdSystem,
-    ].map((create) => create(world));
-    // Only the tables that these systems change: the ticker looks at each of them in every round.
-    const tables = [
-      world.incomingMessages,
-      world.arrivedRegistrations,
-      world.registrations,
-      world.calls,
-      world.sends,
-      world.declarations,
-      world.coldStates,
-      world.coldZones,
-      world.coldPermits,
-      world.coldRequests,
-      world.coldBudgets,
-      world.coldLeaderships,
-      world.coldDemands,
-    ];
-    const ticker = createTicker(tables, systems);
-    return {
-      world,
-      ticker,
-      incarnation,
-      frozenUntil: 0,
-      cutUntil: 0,
-      held: [],
-      freezeBeforeWrite: 0,
-      unwritten: [],
-    };
-  };
+  const createProcess = (index: number, incarnation: number): Process => ({
+    ...createColdProcess({ deployment, index, incarnation, limits, coldStart, random, now }),
+    incarnation,
+    faults: { frozenUntil: 0, cutUntil: 0, freezeBeforeWrite: 0 },
+    held: [],
+    unwritten: [],
+  });
 
   const processes = deployment.daemons.map((_, index) => createProcess(index, 1));
   const isChance = (percent: number): boolean => random.nextInteger(100) < percent;
@@ -227,12 +129,12 @@
     return running;
   };
 
-  const sendMessages = ({ world, cutUntil }: Process): void =>
+  const sendMessages = ({ world, faults }: Process): void =>
     world.outgoingMessages.takeAll().forEach(({ to, message }) => {
-      if (!message.kind.startsWith('cold') || cutUntil > now) return;
+      if (!message.kind.startsWith('cold') || faults.cutUntil > now) return;
       const copies =
         Number(!isChance(options.lossPercent)) + Number(isChance(options.doublePercent));
-      const index = deployment.daemons.findIndex(({ name }) => name === (to as string));
+      const index = deployment.daemons.findIndex(({ name }) => name === to);
       for (let copy = 0; copy < copies; copy += 1)
         transits.push({
           at: now + delay(),
@@ -244,16 +146,16 @@
     });
 
   const tick = (process: Process): void => {
-    const { world } = process;
+    const { world, faults } = process;
     const outcome = process.ticker.tick(now);
     if (outcome.isErr()) throw new Error(outcome.error.message);
     world.events.takeAll();
     mutation.onDidTick?.(world, now);
     const sends = takeSends(world);
-    if (sends.length > 0 && process.freezeBeforeWrite > 0) {
+    if (sends.length > 0 && faults.freezeBeforeWrite > 0) {
       process.unwritten.push(...sends);
-      process.frozenUntil = now + process.freezeBeforeWrite;
-      process.freezeBeforeWrite = 0;
+      faults.frozenUntil = now + faults.freezeBeforeWrite;
+      faults.freezeBeforeWrite = 0;
     } else write(sends);
     sendMessages(process);
   };
@@ -271,22 +173,22 @@
       .forEach(({ id }) => world.calls.remove(id));
 
   const runProcess = (process: Process, arrived: readonly Transit[]): void => {
-    if (process.frozenUntil > now) {
+    if (process.faults.frozenUntil > now) {
       process.held.push(...arrived);
       return;
     }
     write(process.unwritten.splice(0));
     expireCalls(process);
     // What arrived while the daemon was frozen is read in parts, with a tick after each.
-    while (process.held.length > 0 && process.frozenUntil <= now) {
+    while (process.held.length > 0 && process.faults.frozenUntil <= now) {
       deliver(process, process.held.shift()!);
       tick(process);
     }
-    if (process.frozenUntil > now) {
+    if (process.faults.frozenUntil > now) {
       process.held.push(...arrived);
       return;
     }
-    if (process.cutUntil <= now) arrived.forEach((transit) => deliver(process, transit));
+    if (process.faults.cutUntil <= now) arrived.forEach((transit) => deliver(process, transit));
     tick(process);
   };
 
@@ -307,7 +209,7 @@
     addCalls: (daemon, count) => {
       for (let call = 0; call < count; call += 1) {
         callCount += 1;
-        processes[daemon]!.world.calls.put(waitingCall(`c${callCount}`, now));
+        processes[daemon]!.world.calls.put(createWaitingCall(`c${callCount}`, now));
       }
     },
     report: (columns) =>
@@ -328,13 +230,13 @@
         if (!isStale) world.replica.change(replicaOf(world).id, { ...columns, leader });
       }),
     freeze: (daemon, duration) => {
-      processes[daemon]!.frozenUntil = now + duration;
+      processes[daemon]!.faults.frozenUntil = now + duration;
     },
     freezeBeforeWrite: (daemon, duration) => {
-      processes[daemon]!.freezeBeforeWrite = duration;
+      processes[daemon]!.faults.freezeBeforeWrite = duration;
     },
     cut: (daemon, duration) => {
-      processes[daemon]!.cutUntil = now + duration;
+      processes[daemon]!.faults.cutUntil = now + duration;
     },
     restart: (daemon) => {
       const { incarnation } = processes[daemon]!;
--- a/src/service/places/test/common/coldSchedules.test.ts
+++ b/src/service/places/test/common/coldSchedules.test.ts
@@ -14,7 +14,7 @@
 } from '../../common/coldBudget.js';
 import { createColdFleet, type ColdFleet, type Mutation } from './coldFleet.js';
 
-const schedules = Number(process.env['COLD_SCHEDULES'] ?? 100);
+const schedules = Number(process.env.COLD_SCHEDULES ?? 100);
 const daemons = 4;
 const stepMilliseconds = 30;
 /** Longest step while no calls arrive. */
