--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -150,6 +150,11 @@
       report({ kind: 'notRun', item, start, reason: 'this daemon does not hold the body yet' });
       return;
     }
+    // The process may have been suspended since the permit was taken.
+    if (clock() >= run.permitDeadline) {
+      report({ kind: 'notRun', item, start, reason: 'permit for the cold upstream expired' });
+      return;
+    }
     const headers = dialect.createHeaders({
       host: job.host,
       requestId: jobItem.item,
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -12,6 +12,8 @@
 import { findRoute } from '../../declaration/common/findRoute.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { takePermit } from '../../places/common/coldPermits.js';
+import { selectSendable } from '../../places/common/coldSelection.js';
 import { isPlaceAllowed } from '../../places/common/eligibility.js';
 import { homesOfRoute, type Homes } from '../../places/common/homes.js';
 import { selectAllowedService } from '../../places/common/serviceChoice.js';
@@ -136,7 +138,8 @@
   const isHeldForVersion = eligible.length === 0 && freeEngines.preferred.length > 0;
   if (isHeldForVersion && run.continuationDeadline === never)
     world.runs.change(run.id, { continuationDeadline: continuationDeadlineOf(run, now) });
-  return engineOfGroup(world, candidate, eligible) ?? engineWithMostFreeSlots(world, eligible);
+  const sendable = selectSendable(world, [eligible], now);
+  return engineOfGroup(world, candidate, sendable) ?? engineWithMostFreeSlots(world, sendable);
 };
 
 const recordRunStart = (
@@ -160,7 +163,8 @@
 
 const assignRun = (world: World, candidate: Candidate, now: Instant): void => {
   const engine = selectEngine(world, candidate, now);
-  if (engine === undefined) return;
+  const permitDeadline = engine === undefined ? undefined : takePermit(world, engine, now);
+  if (engine === undefined || permitDeadline === undefined) return;
   const run = canContinueText(candidate.run, engine)
     ? candidate.run
     : discardText(world, candidate.run, 'no engine of its software version serves');
@@ -175,6 +179,7 @@
     expectedVersion: expectedVersionOf(world, engine, candidate.job),
     start: run.start + 1,
     progressDeadline: deadlineAfter(now, firstEventTimeoutMilliseconds),
+    permitDeadline,
   })!;
   recordTextSource(world, startedRun, engine, now);
 };
@@ -198,6 +203,8 @@
     // A change of home regions may allow or forbid engines for runs that wait.
     world.declarations.createChangeReader(),
     world.engineLoads.createChangeReader(),
+    world.coldStates.createChangeReader(),
+    world.coldRequests.createChangeReader(),
   ];
   return {
     name: 'assignment',
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -23,6 +23,7 @@
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
 import { originMessageSchemas } from '../../forwarding/common/originMessages.js';
+import { coldMessageSchemas } from '../../places/common/coldMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
 import { engineLoadsReportedSchema } from '../../jobs/common/runnerTables.js';
 import {
@@ -70,6 +71,7 @@
   ...jobReadSchemas,
   engineLoadsReportedSchema,
   ...originMessageSchemas,
+  ...coldMessageSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/registry/common/registrySystem.ts
+++ b/src/service/registry/common/registrySystem.ts
@@ -32,7 +32,7 @@
  * An upstream that has not reported for this time receives new work only if no other upstream can
  * run it. Reports arrive about every 1.2 s, so one report was missed and the next one is late.
  */
-const overdueThresholdMilliseconds = 2_200;
+export const overdueThresholdMilliseconds = 2_200;
 
 /** Heartbeats that repeat a report of an upstream: two, because one may be lost, and some slack. */
 const repeatIntervals = 2.2;
@@ -47,8 +47,16 @@
  * Whether the reports of an upstream are overdue; it may have stopped without announcing its
  * departure.
  */
-export const isOverdue = ({ reportDeadline }: RegistrationRow, now: Instant): boolean =>
-  reportDeadline - reportTimeoutMilliseconds + overdueThresholdMilliseconds < now;
+export const isOverdue = (
+  { reportDeadline }: Pick<RegistrationRow, 'reportDeadline'>,
+  now: Instant,
+): boolean => reportDeadline - reportTimeoutMilliseconds + overdueThresholdMilliseconds < now;
+
+/** Returns the time from which the reports of an upstream are overdue unless another one arrives. */
+export const overdueInstantOf = ({
+  reportDeadline,
+}: Pick<RegistrationRow, 'reportDeadline'>): Instant =>
+  reportDeadline - reportTimeoutMilliseconds + overdueThresholdMilliseconds + 1;
 
 const sendToFollowingEntries = (world: World, message: RegistryMessage): void =>
   listFollowingEntries(world).forEach(({ id: to }) =>
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -35,6 +35,7 @@
 import { createRunnerTables } from '../../jobs/common/runnerTables.js';
 import { createTextSourceTables } from '../../jobs/common/textSources.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
+import { createColdTables } from '../../places/common/coldTables.js';
 import { createRegistryTables } from '../../registry/common/registryTables.js';
 import { createVersionTables } from '../../weights/common/versionTables.js';
 import { createRetryTables } from '../../dispatch/common/retryTables.js';
@@ -74,6 +75,7 @@
   ...createUsageTables(),
   ...createDeclarationTables(),
   ...createRegistryTables(),
+  ...createColdTables(),
   ...createForwardingTables(),
   ...createStreamOriginTables(),
   ...createJobTables(),
