Evacuate availability zones

Cause: an operator can't take a zone out of use: requests go to its upstreams until each of them has left.

A command names the index that its daemon had applied when the request arrived, and is rejected if the zone changed since: proposals of resent requests can be committed after later ones.

No capacity is ordered for evacuated zones, and engines there load versions only if a run on them needs it. Log lines, gauges, and `shallotquay zones` show the evacuated zones and what still runs there.

declaredWorkspaces is named as a table that follows from the declaration; the test of replicated tables was red without it.

--- a/src/command/main/node/program.ts
+++ b/src/command/main/node/program.ts
@@ -10,6 +10,7 @@
 import { registerStatusCommand } from '../../status/node/statusCommand.js';
 import { registerTimelineCommand } from '../../timeline/node/timelineCommand.js';
 import { registerTreeCommand } from '../../tree/node/treeCommand.js';
+import { registerZonesCommand } from '../../zones/node/zonesCommand.js';
 import { ExitCode } from '../common/exitCode.js';
 import type { ProgramStreams, RegisterSubcommand, SubcommandContext } from './subcommand.js';
 
@@ -23,6 +24,7 @@
   status: registerStatusCommand,
   timeline: registerTimelineCommand,
   tree: registerTreeCommand,
+  zones: registerZonesCommand,
 };
 
 const exitCodesText = `
--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -19,6 +19,7 @@
 import { declarationId } from '../../../service/declaration/common/declarationTables.js';
 import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
 import type { World } from '../../../service/world/common/world.js';
+import { recordPlaceGauges } from './placeGauges.js';
 import type { RouteEnvironment } from '../../front/node/decoding.js';
 
 /** Reader of each gauge by metric name; durations are in milliseconds. */
@@ -72,6 +73,7 @@
   routes.get(path, async () => {
     const now = clock();
     Object.entries(gaugeReaders).forEach(([name, read]) => metrics.gauge(name, read(world, now)));
+    recordPlaceGauges(world, metrics, now);
     return new Response(await metrics.text(), { headers: { 'content-type': metrics.contentType } });
   });
   return routes;
--- a/src/service/capacity/common/capacitySystem.ts
+++ b/src/service/capacity/common/capacitySystem.ts
@@ -16,6 +16,7 @@
 import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { RunState, type RunRow } from '../../jobs/common/jobTables.js';
+import { isZoneEvacuated } from '../../places/common/eligibility.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { planCapacity, type NonReclaimableCapacity } from './capacityPlan.js';
@@ -156,12 +157,21 @@
   world.capacityOrders.change(id, { count, fencing, sendDeadline });
 };
 
+/** The scaling of a service without the evacuated zones, in which nothing is ordered. */
+const selectOpenZones = (world: World, { scaling }: ScaledService): ScalingDeclaration => ({
+  ...scaling,
+  zonePrices: Object.fromEntries(
+    Object.entries(scaling.zonePrices).filter(([zone]) => !isZoneEvacuated(world, zone)),
+  ),
+});
+
 const planService = (world: World, service: ScaledService, now: Instant): void => {
-  const rows = upstreamsOf(world, service.name);
+  const rows = upstreamsOf(world, service.name).filter(({ zone }) => !isZoneEvacuated(world, zone));
   const present = countByZone(rows.filter(({ isReclaimable }) => isReclaimable));
   const { peak, earlierPeak } = recordDemand(world, service.name, now);
   const demand = Math.ceil(Math.max(peak, earlierPeak ?? 0) * slotsPerItem);
-  planCapacity(service.scaling, computeNonReclaimableCapacity(rows, service), demand).forEach(
+  const scaling = selectOpenZones(world, service);
+  planCapacity(scaling, computeNonReclaimableCapacity(rows, service), demand).forEach(
     (count, zone) => {
       const presentCount = present.get(zone) ?? 0;
       // In its first window a new leader has not yet observed the demand for which its predecessor
@@ -206,9 +216,16 @@
 
 /**
  * Marks unfulfilled due orders as in flight; the port sends them while the leader's lease is valid.
+ * Orders for evacuated zones wait: a higher count would start upstreams there, and a lower one could
+ * stop those that still run requests.
  */
 const markDueOrders = (world: World, now: Instant): void =>
   world.capacityOrders.takeDue('send', now).forEach((row) => {
+    if (isZoneEvacuated(world, row.zone)) {
+      const sendDeadline = deadlineAfter(now, checkIntervalMilliseconds);
+      world.capacityOrders.change(row.id, { sendDeadline });
+      return;
+    }
     const hasArrived = isFulfilled(row, row.count, countPresentIn(world, row));
     world.capacityOrders.change(
       row.id,
--- a/src/service/capacity/test/common/capacity.test.ts
+++ b/src/service/capacity/test/common/capacity.test.ts
@@ -6,6 +6,11 @@
   testItem,
   testJob,
 } from '../../../../../standins/virtual/fleetFixture.js';
+import { defaultPlaceSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
+import {
+  createZoneEvacuated,
+  createZoneRestored,
+} from '../../../places/common/evacuationRequests.js';
 import type { ScalingDeclaration } from '../../../declaration/common/declaration.js';
 import { planCapacity } from '../../common/capacityPlan.js';
 import type { CapacityOrderRow } from '../../common/capacityTables.js';
@@ -64,8 +69,10 @@
   }
 };
 
+const places = { ...defaultPlaceSettings, canEvacuate: true };
+
 const createCore = (): FleetCore => {
-  const core = createFleetCore({ canOrderCapacity: true });
+  const core = createFleetCore({ canOrderCapacity: true, places });
   core.propose('declare', testDeclarationCommand());
   runFor(core, 1_000);
   return core;
@@ -135,3 +142,39 @@
   runFor(core, 1_000);
   t.deepEqual(describeOrdersInFlight(core), ['z2: 2']);
 });
+
+test('no capacity is ordered in an evacuated zone, and its upstreams count for none', (t) => {
+  const core = createCore();
+  core.propose('evacuate-z1', createZoneEvacuated(core.world, 'z1'));
+  core.propose('job', testJob('j', items(2)));
+  runFor(core, 1_000);
+  t.deepEqual(describeOrdersInFlight(core), ['z2: 1', 'z3: 1']);
+});
+
+test('an order for a zone that is evacuated is not sent again until the zone is restored', (t) => {
+  const core = createCore();
+  core.propose('job', testJob('j', items(2)));
+  runFor(core, 1_000);
+  t.deepEqual(describeOrdersInFlight(core), ['z2: 1']);
+  const [order] = ordersOf(core);
+  core.world.capacityFacts.append({ kind: 'failed', id: order!.id, reason: 'status 409' });
+  core.propose('evacuate', createZoneEvacuated(core.world, 'z2'));
+  runFor(core, 5_000);
+  t.false(core.world.capacityOrders.get(order!.id)!.isInFlight);
+  t.true(describeOrdersInFlight(core).every((text) => !text.startsWith('z2')));
+  core.propose('restore', createZoneRestored(core.world, 'z2'));
+  runFor(core, 1_000);
+  t.true(describeOrdersInFlight(core).includes('z2: 1'));
+});
+
+test('the order for a zone that is evacuated is not lowered, as its upstreams may run requests', (t) => {
+  const core = createCore();
+  core.propose('job', testJob('j', items(2)));
+  runFor(core, 1_000);
+  acceptOrdersInFlight(core);
+  core.propose('evacuate', createZoneEvacuated(core.world, 'z2'));
+  core.propose('end', { kind: 'jobEnded', job: 'j' });
+  runFor(core, 35_000);
+  const row = ordersOf(core).find(({ zone }) => zone === 'z2')!;
+  t.deepEqual([row.count, row.isInFlight], [1, false]);
+});
--- a/src/service/consensus/common/applySystem.ts
+++ b/src/service/consensus/common/applySystem.ts
@@ -12,6 +12,7 @@
 import { jobApplyHandlers } from '../../jobs/common/applyJobs.js';
 import { meteringApplyHandlers } from '../../metering/common/applyMetering.js';
 import { orderApplyHandlers } from '../../orders/common/applyOrders.js';
+import { evacuationApplyHandlers } from '../../places/common/applyEvacuations.js';
 import { ledgerApplyHandlers } from '../../rollout/common/ledgerHandlers.js';
 import { versionApplyHandlers } from '../../weights/common/applyVersions.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
@@ -39,6 +40,7 @@
   ...jobApplyHandlers,
   ...versionApplyHandlers,
   ...meteringApplyHandlers,
+  ...evacuationApplyHandlers,
 };
 
 const createOutcome = (applied: Result<void, Rejection>, index: number): ProposalOutcome =>
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -16,6 +16,7 @@
 import { jobCommandSchemas } from '../../jobs/common/jobCommands.js';
 import { meteringCommandSchemas } from '../../metering/common/meteringCommands.js';
 import { orderClosedSchema, orderIntendedSchema } from '../../orders/common/orderCommands.js';
+import { evacuationCommandSchemas } from '../../places/common/evacuationCommands.js';
 import { ledgerCommandSchemas } from '../../rollout/common/ledgerCommands.js';
 import { daemonRetiredSchema, votersSetSchema } from './voterCommands.js';
 import { versionNamedSchema } from '../../weights/common/versionCommands.js';
@@ -54,6 +55,7 @@
   ...jobCommandSchemas,
   versionNamedSchema,
   ...meteringCommandSchemas,
+  ...evacuationCommandSchemas,
 ]);
 export type Command = z.infer<typeof commandSchema>;
 
@@ -88,4 +90,6 @@
   usageCounted: Topic.Voters,
   usageFrozen: Topic.Voters,
   usageReported: Topic.Voters,
+  zoneEvacuated: Topic.Configuration,
+  zoneRestored: Topic.Configuration,
 };
--- a/src/service/consensus/common/replicatedState.ts
+++ b/src/service/consensus/common/replicatedState.ts
@@ -17,6 +17,7 @@
 import { replicatedJobTables } from '../../jobs/common/replicatedJobTables.js';
 import { replicatedMeteringTables } from '../../metering/common/replicatedMeteringTables.js';
 import { replicatedOrderTables } from '../../orders/common/replicatedOrderTables.js';
+import { replicatedEvacuationTables } from '../../places/common/replicatedEvacuationTables.js';
 import { replicatedLedgerTables } from '../../rollout/common/replicatedLedgerTables.js';
 import { replicatedVersionTables } from '../../weights/common/replicatedVersionTables.js';
 import type { World } from '../../world/common/world.js';
@@ -34,6 +35,7 @@
   ...replicatedJobTables,
   ...replicatedVersionTables,
   ...replicatedMeteringTables,
+  ...replicatedEvacuationTables,
 };
 
 /** Name of a replicated table. */
--- a/src/service/consensus/test/common/arbitraryCommands.ts
+++ b/src/service/consensus/test/common/arbitraryCommands.ts
@@ -268,6 +268,17 @@
   }),
   usageFrozen: fc.record({ kind: kindOf('usageFrozen'), window }),
   usageReported: fc.record({ kind: kindOf('usageReported'), window }),
+  zoneEvacuated: fc.record({
+    kind: kindOf('zoneEvacuated'),
+    zone: oneOf('z1', 'z2'),
+    at: numberUpTo(9),
+    seenIndex: numberUpTo(60),
+  }),
+  zoneRestored: fc.record({
+    kind: kindOf('zoneRestored'),
+    zone: oneOf('z1', 'z2'),
+    seenIndex: numberUpTo(60),
+  }),
 };
 
 /** Any command; each kind is equally frequent. */
--- a/src/service/consensus/test/common/restoredState.test.ts
+++ b/src/service/consensus/test/common/restoredState.test.ts
@@ -214,6 +214,7 @@
   const names = new Set(parts.map(({ table }) => table));
   t.deepEqual([...names].sort(), [
     'declarations',
+    'evacuations',
     'keyRotations',
     'rememberedAnswers',
     'settings',
--- a/src/service/consensus/test/common/stateTransfer.ts
+++ b/src/service/consensus/test/common/stateTransfer.ts
@@ -94,6 +94,7 @@
 const derivedTables = [
   'routes',
   'callerKeys',
+  'declaredWorkspaces',
   'services',
   'workspaces',
   'keys',
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -46,6 +46,7 @@
 import { createTextSourceSystem } from '../../jobs/common/textSources.js';
 import { createMeteringSystem } from '../../metering/common/meteringSystem.js';
 import { createCrashSpreadSystem } from '../../quarantine/common/crashSpreadSystem.js';
+import { createEvacuationSystem } from '../../places/common/evacuationSystem.js';
 import {
   callQuarantinePolicy,
   requestQuarantinePolicy,
@@ -118,6 +119,7 @@
   createReplicaSystem,
   createVoterSystem,
   createApplySystem,
+  createEvacuationSystem,
   createCompactionSystem,
   createDaemonSystem,
   createRegistrySystem,
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -116,6 +116,10 @@
   UsageReportEnded: 'dutyEnded',
   CapacityOrdered: 'capacityOrdered',
   BodyLost: 'bodyLost',
+  /** The operator has evacuated an availability zone. */
+  ZoneEvacuated: 'zoneEvacuated',
+  /** The operator has withdrawn the evacuation of an availability zone. */
+  ZoneRestored: 'zoneRestored',
   /** Log lines were dropped, because they exceeded the budget or were not read. */
   LinesDropped: 'linesDropped',
 } as const;
--- a/src/service/weights/common/engines.ts
+++ b/src/service/weights/common/engines.ts
@@ -3,6 +3,7 @@
  * have named.
  */
 import { asBrand } from '../../../base/common/brand.js';
+import { isZoneEvacuated } from '../../places/common/eligibility.js';
 import { RegistrationState, type RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import type { ModelVersionRow } from './versionTables.js';
@@ -18,6 +19,23 @@
 export const heldVersion = (row: RegistrationRow, model: string): number =>
   row.models.find(({ name }) => name === model)?.version ?? 0;
 
+/** Whether a run on the engine was started in expectation of a version that it does not hold yet. */
+const hasRunThatNeedsLoad = (world: World, row: RegistrationRow): boolean =>
+  world.runs.where('upstream', row.id).some(({ expectedVersion, job }) => {
+    const model = world.jobs.get(job)?.model;
+    if (expectedVersion === null || model === undefined) return false;
+    return heldVersion(row, model) < expectedVersion;
+  });
+
+/**
+ * Returns the ready engines that may get weight orders. An engine in an evacuated zone gets one only
+ * if a run on it needs the version.
+ */
+export const loadableEnginesOf = (world: World): RegistrationRow[] =>
+  readyEnginesOf(world).filter(
+    (row) => !isZoneEvacuated(world, row.zone) || hasRunThatNeedsLoad(world, row),
+  );
+
 /** Returns the newest version that a trainer has named, or 0 before the first. */
 export const newestVersion = (world: World, model: string): number =>
   world.modelVersions.get(asBrand<ModelVersionRow['id']>(model))?.version ?? 0;
--- a/src/service/weights/common/weightSystem.ts
+++ b/src/service/weights/common/weightSystem.ts
@@ -15,7 +15,7 @@
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { selectModelEnginesToLoad } from './dueLoads.js';
-import { readyEnginesOf, heldVersion, versionLagOf, newestVersion } from './engines.js';
+import { loadableEnginesOf, heldVersion, versionLagOf, newestVersion } from './engines.js';
 import { placeEngines } from './placement.js';
 import {
   InFlightPolicy,
@@ -76,7 +76,7 @@
 
 /** Returns the engines that should load the newest version of their model. */
 const selectEnginesToLoad = (world: World): RegistrationRow[] => {
-  const engines = readyEnginesOf(world);
+  const engines = loadableEnginesOf(world);
   const models = new Set(engines.map(({ id }) => world.placements.get(id)!.model));
   return [...models].flatMap((model) =>
     selectModelEnginesToLoad(
@@ -88,7 +88,7 @@
 };
 
 const nonReclaimableCount = (world: World): number =>
-  readyEnginesOf(world).filter(({ isReclaimable }) => !isReclaimable).length;
+  loadableEnginesOf(world).filter(({ isReclaimable }) => !isReclaimable).length;
 
 /**
  * Creates orders while fewer engines load than the maximum, for those that lag most first.
@@ -135,6 +135,7 @@
     world.modelVersions.createChangeReader(),
     world.weightOrders.createChangeReader(),
     world.jobs.createChangeReader(),
+    world.evacuations.createChangeReader(),
   ];
   let isLeader = false;
 
@@ -151,7 +152,7 @@
     if (wasLeader && !hasChanges && expiredOrders.length === 0) return;
     expiredOrders.forEach(({ id }) => world.weightOrders.remove(id));
     removeFulfilledOrders(world);
-    placeEngines(world, readyEnginesOf(world));
+    placeEngines(world, loadableEnginesOf(world));
     putOrders(world, now);
   };
 
--- a/src/service/weights/test/common/loads.test.ts
+++ b/src/service/weights/test/common/loads.test.ts
@@ -7,7 +7,12 @@
   testItem,
   testJob,
 } from '../../../../../standins/virtual/fleetFixture.js';
+import { defaultPlaceSettings } from '../../../../infrastructure/settings/common/fleetSettings.js';
 import { itemIdOf, RunState } from '../../../jobs/common/jobTables.js';
+import {
+  createZoneEvacuated,
+  createZoneRestored,
+} from '../../../places/common/evacuationRequests.js';
 import type { UpstreamId } from '../../../world/common/identifiers.js';
 
 const engineId = (name: string): UpstreamId => asBrand<UpstreamId>(name);
@@ -35,8 +40,10 @@
 const orderedEngines = (core: FleetCore): string[] =>
   [...core.world.weightOrders.rows()].map(({ id }) => String(id)).sort();
 
+const places = { ...defaultPlaceSettings, canEvacuate: true };
+
 const createCore = (): FleetCore => {
-  const core = createFleetCore();
+  const core = createFleetCore({ places });
   core.propose('declare', testDeclarationCommand());
   return core;
 };
@@ -136,3 +143,43 @@
   t.is(run().state, RunState.Running);
   t.is(run().start, start + 1);
 });
+
+const reportInZone = (core: FleetCore, engine: string, zone: string, version: number): void => {
+  core.world.arrivedRegistrations.append({
+    registration: testEngine(engine, {
+      zone,
+      models: [{ name: 'm0', version }],
+      sequence: version,
+    }),
+    isDirect: false,
+  });
+  core.settle();
+};
+
+test('engines of an evacuated zone load no new version until the zone is restored', (t) => {
+  const core = createCore();
+  reportInZone(core, 'e1', 'z1', 1);
+  reportInZone(core, 'e2', 'z2', 1);
+  core.propose('evacuate', createZoneEvacuated(core.world, 'z1'));
+  nameVersion(core, 2);
+  t.deepEqual(orderedEngines(core), ['e2']);
+  reportInZone(core, 'e2', 'z2', 2);
+  t.deepEqual(orderedEngines(core), []);
+  core.propose('restore', createZoneRestored(core.world, 'z1'));
+  t.deepEqual(orderedEngines(core), ['e1']);
+});
+
+test('an engine of an evacuated zone loads the version that a run on it needs', (t) => {
+  const core = createCore();
+  reportInZone(core, 'e1', 'z1', 1);
+  nameVersion(core, 2);
+  core.propose('job', testJob('j2', [testItem('a')], { minimumVersion: 2 }));
+  acceptOrder(core);
+  core.runFor(loadMilliseconds + 100);
+  t.is(core.world.runs.get(itemIdOf('j2', 'a'))!.state, RunState.Running);
+  core.propose('evacuate', createZoneEvacuated(core.world, 'z1'));
+  const [order] = [...core.world.weightOrders.rows()];
+  core.world.weightOrders.remove(order!.id);
+  core.settle();
+  t.deepEqual(orderedEngines(core), ['e1']);
+});
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -34,6 +34,7 @@
 import { createJobTables } from '../../jobs/common/jobTables.js';
 import { createTextSourceTables } from '../../jobs/common/textSources.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
+import { createEvacuationTables } from '../../places/common/evacuationTables.js';
 import { createRegistryTables } from '../../registry/common/registryTables.js';
 import { createVersionTables } from '../../weights/common/versionTables.js';
 import { createRetryTables } from '../../dispatch/common/retryTables.js';
@@ -84,6 +85,7 @@
   ...createCapacityTables(),
   ...createAbsenceTables(),
   ...createVoterLagTables(),
+  ...createEvacuationTables(),
 });
 export type Tables = ReturnType<typeof createTables>;
 
