--- a/src/service/weights/common/dueLoads.ts
+++ b/src/service/weights/common/dueLoads.ts
@@ -9,14 +9,9 @@
 import type { World } from '../../world/common/world.js';
 import { heldVersion, versionLagOf, newestVersion } from './engines.js';
 
+/** Rows are in the order of the log; the times of submission come from clocks that may be set back. */
 const latestJobOf = (world: World, model: string): JobRow | undefined =>
-  [...world.jobs.rows()]
-    .filter((job) => job.model === model)
-    .reduce<JobRow | undefined>(
-      (latest, job) =>
-        latest === undefined || job.submittedAt > latest.submittedAt ? job : latest,
-      undefined,
-    );
+  [...world.jobs.rows()].filter((job) => job.model === model).at(-1);
 
 /** Returns the lag, in versions, that the latest job of the model allowed when it was accepted. */
 const allowedLagOf = (world: World, model: string): number => {
--- a/src/service/weights/test/common/loads.test.ts
+++ b/src/service/weights/test/common/loads.test.ts
@@ -183,3 +183,23 @@
   core.settle();
   t.deepEqual(orderedEngines(core), ['e1']);
 });
+
+test('the newest job decides how far engines may lag, although a clock was set back since', (t) => {
+  const core = createCore();
+  const names = ['e1', 'e2', 'e3', 'e4'];
+  reportVersions(
+    core,
+    names.map((engine) => ({ engine, version: 1 })),
+    1,
+  );
+  nameVersion(core, 2);
+  core.propose('lagging', testJob('j1', [], { minimumVersion: 1, submittedAt: 8_000 }));
+  core.propose('exact', testJob('j2', [], { minimumVersion: 2, submittedAt: 6_000 }));
+  // One of four engines loads at once; three more follow, as the newest job allows no lag.
+  const loaded = names.map((_, position) => {
+    const [engine] = orderedEngines(core);
+    if (engine !== undefined) reportVersions(core, [{ engine, version: 2 }], position + 2);
+    return engine;
+  });
+  t.deepEqual([...loaded].sort(), names);
+});
