Full disks that are tried again, and the lifetime of items under a clock set back

Cause: virtual disks knew only a full disk after which the replica stops, while processes of the platform repeat refused writes. The lifetime of an item grew by the step if the wall clock of the leader was set back before its run was created.

A submission counts as at the latest now. The test of the lifetime fails without the change.

--- a/src/service/jobs/common/insertRuns.ts
+++ b/src/service/jobs/common/insertRuns.ts
@@ -13,10 +13,15 @@
 import { startScoring } from './scoring.js';
 import { spareGroupsOf } from './spareGroups.js';
 
+/**
+ * The lifetime counts from the submission by the wall clock of the entry. A wall clock that was set
+ * back here since must not lengthen it, so a submission counts as at the latest now.
+ */
 const lifetimeDeadlineOf = (world: World, job: JobRow, now: Instant): Instant => {
   const route = findRoute(world, job.host, job.path);
   if (route === undefined || route.itemLifetimeMilliseconds === null) return never;
-  return now + (job.submittedAt + route.itemLifetimeMilliseconds - world.wallNow());
+  const age = Math.max(0, world.wallNow() - job.submittedAt);
+  return deadlineAfter(now, route.itemLifetimeMilliseconds - age);
 };
 
 /**
--- a/src/service/jobs/test/common/runs.test.ts
+++ b/src/service/jobs/test/common/runs.test.ts
@@ -232,3 +232,12 @@
   t.is(core.world.runs.get(id)?.state, RunState.Running, 'one start without an event since');
   t.is(core.world.jobItems.get(id)?.isListed, false);
 });
+
+test('a clock that was set back on the leader does not lengthen the lifetime of items', (t) => {
+  const core = createFleetCore();
+  core.propose('declare', testDeclarationCommand());
+  const submittedAt = core.now() + 2_000;
+  core.propose('job', testJob('late', [testItem('a')], { submittedAt }));
+  const { lifetimeDeadline } = core.world.runs.get(itemIdOf('late', 'a'))!;
+  t.is(lifetimeDeadline, core.now() + 12_000);
+});
--- a/src/service/places/test/common/evacuationFixture.ts
+++ b/src/service/places/test/common/evacuationFixture.ts
@@ -68,6 +68,8 @@
   readonly double: () => void;
   /** Whether the last change was acknowledged. */
   readonly isIdle: () => boolean;
+  /** Number of requests of the operator that were answered as not done. */
+  readonly refusals: () => number;
   readonly acknowledgedState: (zone: string) => boolean;
   /** Lets time pass; the operator resends what is not answered. */
   readonly runFor: (duration: number) => void;
@@ -87,6 +89,7 @@
   let wanted: WantedChange | undefined;
   /** Time at which the last request was sent. */
   let sentAt = 0;
+  let refusalCount = 0;
   let requestCount = 0;
   let acknowledgementAction: (() => void) | undefined;
   let version = 1;
@@ -117,6 +120,7 @@
   const handleOutcome = (id: ProposalId, kind: string, now: number): void => {
     if (wanted === undefined || !wanted.requests.has(id)) return;
     if (kind !== 'applied') {
+      refusalCount += 1;
       sentAt = Number.NEGATIVE_INFINITY;
       return;
     }
@@ -223,6 +227,7 @@
       if (wanted !== undefined) send(wanted, randomStore());
     },
     isIdle: () => wanted === undefined,
+    refusals: () => refusalCount,
     acknowledgedState: (zone) => records.get(zone)?.isEvacuated ?? false,
     runFor,
     declare,
--- a/standins/virtual/virtualDisk.ts
+++ b/standins/virtual/virtualDisk.ts
@@ -22,6 +22,11 @@
 export interface DiskFaults {
   /** Whether further writes fail. */
   isFull?: boolean;
+  /**
+   * Whether writes are refused now and repeated until there is room, as processes of the platform do;
+   * later writes wait for them.
+   */
+  isFullForNow?: boolean;
   /** Whether old and new bytes do not fit at once, so that replacements fail and writes do not. */
   isTooSmallToReplace?: boolean;
   /** Milliseconds added to each sync. */
@@ -119,6 +124,9 @@
   else disk.replace(Buffer.concat([...createRecords(write.state)].map(encodeRecord)));
 };
 
+/** Delay before refused writes are repeated, as in the production port. */
+const writeRetryMilliseconds: Milliseconds = 500;
+
 /** Creates the storage port of one daemon process over its disk. */
 export const createVirtualStoragePort = (
   { daemon, schedule }: VirtualContext,
@@ -136,30 +144,52 @@
   /** Milliseconds of replacements that are under way. */
   let replacing = 0;
 
+  /** Writes that were refused, and those that wait for them. */
+  let refused: readonly StorageRequest[] = [];
+
+  const carryOut = (requests: readonly StorageRequest[]): void => {
+    const writes = requests.filter((request) => !isLeftOut(disk, request));
+    if (!writes.every((request) => canExecute(disk, request))) {
+      const failure = createStorageError(
+        StorageErrorKind.DiskFull,
+        'The disk is full; free space on it.',
+      );
+      schedule(syncDelay, () => storageFacts.append({ kind: 'failed', failure }));
+      return;
+    }
+    writes.forEach((request) => execute(disk, request));
+    const hasReplacement = writes.some(({ write }) => write.kind === 'stateReplaced');
+    const { extraSyncDelay = 0, replaceDelay = 0 } = disk.faults;
+    if (hasReplacement && replaceDelay > 0) {
+      replacing = replaceDelay;
+      schedule(replaceDelay, () => {
+        replacing = 0;
+      });
+    }
+    const delay = syncDelay + extraSyncDelay + replacing;
+    schedule(delay, () => completeSync(requests.at(-1)!.sequence));
+  };
+
+  const repeatRefused = (): void => {
+    if (disk.faults.isFullForNow === true) {
+      schedule(writeRetryMilliseconds, repeatRefused);
+      return;
+    }
+    const requests = refused;
+    refused = [];
+    carryOut(requests);
+  };
+
   return {
     drain: () => {
       const requests = storageRequests.takeAll();
       if (requests.length === 0) return;
-      const writes = requests.filter((request) => !isLeftOut(disk, request));
-      if (!writes.every((request) => canExecute(disk, request))) {
-        const failure = createStorageError(
-          StorageErrorKind.DiskFull,
-          'The disk is full; free space on it.',
-        );
-        schedule(syncDelay, () => storageFacts.append({ kind: 'failed', failure }));
+      if (refused.length === 0 && disk.faults.isFullForNow !== true) {
+        carryOut(requests);
         return;
       }
-      writes.forEach((request) => execute(disk, request));
-      const hasReplacement = writes.some(({ write }) => write.kind === 'stateReplaced');
-      const { extraSyncDelay = 0, replaceDelay = 0 } = disk.faults;
-      if (hasReplacement && replaceDelay > 0) {
-        replacing = replaceDelay;
-        schedule(replaceDelay, () => {
-          replacing = 0;
-        });
-      }
-      const delay = syncDelay + extraSyncDelay + replacing;
-      schedule(delay, () => completeSync(requests.at(-1)!.sequence));
+      if (refused.length === 0) schedule(writeRetryMilliseconds, repeatRefused);
+      refused = [...refused, ...requests];
     },
   };
 };
