--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -21,6 +21,7 @@
 import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
 import { coldGroup } from '../../../service/places/common/coldTables.js';
 import type { World } from '../../../service/world/common/world.js';
+import { recordPlaceGauges } from './placeGauges.js';
 import type { RouteEnvironment } from '../../front/node/decoding.js';
 
 /** Reader of each gauge by metric name; durations are in milliseconds. */
@@ -78,6 +79,7 @@
     countItemsWaitingByRegion(world).forEach((count, region) =>
       metrics.gauge('places.itemsWaiting', count, { region }),
     );
+    recordPlaceGauges(world, metrics, now);
     return new Response(await metrics.text(), { headers: { 'content-type': metrics.contentType } });
   });
   return routes;
--- a/src/service/capacity/common/capacitySystem.ts
+++ b/src/service/capacity/common/capacitySystem.ts
@@ -15,7 +15,7 @@
 } from '../../declaration/common/declaration.js';
 import { declarationId } from '../../declaration/common/declarationTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
-import { isPlaceAllowed } from '../../places/common/eligibility.js';
+import { isPlaceAllowed, isZoneEvacuated } from '../../places/common/eligibility.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { recordDemands } from './capacityDemand.js';
@@ -123,21 +123,6 @@
   world.capacityOrders.change(id, { count, fencing, sendDeadline });
 };
 
-/**
- * Returns the number to order in a zone. In a zone to which no request may be sent, orders are only
- * lowered to what is present, so that nothing new starts there and nothing that runs is reclaimed.
- */
-const computeOrderCount = (
-  world: World,
-  service: ScaledService,
-  zone: string,
-  { planned, minimum, present }: Readonly<Record<'planned' | 'minimum' | 'present', number>>,
-): number => {
-  if (isPlaceAllowed(world, { zone }, null)) return Math.max(planned, minimum);
-  const ordered = world.capacityOrders.get(capacityOrderIdOf(service.name, zone))?.count;
-  return Math.min(ordered ?? present, present);
-};
-
 const planService = (world: World, service: ScaledService, now: Instant): void => {
   const rows = upstreamsOf(world, service.name);
   const present = countByZone(rows.filter(({ isReclaimable }) => isReclaimable));
@@ -155,11 +140,7 @@
     // In its first window a new leader has not yet observed the demand for which its predecessor
     // ordered.
     const minimum = isFirstWindow ? presentCount : 0;
-    const count = computeOrderCount(world, service, zone, {
-      planned,
-      minimum,
-      present: presentCount,
-    });
+    const count = Math.max(planned, minimum);
     putOrder(world, service, zone, count, presentCount, now);
   });
 };
@@ -198,9 +179,16 @@
 
 /**
  * Marks unfulfilled due orders as in flight; the port sends them while the leader's lease is valid.
+ * Orders for evacuated zones wait: a higher count would start upstreams there, and a lower one could
+ * stop those that still run requests.
  */
 const markDueOrders = (world: World, now: Instant): void =>
   world.capacityOrders.takeDue('send', now).forEach((row) => {
+    if (isZoneEvacuated(world, row.zone)) {
+      const sendDeadline = deadlineAfter(now, checkIntervalMilliseconds);
+      world.capacityOrders.change(row.id, { sendDeadline });
+      return;
+    }
     const hasArrived = isFulfilled(row, row.count, countPresentIn(world, row));
     world.capacityOrders.change(
       row.id,
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -49,6 +49,7 @@
 import { createMeteringSystem } from '../../metering/common/meteringSystem.js';
 import { createColdSystem } from '../../places/common/coldSystem.js';
 import { createCrashSpreadSystem } from '../../quarantine/common/crashSpreadSystem.js';
+import { createEvacuationSystem } from '../../places/common/evacuationSystem.js';
 import {
   callQuarantinePolicy,
   requestQuarantinePolicy,
@@ -121,6 +122,7 @@
   createReplicaSystem,
   createVoterSystem,
   createApplySystem,
+  createEvacuationSystem,
   createCompactionSystem,
   createDaemonSystem,
   createRegistrySystem,
--- a/src/service/forwarding/common/callPlaces.ts
+++ b/src/service/forwarding/common/callPlaces.ts
@@ -11,7 +11,7 @@
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import type { RouteRow, WorkspaceRow } from '../../declaration/common/declarationTables.js';
 import { isDeclarationFresh } from '../../declaration/common/findRoute.js';
-import { isPlaceAllowed } from '../../places/common/eligibility.js';
+import { canSendNewRequests, isPlaceAllowed } from '../../places/common/eligibility.js';
 import {
   hasHomeRegions,
   homesOfRoute,
@@ -67,15 +67,19 @@
     .filter((row) => isPlaceAllowed(world, row, homes));
 };
 
-/**
- * Whether calls must wait because home regions are declared, and a change of them may be in force
- * that this daemon does not know. A leader with a valid lease knows all changes.
- */
-export const isHeldForDeclaration = (world: World, now: Instant): boolean =>
+/** Whether home regions are declared, and a change of them may be in force everywhere but here. */
+const hasOutdatedHomes = (world: World, now: Instant): boolean =>
   hasHomeRegions(world) &&
   !isCurrentLeader(replicaOf(world), now) &&
   !isDeclarationFresh(world, now + freshnessMilliseconds - homeChangeMilliseconds);
 
+/**
+ * Whether calls must wait because a change of home regions or of evacuated zones may be in force that
+ * this daemon does not know. A leader with a valid lease knows all changes.
+ */
+export const isHeldForDeclaration = (world: World, now: Instant): boolean =>
+  !canSendNewRequests(world, now) || hasOutdatedHomes(world, now);
+
 const describePlacement = (world: World, call: CallRow, homes: readonly string[]): EventSubject => {
   const regions = world.registrations
     .where('service', call.service)
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -36,6 +36,7 @@
 import { createTextSourceTables } from '../../jobs/common/textSources.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
 import { createColdTables } from '../../places/common/coldTables.js';
+import { createEvacuationTables } from '../../places/common/evacuationTables.js';
 import { createRegistryTables } from '../../registry/common/registryTables.js';
 import { createVersionTables } from '../../weights/common/versionTables.js';
 import { createRetryTables } from '../../dispatch/common/retryTables.js';
@@ -88,6 +89,7 @@
   ...createCapacityTables(),
   ...createAbsenceTables(),
   ...createVoterLagTables(),
+  ...createEvacuationTables(),
 });
 export type Tables = ReturnType<typeof createTables>;
 
