--- a/src/service/capacity/common/capacitySystem.ts
+++ b/src/service/capacity/common/capacitySystem.ts
@@ -140,8 +140,9 @@
     // In its first window a new leader has not yet observed the demand for which its predecessor
     // ordered.
     const minimum = isFirstWindow ? presentCount : 0;
-    const count = Math.max(planned, minimum);
-    putOrder(world, service, zone, count, presentCount, now);
+    // Nothing is to start in an evacuated zone, and a lower order could stop upstreams that run requests.
+    if (isZoneEvacuated(world, zone)) return;
+    putOrder(world, service, zone, Math.max(planned, minimum), presentCount, now);
   });
 };
 
