--- a/src/service/places/common/coldSystem.ts
+++ b/src/service/places/common/coldSystem.ts
@@ -123,8 +123,8 @@
 
 /**
  * Distributes demands over upstreams of which permits can be requested. A demand that an open
- * request or a held permit covers is left out, so permits are requested once for each request that
- * waits.
+ * request covers is left out, so permits are requested once for each request that waits and not in
+ * each tick.
  */
 const distributeDemands = (
   world: World,
