--- a/src/service/places/test/common/fullDisks.test.ts
+++ b/src/service/places/test/common/fullDisks.test.ts
@@ -27,39 +27,45 @@
 const seeds = [1, 2, 3, 4, 5, 6];
 
 seeds.forEach((seed) => {
-  test.serial(`control goes on while the disk of the leader is full, and nothing is lost, seed ${seed}`, (t) => {
-    const fixture = openEvacuationFixture(seed);
-    const leader = fixture.leader()!;
-    setFull(fixture, leader, true);
-    fixture.request('z1', true);
-    fixture.runFor(acknowledgementMilliseconds);
-    t.true(fixture.isIdle(), 'acknowledged');
-    losePower(fixture);
-    setFull(fixture, leader, false);
-    fixture.runFor(recoveryMilliseconds);
-    t.truthy(fixture.leader());
-    t.true(fixture.acknowledgedState('z1'));
-    t.deepEqual(fixture.lackingZones(), []);
-    t.deepEqual(fixture.violations(), []);
-  });
+  test.serial(
+    `control goes on while the disk of the leader is full, and nothing is lost, seed ${seed}`,
+    (t) => {
+      const fixture = openEvacuationFixture(seed);
+      const leader = fixture.leader()!;
+      setFull(fixture, leader, true);
+      fixture.request('z1', true);
+      fixture.runFor(acknowledgementMilliseconds);
+      t.true(fixture.isIdle(), 'acknowledged');
+      losePower(fixture);
+      setFull(fixture, leader, false);
+      fixture.runFor(recoveryMilliseconds);
+      t.truthy(fixture.leader());
+      t.true(fixture.acknowledgedState('z1'));
+      t.deepEqual(fixture.lackingZones(), []);
+      t.deepEqual(fixture.violations(), []);
+    },
+  );
 
-  test.serial(`nothing is acknowledged while most disks are full, and all goes on afterwards, seed ${seed}`, (t) => {
-    const fixture = openEvacuationFixture(seed);
-    fixture.request('z1', true);
-    fixture.runFor(acknowledgementMilliseconds);
-    t.true(fixture.isIdle());
-    stores.slice(0, 2).forEach((name) => setFull(fixture, name, true));
-    fixture.request('z1', false);
-    fixture.runFor(fullMilliseconds);
-    t.false(fixture.isIdle(), 'not acknowledged');
-    t.true(fixture.refusals() > 0, 'refused requests are reported');
-    losePower(fixture);
-    stores.forEach((name) => setFull(fixture, name, false));
-    fixture.runFor(recoveryMilliseconds);
-    t.true(fixture.isIdle(), 'acknowledged once there is room');
-    t.deepEqual(fixture.lackingZones(), []);
-    t.deepEqual(fixture.violations(), []);
-  });
+  test.serial(
+    `nothing is acknowledged while most disks are full, and all goes on afterwards, seed ${seed}`,
+    (t) => {
+      const fixture = openEvacuationFixture(seed);
+      fixture.request('z1', true);
+      fixture.runFor(acknowledgementMilliseconds);
+      t.true(fixture.isIdle());
+      stores.slice(0, 2).forEach((name) => setFull(fixture, name, true));
+      fixture.request('z1', false);
+      fixture.runFor(fullMilliseconds);
+      t.false(fixture.isIdle(), 'not acknowledged');
+      t.true(fixture.refusals() > 0, 'refused requests are reported');
+      losePower(fixture);
+      stores.forEach((name) => setFull(fixture, name, false));
+      fixture.runFor(recoveryMilliseconds);
+      t.true(fixture.isIdle(), 'acknowledged once there is room');
+      t.deepEqual(fixture.lackingZones(), []);
+      t.deepEqual(fixture.violations(), []);
+    },
+  );
 
   test.serial(`disks that are full one after another stop nothing, seed ${seed}`, (t) => {
     const fixture = openEvacuationFixture(seed);
