Name the table of declared workspaces among the local ones in its check

The table was added with home regions; its rows follow from the declaration when it is restored, as those of routes and caller keys do. The check of replicatedState.test failed on it. It is as strict as before.

--- a/src/service/consensus/test/common/replicatedState.test.ts
+++ b/src/service/consensus/test/common/replicatedState.test.ts
@@ -84,6 +84,7 @@
 /** Tables that apply handlers change although snapshots leave them out, and why. */
 const localTables: Partial<Readonly<Record<keyof Tables, string>>> = {
   routes: 'follow from the declaration when it is restored',
+  declaredWorkspaces: 'follow from the declaration when it is restored',
   callerKeys: 'follow from the declaration when it is restored',
   lotClocks: 'deadlines on the clock of this daemon, recreated for restored lots',
   bodyDeletions: 'request to a port, made again for lots that a snapshot does not hold',
