Keep the contents of jobs with home regions out of the log, at holders

The log is on every control daemon, so a body in it leaves the home regions of its job. The entry that receives such a job stores its bodies at control daemons in the home regions, proposes the job without them once these have synced, and refuses it if there are too few. Texts of results are stored there before the result is proposed. Entries read both from the holders that the leader names. Lost holders are replaced and copy the contents from the others; contents without a job are removed after a minute.

Jobs without home regions are stored and read as before.

--- a/src/daemon/fleet/node/fleetDaemon.ts
+++ b/src/daemon/fleet/node/fleetDaemon.ts
@@ -35,6 +35,12 @@
 import { createCallPort, type CallPort } from '../../forwarding/node/callPort.js';
 import { createUpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
+import { createContentPort, type ContentPort } from '../../jobs/common/contentPort.js';
+import {
+  computeContentDigest,
+  openFileContentStore,
+  unavailableContentStore,
+} from '../../jobs/node/fileContentStore.js';
 import { createJobReadPort, type JobReadPort } from '../../jobs/node/jobReadPort.js';
 import { createRunPort } from '../../jobs/node/runPort.js';
 import { createScoringRequestFinder } from '../../jobs/node/scoringRequests.js';
@@ -68,6 +74,7 @@
   readonly wake: () => void;
   readonly calls: CallPort;
   readonly jobReads: JobReadPort;
+  readonly contents: ContentPort;
   readonly proposals: ProposalPort;
 }
 
@@ -98,6 +105,11 @@
   const addressProbes = createAddressProbePort(world, wake);
   const jobReads = createJobReadPort(world, clock, wake);
   const proposals = createProposalPort(world, clock, wake);
+  const contentStore =
+    self.dataFolder === undefined
+      ? unavailableContentStore
+      : openFileContentStore(self.dataFolder, wallClock);
+  const contents = createContentPort(world, contentStore, computeContentDigest, clock, wake);
   const runs = createRunPort(world, client, dialect, clock, wake);
   const weightOrders = createWeightOrderPort(world, client, dialect, clock, wake);
   const usageReports = createUsageReportPort(world, options.sendUsageReport, clock, wake);
@@ -131,6 +143,7 @@
     addressProbes,
     proposals,
     jobReads,
+    contents,
     peers.value,
     events,
   ];
@@ -147,6 +160,7 @@
     wake,
     calls,
     jobReads,
+    contents,
     proposals,
     dispose: async () => {
       driver?.dispose();
@@ -154,6 +168,7 @@
         (port) => port.dispose(),
       );
       await Promise.all([peers.value.dispose(), storage.value.dispose()]);
+      await contentStore.dispose();
     },
   });
 };
--- a/src/daemon/jobs/node/jobReadPort.ts
+++ b/src/daemon/jobs/node/jobReadPort.ts
@@ -4,7 +4,7 @@
  */
 import { deadlineAfter, type Clock, type Milliseconds } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
-import type { JobAnswer, JobQuestion } from '../../../service/jobs/common/jobReadMessages.js';
+import type { FinalAnswer, JobQuestion } from '../../../service/jobs/common/jobReadMessages.js';
 import type { JobReadId } from '../../../service/jobs/common/jobReads.js';
 import type { World } from '../../../service/world/common/world.js';
 
@@ -19,13 +19,13 @@
 
 /** Port of job reads; `drain` runs after each tick. */
 export interface JobReadPort {
-  readonly read: (request: JobRead) => Promise<JobAnswer>;
+  readonly read: (request: JobRead) => Promise<FinalAnswer>;
   readonly drain: () => void;
 }
 
 /** Creates the port. `wake` requests a tick. */
 export const createJobReadPort = (world: World, clock: Clock, wake: () => void): JobReadPort => {
-  const pending = new Map<JobReadId, (answer: JobAnswer) => void>();
+  const pending = new Map<JobReadId, (answer: FinalAnswer) => void>();
   const changes = world.jobReads.createChangeReader(RowReader.Port);
 
   const resolveRead = (id: JobReadId): void => {
--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -7,6 +7,7 @@
 import type { Disposable } from '../../../base/common/disposable.js';
 import { remainingUntil, type Clock } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { findItemBody } from '../../../service/jobs/common/jobContents.js';
 import {
   RunState,
   type ItemId,
@@ -140,8 +141,15 @@
     const jobItem = world.jobItems.get(item);
     const job = world.jobs.get(run.job);
     const upstream = world.registrations.get(run.upstream!);
-    if (jobItem === undefined || job === undefined || upstream === undefined) {
-      report({ kind: 'notRun', item, start, reason: 'item, job or upstream no longer exists' });
+    const body = jobItem === undefined ? undefined : findItemBody(world, jobItem);
+    if (
+      jobItem === undefined ||
+      job === undefined ||
+      upstream === undefined ||
+      body === undefined
+    ) {
+      const reason = 'item, job or upstream no longer exists, or the body of the item is not here';
+      report({ kind: 'notRun', item, start, reason });
       return;
     }
     const headers = dialect.createHeaders({
@@ -159,7 +167,7 @@
       method: 'POST',
       path: jobItem.path,
       headers: jobItem.headers,
-      body: jobItem.body,
+      body,
     };
     const connection = sendNamed(
       {
--- a/src/daemon/jobs/node/scoringRequests.ts
+++ b/src/daemon/jobs/node/scoringRequests.ts
@@ -3,6 +3,7 @@
  * their responses to `scoreFacts`.
  */
 import type { CallId } from '../../../service/forwarding/common/forwardingTables.js';
+import { findScorerBody } from '../../../service/jobs/common/jobContents.js';
 import type { World } from '../../../service/world/common/world.js';
 import type { PendingCall, UpstreamResponse } from '../../forwarding/node/callPort.js';
 import type { UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
@@ -12,8 +13,10 @@
   (world: World, dialect: UpstreamDialect, wake: () => void) =>
   (call: CallId): PendingCall | undefined => {
     const [run] = world.runs.where('call', call);
-    const scorer = run === undefined ? undefined : world.jobItems.get(run.id)?.scorer;
-    if (!scorer) return undefined;
+    const item = run === undefined ? undefined : world.jobItems.get(run.id);
+    const scorer = item?.scorer;
+    const body = item === undefined ? undefined : findScorerBody(world, item);
+    if (!scorer || body === undefined) return undefined;
 
     const handleResponse = (response: UpstreamResponse): void => {
       world.scoreFacts.append({
@@ -29,7 +32,7 @@
         method: 'POST',
         path: scorer.path,
         headers: { host: scorer.host },
-        body: scorer.body,
+        body,
       },
       onDidEnd: (outcome) => {
         if (outcome.kind === 'answered') handleResponse(outcome.answer);
--- a/src/daemon/rollout/node/bodyFile.ts
+++ b/src/daemon/rollout/node/bodyFile.ts
@@ -7,6 +7,7 @@
 import { open, rm, type FileHandle } from 'node:fs/promises';
 import * as z from 'zod';
 import { Result } from 'neverthrow';
+import { asBrand } from '../../../base/common/brand.js';
 import type { BodyId } from '../../../service/world/common/identifiers.js';
 import type { StoredBody } from '../common/bodyStore.js';
 
@@ -27,6 +28,8 @@
   readonly append: (bodies: readonly StoredBody[]) => Promise<void>;
   /** Returns the content; undefined if it is missing or its checksum does not match. */
   readonly read: (body: BodyId) => Promise<string | undefined>;
+  /** Returns all bodies that can be read. */
+  readonly readAll: () => Promise<readonly Omit<StoredBody, 'lot'>[]>;
   /** Closes and deletes the file. */
   readonly remove: () => Promise<void>;
   readonly close: () => Promise<void>;
@@ -97,6 +100,15 @@
         ? undefined
         : decodeRecord(await readRecord(file, location))?.content;
     },
+    readAll: async () => {
+      const records = await Promise.all(
+        [...locations.values()].map((location) => readRecord(file, location)),
+      );
+      return records
+        .map(decodeRecord)
+        .filter((record) => record !== undefined)
+        .map(({ body, content }) => ({ body: asBrand<BodyId>(body), content }));
+    },
     remove: async () => {
       await file.close();
       await rm(path, { force: true });
--- a/src/daemon/rollout/node/fileBodyStore.ts
+++ b/src/daemon/rollout/node/fileBodyStore.ts
@@ -9,7 +9,7 @@
 import { join } from 'node:path';
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
-import type { WallClock } from '../../../base/common/time.js';
+import type { Milliseconds, WallClock } from '../../../base/common/time.js';
 import { maximumLotMilliseconds } from '../../../service/protocol/common/trainerProtocol.js';
 import type { BodyId, LotId } from '../../../service/world/common/identifiers.js';
 import type { BodyStore, BodyStoreError, StoredBody } from '../common/bodyStore.js';
@@ -53,19 +53,41 @@
 /** A file not modified for this long cannot belong to a lot that is still open. */
 const fileRetentionMilliseconds = 2 * maximumLotMilliseconds;
 
-const removeExpiredFiles = (folder: string, now: number): void =>
+const removeExpiredFiles = (folder: string, now: number, retention: Milliseconds): void =>
   readdirSync(folder)
     .map((name) => join(folder, name))
-    .filter((path) => statSync(path).mtimeMs < now - fileRetentionMilliseconds)
+    .filter((path) => statSync(path).mtimeMs < now - retention)
     .forEach((path) => rmSync(path, { force: true }));
 
-/** Opens the store in `folder`, which is created if it does not exist. */
+/** A body store on disk. */
+export interface FileBodyStore extends BodyStore, AsyncDisposable {
+  /** Returns all bodies that can be read; to be called before anything is written. */
+  readonly readAll: () => Promise<readonly Omit<StoredBody, 'lot'>[]>;
+}
+
+const readFileBodies = async (path: string): Promise<readonly Omit<StoredBody, 'lot'>[]> => {
+  try {
+    const file = await openBodyFile(path);
+    const bodies = await file.readAll();
+    await file.close();
+    return bodies;
+  } catch {
+    // A file that cannot be read counts as lost.
+    return [];
+  }
+};
+
+/**
+ * Opens the store in `folder`, which is created if it does not exist. Files that were not modified for
+ * `retention` are deleted.
+ */
 export const openFileBodyStore = (
   folder: string,
   wallClock: WallClock,
-): BodyStore & AsyncDisposable => {
+  retention: Milliseconds = fileRetentionMilliseconds,
+): FileBodyStore => {
   mkdirSync(folder, { recursive: true });
-  removeExpiredFiles(folder, wallClock());
+  removeExpiredFiles(folder, wallClock(), retention);
   const lotStores = new Map<LotId, LotStore>();
   const removals = new Map<LotId, Promise<void>>();
   const pathOf = (lot: LotId): string => join(folder, fileNameOf(lot));
@@ -167,6 +189,15 @@
     read: (lot, body, onDidRead) => {
       void readBody(lot, body).then(onDidRead);
     },
+    readAll: async () => {
+      const bodies: Omit<StoredBody, 'lot'>[] = [];
+      // One file at a time, so that the memory holds the text of one beside the bodies.
+      for (const name of readdirSync(folder)) {
+        // eslint-disable-next-line no-await-in-loop -- see above
+        bodies.push(...(await readFileBodies(join(folder, name))));
+      }
+      return bodies;
+    },
     deleteLot,
     dispose: async () => {
       const stores = [...lotStores.values()];
--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -84,6 +84,7 @@
   textsDiscarded: Topic.Voters,
   jobEnded: Topic.Voters,
   jobForgotten: Topic.Voters,
+  holdersSet: Topic.Voters,
   versionNamed: Topic.Voters,
   usageCounted: Topic.Voters,
   usageFrozen: Topic.Voters,
--- a/src/service/consensus/test/common/arbitraryCommands.ts
+++ b/src/service/consensus/test/common/arbitraryCommands.ts
@@ -35,6 +35,7 @@
 const createItem = (item: string, content: JobItem['body']): JobItem => ({
   item,
   path: '/v1',
+  ...(item === 'item-2' ? { contentDigest: 'digest' } : {}),
   headers: { accept: 'text' },
   body: content,
   tokens: 7,
@@ -215,18 +216,26 @@
     items: fc
       .tuple(subset('item-1', 'item-2'), body)
       .map(([names, content]) => names.map((name) => createItem(name, content))),
+    homeRegions: oneOf<string[]>([], ['r1']),
+    holders: subset('d1', 'd2', 'd3'),
   }),
+  holdersSet: fc.record({ kind: kindOf('holdersSet'), job, holders: subset('d1', 'd2', 'd3') }),
   itemsListed: fc.record({
     kind: kindOf('itemsListed'),
     job,
     results: fc.array(
-      fc.record({
-        item: itemName,
-        result: oneOf('completed' as const, 'dead' as const),
-        text: fc.string({ maxLength: 3 }),
-        versions,
-        score: oneOf(null, '0.5'),
-      }),
+      fc
+        .record({
+          item: itemName,
+          result: oneOf('completed' as const, 'dead' as const),
+          text: fc.string({ maxLength: 3 }),
+          versions,
+          score: oneOf(null, '0.5'),
+          heldText: oneOf(undefined, { digest: 'digest', characters: 3 }),
+        })
+        .map(({ heldText, ...listed }) =>
+          heldText === undefined ? listed : { ...listed, heldText },
+        ),
       { maxLength: 2 },
     ),
   }),
--- a/src/service/consensus/test/common/slowTransfer.test.ts
+++ b/src/service/consensus/test/common/slowTransfer.test.ts
@@ -46,6 +46,8 @@
           minimumVersion: 0,
           groupCount: 1,
           submittedAt: 1,
+          homeRegions: [],
+          holders: [],
           items: [
             {
               item: 'i',
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -36,6 +36,10 @@
 import { createOriginSystem } from '../../forwarding/common/originSystem.js';
 import { createSendSystem } from '../../forwarding/common/sendSystem.js';
 import { createAssignmentSystem } from '../../jobs/common/assignmentSystem.js';
+import { createContentHolderSystem } from '../../jobs/common/contentHolderSystem.js';
+import { createContentHoldingSystem } from '../../jobs/common/contentHolding.js';
+import { createContentReadSystem } from '../../jobs/common/contentReads.js';
+import { createContentStoringSystem } from '../../jobs/common/contentStoring.js';
 import { createJobRetentionSystem } from '../../jobs/common/jobRetentionSystem.js';
 import { createJobReadSystem } from '../../jobs/common/jobReads.js';
 import { createRunMigrationSystem } from '../../jobs/common/runMigrationSystem.js';
@@ -135,7 +139,11 @@
   createWeightSystem,
   createAssignmentSystem,
   createRunMigrationSystem,
+  createContentHoldingSystem,
+  createContentStoringSystem,
+  createContentHolderSystem,
   createJobReadSystem,
+  createContentReadSystem,
   createMeteringSystem,
   createCapacitySystem,
   createAbsenceSystem,
--- a/src/service/forwarding/common/callRefusal.ts
+++ b/src/service/forwarding/common/callRefusal.ts
@@ -25,6 +25,10 @@
   OriginUnknown: 'originUnknown',
   /** No upstream runs the software version that began the stream of the call. */
   VersionNotServed: 'versionNotServed',
+  /** The home regions of the route and those of the workspace have no region in common. */
+  NoHomeRegion: 'noHomeRegion',
+  /** Too few daemons in the home regions could store the contents of a job. */
+  TooFewHolders: 'tooFewHolders',
   /** Upstreams that may have run the call returned no usable answer. */
   UpstreamFailed: 'upstreamFailed',
 } as const;
@@ -51,6 +55,9 @@
 /** Time in which a control daemon that was out of contact is replaced by another one. */
 const originRetryMilliseconds = 500;
 
+/** Time in which a control daemon that was out of contact is heard of again. */
+const holderRetryMilliseconds = 1_000;
+
 const templates: Readonly<Record<CallRefusalKind, Template>> = {
   notReady: {
     isNotRun: true,
@@ -104,6 +111,20 @@
     message: 'No upstream runs the software that began the stream; begin it anew.',
     retryMilliseconds: null,
   },
+  noHomeRegion: {
+    isNotRun: true,
+    message:
+      'The route and the workspace allow no common region, so the job did not run; change the ' +
+      'declaration.',
+    retryMilliseconds: null,
+  },
+  tooFewHolders: {
+    isNotRun: true,
+    message:
+      'Too few control daemons in the home regions could store the bodies of the job, so it did ' +
+      'not run; send it again later.',
+    retryMilliseconds: holderRetryMilliseconds,
+  },
   upstreamFailed: {
     isNotRun: false,
     message: 'No upstream returned a complete answer; the request may have run.',
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -25,7 +25,16 @@
     asBrand<ModelVersionRow['id']>(command.model),
   )?.version;
   const newestVersion = namedVersion ?? initialVersion;
-  world.jobs.put({ ...columns, id, state: JobState.Open, newestVersion, tokens, total, listed: 0 });
+  world.jobs.put({
+    ...columns,
+    id,
+    state: JobState.Open,
+    newestVersion,
+    tokens,
+    total,
+    listed: 0,
+    formerHolders: [],
+  });
   items.forEach((item) =>
     world.jobItems.put({
       ...item,
@@ -106,6 +115,14 @@
     world.events.append({ kind: EventKind.JobEnded, subject: { job } });
     return ok(undefined);
   },
+  holdersSet: ({ job, holders }, world) => {
+    const jobRow = world.jobs.get(asBrand(job));
+    if (jobRow !== undefined) {
+      const formerHolders = jobRow.holders.filter((name) => !holders.includes(name));
+      world.jobs.change(jobRow.id, { holders, formerHolders });
+    }
+    return ok(undefined);
+  },
   jobForgotten: ({ job }, world) => {
     const id = asBrand<JobId>(job);
     world.jobItems.where('job', id).forEach((item) => world.jobItems.remove(item.id));
--- a/src/service/jobs/common/jobCommands.ts
+++ b/src/service/jobs/common/jobCommands.ts
@@ -18,7 +18,10 @@
   requestId: z.string(),
   host: z.string(),
   path: z.string(),
+  /** Empty if the job has home regions. */
   body: z.instanceof(Uint8Array),
+  /** Digest of the body, which the holders of the job store; absent without home regions. */
+  contentDigest: z.string().optional(),
 });
 export type Scorer = z.infer<typeof scorerSchema>;
 
@@ -27,7 +30,10 @@
   item: z.string().min(1),
   path: z.string(),
   headers: z.record(z.string(), z.string()),
+  /** Empty if the job has home regions. */
   body: z.instanceof(Uint8Array),
+  /** Digest of the body, which the holders of the job store; absent without home regions. */
+  contentDigest: z.string().optional(),
   /** Prompt tokens plus the maximum of output tokens. */
   tokens: z.number(),
   /** Maximum of output tokens; absent if the client gave none, as in entries of earlier releases. */
@@ -56,15 +62,22 @@
   /** Wall-clock time at the daemon that received the job, in milliseconds since the Unix epoch. */
   submittedAt: z.number(),
   items: z.array(jobItemSchema),
+  /** Regions that may store its contents; empty without a limit, as in entries of earlier releases. */
+  homeRegions: z.array(z.string()).readonly().default([]),
+  /** Names of the daemons that store its contents; empty without home regions. */
+  holders: z.array(z.string()).readonly().default([]),
 });
 export type JobSubmitted = z.infer<typeof jobSubmittedSchema>;
 
 export const listedItemSchema = z.object({
   item: z.string(),
   result: z.enum(ItemResult),
+  /** Empty if the job has home regions. */
   text: z.string(),
   versions: z.array(z.number()),
   score: z.string().nullable(),
+  /** The text, which the holders of the job store; absent without home regions. */
+  heldText: z.object({ digest: z.string(), characters: z.number() }).optional(),
 });
 export type ListedItem = z.infer<typeof listedItemSchema>;
 
@@ -116,6 +129,13 @@
 /** Removes an ended job with its items and results. */
 export const jobForgottenSchema = z.object({ kind: z.literal('jobForgotten'), job: z.string() });
 
+/** Replaces the daemons that store the contents of a job. */
+export const holdersSetSchema = z.object({
+  kind: z.literal('holdersSet'),
+  job: z.string(),
+  holders: z.array(z.string()).readonly(),
+});
+
 export const jobCommandSchemas = [
   jobSubmittedSchema,
   itemsListedSchema,
@@ -123,5 +143,6 @@
   textsDiscardedSchema,
   jobEndedSchema,
   jobForgottenSchema,
+  holdersSetSchema,
 ] as const;
 export type JobCommand = z.infer<(typeof jobCommandSchemas)[number]>;
--- a/src/service/jobs/common/jobReadMessages.ts
+++ b/src/service/jobs/common/jobReadMessages.ts
@@ -26,8 +26,20 @@
 
 /** The answer to a read. */
 export const jobAnswerSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('results'), total: count, results: z.array(listedItemSchema) }),
+  z.object({
+    kind: z.literal('results'),
+    total: count,
+    results: z.array(listedItemSchema),
+    /** Daemons that hold the texts of the results; absent without home regions. */
+    holders: z.array(z.string()).readonly().optional(),
+  }),
   z.object({ kind: z.literal('body'), body: z.instanceof(Uint8Array) }),
+  /** A body that these daemons hold. */
+  z.object({
+    kind: z.literal('heldBody'),
+    digest: z.string(),
+    holders: z.array(z.string()).readonly(),
+  }),
   /** The workspace has no such job, or the job has no such body. */
   z.object({ kind: z.literal('absent') }),
   /** The daemon does not hold the lease, so its rows may be out of date. */
@@ -35,6 +47,9 @@
 ]);
 export type JobAnswer = z.infer<typeof jobAnswerSchema>;
 
+/** An answer with all contents, as a caller receives it. */
+export type FinalAnswer = Exclude<JobAnswer, { kind: 'heldBody' }>;
+
 export const jobReadAnsweredSchema = z.object({
   kind: z.literal('jobReadAnswered'),
   read: z.string(),
--- a/src/service/jobs/common/jobReads.ts
+++ b/src/service/jobs/common/jobReads.ts
@@ -15,8 +15,10 @@
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import type { ListedItem } from './jobCommands.js';
-import type { JobAnswer, JobQuestion, JobReadMessage } from './jobReadMessages.js';
-import { itemIdOf, JobState, resultIdOf, type JobRow } from './jobTables.js';
+import { settleRead } from './contentReads.js';
+import { hasHeldContents } from './jobContents.js';
+import type { FinalAnswer, JobAnswer, JobQuestion, JobReadMessage } from './jobReadMessages.js';
+import { itemIdOf, JobState, resultIdOf, type JobItemRow, type JobRow } from './jobTables.js';
 
 export type JobReadId = Brand<'jobRead'>;
 
@@ -26,7 +28,7 @@
   readonly job: string;
   readonly workspace: string | null;
   readonly question: JobQuestion;
-  readonly answer: JobAnswer | null;
+  readonly answer: FinalAnswer | null;
   /** Time at which the read is sent, or resent, to the leader. */
   readonly sendDeadline: Instant;
   /** Time at which the read fails with the answer `unsure`. */
@@ -69,26 +71,44 @@
   let characters = 0;
   for (let position = after; position < job.listed; position += 1) {
     const row = world.jobResults.get(resultIdOf(job.id, position))!;
-    characters += row.text.length;
+    characters += row.heldText?.characters ?? row.text.length;
     if (page.length > 0 && characters > maximumPageCharacters) return page;
-    const { item, result, text, versions, score } = row;
-    page.push({ item, result, text, versions, score });
+    const { item, result, text, versions, score, heldText } = row;
+    const columns = { item, result, text, versions, score };
+    page.push(heldText === undefined ? columns : { ...columns, heldText });
   }
   return page;
 };
 
-const sendAnswer = (world: World, to: DaemonId, read: string, answer: JobAnswer): void => {
+const sendAnswer = (
+  world: World,
+  to: DaemonId,
+  read: string,
+  answer: JobAnswer,
+  now: Instant,
+): void => {
   const isSelf = world.daemons.get(to)?.isSelf === true;
-  if (isSelf) world.jobReads.change(asBrand<JobReadId>(read), { answer });
+  if (isSelf) settleRead(world, asBrand<JobReadId>(read), answer, now);
   else world.outgoingMessages.append({ to, message: { kind: 'jobReadAnswered', read, answer } });
 };
 
-const sendResults = (world: World, to: DaemonId, read: string, job: JobRow, after: number): void =>
-  sendAnswer(world, to, read, {
-    kind: 'results',
-    total: job.total,
-    results: pageOf(world, job, after),
-  });
+const sendResults = (
+  world: World,
+  to: DaemonId,
+  read: string,
+  { job, after }: { readonly job: JobRow; readonly after: number },
+  now: Instant,
+): void => {
+  const results = pageOf(world, job, after);
+  const answer = { kind: 'results', total: job.total, results } as const;
+  const heldAnswer = hasHeldContents(job) ? { ...answer, holders: job.holders } : answer;
+  sendAnswer(world, to, read, heldAnswer, now);
+};
+
+const bodyAnswerOf = ({ body, contentDigest }: JobItemRow, { holders }: JobRow): JobAnswer =>
+  contentDigest === undefined
+    ? { kind: 'body', body }
+    : { kind: 'heldBody', digest: contentDigest, holders };
 
 interface ReadContext {
   readonly from: DaemonId;
@@ -100,21 +120,16 @@
   results: ({ after, waitMilliseconds }, world, { from, read, job }, now) => {
     const isComplete = job.listed === job.total || job.state === JobState.Ended;
     if (job.listed > after || isComplete || waitMilliseconds === 0) {
-      sendResults(world, from, read, job, after);
+      sendResults(world, from, read, { job, after }, now);
       return;
     }
     const waitDeadline = deadlineAfter(now, waitMilliseconds);
     world.heldReads.put({ id: asBrand(read), from, job: job.id, after, waitDeadline });
   },
-  body: ({ item }, world, { from, read, job }) => {
+  body: ({ item }, world, { from, read, job }, now) => {
     const row = world.jobItems.get(itemIdOf(job.id, item));
     const isAvailable = row !== undefined && !row.isListed && job.state === JobState.Open;
-    sendAnswer(
-      world,
-      from,
-      read,
-      isAvailable ? { kind: 'body', body: row.body } : { kind: 'absent' },
-    );
+    sendAnswer(world, from, read, isAvailable ? bodyAnswerOf(row, job) : { kind: 'absent' }, now);
   },
 };
 
@@ -127,12 +142,12 @@
   now: Instant,
 ): void => {
   if (!isCurrentLeader(replicaOf(world), now)) {
-    sendAnswer(world, from, request.read, { kind: 'unsure' });
+    sendAnswer(world, from, request.read, { kind: 'unsure' }, now);
     return;
   }
   const job = world.jobs.get(asBrand(request.job));
   if (job === undefined || job.workspace !== request.workspace) {
-    sendAnswer(world, from, request.read, { kind: 'absent' });
+    sendAnswer(world, from, request.read, { kind: 'absent' }, now);
     return;
   }
   dispatchByKind(questionHandlers, request.question, world, { from, read: request.read, job }, now);
@@ -141,9 +156,9 @@
 /** Handlers of the messages of job reads. */
 export const jobReadHandlers: HandlerTable<JobReadMessage, void, [World, DaemonRow, Instant]> = {
   jobReadAsked: (request, world, sender, now) => handleReadRequest(world, request, sender.id, now),
-  jobReadAnswered: ({ read, answer }, world) => {
+  jobReadAnswered: ({ read, answer }, world, _sender, now) => {
     // A daemon that answers `unsure` may have yet to take over as leader; the read is resent.
-    if (answer.kind !== 'unsure') world.jobReads.change(asBrand<JobReadId>(read), { answer });
+    if (answer.kind !== 'unsure') settleRead(world, asBrand<JobReadId>(read), answer, now);
   },
 };
 
@@ -161,8 +176,8 @@
   world.heldReads.remove(held.id);
   const job = world.jobs.get(asBrand(held.job));
   const canAnswer = job !== undefined && isCurrentLeader(replicaOf(world), now);
-  if (canAnswer) sendResults(world, held.from, held.id, job, held.after);
-  else sendAnswer(world, held.from, held.id, { kind: 'unsure' });
+  if (canAnswer) sendResults(world, held.from, held.id, { job, after: held.after }, now);
+  else sendAnswer(world, held.from, held.id, { kind: 'unsure' }, now);
 };
 
 /** Creates the system that sends, holds and expires reads of jobs. */
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -35,6 +35,8 @@
   readonly total: number;
   /** Number of listed results. */
   readonly listed: number;
+  /** Daemons that `holders` replaced last; new holders copy contents from them too. */
+  readonly formerHolders: readonly string[];
 }
 
 export interface JobItemRow extends JobItem {
--- a/src/service/jobs/common/listItems.ts
+++ b/src/service/jobs/common/listItems.ts
@@ -1,18 +1,16 @@
 /**
  * Proposes the results of items to the replicated log. The results of one job that are queued
- * within one tick are proposed together, in commands of limited size.
+ * within one tick are proposed together, in commands of limited size. Texts of a job with home
+ * regions are first stored at its holders.
  */
 import type { ValueOf } from '../../../base/common/handlers.js';
-import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
-import { divideIntoCommands } from './commandBatches.js';
 import { ItemResult, type ListedItem } from './jobCommands.js';
-import { RunState, type RunRow } from './jobTables.js';
-
-/** A leader that cannot commit a result within this time has lost its lease long before. */
-const proposalTimeoutMilliseconds = 10_000;
+import { hasHeldContents } from './jobContents.js';
+import { RunState, type JobId, type RunRow } from './jobTables.js';
+import { proposeResults } from './proposeResults.js';
 
 /** Reason why an item is listed as dead. */
 export const ItemFailureCause = {
@@ -68,28 +66,19 @@
   });
 };
 
-const proposeResults = (
-  world: World,
-  job: string,
-  allResults: readonly ListedItem[],
-  now: Instant,
-): void =>
-  divideIntoCommands(allResults).forEach((results) =>
-    world.proposals.append({
-      id: world.identifiers.next('listed'),
-      command: { kind: 'itemsListed', job, results },
-      proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
-    }),
-  );
-
 /** Creates the system that proposes queued results. */
 export const createResultListingSystem = (world: World): System => ({
   name: 'listing',
   run: (now) => {
-    const resultsByJob = new Map<string, ListedItem[]>();
+    const resultsByJob = new Map<JobId, ListedItem[]>();
     world.itemResults.takeAll().forEach(({ job, listed }) => {
       resultsByJob.set(job, [...(resultsByJob.get(job) ?? []), listed]);
     });
-    resultsByJob.forEach((results, job) => proposeResults(world, job, results, now));
+    resultsByJob.forEach((results, job) => {
+      const row = world.jobs.get(job);
+      if (row !== undefined && hasHeldContents(row))
+        world.undigestedResults.append({ job, results });
+      else proposeResults(world, job, results, now);
+    });
   },
 });
--- a/src/service/jobs/common/replicatedJobTables.ts
+++ b/src/service/jobs/common/replicatedJobTables.ts
@@ -28,6 +28,7 @@
       tokens: z.number(),
       total: count,
       listed: count,
+      formerHolders: z.array(z.string()).readonly().default([]),
     }),
   },
   jobItems: {
--- a/src/service/jobs/common/saveTexts.ts
+++ b/src/service/jobs/common/saveTexts.ts
@@ -8,6 +8,7 @@
 import type { World } from '../../world/common/world.js';
 import { divideIntoCommands } from './commandBatches.js';
 import type { JobCommand } from './jobCommands.js';
+import { hasHeldContents } from './jobContents.js';
 import type { RunRow } from './jobTables.js';
 
 const proposalTimeoutMilliseconds = 5_000;
@@ -23,6 +24,9 @@
 export const queueUnsavedText = (world: World, run: RunRow, saveDeadline: Instant): void => {
   const item = world.jobItems.get(run.id);
   world.runs.change(run.id, { saveDeadline });
+  const job = world.jobs.get(run.job);
+  // The log is also on daemons outside the home regions.
+  if (job !== undefined && hasHeldContents(job)) return;
   if (item === undefined || run.events === run.savedEvents) return;
   world.savedTexts.append({
     job: run.job,
--- a/src/service/jobs/common/textReuse.ts
+++ b/src/service/jobs/common/textReuse.ts
@@ -4,6 +4,7 @@
  * replicated text of the earlier job is reused there if the later job allows its weight versions.
  */
 import type { World } from '../../world/common/world.js';
+import { findResultText, hasHeldContents } from './jobContents.js';
 import { isVersionSetAllowed, isSingleVersion } from './allowedVersions.js';
 import { ItemResult, type SavedText } from './jobCommands.js';
 import type { JobItemRow, JobRow } from './jobTables.js';
@@ -25,8 +26,17 @@
         world.jobs.get(row.job)?.workspace === job.workspace,
     );
 
+/** Whether the text of a job may be stored wherever the texts of another one are. */
+const mayReuseTextOf = (job: JobRow, source: JobRow | undefined): boolean => {
+  if (source === undefined || !hasHeldContents(source)) return true;
+  return (
+    hasHeldContents(job) && job.homeRegions.every((region) => source.homeRegions.includes(region))
+  );
+};
+
 /**
- * Returns the complete text that another job listed for an item, if this job allows its versions.
+ * Returns the complete text that another job listed for an item, if this job allows its versions. A
+ * text that only the holders of the other job have is not found elsewhere.
  */
 export const findCompleteText = (
   world: World,
@@ -35,13 +45,18 @@
 ): Pick<SavedText, 'text' | 'versions'> | undefined =>
   findSameItemInOtherJobs(world, job, item)
     .filter(({ isListed }) => isListed)
+    .filter((row) => mayReuseTextOf(job, world.jobs.get(row.job)))
     .flatMap((row) => world.jobResults.where('job', row.job))
-    .find(
+    .filter(
       (row) =>
         row.item === item.item &&
         row.result === ItemResult.Completed &&
         isVersionSetAllowed(world, job, row.versions),
-    );
+    )
+    .flatMap((row) => {
+      const text = findResultText(world, row.job, row);
+      return text === undefined ? [] : [{ text, versions: row.versions }];
+    })[0];
 
 /** A saved text whose software version is known, so that it can go on at that version. */
 export type ContinuableText = SavedText & { readonly softwareVersion: string };
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -9,6 +9,7 @@
 import { consensusHandlers } from '../../consensus/common/consensusHandlers.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
 import { originHandlers } from '../../forwarding/common/originSystem.js';
+import { contentHandlers } from '../../jobs/common/contentHolding.js';
 import { jobReadHandlers } from '../../jobs/common/jobReads.js';
 import { registryHandlers } from '../../registry/common/registrySystem.js';
 import { insertMember } from '../../membership/common/daemonRows.js';
@@ -30,6 +31,7 @@
   ...bodyHandlers,
   ...registryHandlers,
   ...jobReadHandlers,
+  ...contentHandlers,
   ...originHandlers,
 };
 
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -23,6 +23,7 @@
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
 import { originMessageSchemas } from '../../forwarding/common/originMessages.js';
+import { contentMessageSchemas } from '../../jobs/common/contentMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
 import {
   crashesReceivedSchema,
@@ -67,6 +68,7 @@
   upstreamDepartedSchema,
   upstreamLeavingSchema,
   ...jobReadSchemas,
+  ...contentMessageSchemas,
   ...originMessageSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -29,6 +29,8 @@
 import { createDeclarationTables } from '../../declaration/common/declarationTables.js';
 import { createForwardingTables } from '../../forwarding/common/forwardingTables.js';
 import { createStreamOriginTables } from '../../forwarding/common/streamOrigins.js';
+import { createHolderCheckTables } from '../../jobs/common/contentHolderSystem.js';
+import { createContentTables } from '../../jobs/common/contentTables.js';
 import { createPaceTables } from '../../jobs/common/enginePace.js';
 import { createJobReadTables } from '../../jobs/common/jobReads.js';
 import { createJobTables } from '../../jobs/common/jobTables.js';
@@ -79,6 +81,8 @@
   ...createPaceTables(),
   ...createTextSourceTables(),
   ...createJobReadTables(),
+  ...createContentTables(),
+  ...createHolderCheckTables(),
   ...createVersionTables(),
   ...createMeteringTables(),
   ...createCapacityTables(),
--- a/standins/virtual/fleetFixture.ts
+++ b/standins/virtual/fleetFixture.ts
@@ -114,6 +114,8 @@
   groupCount: 1,
   submittedAt: 8_000,
   items: [...items],
+  homeRegions: [],
+  holders: [],
   ...columns,
 });
 
