--- a/src/daemon/jobs/node/fileContentStore.ts
+++ b/src/daemon/jobs/node/fileContentStore.ts
@@ -3,14 +3,16 @@
  * folder. A content is stored in base64 under the identifier of its job and its digest.
  */
 import { createHash } from 'node:crypto';
+import { closeSync, existsSync, fsyncSync, mkdirSync, openSync } from 'node:fs';
 import { join } from 'node:path';
+import { Result } from 'neverthrow';
 import { asBrand } from '../../../base/common/brand.js';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import type { WallClock } from '../../../base/common/time.js';
 import type { JobId } from '../../../service/jobs/common/jobTables.js';
 import type { BodyId, LotId } from '../../../service/world/common/identifiers.js';
 import type { StoredBody } from '../../rollout/common/bodyStore.js';
-import { openFileBodyStore } from '../../rollout/node/fileBodyStore.js';
+import { openFileBodyStore, type FileBodyStore } from '../../rollout/node/fileBodyStore.js';
 import type { ContentStore } from '../common/contentStore.js';
 
 const contentFolderName = 'contents';
@@ -35,19 +37,43 @@
   };
 };
 
-/** Opens the store in the data folder of a daemon. */
+/** Creates a folder that is still there after a power loss. */
+const createSyncedFolder = (parent: string, folder: string): void => {
+  mkdirSync(folder, { recursive: true });
+  const handle = openSync(parent, 'r');
+  try {
+    fsyncSync(handle);
+  } finally {
+    closeSync(handle);
+  }
+};
+
+/**
+ * Creates the store in the data folder of a daemon. Its subfolder is created with the first content,
+ * so a full disk does not keep a daemon from starting.
+ */
 export const openFileContentStore = (
   dataFolder: string,
   wallClock: WallClock,
 ): ContentStore & AsyncDisposable => {
-  // The service removes contents that it does not need, whatever the age of their files.
-  const store = openFileBodyStore(
-    join(dataFolder, contentFolderName),
-    wallClock,
-    Number.POSITIVE_INFINITY,
-  );
+  const folder = join(dataFolder, contentFolderName);
   /** Reading truncates a file after its last whole record, so nothing is written meanwhile. */
   let recovery: Promise<void> = Promise.resolve();
+  let openedStore: FileBodyStore | undefined;
+
+  const getStore = (): FileBodyStore => {
+    if (!existsSync(folder)) createSyncedFolder(dataFolder, folder);
+    // The service removes contents that it does not need, whatever the age of their files.
+    openedStore ??= openFileBodyStore(folder, wallClock, Number.POSITIVE_INFINITY);
+    return openedStore;
+  };
+  const openStore = Result.fromThrowable(getStore, () => undefined);
+
+  const readBodies = async (): Promise<readonly Omit<StoredBody, 'lot'>[]> => {
+    const store = existsSync(folder) ? openStore() : undefined;
+    return store?.isOk() === true ? store.value.readAll() : [];
+  };
+
   return {
     write: (job, contents, onDidWrite) => {
       const bodies = contents.map(({ digest, bytes }) => ({
@@ -55,16 +81,25 @@
         lot: lotOf(job),
         content: Buffer.from(bytes).toString('base64'),
       }));
-      const write = () => store.write(bodies, (outcome) => onDidWrite(outcome.isOk()));
-      void recovery.then(write);
+      void recovery.then(() =>
+        openStore().match(
+          (store) => store.write(bodies, (outcome) => onDidWrite(outcome.isOk())),
+          () => onDidWrite(false),
+        ),
+      );
     },
     readAll: (onDidRead) => {
-      recovery = store.readAll().then((bodies) => onDidRead(bodies.map(decodeBody)));
+      recovery = readBodies()
+        .catch(() => [])
+        .then((bodies) => onDidRead(bodies.map(decodeBody)));
     },
     deleteJob: (job) => {
-      void recovery.then(() => store.deleteLot(lotOf(job)));
+      void recovery.then(() => openStore().map((store) => store.deleteLot(lotOf(job))));
+    },
+    dispose: async () => {
+      await recovery;
+      await openedStore?.dispose();
     },
-    dispose: store.dispose,
   };
 };
 
--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -25,6 +25,8 @@
 const gaugeReaders: Readonly<Record<string, (world: World, now: number) => number>> = {
   'calls.held': (world) => world.calls.size(),
   'jobs.open': (world) => world.jobs.count('state', JobState.Open),
+  'contents.held': (world) => world.heldContents.size(),
+  'contents.lacking': (world) => world.lackingContents.size(),
   'runs.waiting': (world) => world.runs.count('state', RunState.Waiting),
   'runs.running': (world) => world.runs.count('state', RunState.Running),
   'runs.confirming': (world) => world.runs.count('state', RunState.Confirming),
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -99,6 +99,10 @@
   SendEnded: 'sendEnded',
   JobAccepted: 'jobAccepted',
   JobEnded: 'jobEnded',
+  /** Too few daemons in its home regions have stored the bodies of a job; it was not accepted. */
+  JobNotStored: 'jobNotStored',
+  /** The leader replaces daemons that store the contents of a job with home regions. */
+  HoldersReplaced: 'holdersReplaced',
   /** A text is complete, and its scoring request is sent. */
   ScoringStarted: 'scoringStarted',
   ItemListed: 'itemListed',
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -13,6 +13,12 @@
 
 const emptyBody = new Uint8Array();
 
+/**
+ * Former holders that new ones may ask, the latest first: those of three changes of all holders, where
+ * two lost disks are survived. Changes that follow each other may leave no other copy for a while.
+ */
+const maximumFormerHolders = 9;
+
 /** Weight version of a model before a trainer has named one. */
 const initialVersion = 1;
 
@@ -118,7 +124,9 @@
   holdersSet: ({ job, holders }, world) => {
     const jobRow = world.jobs.get(asBrand(job));
     if (jobRow !== undefined) {
-      const formerHolders = jobRow.holders.filter((name) => !holders.includes(name));
+      const formerHolders = [...new Set([...jobRow.holders, ...jobRow.formerHolders])]
+        .filter((name) => !holders.includes(name))
+        .slice(0, maximumFormerHolders);
       world.jobs.change(jobRow.id, { holders, formerHolders });
     }
     return ok(undefined);
--- a/src/service/jobs/common/contentHolderSystem.ts
+++ b/src/service/jobs/common/contentHolderSystem.ts
@@ -8,6 +8,7 @@
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { canActAsLeader } from '../../consensus/common/lease.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
+import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import { homesOfRoute } from '../../places/common/homes.js';
 import type { World } from '../../world/common/world.js';
@@ -60,9 +61,12 @@
  */
 export const computeHolders = (world: World, job: JobRow, now: Instant): readonly string[] => {
   const homes = homesOfJob(world, job);
-  const daemons = [...world.daemons.rows()].filter((row) => isPossibleHolder(row, homes));
-  const running = daemons.filter((row) => !isLost(world, row, now));
   const isHolder = ({ id }: DaemonRow): boolean => job.holders.includes(id);
+  // The region of a daemon is not known before its first heartbeat.
+  const daemons = [...world.daemons.rows()].filter(
+    (row) => isPossibleHolder(row, homes) || (row.region === '' && isHolder(row)),
+  );
+  const running = daemons.filter((row) => !isLost(world, row, now));
   const requirement = computeHolderRequirement(world.fleet, running);
   const { holders: needed } = requirement;
   const kept = running.filter(isHolder);
@@ -85,6 +89,10 @@
     holders.length === job.holders.length && holders.every((name) => job.holders.includes(name));
   if (isSame) return;
   world.metrics.count('contents.holdersReplaced');
+  world.events.append({
+    kind: EventKind.HoldersReplaced,
+    subject: { job: job.id, former: job.holders.join(','), holders: holders.join(',') },
+  });
   world.proposals.append({
     id: world.identifiers.next('holders'),
     command: { kind: 'holdersSet', job: job.id, holders },
--- a/src/service/jobs/common/contentStoring.ts
+++ b/src/service/jobs/common/contentStoring.ts
@@ -12,6 +12,7 @@
   type Milliseconds,
 } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
+import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
@@ -59,6 +60,18 @@
   return row !== undefined && isResponsive(row);
 };
 
+const refuseSubmission = (world: World, { id, job, homes }: ContentStoringRow): void => {
+  const tried = world.contentCopies
+    .where('storing', id)
+    .map(({ daemon, state }) => `${daemon}=${state}`);
+  world.contentStorings.change(id, { state: StoringState.Refused });
+  world.metrics.count('contents.jobsNotStored');
+  world.events.append({
+    kind: EventKind.JobNotStored,
+    subject: { job, homes: homes.join(','), tried: tried.join(',') },
+  });
+};
+
 type StoringHandler = (world: World, storing: ContentStoringRow, now: Instant) => void;
 
 /**
@@ -81,7 +94,7 @@
   const others = untried.filter((row) => !preferred.includes(row));
   const chosen = [...first, ...choose(others, [...viable, ...first])];
   if (!areEnoughHolders([...viable, ...chosen], requirement)) {
-    world.contentStorings.change(storing.id, { state: StoringState.Refused });
+    refuseSubmission(world, storing);
     return;
   }
   chosen.forEach(({ id }) => startCopy(world, storing, id, now));
@@ -247,8 +260,8 @@
     world.silentHolders
       .takeDue('avoidance', now)
       .forEach(({ id }) => world.silentHolders.remove(id));
-    world.contentStorings.takeDue('refusal', now).forEach(({ id }) => {
-      world.contentStorings.change(id, { state: StoringState.Refused });
-    });
+    world.contentStorings
+      .takeDue('refusal', now)
+      .forEach((storing) => refuseSubmission(world, storing));
   },
 });
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -35,7 +35,7 @@
   readonly total: number;
   /** Number of listed results. */
   readonly listed: number;
-  /** Daemons that `holders` replaced last; new holders copy contents from them too. */
+  /** Daemons that were holders, the latest first; new holders copy contents from them too. */
   readonly formerHolders: readonly string[];
 }
 
--- a/src/service/jobs/test/common/contentSecrecy.test.ts
+++ b/src/service/jobs/test/common/contentSecrecy.test.ts
@@ -3,9 +3,13 @@
  */
 import test from 'ava';
 import { testJob } from '../../../../../standins/virtual/fleetFixture.js';
+import { asBrand } from '../../../../base/common/brand.js';
 import { captureReplicatedState } from '../../../consensus/common/replicatedState.js';
+import { itemIdOf } from '../../common/jobTables.js';
+import { queueUnsavedText } from '../../common/saveTexts.js';
+import { findCompleteText } from '../../common/textReuse.js';
 import { createContentFleet, daemonsAtHome, foreignEntry, itemWithBody } from './contentFleet.js';
-import { body, checkBody, checkText, listText, stopAll, submitJob } from './contentSteps.js';
+import { body, checkBody, checkText, listText, stopAll, submitJob, text } from './contentSteps.js';
 
 /** Whether a value contains bytes or text of the job, however deep. */
 const containsSecret = (value: unknown): boolean => {
@@ -63,3 +67,27 @@
   );
   t.true([...fleet.worldOf(fleet.leader()).logEntries.rows()].some(containsSecret));
 });
+
+test('a partial text of a job with home regions is not saved in the log', async (t) => {
+  const fleet = await createContentFleet();
+  await submitJob(fleet);
+  const world = fleet.worldOf(fleet.leader());
+  const id = itemIdOf('j', 'j-item');
+  const run = world.runs.get(id)!;
+  queueUnsavedText(world, { ...run, events: 1, text }, fleet.installation.now());
+  t.is(world.savedTexts.size(), 0);
+});
+
+test('a text that stays in its home regions is not used for a job without them', async (t) => {
+  const fleet = await createContentFleet();
+  await submitJob(fleet);
+  await listText(fleet);
+  const [holder] = fleet.holdersOf('j');
+  const world = fleet.worldOf(holder!);
+  const item = world.jobItems.get(itemIdOf('j', 'j-item'))!;
+  const job = fleet.jobOf(holder!, 'j')!;
+  const later = { ...job, id: asBrand<typeof job.id>('later') };
+  t.is(findCompleteText(world, later, item)?.text, text);
+  t.is(findCompleteText(world, { ...later, homeRegions: [] }, item), undefined);
+  t.is(findCompleteText(world, { ...later, homeRegions: ['r1', 'r2'] }, item), undefined);
+});
--- a/src/service/jobs/test/common/lostHolders.test.ts
+++ b/src/service/jobs/test/common/lostHolders.test.ts
@@ -2,6 +2,7 @@
  * Guards against a job with home regions that is accepted and then lost with some disks or a zone.
  */
 import test from 'ava';
+import { asBrand } from '../../../../base/common/brand.js';
 import { testJob } from '../../../../../standins/virtual/fleetFixture.js';
 import {
   createContentFleet,
@@ -132,6 +133,7 @@
   await fleet.declareHomes(['r2'], 2);
   await fleet.runFor(3_000);
   t.deepEqual([...fleet.holdersOf('j')].sort(), ['d3', 'd6', 'd9']);
+  t.deepEqual([...fleet.jobOf('d1', 'j')!.formerHolders].sort(), [...former].sort());
   fleet.holdersOf('j').forEach((name) => t.is(fleet.contents.contentsOf(name, 'j').size, 1));
   await checkBody(t, fleet, foreignEntry);
   await fleet.runFor(62_000);
@@ -152,3 +154,37 @@
   await fleet.runFor(4_000);
   await checkText(t, fleet, foreignEntry);
 });
+
+test('new holders know those that have copies, however often they change', async (t) => {
+  const fleet = await createContentFleet();
+  await submitJob(fleet);
+  const former = fleet.holdersOf('j');
+  const holdersSet = { kind: 'holdersSet', job: 'j', holders: ['d3', 'd6', 'd9'] } as const;
+  const world = fleet.worldOf(fleet.leader());
+  ['first', 'repeated'].forEach((id) =>
+    world.proposals.append({
+      id: asBrand(id),
+      command: holdersSet,
+      proposalDeadline: fleet.installation.now() + 1_000,
+    }),
+  );
+  fleet.installation.wake(fleet.leader());
+  await fleet.runFor(100);
+  t.deepEqual(
+    former.filter((name) => !fleet.jobOf(fleet.leader(), 'j')!.formerHolders.includes(name)),
+    [],
+  );
+});
+
+test('contents are read from the next holder if the first two are silent', async (t) => {
+  const silent = new Set<string>();
+  const fleet = await createContentFleet({
+    isLost: (_from, to, { kind }) => {
+      if (kind === 'jobContentsAsked' && silent.size < 2) silent.add(to);
+      return kind === 'jobContentsAsked' && silent.has(to);
+    },
+  });
+  await submitJob(fleet);
+  await checkBody(t, fleet, foreignEntry);
+  t.is(silent.size, 2);
+});
