--- a/src/daemon/jobs/node/runPort.ts
+++ b/src/daemon/jobs/node/runPort.ts
@@ -7,13 +7,13 @@
 import type { Disposable } from '../../../base/common/disposable.js';
 import { remainingUntil, type Clock } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { findItemBody } from '../../../service/jobs/common/jobContents.js';
 import {
   RunState,
   type ItemId,
   type RunFact,
   type RunRow,
 } from '../../../service/jobs/common/jobTables.js';
-import { findItemBody } from '../../../service/jobs/common/jobContents.js';
 import { maximumEventsOf } from '../../../service/jobs/common/outputLimit.js';
 import type { World } from '../../../service/world/common/world.js';
 import { discardBody } from '../../forwarding/node/discardBody.js';
@@ -141,13 +141,15 @@
     const jobItem = world.jobItems.get(item);
     const job = world.jobs.get(run.job);
     const upstream = world.registrations.get(run.upstream!);
-    if (jobItem === undefined || job === undefined || upstream === undefined) {
-      report({ kind: 'notRun', item, start, reason: 'item, job or upstream no longer exists' });
-      return;
-    }
-    const body = findItemBody(world, jobItem);
-    if (body === undefined) {
-      report({ kind: 'notRun', item, start, reason: 'this daemon does not hold the body yet' });
+    const body = jobItem === undefined ? undefined : findItemBody(world, jobItem);
+    if (
+      jobItem === undefined ||
+      job === undefined ||
+      upstream === undefined ||
+      body === undefined
+    ) {
+      const reason = 'item, job or upstream no longer exists, or the body of the item is not here';
+      report({ kind: 'notRun', item, start, reason });
       return;
     }
     // The process may have been suspended since the permit was taken.
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -36,6 +36,10 @@
 import { createOriginSystem } from '../../forwarding/common/originSystem.js';
 import { createSendSystem } from '../../forwarding/common/sendSystem.js';
 import { createAssignmentSystem } from '../../jobs/common/assignmentSystem.js';
+import { createContentHolderSystem } from '../../jobs/common/contentHolderSystem.js';
+import { createContentHoldingSystem } from '../../jobs/common/contentHolding.js';
+import { createContentReadSystem } from '../../jobs/common/contentReads.js';
+import { createContentStoringSystem } from '../../jobs/common/contentStoring.js';
 import { createEngineLoadSystem } from '../../jobs/common/engineLoads.js';
 import { createJobRetentionSystem } from '../../jobs/common/jobRetentionSystem.js';
 import { createJobReadSystem } from '../../jobs/common/jobReads.js';
@@ -143,7 +147,11 @@
   createRunMigrationSystem,
   createEngineLoadSystem,
   createColdSystem,
+  createContentHoldingSystem,
+  createContentStoringSystem,
+  createContentHolderSystem,
   createJobReadSystem,
+  createContentReadSystem,
   createMeteringSystem,
   createCapacitySystem,
   createAbsenceSystem,
--- a/src/service/jobs/common/jobRunner.ts
+++ b/src/service/jobs/common/jobRunner.ts
@@ -12,6 +12,7 @@
 import { replicaOf } from '../../consensus/common/replicaLog.js';
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import type { World } from '../../world/common/world.js';
+import { hasHeldContents } from './jobContents.js';
 import { homeJobGroup, type JobRow } from './jobTables.js';
 import { runnerCurrencyId } from './runnerTables.js';
 
@@ -21,14 +22,6 @@
  */
 export const runnerCurrencyMilliseconds: Milliseconds = 3_000;
 
-/** Returns the regions in which a job may run; empty for any region. */
-export const homeRegionsOf = ({ homeRegions }: Pick<JobRow, 'homeRegions'>): readonly string[] =>
-  homeRegions ?? [];
-
-/** Whether a job may run only in some regions, so that a runner there runs its items. */
-export const hasHomeRegions = (job: Pick<JobRow, 'homeRegions'>): boolean =>
-  homeRegionsOf(job).length > 0;
-
 /** Returns the open jobs with home regions. */
 export const openHomeJobsOf = (world: World): readonly JobRow[] =>
   world.jobs.where('home', homeJobGroup);
@@ -56,7 +49,7 @@
   job: Pick<JobRow, 'homeRegions' | 'runner'>,
   now: Instant,
 ): boolean =>
-  hasHomeRegions(job)
+  hasHeldContents(job)
     ? isAppointedRunner(world, job) && isRunnerCurrent(world, now)
     : isCurrentLeader(replicaOf(world), now);
 
--- a/src/service/jobs/common/jobTables.ts
+++ b/src/service/jobs/common/jobTables.ts
@@ -37,13 +37,15 @@
   readonly listed: number;
   /** Daemon that runs the items of a job with home regions; null for other jobs. */
   readonly runner: string | null;
+  /** Daemons that were holders, the latest first; new holders copy contents from them too. */
+  readonly formerHolders: readonly string[];
 }
 
 /** The only value of the index of open jobs with home regions. */
 export const homeJobGroup = 'home';
 
 const isOpenHomeJob = ({ state, homeRegions }: JobRow): boolean =>
-  state === JobState.Open && homeRegions !== undefined && homeRegions.length > 0;
+  state === JobState.Open && homeRegions.length > 0;
 
 export interface JobItemRow extends JobItem {
   readonly id: ItemId;
--- a/src/service/jobs/common/replicatedJobTables.ts
+++ b/src/service/jobs/common/replicatedJobTables.ts
@@ -29,6 +29,7 @@
       total: count,
       listed: count,
       runner: z.string().nullable().default(null),
+      formerHolders: z.array(z.string()).readonly().default([]),
     }),
   },
   jobItems: {
--- a/src/service/jobs/common/runnerSystem.ts
+++ b/src/service/jobs/common/runnerSystem.ts
@@ -14,7 +14,7 @@
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
-import { homeRegionsOf, openHomeJobsOf, watchRunnerCurrency } from './jobRunner.js';
+import { openHomeJobsOf, watchRunnerCurrency } from './jobRunner.js';
 import type { JobRow } from './jobTables.js';
 import { chooseRunner, computeReplacementTime, type RunnerCandidate } from './runnerChoice.js';
 
@@ -24,15 +24,15 @@
 const isSuitable = (world: World, job: JobRow, name: string): boolean => {
   const daemon = world.daemons.get(asBrand<DaemonId>(name));
   return (
-    (job.holders ?? []).includes(name) &&
+    job.holders.includes(name) &&
     daemon?.isControl === true &&
-    homeRegionsOf(job).includes(daemon.region) &&
+    job.homeRegions.includes(daemon.region) &&
     !isRetiring(world, daemon.id)
   );
 };
 
 const candidatesOf = (world: World, job: JobRow): RunnerCandidate[] =>
-  (job.holders ?? [])
+  job.holders
     .filter((name) => isSuitable(world, job, name))
     .filter((name) => world.daemons.get(asBrand<DaemonId>(name))?.state === DaemonState.Alive)
     .map((id) => ({
--- a/src/service/jobs/common/textReuse.ts
+++ b/src/service/jobs/common/textReuse.ts
@@ -4,15 +4,14 @@
  * replicated text of the earlier job is reused there if the later job allows its weight versions.
  */
 import type { World } from '../../world/common/world.js';
+import { findResultText, hasHeldContents } from './jobContents.js';
 import { isVersionSetAllowed, isSingleVersion } from './allowedVersions.js';
-import { hasHomeRegions } from './jobRunner.js';
 import { ItemResult, type SavedText } from './jobCommands.js';
 import type { JobItemRow, JobRow } from './jobTables.js';
 import { maximumEventsOf } from './outputLimit.js';
 
 /**
- * Returns the rows of the same item in other jobs of the same model and workspace. Texts of jobs with
- * home regions are not in the log, so they are not reused.
+ * Returns the rows of the same item in other jobs of the same model and workspace.
  */
 export const findSameItemInOtherJobs = (
   world: World,
@@ -25,13 +24,21 @@
       (row) =>
         row.job !== job.id &&
         row.path === item.path &&
-        !hasHomeRegions(world.jobs.get(row.job) ?? {}) &&
         world.jobs.get(row.job)?.model === job.model &&
         world.jobs.get(row.job)?.workspace === job.workspace,
     );
 
+/** Whether the text of a job may be stored wherever the texts of another one are. */
+const mayReuseTextOf = (job: JobRow, source: JobRow | undefined): boolean => {
+  if (source === undefined || !hasHeldContents(source)) return true;
+  return (
+    hasHeldContents(job) && job.homeRegions.every((region) => source.homeRegions.includes(region))
+  );
+};
+
 /**
- * Returns the complete text that another job listed for an item, if this job allows its versions.
+ * Returns the complete text that another job listed for an item, if this job allows its versions. A
+ * text that only the holders of the other job have is not found elsewhere.
  */
 export const findCompleteText = (
   world: World,
@@ -40,13 +47,18 @@
 ): Pick<SavedText, 'text' | 'versions'> | undefined =>
   findSameItemInOtherJobs(world, job, item)
     .filter(({ isListed }) => isListed)
+    .filter((row) => mayReuseTextOf(job, world.jobs.get(row.job)))
     .flatMap((row) => world.jobResults.where('job', row.job))
-    .find(
+    .filter(
       (row) =>
         row.item === item.item &&
         row.result === ItemResult.Completed &&
         isVersionSetAllowed(world, job, row.versions),
-    );
+    )
+    .flatMap((row) => {
+      const text = findResultText(world, row.job, row);
+      return text === undefined ? [] : [{ text, versions: row.versions }];
+    })[0];
 
 /** A saved text whose software version is known, so that it can go on at that version. */
 export type ContinuableText = SavedText & { readonly softwareVersion: string };
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -23,6 +23,7 @@
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
 import { originMessageSchemas } from '../../forwarding/common/originMessages.js';
+import { contentMessageSchemas } from '../../jobs/common/contentMessages.js';
 import { coldMessageSchemas } from '../../places/common/coldMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
 import { engineLoadsReportedSchema } from '../../jobs/common/runnerTables.js';
@@ -69,6 +70,7 @@
   upstreamDepartedSchema,
   upstreamLeavingSchema,
   ...jobReadSchemas,
+  ...contentMessageSchemas,
   engineLoadsReportedSchema,
   ...originMessageSchemas,
   ...coldMessageSchemas,
