--- a/src/service/consensus/test/common/replicatedState.test.ts
+++ b/src/service/consensus/test/common/replicatedState.test.ts
@@ -100,7 +100,7 @@
 test('every table that apply handlers change is replicated or known to be local', (t) => {
   const appliedKinds = new Set<string>();
   const changedTables = new Set<string>();
-  fc.sample(anySequence, { numRuns: 60, seed }).forEach((commands) => {
+  fc.sample(anySequence, { numRuns: 400, seed }).forEach((commands) => {
     const { world } = createApplier(true);
     const names = Object.keys(world).filter((name) =>
       world.allTables.includes(world[name as keyof Tables]),
--- a/src/service/registry/test/common/coldColumns.test.ts
+++ b/src/service/registry/test/common/coldColumns.test.ts
@@ -95,13 +95,13 @@
 
 test('a service that declares no cold start, 0 s or 0 requests a second has no limits', (t) => {
   const core = createLimited();
-  const coldStarts = [
+  const startWithColdTime = [
     undefined,
     null,
     { milliseconds: 0, requestsPerSecond: 12 },
     { milliseconds: 3_000, requestsPerSecond: 0 },
   ];
-  coldStarts.forEach((coldStart) => {
+  startWithColdTime.forEach((coldStart) => {
     const declaration = testDeclaration();
     const services = declaration.services.map((service) =>
       coldStart === undefined ? service : { ...service, coldStart },
