--- a/src/service/consensus/test/common/replicatedState.test.ts
+++ b/src/service/consensus/test/common/replicatedState.test.ts
@@ -85,6 +85,7 @@
 const localTables: Partial<Readonly<Record<keyof Tables, string>>> = {
   routes: 'follow from the declaration when it is restored',
   callerKeys: 'follow from the declaration when it is restored',
+  declaredWorkspaces: 'follow from the declaration when it is restored',
   lotClocks: 'deadlines on the clock of this daemon, recreated for restored lots',
   bodyDeletions: 'request to a port, made again for lots that a snapshot does not hold',
   proposalOutcomes: 'answers to proposers of this daemon, recorded from the remembered outcomes',
@@ -99,7 +100,7 @@
 test('every table that apply handlers change is replicated or known to be local', (t) => {
   const appliedKinds = new Set<string>();
   const changedTables = new Set<string>();
-  fc.sample(anySequence, { numRuns: 60, seed }).forEach((commands) => {
+  fc.sample(anySequence, { numRuns: 120, seed }).forEach((commands) => {
     const { world } = createApplier(true);
     const names = Object.keys(world).filter((name) =>
       world.allTables.includes(world[name as keyof Tables]),
