--- a/src/service/jobs/common/ownRuns.ts
+++ b/src/service/jobs/common/ownRuns.ts
@@ -51,15 +51,19 @@
   kept.forEach((run) => suspendScoring(world, run, now));
 };
 
-/** Returns the items whose results this daemon has proposed without an outcome so far. */
-const proposedItemsOf = (world: World): ReadonlySet<string> =>
-  new Set(
-    [...world.pendingProposals.rows()].flatMap(({ command }) =>
-      command.kind === 'itemsListed'
-        ? command.results.map(({ item }): string => itemIdOf(command.job, item))
-        : [],
+/** Returns the items whose results are proposed without an outcome so far, or will be. */
+const proposedItemsOf = (world: World): ReadonlySet<string> => {
+  const proposed = [...world.pendingProposals.rows()].flatMap(({ command }) =>
+    command.kind === 'itemsListed' ? [command] : [],
+  );
+  // Their texts are being stored at the holders first.
+  const stored = [...world.contentStorings.rows()];
+  return new Set(
+    [...proposed, ...stored].flatMap(({ job, results }) =>
+      results.map(({ item }): string => itemIdOf(job, item)),
     ),
   );
+};
 
 /**
  * Removes the runs whose proposed results have expired while this daemon was not current, so that
