--- a/src/service/consensus/common/command.ts
+++ b/src/service/consensus/common/command.ts
@@ -87,6 +87,7 @@
   jobEnded: Topic.Voters,
   jobForgotten: Topic.Voters,
   runnerSet: Topic.Voters,
+  holdersSet: Topic.Voters,
   versionNamed: Topic.Voters,
   usageCounted: Topic.Voters,
   usageFrozen: Topic.Voters,
--- a/src/service/jobs/common/applyJobs.ts
+++ b/src/service/jobs/common/applyJobs.ts
@@ -10,11 +10,17 @@
 import type { ModelVersionRow } from '../../weights/common/versionTables.js';
 import type { World } from '../../world/common/world.js';
 import type { JobCommand, JobSubmitted, ListedItem, SavedItem } from './jobCommands.js';
-import { hasHomeRegions } from './jobRunner.js';
+import { hasHeldContents } from './jobContents.js';
 import { itemIdOf, JobState, resultIdOf, type JobId, type JobRow } from './jobTables.js';
 
 const emptyBody = new Uint8Array();
 
+/**
+ * Former holders that new ones may ask, the latest first: those of three changes of all holders, where
+ * two lost disks are survived. Changes that follow each other may leave no other copy for a while.
+ */
+const maximumFormerHolders = 9;
+
 /** Weight version of a model before a trainer has named one. */
 const initialVersion = 1;
 
@@ -36,6 +42,7 @@
     total,
     listed: 0,
     runner: null,
+    formerHolders: [],
   });
   items.forEach((item) =>
     world.jobItems.put({
@@ -109,7 +116,7 @@
   },
   itemsListed: ({ job, results }, world, { origin }) => {
     const jobRow = world.jobs.get(asBrand(job));
-    if (jobRow !== undefined && hasHomeRegions(jobRow) && jobRow.runner !== origin)
+    if (jobRow !== undefined && hasHeldContents(jobRow) && jobRow.runner !== origin)
       return err(createNotRunnerRejection(job, origin, jobRow.runner));
     if (jobRow?.state === JobState.Open)
       results.forEach((result) => applyListedItem(world, jobRow, result));
@@ -132,7 +139,17 @@
   },
   runnerSet: ({ job, runner }, world) => {
     const jobRow = world.jobs.get(asBrand(job));
-    if (jobRow !== undefined && hasHomeRegions(jobRow)) world.jobs.change(jobRow.id, { runner });
+    if (jobRow !== undefined && hasHeldContents(jobRow)) world.jobs.change(jobRow.id, { runner });
+    return ok(undefined);
+  },
+  holdersSet: ({ job, holders }, world) => {
+    const jobRow = world.jobs.get(asBrand(job));
+    if (jobRow !== undefined) {
+      const formerHolders = [...new Set([...jobRow.holders, ...jobRow.formerHolders])]
+        .filter((name) => !holders.includes(name))
+        .slice(0, maximumFormerHolders);
+      world.jobs.change(jobRow.id, { holders, formerHolders });
+    }
     return ok(undefined);
   },
   jobForgotten: ({ job }, world) => {
--- a/src/service/jobs/common/ownRuns.ts
+++ b/src/service/jobs/common/ownRuns.ts
@@ -6,7 +6,8 @@
 import type { Instant } from '../../../base/common/time.js';
 import type { World } from '../../world/common/world.js';
 import { insertRuns } from './insertRuns.js';
-import { hasHomeRegions, isAppointedRunner, isRunnerOf } from './jobRunner.js';
+import { hasHeldContents } from './jobContents.js';
+import { isAppointedRunner, isRunnerOf } from './jobRunner.js';
 import { itemIdOf, JobState, RunState, type JobId, type JobRow, type RunRow } from './jobTables.js';
 import { cancelScoring } from './listItems.js';
 
@@ -28,7 +29,7 @@
 /** Whether this daemon may run the items of a job again, once it is current. */
 const canResume = (world: World, job: JobRow | undefined): boolean =>
   job?.state === JobState.Open &&
-  hasHomeRegions(job) &&
+  hasHeldContents(job) &&
   isAppointedRunner(world, job) &&
   !world.isLeaving();
 
@@ -50,15 +51,19 @@
   kept.forEach((run) => suspendScoring(world, run, now));
 };
 
-/** Returns the items whose results this daemon has proposed without an outcome so far. */
-const proposedItemsOf = (world: World): ReadonlySet<string> =>
-  new Set(
-    [...world.pendingProposals.rows()].flatMap(({ command }) =>
-      command.kind === 'itemsListed'
-        ? command.results.map(({ item }): string => itemIdOf(command.job, item))
-        : [],
+/** Returns the items whose results are proposed without an outcome so far, or will be. */
+const proposedItemsOf = (world: World): ReadonlySet<string> => {
+  const proposed = [...world.pendingProposals.rows()].flatMap(({ command }) =>
+    command.kind === 'itemsListed' ? [command] : [],
+  );
+  // Their texts are being stored at the holders first.
+  const stored = [...world.contentStorings.rows()];
+  return new Set(
+    [...proposed, ...stored].flatMap(({ job, results }) =>
+      results.map(({ item }): string => itemIdOf(job, item)),
     ),
   );
+};
 
 /**
  * Removes the runs whose proposed results have expired while this daemon was not current, so that
@@ -67,7 +72,7 @@
 export const removeExpiredResults = (world: World): void => {
   const homeRuns = world.runs
     .where('state', RunState.Proposed)
-    .filter(({ job }) => hasHomeRegions(world.jobs.get(job) ?? {}));
+    .filter(({ job }) => hasHeldContents(world.jobs.get(job) ?? { homeRegions: [] }));
   if (homeRuns.length === 0) return;
   const proposed = proposedItemsOf(world);
   removeRuns(
