--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -17,9 +17,7 @@
 import { countNotJoined } from '../../../service/consensus/common/voterStatements.js';
 import { countVoteAnswers } from '../../../service/consensus/common/votes.js';
 import { declarationId } from '../../../service/declaration/common/declarationTables.js';
-import { countItemsWaitingByRegion } from '../../../service/jobs/common/homeWaits.js';
 import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
-import { coldGroup } from '../../../service/places/common/coldTables.js';
 import type { World } from '../../../service/world/common/world.js';
 import { recordPlaceGauges } from './placeGauges.js';
 import type { RouteEnvironment } from '../../front/node/decoding.js';
@@ -35,7 +33,6 @@
   'runs.confirming': (world) => world.runs.count('state', RunState.Confirming),
   'runs.scoring': (world) => world.runs.count('state', RunState.Scoring),
   'registrations.known': (world) => world.registrations.size(),
-  'places.upstreamsCold': (world) => world.coldStates.count('cold', coldGroup),
   'members.known': (world) => world.daemons.size(),
   'log.lastIndex': (world) => replicaOf(world).lastIndex,
   'log.commitIndex': (world) => replicaOf(world).commitIndex,
@@ -78,9 +75,6 @@
   routes.get(path, async () => {
     const now = clock();
     Object.entries(gaugeReaders).forEach(([name, read]) => metrics.gauge(name, read(world, now)));
-    countItemsWaitingByRegion(world).forEach((count, region) =>
-      metrics.gauge('places.itemsWaiting', count, { region }),
-    );
     recordPlaceGauges(world, metrics, now);
     return new Response(await metrics.text(), { headers: { 'content-type': metrics.contentType } });
   });
