--- a/src/infrastructure/storage/node/segmentStore.ts
+++ b/src/infrastructure/storage/node/segmentStore.ts
@@ -149,12 +149,13 @@
   return {
     append: async (records: readonly Buffer[]): Promise<void> => {
       const batch = Buffer.concat(records);
+      const runningCompaction = compaction;
       try {
         await appendBatch(batch);
       } catch (error) {
-        if (compaction === undefined) throw error;
+        if (runningCompaction === undefined) throw error;
         // On a full disk, the end of a compaction frees the space of its unfinished base.
-        await compaction;
+        await runningCompaction;
         await appendBatch(batch);
       }
     },
--- a/src/service/capacity/common/capacityDemand.ts
+++ b/src/service/capacity/common/capacityDemand.ts
@@ -5,9 +5,10 @@
 import { asBrand } from '../../../base/common/brand.js';
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
+import { homesOfJob } from '../../jobs/common/jobHomes.js';
 import { isAppointedRunner, openHomeJobsOf } from '../../jobs/common/jobRunner.js';
 import { RunState, type JobId, type JobRow } from '../../jobs/common/jobTables.js';
-import { homesOfRoute, type Homes } from '../../places/common/homes.js';
+import type { Homes } from '../../places/common/homes.js';
 import type { World } from '../../world/common/world.js';
 import type { CapacityDemandRow } from './capacityTables.js';
 
@@ -59,7 +60,7 @@
   itemCountsOf(world).forEach((items, id) => {
     const job = world.jobs.get(id);
     if (job === undefined || !isRoutedToService(world, job, service)) return;
-    const homes = homesOfRoute(world, findRoute(world, job.host, job.path), job.workspace);
+    const homes = homesOfJob(world, job);
     const demand = demandIdOf(service, homes);
     demands.set(demand, { homes, count: (demands.get(demand)?.count ?? 0) + items });
   });
--- a/src/service/consensus/common/voters.ts
+++ b/src/service/consensus/common/voters.ts
@@ -135,7 +135,7 @@
  */
 const isRemovedByHeldChange = (world: World, reportedIndex: number): boolean => {
   const { state, votersIndex } = replicaOf(world);
-  return state === ReplicaState.PreCandidate && reportedIndex === votersIndex;
+  return state === ReplicaState.PreCandidate && votersIndex > 0 && reportedIndex === votersIndex;
 };
 
 /**
--- a/src/service/forwarding/common/callPlaces.ts
+++ b/src/service/forwarding/common/callPlaces.ts
@@ -69,9 +69,9 @@
 
 /** Whether home regions are declared, and a change of them may be in force everywhere but here. */
 const hasOutdatedHomes = (world: World, now: Instant): boolean =>
-  hasHomeRegions(world) &&
+  !isDeclarationFresh(world, now + freshnessMilliseconds - homeChangeMilliseconds) &&
   !isCurrentLeader(replicaOf(world), now) &&
-  !isDeclarationFresh(world, now + freshnessMilliseconds - homeChangeMilliseconds);
+  hasHomeRegions(world);
 
 /**
  * Whether calls must wait because a change of home regions or of evacuated zones may be in force that
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -15,13 +15,14 @@
 import { takePermit } from '../../places/common/coldPermits.js';
 import { selectSendable } from '../../places/common/coldSelection.js';
 import { isPlaceAllowed } from '../../places/common/eligibility.js';
-import { homesOfRoute, type Homes } from '../../places/common/homes.js';
+import type { Homes } from '../../places/common/homes.js';
 import { selectAllowedService } from '../../places/common/serviceChoice.js';
 import { isOverdue } from '../../registry/common/registrySystem.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { expectedVersionOf, freeSlotsOf, canServeVersion } from './engineChoice.js';
 import { findSlowEngines } from './enginePace.js';
+import { homesOfJob } from './jobHomes.js';
 import { isRunnerOf } from './jobRunner.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
 import {
@@ -97,7 +98,7 @@
   world.registrations.where('service', service).filter((row) => isPlaceAllowed(world, row, homes));
 
 const findFreeEngines = (world: World, { job, route }: Candidate, now: Instant): FreeEngines => {
-  const homes = homesOfRoute(world, route, job.workspace);
+  const homes = homesOfJob(world, job);
   const service = selectAllowedService(world, route, homes);
   const slowEngineIds = findSlowEngines(world, service);
   const all = listAllowedEngines(world, service, homes).filter(
--- a/src/service/jobs/common/contentHolderSystem.ts
+++ b/src/service/jobs/common/contentHolderSystem.ts
@@ -7,10 +7,8 @@
 import { createTable } from '../../../infrastructure/tables/common/table.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
 import { canActAsLeader } from '../../consensus/common/lease.js';
-import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
-import { homesOfRoute } from '../../places/common/homes.js';
 import type { World } from '../../world/common/world.js';
 import {
   chooseHolders,
@@ -19,6 +17,7 @@
   isPossibleHolder,
 } from './holderChoice.js';
 import { hasHeldContents } from './jobContents.js';
+import { homesOfJob } from './jobHomes.js';
 import type { JobRow } from './jobTables.js';
 
 /** The time at which the leader compares the holders of all jobs with the daemons that run. */
@@ -46,10 +45,6 @@
 /** A replacement that is not committed within this time is proposed again by the next check. */
 const proposalTimeoutMilliseconds: Milliseconds = 3_000;
 
-/** Returns the regions that may store the contents of a job now. */
-const homesOfJob = (world: World, job: JobRow): readonly string[] =>
-  homesOfRoute(world, findRoute(world, job.host, job.path), job.workspace) ?? job.homeRegions;
-
 const isLost = (world: World, { isSelf, suspicionDeadline }: DaemonRow, now: Instant): boolean => {
   const heardAt = suspicionDeadline - world.deployment.timing.suspicionMilliseconds;
   return !isSelf && now >= heardAt + lossMilliseconds;
@@ -60,7 +55,7 @@
  * because its disk may return; one outside the home regions does not, unless no holder would remain.
  */
 export const computeHolders = (world: World, job: JobRow, now: Instant): readonly string[] => {
-  const homes = homesOfJob(world, job);
+  const homes = homesOfJob(world, job) ?? job.homeRegions;
   const isHolder = ({ id }: DaemonRow): boolean => job.holders.includes(id);
   // The region of a daemon is not known before its first heartbeat.
   const daemons = [...world.daemons.rows()].filter(
@@ -77,7 +72,9 @@
   const extended = addTo(kept);
   // After a zone has returned, one holder moves there.
   const isSpread = countZones(extended) >= Math.min(requirement.zones, needed);
-  const found = isSpread ? extended : addTo(kept.slice(1));
+  // The runner has the texts that are not complete yet.
+  const moved = kept.find(({ id }) => id !== job.runner);
+  const found = isSpread ? extended : addTo(kept.filter((row) => row !== moved));
   const lost = daemons.filter((row) => isHolder(row) && isLost(world, row, now));
   const holders = [...found, ...lost.slice(0, Math.max(0, needed - found.length))];
   return holders.length === 0 ? job.holders : holders.map(({ id }) => id);
--- a/src/service/jobs/common/contentHolding.ts
+++ b/src/service/jobs/common/contentHolding.ts
@@ -213,12 +213,16 @@
 
 /** Handlers of the messages about contents, by `kind`. */
 export const contentHandlers: HandlerTable<ContentMessage, void, [World, DaemonRow, Instant]> = {
-  jobContentsOffered: ({ job, contents, storing, batch }, world, { id: from }) =>
+  jobContentsOffered: ({ job, contents, storing, batch }, world, { id: from }, now) => {
+    // The contents must not be removed as orphans while they are written.
+    const orphanDeadline = deadlineAfter(now, orphanMilliseconds);
+    world.contentJobs.change(asBrand<JobId>(job), { orphanDeadline });
     world.contentWrites.append({
       job: asBrand(job),
       contents,
       offer: { from, storing: asBrand(storing), batch },
-    }),
+    });
+  },
   jobContentsStored: ({ storing, batch, isStored }, world, { id: from }, now) =>
     recordStoredBatch(world, asBrand(storing), from, { batch, isStored }, now),
   jobContentsAsked: ({ job, digests }, world, { id: from }) => {
--- a/src/service/jobs/common/contentReads.ts
+++ b/src/service/jobs/common/contentReads.ts
@@ -157,6 +157,9 @@
   now: Instant,
 ): void =>
   world.contentReads.where('job', job).forEach((row) => {
+    const isNamed = (digest: string): boolean => row.digests.includes(digest);
+    // Other reads of the job asked for other contents.
+    if (!contents.some(({ digest }) => isNamed(digest)) && !missing.some(isNamed)) return;
     const incomplete = addContents(world, row, contents);
     if (incomplete === undefined) return;
     const remaining = missingDigestsOf(incomplete);
--- a/src/service/jobs/common/contentStoring.ts
+++ b/src/service/jobs/common/contentStoring.ts
@@ -104,6 +104,9 @@
   world.contentStorings.change(storing.id, { state: StoringState.Stored, holders });
 };
 
+/** Copies of a text with which its result is listed although other holders are lost. */
+const minimumResultCopies = 2;
+
 /**
  * Sends texts again to the holders that have not answered, and proposes their results once every
  * holder has stored them. One that is suspected, or that cannot write, counts as lost: it copies them
@@ -124,8 +127,11 @@
   const isLost = (daemon: DaemonId): boolean =>
     !isDaemonResponsive(world, daemon) ||
     world.contentCopies.get(copyIdOf(storing.id, daemon))?.state === ContentCopyState.Failed;
+  // A listed item does not run again, so the loss of one more disk must not lose its text.
+  const storedCount = holders.filter(isStoredAt).length;
   const isDone =
-    holders.some(isStoredAt) && holders.every((daemon) => isStoredAt(daemon) || isLost(daemon));
+    storedCount >= Math.min(minimumResultCopies, holders.length) &&
+    holders.every((daemon) => isStoredAt(daemon) || isLost(daemon));
   if (!isDone) return;
   proposeResults(world, job.id, storing.results, now);
   removeStoring(world, storing.id);
--- a/src/service/jobs/common/homeWaits.ts
+++ b/src/service/jobs/common/homeWaits.ts
@@ -1,9 +1,8 @@
 /**
  * Counts the items that wait for upstreams in their home regions, for the metrics page.
  */
-import { findRoute } from '../../declaration/common/findRoute.js';
-import { homesOfRoute } from '../../places/common/homes.js';
 import type { World } from '../../world/common/world.js';
+import { homesOfJob } from './jobHomes.js';
 import { RunState } from './jobTables.js';
 
 /** Counted for items whose route and workspace share no home region. */
@@ -19,7 +18,7 @@
   world.runs.where('state', RunState.Waiting).forEach((run) => {
     const job = world.jobs.get(run.job);
     if (job === undefined) return;
-    const homes = homesOfRoute(world, findRoute(world, job.host, job.path), job.workspace);
+    const homes = homesOfJob(world, job);
     (homes?.length === 0 ? [noRegion] : (homes ?? [])).forEach((region) =>
       counts.set(region, (counts.get(region) ?? 0) + 1),
     );
--- a/src/service/jobs/common/runMigrationSystem.ts
+++ b/src/service/jobs/common/runMigrationSystem.ts
@@ -5,15 +5,14 @@
  */
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { isPlaceAllowed } from '../../places/common/eligibility.js';
-import { homesOfRoute } from '../../places/common/homes.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { isSingleVersion } from './allowedVersions.js';
 import { freeSlotsOf, canServeVersion } from './engineChoice.js';
 import { findSlowEngines } from './enginePace.js';
+import { homesOfJob } from './jobHomes.js';
 import { isRunnerOf } from './jobRunner.js';
 import { RunState, type JobRow, type RunRow } from './jobTables.js';
 import { avoidUpstream, recordRunEvent, requeueRun } from './runChanges.js';
@@ -42,7 +41,7 @@
   job: JobRow,
   now: Instant,
 ): EngineCapacity | undefined => {
-  const homes = homesOfRoute(world, findRoute(world, job.host, job.path), job.workspace);
+  const homes = homesOfJob(world, job);
   return capacities.find(
     ({ engine, free }) =>
       free > 0 &&
--- a/src/service/jobs/common/runnerSystem.ts
+++ b/src/service/jobs/common/runnerSystem.ts
@@ -14,6 +14,7 @@
 import { DaemonState, type DaemonRow } from '../../membership/common/membershipTables.js';
 import type { DaemonId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
+import { homesOfJob } from './jobHomes.js';
 import { openHomeJobsOf, watchRunnerCurrency } from './jobRunner.js';
 import type { JobRow } from './jobTables.js';
 import { chooseRunner, computeReplacementTime, type RunnerCandidate } from './runnerChoice.js';
@@ -26,7 +27,7 @@
   return (
     job.holders.includes(name) &&
     daemon?.isControl === true &&
-    job.homeRegions.includes(daemon.region) &&
+    (homesOfJob(world, job) ?? job.homeRegions).includes(daemon.region) &&
     !isRetiring(world, daemon.id)
   );
 };
--- a/src/service/places/common/applyEvacuations.ts
+++ b/src/service/places/common/applyEvacuations.ts
@@ -26,9 +26,13 @@
 ): Result<void, Rejection> => {
   const id = asBrand<ZoneId>(zone);
   const current = world.evacuations.get(id);
-  if ((current?.isInForce ?? false) === columns.isInForce) return ok(undefined);
-  if (current !== undefined && current.index > seenIndex) return err(zoneChangedRejection);
-  world.evacuations.put({ id, index, ...columns });
+  const isChange = (current?.isInForce ?? false) !== columns.isInForce;
+  if (isChange && current !== undefined && current.index > seenIndex)
+    return err(zoneChangedRejection);
+  // The index of a command without change counts too: it was acknowledged, so an older command that
+  // is committed later must not revert it.
+  const at = isChange || current === undefined ? columns.at : current.at;
+  world.evacuations.put({ id, index, isInForce: columns.isInForce, at });
   return ok(undefined);
 };
 
--- a/src/service/places/common/evacuatedZones.ts
+++ b/src/service/places/common/evacuatedZones.ts
@@ -2,10 +2,10 @@
  * Lists the evacuated availability zones with the requests of this daemon that still run there, for
  * the metrics page.
  */
-import { canActAsLeader } from '../../consensus/common/lease.js';
 import type { Instant } from '../../../base/common/time.js';
 import { SendState } from '../../forwarding/common/forwardingTables.js';
-import { RunState } from '../../jobs/common/jobTables.js';
+import { isRunnerOf } from '../../jobs/common/jobRunner.js';
+import { RunState, type JobId } from '../../jobs/common/jobTables.js';
 import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { isZoneEvacuated } from './eligibility.js';
@@ -18,15 +18,21 @@
   readonly running: number;
 }
 
+/** Whether this daemon sends the items of a job; others may hold runs that are not current. */
+const isRunHere = (world: World, id: JobId, now: Instant): boolean => {
+  const job = world.jobs.get(id);
+  return job !== undefined && isRunnerOf(world, job, now);
+};
+
 /** Upstreams to which this daemon has sent requests that still run, once for each request. */
 const runningUpstreams = (world: World, now: Instant): (UpstreamId | null)[] => [
   ...[...world.sends.rows()]
     .filter(({ state }) => state === SendState.Running)
     .map(({ upstream }) => upstream),
-  // Followers hold no current runs; only the leader sends items.
-  ...(canActAsLeader(world, now)
-    ? world.runs.where('state', RunState.Running).map(({ upstream }) => upstream)
-    : []),
+  ...world.runs
+    .where('state', RunState.Running)
+    .filter(({ job }) => isRunHere(world, job, now))
+    .map(({ upstream }) => upstream),
 ];
 
 /** Returns the evacuated zones in the order of their names. */
--- a/src/service/places/common/evacuationSystem.ts
+++ b/src/service/places/common/evacuationSystem.ts
@@ -7,7 +7,7 @@
 import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import { markZoneCold } from './coldState.js';
-import type { EvacuationRow } from './evacuationTables.js';
+import type { EvacuationRow, ZoneId } from './evacuationTables.js';
 
 const handleEvacuated = (world: World, { id, at, index }: EvacuationRow): void =>
   world.events.append({
@@ -24,6 +24,19 @@
 /** Creates the system that reports evacuations. */
 export const createEvacuationSystem = (world: World): System => {
   const changes = world.evacuations.createChangeReader();
+  /** The state of each zone that was handled last; a row also changes without another state. */
+  const handled = new Map<ZoneId, boolean>();
+
+  const handleChange = (row: EvacuationRow, now: Instant): void => {
+    const previous = handled.get(row.id);
+    if (row.isInForce === previous) return;
+    handled.set(row.id, row.isInForce);
+    if (row.isInForce) handleEvacuated(world, row);
+    // A process that starts may find a withdrawal of long ago, or of a moment ago.
+    else if (previous === undefined) markZoneCold(world, row.id, now);
+    else handleRestored(world, row, now);
+  };
+
   return {
     name: 'evacuation',
     run: (now) =>
@@ -31,8 +44,6 @@
         .take()
         .map((id) => world.evacuations.get(id))
         .filter((row) => row !== undefined)
-        .forEach((row) =>
-          row.isInForce ? handleEvacuated(world, row) : handleRestored(world, row, now),
-        ),
+        .forEach((row) => handleChange(row, now)),
   };
 };
--- a/src/service/places/common/serviceChoice.ts
+++ b/src/service/places/common/serviceChoice.ts
@@ -19,6 +19,7 @@
 
 /** Selects one of the services of a route at random, in proportion to their weights. */
 export const selectAllowedService = (world: World, route: RouteRow, homes: Homes): string => {
+  if (route.targets.length === 1) return route.targets[0]!.service;
   const targets = route.targets.filter(
     ({ service, weight }) => weight > 0 && canBeSelected(world, service, homes),
   );
--- a/src/service/weights/common/homePlacement.ts
+++ b/src/service/weights/common/homePlacement.ts
@@ -4,10 +4,10 @@
  * if there are enough; beyond that it has its share of the demand. Without jobs that have home
  * regions there are no needs, and the shares of the models alone decide.
  */
-import { findRoute } from '../../declaration/common/findRoute.js';
+import { homesOfJob } from '../../jobs/common/jobHomes.js';
 import { JobState, type JobRow } from '../../jobs/common/jobTables.js';
 import { isPlaceAllowed } from '../../places/common/eligibility.js';
-import { hasHomeRegions, homesOfRoute } from '../../places/common/homes.js';
+import { hasHomeRegions } from '../../places/common/homes.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { demandWindowMilliseconds, minimumDeficitToMove } from './placementLimits.js';
@@ -37,8 +37,7 @@
   [...world.jobs.rows()]
     .filter((job) => job.state === JobState.Open || isInWindow(world, job))
     .forEach((job) => {
-      const route = findRoute(world, job.host, job.path);
-      const homes = homesOfRoute(world, route, job.workspace);
+      const homes = homesOfJob(world, job);
       if (homes === null) return;
       const { model } = job;
       const key = JSON.stringify([model, [...homes].sort()]);
