--- a/src/daemon/metrics/node/metricsRoutes.ts
+++ b/src/daemon/metrics/node/metricsRoutes.ts
@@ -17,15 +17,17 @@
 import { countNotJoined } from '../../../service/consensus/common/voterStatements.js';
 import { countVoteAnswers } from '../../../service/consensus/common/votes.js';
 import { declarationId } from '../../../service/declaration/common/declarationTables.js';
-import { countItemsWaitingByRegion } from '../../../service/jobs/common/homeWaits.js';
 import { JobState, RunState } from '../../../service/jobs/common/jobTables.js';
 import type { World } from '../../../service/world/common/world.js';
+import { recordPlaceGauges } from './placeGauges.js';
 import type { RouteEnvironment } from '../../front/node/decoding.js';
 
 /** Reader of each gauge by metric name; durations are in milliseconds. */
 const gaugeReaders: Readonly<Record<string, (world: World, now: number) => number>> = {
   'calls.held': (world) => world.calls.size(),
   'jobs.open': (world) => world.jobs.count('state', JobState.Open),
+  'contents.held': (world) => world.heldContents.size(),
+  'contents.lacking': (world) => world.lackingContents.size(),
   'runs.waiting': (world) => world.runs.count('state', RunState.Waiting),
   'runs.running': (world) => world.runs.count('state', RunState.Running),
   'runs.confirming': (world) => world.runs.count('state', RunState.Confirming),
@@ -73,9 +75,7 @@
   routes.get(path, async () => {
     const now = clock();
     Object.entries(gaugeReaders).forEach(([name, read]) => metrics.gauge(name, read(world, now)));
-    countItemsWaitingByRegion(world).forEach((count, region) =>
-      metrics.gauge('places.itemsWaiting', count, { region }),
-    );
+    recordPlaceGauges(world, metrics, now);
     return new Response(await metrics.text(), { headers: { 'content-type': metrics.contentType } });
   });
   return routes;
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -36,16 +36,24 @@
 import { createOriginSystem } from '../../forwarding/common/originSystem.js';
 import { createSendSystem } from '../../forwarding/common/sendSystem.js';
 import { createAssignmentSystem } from '../../jobs/common/assignmentSystem.js';
+import { createContentHolderSystem } from '../../jobs/common/contentHolderSystem.js';
+import { createContentHoldingSystem } from '../../jobs/common/contentHolding.js';
+import { createContentReadSystem } from '../../jobs/common/contentReads.js';
+import { createContentStoringSystem } from '../../jobs/common/contentStoring.js';
+import { createEngineLoadSystem } from '../../jobs/common/engineLoads.js';
 import { createJobRetentionSystem } from '../../jobs/common/jobRetentionSystem.js';
 import { createJobReadSystem } from '../../jobs/common/jobReads.js';
 import { createRunMigrationSystem } from '../../jobs/common/runMigrationSystem.js';
 import { createResultListingSystem } from '../../jobs/common/listItems.js';
+import { createRunnerSystem } from '../../jobs/common/runnerSystem.js';
 import { createRunSystem } from '../../jobs/common/runSystem.js';
 import { createTextSavingSystem } from '../../jobs/common/saveTexts.js';
 import { createScoringSystem } from '../../jobs/common/scoring.js';
 import { createTextSourceSystem } from '../../jobs/common/textSources.js';
 import { createMeteringSystem } from '../../metering/common/meteringSystem.js';
+import { createColdSystem } from '../../places/common/coldSystem.js';
 import { createCrashSpreadSystem } from '../../quarantine/common/crashSpreadSystem.js';
+import { createEvacuationSystem } from '../../places/common/evacuationSystem.js';
 import {
   callQuarantinePolicy,
   requestQuarantinePolicy,
@@ -118,6 +126,7 @@
   createReplicaSystem,
   createVoterSystem,
   createApplySystem,
+  createEvacuationSystem,
   createCompactionSystem,
   createDaemonSystem,
   createRegistrySystem,
@@ -127,6 +136,7 @@
   createSendSystem,
   createOriginSystem,
   createTextSourceSystem,
+  createRunnerSystem,
   createRunSystem,
   createTextSavingSystem,
   createScoringSystem,
@@ -135,7 +145,13 @@
   createWeightSystem,
   createAssignmentSystem,
   createRunMigrationSystem,
+  createEngineLoadSystem,
+  createColdSystem,
+  createContentHoldingSystem,
+  createContentStoringSystem,
+  createContentHolderSystem,
   createJobReadSystem,
+  createContentReadSystem,
   createMeteringSystem,
   createCapacitySystem,
   createAbsenceSystem,
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -88,7 +88,15 @@
   LotDropped: 'lotDropped',
   DeclarationActivated: 'declarationInForce',
   RegistrationChanged: 'registrationChanged',
+  /** An upstream is cold, so requests to it need permits; written by each daemon. */
+  UpstreamCold: 'upstreamCold',
+  /** It is warm again after `upstreamCold`. */
+  UpstreamWarm: 'upstreamWarm',
+  /** The leader has granted all permits of a cold upstream and refuses more for now. */
+  ColdPermitsRefused: 'coldPermitsRefused',
   VotersChanging: 'votersChanging',
+  /** The leader appoints the daemon that runs the items of a job with home regions. */
+  RunnerAppointed: 'runnerAppointed',
   CallAdmitted: 'callAdmitted',
   CallAnswered: 'callAnswered',
   CallCancelled: 'callCancelled',
@@ -99,6 +107,10 @@
   SendEnded: 'sendEnded',
   JobAccepted: 'jobAccepted',
   JobEnded: 'jobEnded',
+  /** Too few daemons in its home regions have stored the bodies of a job; it was not accepted. */
+  JobNotStored: 'jobNotStored',
+  /** The leader replaces daemons that store the contents of a job with home regions. */
+  HoldersReplaced: 'holdersReplaced',
   /** A text is complete, and its scoring request is sent. */
   ScoringStarted: 'scoringStarted',
   ItemListed: 'itemListed',
@@ -116,6 +128,10 @@
   UsageReportEnded: 'dutyEnded',
   CapacityOrdered: 'capacityOrdered',
   BodyLost: 'bodyLost',
+  /** The operator has evacuated an availability zone. */
+  ZoneEvacuated: 'zoneEvacuated',
+  /** The operator has withdrawn the evacuation of an availability zone. */
+  ZoneRestored: 'zoneRestored',
   /** Log lines were dropped, because they exceeded the budget or were not read. */
   LinesDropped: 'linesDropped',
 } as const;
--- a/src/service/forwarding/common/callPlaces.ts
+++ b/src/service/forwarding/common/callPlaces.ts
@@ -11,7 +11,7 @@
 import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import type { RouteRow, WorkspaceRow } from '../../declaration/common/declarationTables.js';
 import { isDeclarationFresh } from '../../declaration/common/findRoute.js';
-import { isPlaceAllowed } from '../../places/common/eligibility.js';
+import { canSendNewRequests, isPlaceAllowed } from '../../places/common/eligibility.js';
 import {
   hasHomeRegions,
   homesOfRoute,
@@ -67,14 +67,18 @@
     .filter((row) => isPlaceAllowed(world, row, homes));
 };
 
+/** Whether home regions are declared, and a change of them may be in force everywhere but here. */
+const hasOutdatedHomes = (world: World, now: Instant): boolean =>
+  !isDeclarationFresh(world, now + freshnessMilliseconds - homeChangeMilliseconds) &&
+  !isCurrentLeader(replicaOf(world), now) &&
+  hasHomeRegions(world);
+
 /**
- * Whether calls must wait because home regions are declared, and a change of them may be in force
- * that this daemon does not know. A leader with a valid lease knows all changes.
+ * Whether calls must wait because a change of home regions or of evacuated zones may be in force that
+ * this daemon does not know. A leader with a valid lease knows all changes.
  */
 export const isHeldForDeclaration = (world: World, now: Instant): boolean =>
-  hasHomeRegions(world) &&
-  !isCurrentLeader(replicaOf(world), now) &&
-  !isDeclarationFresh(world, now + freshnessMilliseconds - homeChangeMilliseconds);
+  !canSendNewRequests(world, now) || hasOutdatedHomes(world, now);
 
 const describePlacement = (world: World, call: CallRow, homes: readonly string[]): EventSubject => {
   const regions = world.registrations
@@ -107,12 +111,13 @@
 /**
  * Checks before a send that an upstream is registered at an allowed place, and returns the call;
  * undefined if it cannot be sent now. A call that did not run goes to another service of its route
- * if only that one has such upstreams, and is refused if none has. One that may have run waits.
+ * if only that one has such upstreams, and is refused if none has. One that may have run waits, and
+ * so does any call while this daemon knows no upstream at all, as shortly after its start.
  */
 export const placeCall = (world: World, call: CallRow, now: Instant): CallRow | undefined => {
   const homes = homesOfCall(world, call);
   if (homes === null || hasAllowedUpstream(world, call.service, homes)) return call;
-  if (call.attempts > 0) return undefined;
+  if (call.attempts > 0 || world.registrations.size() === 0) return undefined;
   const route = routeOf(world, call);
   const service =
     route === undefined || call.continuation !== null
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -1,6 +1,7 @@
 /**
- * Assigns waiting runs to engines that have free slots. Only the leader assigns runs, so no slot
- * is booked twice. Runs are ordered by the priority of the route, then groups that the trainer
+ * Assigns waiting runs to engines that have free slots. Only the leader assigns the runs of jobs
+ * without home regions, so no slot is booked twice; it shares the slots with the runners of the
+ * other jobs, as they report them to each other. Runs are ordered by the priority of the route, then groups that the trainer
  * waits for before spare ones, then older jobs, then the longest items. Items of one group are
  * assigned to the same engine where possible, because the engine then processes their common
  * prompt only once. A run with text goes to an engine of the software version that began it; it waits
@@ -8,19 +9,21 @@
  */
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { replicaOf } from '../../consensus/common/replicaLog.js';
-import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
 import { findRoute } from '../../declaration/common/findRoute.js';
 import type { RouteRow } from '../../declaration/common/declarationTables.js';
 import { EventKind } from '../../events/common/eventKind.js';
+import { takePermit } from '../../places/common/coldPermits.js';
+import { selectSendable } from '../../places/common/coldSelection.js';
 import { isPlaceAllowed } from '../../places/common/eligibility.js';
-import { homesOfRoute, type Homes } from '../../places/common/homes.js';
+import type { Homes } from '../../places/common/homes.js';
 import { selectAllowedService } from '../../places/common/serviceChoice.js';
 import { isOverdue } from '../../registry/common/registrySystem.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { expectedVersionOf, freeSlotsOf, canServeVersion } from './engineChoice.js';
 import { findSlowEngines } from './enginePace.js';
+import { homesOfJob } from './jobHomes.js';
+import { isRunnerOf } from './jobRunner.js';
 import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
 import {
   canContinueText,
@@ -95,7 +98,7 @@
   world.registrations.where('service', service).filter((row) => isPlaceAllowed(world, row, homes));
 
 const findFreeEngines = (world: World, { job, route }: Candidate, now: Instant): FreeEngines => {
-  const homes = homesOfRoute(world, route, job.workspace);
+  const homes = homesOfJob(world, job);
   const service = selectAllowedService(world, route, homes);
   const slowEngineIds = findSlowEngines(world, service);
   const all = listAllowedEngines(world, service, homes).filter(
@@ -136,7 +139,8 @@
   const isHeldForVersion = eligible.length === 0 && freeEngines.preferred.length > 0;
   if (isHeldForVersion && run.continuationDeadline === never)
     world.runs.change(run.id, { continuationDeadline: continuationDeadlineOf(run, now) });
-  return engineOfGroup(world, candidate, eligible) ?? engineWithMostFreeSlots(world, eligible);
+  const sendable = selectSendable(world, [eligible], now);
+  return engineOfGroup(world, candidate, sendable) ?? engineWithMostFreeSlots(world, sendable);
 };
 
 const recordRunStart = (
@@ -160,7 +164,8 @@
 
 const assignRun = (world: World, candidate: Candidate, now: Instant): void => {
   const engine = selectEngine(world, candidate, now);
-  if (engine === undefined) return;
+  const permitDeadline = engine === undefined ? undefined : takePermit(world, engine, now);
+  if (engine === undefined || permitDeadline === undefined) return;
   const run = canContinueText(candidate.run, engine)
     ? candidate.run
     : discardText(world, candidate.run, 'no engine of its software version serves');
@@ -175,6 +180,7 @@
     expectedVersion: expectedVersionOf(world, engine, candidate.job),
     start: run.start + 1,
     progressDeadline: deadlineAfter(now, firstEventTimeoutMilliseconds),
+    permitDeadline,
   })!;
   recordTextSource(world, startedRun, engine, now);
 };
@@ -185,6 +191,7 @@
     .filter(({ backoffDeadline }) => backoffDeadline <= now)
     .map((run) => candidateOf(world, run))
     .filter((candidate) => candidate !== undefined)
+    .filter(({ job }) => isRunnerOf(world, job, now))
     .sort(compareCandidates)
     .forEach((candidate) => assignRun(world, candidate, now));
 
@@ -196,6 +203,9 @@
     world.weightOrders.createChangeReader(),
     // A change of home regions may allow or forbid engines for runs that wait.
     world.declarations.createChangeReader(),
+    world.engineLoads.createChangeReader(),
+    world.coldStates.createChangeReader(),
+    world.coldRequests.createChangeReader(),
   ];
   return {
     name: 'assignment',
@@ -205,8 +215,7 @@
       const hasDiscardedTexts = discardOverdueTexts(world, now);
       const hasDueRows =
         world.runs.takeDue('backoff', now).length > 0 || hasDueLoad || hasDiscardedTexts;
-      const isLeader = isCurrentLeader(replicaOf(world), now);
-      if ((hasChanges || hasDueRows) && isLeader) assignWaitingRuns(world, now);
+      if (hasChanges || hasDueRows) assignWaitingRuns(world, now);
     },
   };
 };
--- a/src/service/jobs/common/replicatedJobTables.ts
+++ b/src/service/jobs/common/replicatedJobTables.ts
@@ -28,6 +28,8 @@
       tokens: z.number(),
       total: count,
       listed: count,
+      runner: z.string().nullable().default(null),
+      formerHolders: z.array(z.string()).readonly().default([]),
     }),
   },
   jobItems: {
--- a/src/service/jobs/common/runMigrationSystem.ts
+++ b/src/service/jobs/common/runMigrationSystem.ts
@@ -5,17 +5,15 @@
  */
 import type { Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
-import { replicaOf } from '../../consensus/common/replicaLog.js';
-import { isCurrentLeader } from '../../consensus/common/replicaTables.js';
-import { findRoute } from '../../declaration/common/findRoute.js';
 import { EventKind } from '../../events/common/eventKind.js';
 import { isPlaceAllowed } from '../../places/common/eligibility.js';
-import { homesOfRoute } from '../../places/common/homes.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
 import type { World } from '../../world/common/world.js';
 import { isSingleVersion } from './allowedVersions.js';
 import { freeSlotsOf, canServeVersion } from './engineChoice.js';
 import { findSlowEngines } from './enginePace.js';
+import { homesOfJob } from './jobHomes.js';
+import { isRunnerOf } from './jobRunner.js';
 import { RunState, type JobRow, type RunRow } from './jobTables.js';
 import { avoidUpstream, recordRunEvent, requeueRun } from './runChanges.js';
 import { canContinueText } from './textContinuation.js';
@@ -43,7 +41,7 @@
   job: JobRow,
   now: Instant,
 ): EngineCapacity | undefined => {
-  const homes = homesOfRoute(world, findRoute(world, job.host, job.path), job.workspace);
+  const homes = homesOfJob(world, job);
   return capacities.find(
     ({ engine, free }) =>
       free > 0 &&
@@ -60,7 +58,7 @@
   now: Instant,
 ): void => {
   const job = world.jobs.get(run.job);
-  if (job === undefined || isSingleVersion(world, job)) return;
+  if (job === undefined || !isRunnerOf(world, job, now) || isSingleVersion(world, job)) return;
   const capacity = findCapacity(world, capacities, run, job, now);
   if (capacity === undefined) return;
   capacity.free -= 1;
@@ -88,7 +86,7 @@
     run: (now) => {
       world.enginePaces.takeDue('retention', now).forEach(({ id }) => world.enginePaces.remove(id));
       const hasChanges = changeReaders.map((reader) => reader.take().length > 0).includes(true);
-      if (!hasChanges || !isCurrentLeader(replicaOf(world), now)) return;
+      if (!hasChanges) return;
       if (world.runs.count('state', RunState.Waiting) > 0) return;
       [...world.enginePaces.values('service')].forEach((service) =>
         migrateFromSlowEngines(world, service, now),
--- a/src/service/messages/common/inboxSystem.ts
+++ b/src/service/messages/common/inboxSystem.ts
@@ -9,12 +9,15 @@
 import { consensusHandlers } from '../../consensus/common/consensusHandlers.js';
 import { demandHandlers } from '../../admission/common/demandMessages.js';
 import { originHandlers } from '../../forwarding/common/originSystem.js';
+import { contentHandlers } from '../../jobs/common/contentHolding.js';
+import { engineLoadHandlers } from '../../jobs/common/engineLoads.js';
 import { jobReadHandlers } from '../../jobs/common/jobReads.js';
 import { registryHandlers } from '../../registry/common/registrySystem.js';
 import { insertMember } from '../../membership/common/daemonRows.js';
 import { membershipHandlers } from '../../membership/common/membershipHandlers.js';
 import { crashHandlers } from '../../quarantine/common/crashMessages.js';
 import type { DaemonRow } from '../../membership/common/membershipTables.js';
+import { coldHandlers } from '../../places/common/coldPermits.js';
 import { bodyHandlers } from '../../rollout/common/bodyHandlers.js';
 import type { World } from '../../world/common/world.js';
 import type { IncomingMessage, Message } from './message.js';
@@ -30,7 +33,10 @@
   ...bodyHandlers,
   ...registryHandlers,
   ...jobReadHandlers,
+  ...contentHandlers,
+  ...engineLoadHandlers,
   ...originHandlers,
+  ...coldHandlers,
 };
 
 /**
--- a/src/service/messages/common/message.ts
+++ b/src/service/messages/common/message.ts
@@ -23,7 +23,10 @@
   voteRequestedSchema,
 } from '../../consensus/common/consensusMessages.js';
 import { originMessageSchemas } from '../../forwarding/common/originMessages.js';
+import { contentMessageSchemas } from '../../jobs/common/contentMessages.js';
+import { coldMessageSchemas } from '../../places/common/coldMessages.js';
 import { jobReadSchemas } from '../../jobs/common/jobReadMessages.js';
+import { engineLoadsReportedSchema } from '../../jobs/common/runnerTables.js';
 import {
   crashesReceivedSchema,
   crashesReportedSchema,
@@ -67,7 +70,10 @@
   upstreamDepartedSchema,
   upstreamLeavingSchema,
   ...jobReadSchemas,
+  ...contentMessageSchemas,
+  engineLoadsReportedSchema,
   ...originMessageSchemas,
+  ...coldMessageSchemas,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/service/world/common/world.ts
+++ b/src/service/world/common/world.ts
@@ -29,11 +29,16 @@
 import { createDeclarationTables } from '../../declaration/common/declarationTables.js';
 import { createForwardingTables } from '../../forwarding/common/forwardingTables.js';
 import { createStreamOriginTables } from '../../forwarding/common/streamOrigins.js';
+import { createHolderCheckTables } from '../../jobs/common/contentHolderSystem.js';
+import { createContentTables } from '../../jobs/common/contentTables.js';
 import { createPaceTables } from '../../jobs/common/enginePace.js';
 import { createJobReadTables } from '../../jobs/common/jobReads.js';
 import { createJobTables } from '../../jobs/common/jobTables.js';
+import { createRunnerTables } from '../../jobs/common/runnerTables.js';
 import { createTextSourceTables } from '../../jobs/common/textSources.js';
 import { createMeteringTables } from '../../metering/common/meteringTables.js';
+import { createColdTables } from '../../places/common/coldTables.js';
+import { createEvacuationTables } from '../../places/common/evacuationTables.js';
 import { createRegistryTables } from '../../registry/common/registryTables.js';
 import { createVersionTables } from '../../weights/common/versionTables.js';
 import { createRetryTables } from '../../dispatch/common/retryTables.js';
@@ -73,17 +78,22 @@
   ...createUsageTables(),
   ...createDeclarationTables(),
   ...createRegistryTables(),
+  ...createColdTables(),
   ...createForwardingTables(),
   ...createStreamOriginTables(),
   ...createJobTables(),
   ...createPaceTables(),
+  ...createRunnerTables(),
   ...createTextSourceTables(),
   ...createJobReadTables(),
+  ...createContentTables(),
+  ...createHolderCheckTables(),
   ...createVersionTables(),
   ...createMeteringTables(),
   ...createCapacityTables(),
   ...createAbsenceTables(),
   ...createVoterLagTables(),
+  ...createEvacuationTables(),
 });
 export type Tables = ReturnType<typeof createTables>;
 
