Look up routes, homes and free engines once in a pass of assignment

Cause: for each waiting run the leader looked up the route and the home regions again, and asked for the place of each engine before its free slots.

Change: routes and homes are looked up once for a job and pass, engines without free slots are left out first, and nothing is done while no engine has one.

--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -24,7 +24,7 @@
 import { findSlowEngines } from './enginePace.js';
 import { homesOfJob } from './jobHomes.js';
 import { isRunnerOf } from './jobRunner.js';
-import { RunState, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
+import { RunState, type JobId, type JobItemRow, type JobRow, type RunRow } from './jobTables.js';
 import {
   canContinueText,
   continuationDeadlineOf,
@@ -38,19 +38,36 @@
 /** Timeout for the first event of a run; an engine processes a prompt in tens of milliseconds. */
 const firstEventTimeoutMilliseconds = 1_500;
 
-interface Candidate {
-  readonly run: RunRow;
-  readonly item: JobItemRow;
+/** What the runs of one job have in common. */
+interface AssignableJob {
   readonly job: JobRow;
   readonly route: RouteRow;
+  /** Regions in which its runs may be served. */
+  readonly homes: Homes;
+}
+
+interface Candidate extends AssignableJob {
+  readonly run: RunRow;
+  readonly item: JobItemRow;
 }
 
-const candidateOf = (world: World, run: RunRow): Candidate | undefined => {
-  const item = world.jobItems.get(run.id);
-  const job = world.jobs.get(run.job);
-  const route = job === undefined ? undefined : findRoute(world, job.host, job.path);
-  if (item === undefined || job === undefined || route === undefined) return undefined;
-  return { run, item, job, route };
+const findAssignableJob = (world: World, id: JobId, now: Instant): AssignableJob | undefined => {
+  const job = world.jobs.get(id);
+  if (job === undefined || !isRunnerOf(world, job, now)) return undefined;
+  const route = findRoute(world, job.host, job.path);
+  return route === undefined ? undefined : { job, route, homes: homesOfJob(world, job) };
+};
+
+/** Returns the candidates of waiting runs; routes and home regions are looked up once for a job. */
+const createCandidates = (world: World, runs: readonly RunRow[], now: Instant): Candidate[] => {
+  const jobs = new Map(
+    [...new Set(runs.map(({ job }) => job))].map((id) => [id, findAssignableJob(world, id, now)]),
+  );
+  return runs.flatMap((run) => {
+    const assignable = jobs.get(run.job);
+    const item = world.jobItems.get(run.id);
+    return assignable === undefined || item === undefined ? [] : [{ run, item, ...assignable }];
+  });
 };
 
 const compareCandidates = (first: Candidate, second: Candidate): number =>
@@ -82,32 +99,32 @@
 
 interface FreeEngines {
   readonly service: string;
-  /** Regions in which the run may be served. */
-  readonly homes: Homes;
   readonly all: readonly RegistrationRow[];
   /** Those that are neither slow nor overdue and had no failure recently. */
   readonly preferred: readonly RegistrationRow[];
 }
 
-/** Lists the engines of a service at places that are allowed for a run. */
-const listAllowedEngines = (
-  world: World,
-  service: string,
-  homes: Homes,
-): readonly RegistrationRow[] =>
-  world.registrations.where('service', service).filter((row) => isPlaceAllowed(world, row, homes));
+/** Lists the engines of a service with free slots at places that are allowed for a run. */
+const listFreeEngines = (world: World, service: string, homes: Homes): readonly RegistrationRow[] =>
+  world.registrations
+    .where('service', service)
+    .filter((row) => freeSlotsOf(world, row) > 0 && isPlaceAllowed(world, row, homes));
 
-const findFreeEngines = (world: World, { job, route }: Candidate, now: Instant): FreeEngines => {
-  const homes = homesOfJob(world, job);
+const findFreeEngines = (
+  world: World,
+  { job, route, homes }: Candidate,
+  now: Instant,
+): FreeEngines => {
   const service = selectAllowedService(world, route, homes);
-  const slowEngineIds = findSlowEngines(world, service);
-  const all = listAllowedEngines(world, service, homes).filter(
-    (row) => canServeVersion(world, row, job, now) && freeSlotsOf(world, row) > 0,
+  const all = listFreeEngines(world, service, homes).filter((row) =>
+    canServeVersion(world, row, job, now),
   );
+  if (all.length === 0) return { service, all, preferred: all };
+  const slowEngineIds = findSlowEngines(world, service);
   const preferred = all.filter(
     (row) => row.avoidDeadline <= now && !slowEngineIds.has(row.id) && !isOverdue(row, now),
   );
-  return { service, homes, all, preferred };
+  return { service, all, preferred };
 };
 
 /**
@@ -117,8 +134,8 @@
  */
 const findEligibleEngines = (
   world: World,
-  { run, job }: Candidate,
-  { service, homes, all, preferred }: FreeEngines,
+  { run, job, homes }: Candidate,
+  { service, all, preferred }: FreeEngines,
   now: Instant,
 ): readonly RegistrationRow[] => {
   const continuing = preferred.filter((row) => canContinueText(run, row));
@@ -185,15 +202,19 @@
   recordTextSource(world, startedRun, engine, now);
 };
 
-const assignWaitingRuns = (world: World, now: Instant): void =>
-  world.runs
+const hasFreeSlot = (world: World): boolean =>
+  [...world.registrations.rows()].some((row) => freeSlotsOf(world, row) > 0);
+
+/** Does nothing while all slots are taken, which is when most runs wait. */
+const assignWaitingRuns = (world: World, now: Instant): void => {
+  const runs = world.runs
     .where('state', RunState.Waiting)
-    .filter(({ backoffDeadline }) => backoffDeadline <= now)
-    .map((run) => candidateOf(world, run))
-    .filter((candidate) => candidate !== undefined)
-    .filter(({ job }) => isRunnerOf(world, job, now))
+    .filter(({ backoffDeadline }) => backoffDeadline <= now);
+  if (runs.length === 0 || !hasFreeSlot(world)) return;
+  createCandidates(world, runs, now)
     .sort(compareCandidates)
     .forEach((candidate) => assignRun(world, candidate, now));
+};
 
 /** Creates the system that assigns waiting runs to engines. */
 export const createAssignmentSystem = (world: World): System => {
