--- a/src/daemon/jobs/common/contentPort.ts
+++ b/src/daemon/jobs/common/contentPort.ts
@@ -28,7 +28,7 @@
 export interface ContentPort extends Disposable {
   /**
    * Stores the bodies of a job at holders in `homes`. Resolves with the command without the bodies
-   * once all holders have synced them, or with undefined if there were too few holders in time.
+   * once enough holders have synced them, or with undefined if there were too few holders in time.
    */
   readonly storeJob: (
     command: JobSubmitted,
--- a/src/service/forwarding/common/callRefusal.ts
+++ b/src/service/forwarding/common/callRefusal.ts
@@ -15,7 +15,7 @@
   Leaving: 'leaving',
   /** No upstream accepted the call in time. */
   NoUpstream: 'noUpstream',
-  /** No upstream of the service is registered in the home regions of the call. */
+  /** No upstream of the service is at an allowed place in the home regions of the call. */
   NoUpstreamInHomes: 'noUpstreamInHomes',
   /** The deadline has passed, and the call did not run. */
   DeadlinePassed: 'deadlinePassed',
--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -1,11 +1,11 @@
 /**
  * Assigns waiting runs to engines that have free slots. Only the leader assigns the runs of jobs
  * without home regions, so no slot is booked twice; it shares the slots with the runners of the
- * other jobs, as they report them to each other. Runs are ordered by the priority of the route, then groups that the trainer
- * waits for before spare ones, then older jobs, then the longest items. Items of one group are
- * assigned to the same engine where possible, because the engine then processes their common
- * prompt only once. A run with text goes to an engine of the software version that began it; it waits
- * a bounded time for one if there is any, and begins anew otherwise.
+ * other jobs, as they report them to each other. Runs are ordered by the priority of the route, then
+ * groups that the trainer waits for before spare ones, then older jobs, then the longest items. Items
+ * of one group are assigned to the same engine where possible, because the engine then processes
+ * their common prompt only once. A run with text goes to an engine of the software version that began
+ * it; it waits a bounded time for one if there is any, and begins anew otherwise.
  */
 import { deadlineAfter, never, type Instant } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
--- a/src/service/jobs/common/contentCopies.ts
+++ b/src/service/jobs/common/contentCopies.ts
@@ -22,7 +22,7 @@
 
 /**
  * Time in which a holder syncs a batch and answers, or is replaced. A batch takes 0.1 s at 20 Mbit/s,
- * and two replacements fit the 3 s that a submission waits for its proposal.
+ * and two replacements fit the 3 s that a submission has for storing its contents.
  */
 export const answerMilliseconds: Milliseconds = 700;
 
--- a/src/service/jobs/common/proposeResults.ts
+++ b/src/service/jobs/common/proposeResults.ts
@@ -9,7 +9,7 @@
 import { hasHeldContents } from './jobContents.js';
 import type { JobId } from './jobTables.js';
 
-/** A leader that cannot commit a result within this time has lost its lease long before. */
+/** Without home regions: a leader that cannot commit a result in this time has lost its lease. */
 const proposalTimeoutMilliseconds = 10_000;
 
 /**
--- a/src/service/jobs/common/replicatedJobTables.ts
+++ b/src/service/jobs/common/replicatedJobTables.ts
@@ -1,5 +1,6 @@
 /**
- * The replicated tables of jobs. Runs are derived by the leader from the unlisted items.
+ * The replicated tables of jobs. Runs are derived from the unlisted items
+ * by the daemon that runs the job.
  */
 import * as z from 'zod';
 import { Topic } from '../../consensus/common/command.js';
--- a/src/service/places/common/eligibility.ts
+++ b/src/service/places/common/eligibility.ts
@@ -1,6 +1,6 @@
 /**
  * Decides whether a request may be sent to an upstream at its place. Every selection of an upstream
- * asks this before a request is sent; no other module decides by place.
+ * asks this before a request is sent; no other module decides that.
  */
 import { asBrand } from '../../../base/common/brand.js';
 import type { Instant } from '../../../base/common/time.js';
