Let the port fixture read sockets in each of its rounds

Cause: runUntil waits on a timer of 5 ms for each 5 ms of virtual time. With 16 to 22 tests of a file at once a round takes longer than that on a slow machine, so that a timer is always due, and the event loop reads no socket: no answer of an upstream arrives while the virtual time passes. Ruled out: the product, since the tests pass once sockets are read; a time bound, as none is changed. Change: each round waits for one turn of the event loop that polls.

--- a/standins/hostile/portFixture.ts
+++ b/standins/hostile/portFixture.ts
@@ -2,7 +2,7 @@
  * The ports of calls, runs and weight orders of one daemon over real sockets. The clock of the
  * daemon is advanced by the test.
  */
-import { setTimeout as delay } from 'node:timers/promises';
+import { setImmediate as nextPoll, setTimeout as delay } from 'node:timers/promises';
 import { asBrand } from '../../src/base/common/brand.js';
 import type { Disposable } from '../../src/base/common/disposable.js';
 import { createCallPort, type CallOutcome } from '../../src/daemon/forwarding/node/callPort.js';
@@ -114,6 +114,9 @@
     runUntil: async (condition, limit = defaultLimitMilliseconds) => {
       for (let passed = 0; passed < limit && !condition(); passed += stepMilliseconds) {
         await delay(stepMilliseconds);
+        // Sockets are read between timers. While rounds take longer than a step, a timer of another
+        // test is always due, and none would be read.
+        await nextPoll();
         core.runFor(stepMilliseconds);
         drain();
       }
