Measure what a crowd of callers that do not behave costs a front

Cause: memory for bodies and for requests that are sent ahead has no bound over a process, and no bench shows it.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import { runTrafficBench } from './traffic/trafficBench.js';
 import { runRolloutBench } from './rollout/rolloutBench.js';
 import { runTickBench } from './tick/tickBench.js';
+import { runCrowdBench } from '../platform/bench/crowd/crowdBench.js';
 import { runJoiningBench } from '../platform/bench/joining/joiningBench.js';
 
 /** Every bench by its name. */
@@ -20,6 +21,7 @@
   rollout: runRolloutBench,
   control: runControlBench,
   joining: runJoiningBench,
+  crowd: runCrowdBench,
 };
 
 const requestedNames = process.argv.slice(2);
