Bound the memory for bodies, and read requests sent ahead one at a time

Cause: every body was read as soon as it came, up to 32 MiB each without a bound over all, and every request of a connection was decoded and run at once. A crowd of 60 connections took 1.9 to 2.1 GB of a front that has 250 to 490 MB, and requests ahead ended its service for good. Ruled out: limits of concurrent requests (bound no bytes), granting announced lengths (a crowd that sends nothing takes them), feeding the parser slices (every caller pays); see docs/design/traffic.md. Change: bodyMemory.ts divides the memory for all bodies of a process: small ones have room beside large ones, slow ones give way, others are refused with 503 as not run. requestSequence.ts runs the requests of a connection one after the other and closes it beyond 64.

--- a/src/daemon/front/node/errorResponse.ts
+++ b/src/daemon/front/node/errorResponse.ts
@@ -16,6 +16,7 @@
   bodyNotJson: 400,
   bodyInvalid: 400,
   bodyTooLarge: 413,
+  bodyMemoryFull: 503,
   headersTooLarge: 431,
   queueFull: 429,
   quarantined: 422,
@@ -39,6 +40,7 @@
   RefusalKind.QueueFull,
   RefusalKind.QueueDeadlinePassed,
   RefusalKind.Leaving,
+  RefusalKind.BodyMemoryFull,
   RefusalKind.StaleConfiguration,
 ]);
 
--- a/src/daemon/front/node/httpServer.ts
+++ b/src/daemon/front/node/httpServer.ts
@@ -2,16 +2,18 @@
  * HTTP server with one listening socket for the routes of callers, trainers and upstreams. Requests
  * that fail before they reach a route get typed errors too.
  */
-import type { IncomingMessage, Server } from 'node:http';
+import { createServer, type IncomingMessage } from 'node:http';
 import type { Duplex } from 'node:stream';
-import { createAdaptorServer } from '@hono/node-server';
+import { getRequestListener } from '@hono/node-server';
 import { Hono } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 import type { Result } from 'neverthrow';
 import type { Milliseconds } from '../../../base/common/time.js';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { monotonicClock } from '../../../base/node/monotonicClock.js';
+import { noopMetrics, type Metrics } from '../../../infrastructure/metrics/common/metrics.js';
 import type { Limits } from '../../../infrastructure/settings/common/deployment.js';
 import { listen, type ListenError } from '../../../infrastructure/sockets/node/listen.js';
+import { createBodyMemory, type BodyMemory } from '../../../service/admission/common/bodyMemory.js';
 import {
   createRefusal,
   RefusalKind,
@@ -19,6 +21,8 @@
 } from '../../../service/traffic/common/refusal.js';
 import type { RouteEnvironment } from './decoding.js';
 import { createErrorBody, createErrorResponse, httpStatusOf } from './errorResponse.js';
+import { isBodyRefusedError, readBodiesWithin, type BodyLimits } from './requestBody.js';
+import { handleInSequence } from './requestSequence.js';
 
 /** A listening HTTP server. */
 export interface HttpServer extends AsyncDisposable {
@@ -65,19 +69,23 @@
   writeRefusal(socket, createRefusal(kind, true));
 };
 
+/**
+ * Time in which a request has to arrive in full: over twice the time that callers of the slowest
+ * route allow for the answer.
+ */
+const requestTimeoutMilliseconds: Milliseconds = 30_000;
+
+const timeoutCheckMilliseconds: Milliseconds = 5_000;
+
 const createApplication = (
-  limits: Limits,
+  bodyLimits: BodyLimits,
   routes: readonly Hono<RouteEnvironment>[],
   onDidFail: (error: Error) => void,
 ): Hono<RouteEnvironment> => {
   const application = new Hono<RouteEnvironment>();
-  application.use(
-    bodyLimit({
-      maxSize: limits.maximumBodyBytes,
-      onError: () => createErrorResponse(createRefusal(RefusalKind.BodyTooLarge, true)),
-    }),
-  );
+  application.use(readBodiesWithin(bodyLimits));
   application.onError((error) => {
+    if (isBodyRefusedError(error)) return createErrorResponse(error.refusal);
     onDidFail(error);
     return createErrorResponse(createRefusal(RefusalKind.InternalFault, false));
   });
@@ -85,18 +93,44 @@
   return application;
 };
 
-/** Opens the server on `address` (`host:port`; port 0 selects a free port). */
+/** What the listeners of a process have in common. */
+export interface SharedByListeners {
+  readonly bodyMemory: BodyMemory;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Opens the server on `address` (`host:port`; port 0 selects a free port). A process with several
+ * servers passes what they share.
+ */
 export const openHttpServer = async (
   address: string,
   limits: Limits,
   routes: readonly Hono<RouteEnvironment>[],
   onDidFail: (error: Error) => void,
+  shared: SharedByListeners = {
+    bodyMemory: createBodyMemory(limits.maximumReceivedBytes),
+    metrics: noopMetrics,
+  },
 ): Promise<Result<HttpServer, ListenError>> => {
-  const application = createApplication(limits, routes, onDidFail);
-  const server = createAdaptorServer({
-    fetch: application.fetch,
-    serverOptions: { maxHeaderSize: limits.maximumHeaderBytes },
-  }) as Server;
+  const bodyLimits = {
+    maximumBytes: limits.maximumBodyBytes,
+    memory: shared.bodyMemory,
+    clock: monotonicClock,
+    metrics: shared.metrics,
+  };
+  const application = createApplication(bodyLimits, routes, onDidFail);
+  const server = createServer(
+    {
+      maxHeaderSize: limits.maximumHeaderBytes,
+      headersTimeout: requestTimeoutMilliseconds,
+      requestTimeout: requestTimeoutMilliseconds,
+      connectionsCheckingInterval: timeoutCheckMilliseconds,
+    },
+    handleInSequence(getRequestListener(application.fetch), () =>
+      shared.metrics.count('connections.closedAhead'),
+    ),
+  );
   server.on('clientError', handleClientError);
   let shouldCloseConnections = false;
   server.prependListener('request', (_: IncomingMessage, response) => {
--- a/src/daemon/front/node/trainerRelay.ts
+++ b/src/daemon/front/node/trainerRelay.ts
@@ -2,6 +2,7 @@
  * Forwards trainer requests from other daemons to a control daemon, which stores the ledger. This
  * lets trainers use any daemon for any lot.
  */
+import type { HonoRequest } from 'hono';
 import { Agent, type Dispatcher } from 'undici';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
@@ -14,7 +15,7 @@
 export interface TrainerRelay extends AsyncDisposable {
   /** Whether this daemon has no ledger and must forward trainer requests. */
   readonly isNeeded: () => boolean;
-  readonly forward: (request: Request) => Promise<Response>;
+  readonly forward: (request: HonoRequest) => Promise<Response>;
 }
 
 const connectTimeoutMilliseconds = 1_000;
@@ -22,11 +23,11 @@
 const forwardedRequestHeaderNames = ['authorization', 'content-type'];
 const forwardedResponseHeaderNames = ['content-type', 'retry-after'];
 
-const selectRequestHeaders = (request: Request): Record<string, string> =>
+const selectRequestHeaders = (request: HonoRequest): Record<string, string> =>
   Object.fromEntries(
     forwardedRequestHeaderNames.flatMap((name) => {
-      const value = request.headers.get(name);
-      return value === null ? [] : [[name, value]];
+      const value = request.header(name);
+      return value === undefined ? [] : [[name, value]];
     }),
   );
 
@@ -63,7 +64,7 @@
 
   const send = async (
     address: string,
-    request: Request,
+    request: HonoRequest,
     body: string | null,
   ): Promise<Response> => {
     const { pathname, search } = new URL(request.url);
--- a/src/daemon/front/node/trainerRoutes.ts
+++ b/src/daemon/front/node/trainerRoutes.ts
@@ -137,7 +137,7 @@
   };
 
   routes.use(`${lotsPath}/*`, (context, next) =>
-    ports.relay.isNeeded() ? ports.relay.forward(context.req.raw) : next(),
+    ports.relay.isNeeded() ? ports.relay.forward(context.req) : next(),
   );
 
   routes.post(lotsPath, async (context) => {
--- a/src/infrastructure/settings/common/deployment.ts
+++ b/src/infrastructure/settings/common/deployment.ts
@@ -53,6 +53,12 @@
 
 export const limitsSchema = z.strictObject({
   maximumBodyBytes: z.number().int().positive().default(1_048_576),
+  /** Memory for the bodies of all requests that have not ended. */
+  maximumReceivedBytes: z
+    .number()
+    .int()
+    .positive()
+    .default(64 * 1024 * 1024),
   maximumHeaderBytes: z.number().int().positive().default(16_384),
   /** Size at which the answer of an upstream is abandoned, because it may never end. */
   maximumAnswerBytes: z
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -15,6 +15,8 @@
   BodyNotJson: 'bodyNotJson',
   BodyInvalid: 'bodyInvalid',
   BodyTooLarge: 'bodyTooLarge',
+  /** The memory for bodies is taken by other requests. */
+  BodyMemoryFull: 'bodyMemoryFull',
   HeadersTooLarge: 'headersTooLarge',
   QueueFull: 'queueFull',
   Quarantined: 'quarantined',
@@ -59,6 +61,9 @@
   bodyNotJson: 'The body is not JSON; send a JSON object with `content-type: application/json`.',
   bodyInvalid: 'The body has missing or invalid members; correct the members that are listed.',
   bodyTooLarge: 'The body exceeds the limit; send less or ask the operator to raise the limit.',
+  bodyMemoryFull:
+    'The entry has no memory for the body, or the body came too slowly while memory was short; send ' +
+    'the request again after the specified delay.',
   headersTooLarge: 'The headers exceed the limit; send fewer or shorter headers.',
   queueFull: 'Too many requests of the workspace are waiting; retry after the specified delay.',
   quarantined:
