Replay the worst load of jobs against the decisions of a leader

Cause: small twins of demands/ lose most of their steps while the leader is short of processor time, and no bench shows what its decisions cost at that load. Change: npm run bench -- load: three steps of four trainers in the shapes of the heaviest sheet, 20 engines with 6 and with 3 slots, beside upstreams of another service; and the tick of an idle leader.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { formatMeasurement, type Bench } from './measurement.js';
 import { runCapacityBench } from './capacity/capacityBench.js';
 import { runControlBench } from './control/controlBench.js';
+import { runLoadBench } from './load/loadBench.js';
 import { runPathBench } from './path/pathBench.js';
 import { runTrafficBench } from './traffic/trafficBench.js';
 import { runRolloutBench } from './rollout/rolloutBench.js';
@@ -22,6 +23,7 @@
   control: runControlBench,
   joining: runJoiningBench,
   crowd: runCrowdBench,
+  load: runLoadBench,
 };
 
 const requestedNames = process.argv.slice(2);
