Look up the engines of a service once in a pass of assignment

Cause: a pass looked at all engines for each waiting item, for every report of any text. The check that is to skip passes while all slots are taken counted upstreams of plain services, which always have free slots, so it skipped none on installations that have such a service. Change: a pass looks up free and slow engines once for each service and leaves out engines whose last slot was taken; the check counts engines only, also those that are ordered to load a model.

--- a/src/service/jobs/common/assignmentSystem.ts
+++ b/src/service/jobs/common/assignmentSystem.ts
@@ -19,6 +19,7 @@
 import { selectAllowedService } from '../../places/common/serviceChoice.js';
 import { isOverdue } from '../../registry/common/registrySystem.js';
 import type { RegistrationRow } from '../../registry/common/registryTables.js';
+import type { UpstreamId } from '../../world/common/identifiers.js';
 import type { World } from '../../world/common/world.js';
 import { expectedVersionOf, freeSlotsOf, canServeVersion } from './engineChoice.js';
 import { findSlowEngines } from './enginePace.js';
@@ -97,6 +98,48 @@
   return engines.find((row) => groupEngineIds.has(row.id));
 };
 
+/** What the candidates of one pass have in common, looked up at the first use. */
+interface AssignmentPass {
+  /** The engines of a service that have free slots. */
+  readonly freeEnginesOf: (service: string) => readonly RegistrationRow[];
+  readonly slowEnginesOf: (service: string) => ReadonlySet<UpstreamId>;
+  /** Leaves out an engine whose last free slot was taken. */
+  readonly recordAssignment: (engine: RegistrationRow) => void;
+}
+
+/** Returns a function that calls `find` once for each service. */
+const findOncePerService = <Found>(find: (service: string) => Found) => {
+  const foundByService = new Map<string, Found>();
+  return {
+    get: (service: string): Found => {
+      const known = foundByService.get(service);
+      if (known !== undefined) return known;
+      const found = find(service);
+      foundByService.set(service, found);
+      return found;
+    },
+    set: (service: string, found: Found): void => {
+      foundByService.set(service, found);
+    },
+  };
+};
+
+const createAssignmentPass = (world: World): AssignmentPass => {
+  const freeEngines = findOncePerService<readonly RegistrationRow[]>((service) =>
+    world.registrations.where('service', service).filter((row) => freeSlotsOf(world, row) > 0),
+  );
+  const slowEngines = findOncePerService((service) => findSlowEngines(world, service));
+  return {
+    freeEnginesOf: freeEngines.get,
+    slowEnginesOf: slowEngines.get,
+    recordAssignment: (engine) => {
+      if (freeSlotsOf(world, engine) > 0) return;
+      const left = freeEngines.get(engine.service).filter(({ id }) => id !== engine.id);
+      freeEngines.set(engine.service, left);
+    },
+  };
+};
+
 interface FreeEngines {
   readonly service: string;
   readonly all: readonly RegistrationRow[];
@@ -104,23 +147,19 @@
   readonly preferred: readonly RegistrationRow[];
 }
 
-/** Lists the engines of a service with free slots at places that are allowed for a run. */
-const listFreeEngines = (world: World, service: string, homes: Homes): readonly RegistrationRow[] =>
-  world.registrations
-    .where('service', service)
-    .filter((row) => freeSlotsOf(world, row) > 0 && isPlaceAllowed(world, row, homes));
-
+/** Lists the engines with free slots at places that are allowed for a run. */
 const findFreeEngines = (
   world: World,
+  pass: AssignmentPass,
   { job, route, homes }: Candidate,
   now: Instant,
 ): FreeEngines => {
   const service = selectAllowedService(world, route, homes);
-  const all = listFreeEngines(world, service, homes).filter((row) =>
-    canServeVersion(world, row, job, now),
-  );
+  const all = pass
+    .freeEnginesOf(service)
+    .filter((row) => isPlaceAllowed(world, row, homes) && canServeVersion(world, row, job, now));
   if (all.length === 0) return { service, all, preferred: all };
-  const slowEngineIds = findSlowEngines(world, service);
+  const slowEngineIds = pass.slowEnginesOf(service);
   const preferred = all.filter(
     (row) => row.avoidDeadline <= now && !slowEngineIds.has(row.id) && !isOverdue(row, now),
   );
@@ -147,11 +186,13 @@
 
 const selectEngine = (
   world: World,
+  pass: AssignmentPass,
   candidate: Candidate,
   now: Instant,
 ): RegistrationRow | undefined => {
   const { run } = candidate;
-  const freeEngines = findFreeEngines(world, candidate, now);
+  const freeEngines = findFreeEngines(world, pass, candidate, now);
+  if (freeEngines.all.length === 0) return undefined;
   const eligible = findEligibleEngines(world, candidate, freeEngines, now);
   const isHeldForVersion = eligible.length === 0 && freeEngines.preferred.length > 0;
   if (isHeldForVersion && run.continuationDeadline === never)
@@ -179,8 +220,13 @@
     },
   });
 
-const assignRun = (world: World, candidate: Candidate, now: Instant): void => {
-  const engine = selectEngine(world, candidate, now);
+const assignRun = (
+  world: World,
+  pass: AssignmentPass,
+  candidate: Candidate,
+  now: Instant,
+): void => {
+  const engine = selectEngine(world, pass, candidate, now);
   const permitDeadline = engine === undefined ? undefined : takePermit(world, engine, now);
   if (engine === undefined || permitDeadline === undefined) return;
   const run = canContinueText(candidate.run, engine)
@@ -200,10 +246,17 @@
     permitDeadline,
   })!;
   recordTextSource(world, startedRun, engine, now);
+  pass.recordAssignment(engine);
 };
 
+/** Whether an upstream has models, or is ordered to load one; others run no items. */
+const isEngine = (world: World, { id, models }: RegistrationRow): boolean =>
+  models.length > 0 || world.weightOrders.has(id);
+
 const hasFreeSlot = (world: World): boolean =>
-  [...world.registrations.rows()].some((row) => freeSlotsOf(world, row) > 0);
+  [...world.registrations.rows()].some(
+    (row) => isEngine(world, row) && freeSlotsOf(world, row) > 0,
+  );
 
 /** Does nothing while all slots are taken, which is when most runs wait. */
 const assignWaitingRuns = (world: World, now: Instant): void => {
@@ -211,9 +264,10 @@
     .where('state', RunState.Waiting)
     .filter(({ backoffDeadline }) => backoffDeadline <= now);
   if (runs.length === 0 || !hasFreeSlot(world)) return;
+  const pass = createAssignmentPass(world);
   createCandidates(world, runs, now)
     .sort(compareCandidates)
-    .forEach((candidate) => assignRun(world, candidate, now));
+    .forEach((candidate) => assignRun(world, pass, candidate, now));
 };
 
 /** Creates the system that assigns waiting runs to engines. */
--- a/src/service/jobs/common/engineChoice.ts
+++ b/src/service/jobs/common/engineChoice.ts
@@ -40,7 +40,9 @@
 };
 
 /** Returns the number of slots of an engine that no run of this daemon or another runner occupies. */
-export const freeSlotsOf = (world: World, row: RegistrationRow): number =>
-  world.engineLoads
-    .where('upstream', row.id)
-    .reduce((free, { count }) => free - count, row.slots - world.runs.count('upstream', row.id));
+export const freeSlotsOf = (world: World, { id, slots }: RegistrationRow): number => {
+  const ownFree = slots - world.runs.count('upstream', id);
+  // Without runners there are no loads, and this is asked for each engine.
+  if (world.engineLoads.count('upstream', id) === 0) return ownFree;
+  return world.engineLoads.where('upstream', id).reduce((free, { count }) => free - count, ownFree);
+};
