--- a/src/infrastructure/tables/common/indices.ts
+++ b/src/infrastructure/tables/common/indices.ts
@@ -58,9 +58,11 @@
   /** The earliest unreported deadline, or `never`. */
   readonly earliest: () => Instant;
   /** Removes and returns the identifiers whose deadline is at or before `now`. */
-  readonly takeDue: (now: Instant) => string[];
+  readonly takeDue: (now: Instant) => readonly string[];
 }
 
+const noneDue: readonly string[] = [];
+
 /** Creates an index over the deadline returned by `deadlineOf`; `never` excludes a row. */
 export const createDeadlineIndex = <Row extends { readonly id: string }>(
   deadlineOf: (row: Row) => Instant,
@@ -78,6 +80,7 @@
   return {
     earliest,
     takeDue: (now) => {
+      if (earliest() > now) return noneDue;
       const due: string[] = [];
       while (earliest() <= now) {
         const identifier = heap.first()!;
--- a/src/infrastructure/tables/common/rowQueue.ts
+++ b/src/infrastructure/tables/common/rowQueue.ts
@@ -12,6 +12,8 @@
   readonly takeAll: () => readonly Row[];
 }
 
+const noRows: readonly never[] = [];
+
 /** Creates an empty queue. */
 export const createRowQueue = <Row>(name: string, reader: RowReader): RowQueue<Row> => {
   let rows: Row[] = [];
@@ -24,6 +26,7 @@
       rows.push(row);
     },
     takeAll: () => {
+      if (rows.length === 0) return noRows;
       const taken = rows;
       rows = [];
       return taken;
--- a/src/infrastructure/tables/common/table.ts
+++ b/src/infrastructure/tables/common/table.ts
@@ -103,6 +103,8 @@
   readonly createChangeReader: (reader?: RowReader) => ChangeReader<IdOf<Row>>;
 }
 
+const noChanges: readonly never[] = [];
+
 const mapColumns = <Name extends string, Column, Index>(
   columns: Readonly<Record<Name, Column>>,
   create: (column: Column) => Index,
@@ -159,6 +161,12 @@
     return row;
   };
 
+  // Asked for each table in each round of a tick, mostly while nothing has changed.
+  const hasUnreadChanges = (): boolean => {
+    for (const changed of systemReaders) if (changed.size > 0) return true;
+    return false;
+  };
+
   const rowsOf = (identifiers: Iterable<string>): Row[] =>
     Array.from(identifiers, (id) => rows.get(id as IdOf<Row>)).filter((row) => row !== undefined);
 
@@ -167,7 +175,7 @@
     size: () => rows.size,
     earliestDeadline: () =>
       deadlineIndexList.reduce((earliest, index) => Math.min(earliest, index.earliest()), never),
-    hasUnreadChanges: () => [...systemReaders].some((changed) => changed.size > 0),
+    hasUnreadChanges,
     get: (id) => rows.get(id),
     has: (id) => rows.has(id),
     rows: () => rows.values(),
@@ -196,7 +204,10 @@
       const id = orderIndices[order].first(group);
       return id === undefined ? undefined : rows.get(id as IdOf<Row>);
     },
-    takeDue: (deadline, now) => rowsOf(deadlineIndices[deadline].takeDue(now)),
+    takeDue: (deadline, now) => {
+      const due = deadlineIndices[deadline].takeDue(now);
+      return due.length === 0 ? [] : rowsOf(due);
+    },
     createChangeReader: (reader = RowReader.System) => {
       const changed = new Set<IdOf<Row>>();
       readers.add(changed);
@@ -208,6 +219,7 @@
       return {
         isEmpty: () => changed.size === 0,
         take: () => {
+          if (changed.size === 0) return noChanges;
           const changedIds = [...changed];
           changed.clear();
           return changedIds;
