Ask only tables with deadlines for the earliest one

Cause: after each tick all tables and queues are asked, 4.3% of a busy leader's processor time (profile of a real process). Change: tables say whether their rows have deadlines, and the others are left out.

--- a/src/infrastructure/tables/common/rowQueue.ts
+++ b/src/infrastructure/tables/common/rowQueue.ts
@@ -20,6 +20,7 @@
   return {
     name,
     size: () => rows.length,
+    hasDeadlines: false,
     earliestDeadline: () => never,
     hasUnreadChanges: () => reader === RowReader.System && rows.length > 0,
     append: (row) => {
--- a/src/infrastructure/tables/common/table.ts
+++ b/src/infrastructure/tables/common/table.ts
@@ -59,6 +59,8 @@
 export interface AnyTable {
   readonly name: string;
   readonly size: () => number;
+  /** Whether rows have deadlines; only such tables are asked for the earliest one. */
+  readonly hasDeadlines: boolean;
   /** The earliest deadline of any row, or `never`. */
   readonly earliestDeadline: () => Instant;
   /** Whether a system has unread changes; changes for ports do not count. */
@@ -173,6 +175,7 @@
   return {
     name: definition.name,
     size: () => rows.size,
+    hasDeadlines: deadlineIndexList.length > 0,
     earliestDeadline: () =>
       deadlineIndexList.reduce((earliest, index) => Math.min(earliest, index.earliest()), never),
     hasUnreadChanges,
--- a/src/infrastructure/tables/common/tick.ts
+++ b/src/infrastructure/tables/common/tick.ts
@@ -31,6 +31,7 @@
 
 /** Creates a ticker that runs the systems in the given order. */
 export const createTicker = (tables: readonly AnyTable[], systems: readonly System[]): Ticker => {
+  const tablesWithDeadlines = tables.filter(({ hasDeadlines }) => hasDeadlines);
   const hasUnreadChanges = (): boolean => tables.some((table) => table.hasUnreadChanges());
 
   const tick = (now: Instant): Result<void, TickNotSettled> => {
@@ -51,6 +52,9 @@
   return {
     tick,
     nextDeadline: () =>
-      tables.reduce((earliest, table) => Math.min(earliest, table.earliestDeadline()), never),
+      tablesWithDeadlines.reduce(
+        (earliest, table) => Math.min(earliest, table.earliestDeadline()),
+        never,
+      ),
   };
 };
