--- a/src/service/jobs/test/common/assignmentCost.test.ts
+++ b/src/service/jobs/test/common/assignmentCost.test.ts
@@ -58,17 +58,15 @@
   const { world } = core;
   core.propose('submit', testJob('j1', items));
   takeLookUps();
-  world.runs
-    .where('state', RunState.Running)
-    .forEach(({ id, start }) =>
-      world.runFacts.append({
-        kind: 'progress',
-        item: id,
-        start,
-        text: ['data: a'],
-        versions: [1],
-      }),
-    );
+  world.runs.where('state', RunState.Running).forEach(({ id, start }) =>
+    world.runFacts.append({
+      kind: 'progress',
+      item: id,
+      start,
+      text: ['data: a'],
+      versions: [1],
+    }),
+  );
   core.settle();
   t.is(takeLookUps(), 0);
 });
