Log when orders are written, when they are abandoned, and with which fencing token

The logs could not tell an order that was sent late from one that lay with the worker, or from two leaders: no line said when an order was written, and no line of orders or usage reports had a token.

`leaderActing` says from when on a leader sends with its token, `weightOrderSent` when an order is written to an established connection, `weightOrderAbandoned` when its connection is closed without an answer and whether it had been written. `weightOrderEnded`, `dutyEnded` and `capacityOrdered` name the token. No decision changes.

--- a/src/daemon/duties/node/weightOrderPort.ts
+++ b/src/daemon/duties/node/weightOrderPort.ts
@@ -7,8 +7,10 @@
 import type { Disposable } from '../../../base/common/disposable.js';
 import type { Clock } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import { EventKind } from '../../../service/events/common/eventKind.js';
 import { canActAsLeader } from '../../../service/consensus/common/lease.js';
 import type { UpstreamId } from '../../../service/world/common/identifiers.js';
+import type { EventSubject } from '../../../infrastructure/timeline/common/timelineEvent.js';
 import type { World } from '../../../service/world/common/world.js';
 import type {
   WeightOrderName,
@@ -25,11 +27,22 @@
   readonly drain: () => void;
 }
 
+/** An order that was handed to the client; `subject` describes it in events. */
 interface OpenOrder {
   readonly order: WeightOrderName;
+  readonly subject: EventSubject;
+  readonly state: { readonly isWritten: boolean; readonly isEnded: boolean };
   readonly connection: Disposable;
 }
 
+const describeOrder = ({ id, order, model, version, fencing }: WeightOrderRow): EventSubject => ({
+  upstream: id,
+  order,
+  model,
+  version,
+  fencing,
+});
+
 /** Creates the port. `wake` requests a tick. */
 export const createWeightOrderPort = (
   world: World,
@@ -63,22 +76,44 @@
     const { path, headers, body } = dialect.encodeOrder(order, world.fleet.holder);
     const content = { method: 'POST', path, headers, body: Buffer.from(body) };
     const start = { upstream: upstream.id, startedAt: upstream.startedAt };
+    const subject = { ...describeOrder(order), address: upstream.address };
+    const state = { isWritten: false, isEnded: false };
     const connection = client.send(
       // The pooled connections may still deliver copies of responses to calls and items.
       { address: upstream.address, content, headers: {}, requestId: null },
       {
-        onDidReceiveResponse: (response) => handleResponse(order, start, response),
-        onDidFail: (_, isNotRun) => report(order, isNotRun ? 'refused' : 'unknown'),
+        onDidWrite: () => {
+          state.isWritten = true;
+          world.events.append({ kind: EventKind.WeightOrderSent, subject });
+        },
+        onDidReceiveResponse: (response) => {
+          state.isEnded = true;
+          handleResponse(order, start, response);
+        },
+        onDidFail: (_, isNotRun) => {
+          state.isEnded = true;
+          report(order, isNotRun ? 'refused' : 'unknown');
+        },
       },
     );
-    openOrders.set(order.id, { order: order.order, connection });
+    openOrders.set(order.id, { order: order.order, subject, state, connection });
+  };
+
+  const abandon = ({ subject, state, connection }: OpenOrder): void => {
+    connection.dispose();
+    if (state.isEnded) return;
+    const { isWritten } = state;
+    world.events.append({
+      kind: EventKind.WeightOrderAbandoned,
+      subject: { ...subject, isWritten },
+    });
   };
 
   const handleChange = (id: UpstreamId): void => {
     const order = world.weightOrders.get(id);
     const openOrder = openOrders.get(id);
     if (order === undefined) {
-      openOrder?.connection.dispose();
+      if (openOrder !== undefined) abandon(openOrder);
       openOrders.delete(id);
     } else if (openOrder?.order !== order.order) send(order);
   };
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -23,6 +23,8 @@
 
 /** Callbacks of a request; either `onDidReceiveResponse` or `onDidFail` is called first. */
 export interface UpstreamListener {
+  /** The connection is established, and the request is written to it. */
+  readonly onDidWrite?: () => void;
   readonly onDidReceiveResponse: (response: IncomingMessage) => void;
   /** `isNotRun` is true only if no byte of the request was written. */
   readonly onDidFail: (reason: string, isNotRun: boolean) => void;
@@ -63,6 +65,12 @@
     ? error.code
     : 'unknown';
 
+/** Runs an action once a connection is established. */
+const whenConnected = (socket: Socket, action: () => void): void => {
+  if (socket.connecting) socket.once('connect', action);
+  else action();
+};
+
 /** Reports a request that could not be written at all, after `send` has returned. */
 const failUnsendable = (reason: string, listener: UpstreamListener): Disposable => {
   const immediate = setImmediate(() => listener.onDidFail(reason, true));
@@ -125,6 +133,7 @@
       let isClosed = false;
       outgoing.once('socket', (socket) => {
         if (target.requestId !== null) rememberCarried(socket, target.requestId);
+        whenConnected(socket, () => listener.onDidWrite?.());
       });
       const fail = (reason: string, isNotRun: boolean): void => {
         if (isClosed) return;
--- a/src/service/capacity/common/capacitySystem.ts
+++ b/src/service/capacity/common/capacitySystem.ts
@@ -146,10 +146,14 @@
   });
 };
 
-const recordOrderOutcome = (world: World, row: CapacityOrderRow, outcome: string): void =>
+const recordOrderOutcome = (
+  world: World,
+  { service, zone, count, fencing }: CapacityOrderRow,
+  outcome: string,
+): void =>
   world.events.append({
     kind: EventKind.CapacityOrdered,
-    subject: { service: row.service, zone: row.zone, count: row.count, outcome },
+    subject: { service, zone, count, fencing, outcome },
   });
 
 const capacityFactHandlers: HandlerTable<
--- a/src/service/consensus/common/lease.ts
+++ b/src/service/consensus/common/lease.ts
@@ -3,6 +3,7 @@
  * on the platform, so ports must repeat the check immediately before each write.
  */
 import { deadlineAfter, type Instant } from '../../../base/common/time.js';
+import { EventKind } from '../../events/common/eventKind.js';
 import type { World } from '../../world/common/world.js';
 import { leadershipId, noLeadership, type LeadershipRow } from './consensusTables.js';
 import { freshnessMilliseconds } from './consensusTiming.js';
@@ -36,6 +37,15 @@
 const hasSameColumns = (first: LeadershipRow, second: LeadershipRow): boolean =>
   (Object.keys(first) as (keyof LeadershipRow)[]).every((name) => first[name] === second[name]);
 
+const recordActing = (
+  world: World,
+  previous: LeadershipRow,
+  { term, fencing }: LeadershipRow,
+): void => {
+  if (fencing === 0 || fencing === previous.fencing) return;
+  world.events.append({ kind: EventKind.LeaderActing, subject: { term, fencing } });
+};
+
 /** Updates the row of leadership from the state of the replica. */
 export const updateLeadership = (world: World, now: Instant): void => {
   const replica = replicaOf(world);
@@ -51,5 +61,7 @@
     appliedIndex: replica.deliveredIndex,
     freshnessDeadline: Math.max(freshnessDeadlineOf(replica, now), previous.freshnessDeadline),
   };
-  if (!hasSameColumns(previous, next)) world.leadership.put(next);
+  if (hasSameColumns(previous, next)) return;
+  recordActing(world, previous, next);
+  world.leadership.put(next);
 };
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -42,6 +42,8 @@
   BatchAcknowledged: 'batchAcknowledged',
   LeadershipTaken: 'leadershipTaken',
   LeadershipLost: 'leadershipLost',
+  /** The leader may send orders and calls from now on, with this fencing token. */
+  LeaderActing: 'leaderActing',
   /** A voter requests votes or pre-votes. */
   VotesRequested: 'votesAsked',
   /** A voter grants or refuses its vote. */
@@ -124,7 +126,11 @@
   TextDiscarded: 'textDiscarded',
   /** A complete text waits until its engines have reported that they have not started again. */
   TextHeld: 'textHeld',
+  /** The connection for a weight order is established, and the order is written to it. */
+  WeightOrderSent: 'weightOrderSent',
   WeightOrderEnded: 'weightOrderEnded',
+  /** The connection of a weight order is closed before an answer has come. */
+  WeightOrderAbandoned: 'weightOrderAbandoned',
   UsageReportEnded: 'dutyEnded',
   CapacityOrdered: 'capacityOrdered',
   BodyLost: 'bodyLost',
--- a/src/service/metering/common/meteringSystem.ts
+++ b/src/service/metering/common/meteringSystem.ts
@@ -95,23 +95,30 @@
     .forEach((row) => scheduleReport(world, row, now));
 };
 
+const recordReportOutcome = (world: World, window: number, outcome: string): void =>
+  world.events.append({
+    kind: EventKind.UsageReportEnded,
+    subject: {
+      window,
+      fencing: world.usageReports.get(usageWindowIdOf(window))?.fencing ?? 0,
+      outcome,
+    },
+  });
+
 const reportFactHandlers: HandlerTable<ReportFact, void, [World, Instant]> = {
   accepted: ({ window }, world, now) => {
+    recordReportOutcome(world, window, 'accepted');
     world.usageReports.remove(usageWindowIdOf(window));
     world.proposals.append({
       id: asBrand(`reported/${window}`),
       command: { kind: 'usageReported', window },
       proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
     });
-    world.events.append({
-      kind: EventKind.UsageReportEnded,
-      subject: { window, outcome: 'accepted' },
-    });
   },
   failed: ({ window, reason }, world, now) => {
+    recordReportOutcome(world, window, reason);
     const sendDeadline = deadlineAfter(now, retryDelayMilliseconds);
     world.usageReports.change(usageWindowIdOf(window), { isInFlight: false, sendDeadline });
-    world.events.append({ kind: EventKind.UsageReportEnded, subject: { window, outcome: reason } });
   },
 };
 
--- a/src/service/weights/common/weightSystem.ts
+++ b/src/service/weights/common/weightSystem.ts
@@ -116,8 +116,10 @@
     kind: EventKind.WeightOrderEnded,
     subject: {
       upstream: order.id,
+      order: order.order,
       model: order.model,
       version: order.version,
+      fencing: order.fencing,
       outcome: fact.kind,
     },
   });
