Close the connection of an order that is replaced

Cause: an order without an answer expires after 6 s, and its row is removed and put again in one tick. The port saw a changed row with another order, sent that, and forgot the connection of the earlier one without closing it. Where the worker accepted no connections, the kernel went on to repeat the request for it, for two minutes. Nothing ended it, not even the loss of the lease, which closes the connections of the orders that the port knows; so it was written whenever the worker accepted again, and the holder or another one had sent higher tokens since. An earlier order is closed now before the next one is sent, and when there is none.

Evidence: platform/test/lateOrders.test.ts. After: one order; tokens in order.

--- a/src/daemon/duties/node/weightOrderPort.ts
+++ b/src/daemon/duties/node/weightOrderPort.ts
@@ -112,10 +112,11 @@
   const handleChange = (id: UpstreamId): void => {
     const order = world.weightOrders.get(id);
     const openOrder = openOrders.get(id);
-    if (order === undefined) {
-      if (openOrder !== undefined) abandon(openOrder);
-      openOrders.delete(id);
-    } else if (openOrder?.order !== order.order) send(order);
+    if (openOrder !== undefined && openOrder.order === order?.order) return;
+    // An order that expires is replaced within one tick, so its row is never seen to be absent.
+    if (openOrder !== undefined) abandon(openOrder);
+    openOrders.delete(id);
+    if (order !== undefined) send(order);
   };
 
   return {
