Check the lease when the connection of an order is established, and reset what is given up

Cause: the lease was checked before a connection was opened, and the order written whenever it was established. An order had no bound of its own; the design counts on 1 s from the check to the arrival, and a new leader waits for no longer. What was given up was closed, and the kernel of the sender goes on to deliver the bytes of a closed connection.

Orders are requests with a fencing token now (fencedRequests.ts): the lease is checked at the moment of the first write, a request without a response within 1 s fails, and its connection is reset, which discards what has not arrived.

Evidence: platform/test/lateOrders.test.ts. "... after the lease has ended" before: 1 order arrives; after: none. "an order without an answer is reset" before: the connection is neither closed nor reset within 1.5 s; after: ECONNRESET.

What a receiver's kernel has accepted is not taken back by a reset: a process that stands still reads it later.

--- a/src/daemon/duties/node/weightOrderPort.ts
+++ b/src/daemon/duties/node/weightOrderPort.ts
@@ -1,7 +1,6 @@
 /**
- * Sends each weight order to its engine once and reports the outcome to `weightOrderFacts`. Right
- * before sending, it checks that this daemon holds the leader lease; without the lease it sends
- * nothing.
+ * Sends each weight order to its engine once, as a request with a fencing token, and reports the
+ * outcome to `weightOrderFacts`. Without the leader lease it sends nothing.
  */
 import type { IncomingMessage } from 'node:http';
 import type { Disposable } from '../../../base/common/disposable.js';
@@ -19,6 +18,7 @@
 } from '../../../service/weights/common/versionTables.js';
 import type { UpstreamStart } from '../../../service/registry/common/registryTables.js';
 import { discardBody } from '../../forwarding/node/discardBody.js';
+import { createFencedSender } from './fencedRequests.js';
 import { readHeaders, type UpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
 
@@ -52,6 +52,8 @@
   wake: () => void,
 ): WeightOrderPort => {
   const openOrders = new Map<UpstreamId, OpenOrder>();
+  const sendFenced = createFencedSender(client, clock);
+  const isAllowed = (): boolean => canActAsLeader(world, clock());
   const changes = world.weightOrders.createChangeReader(RowReader.Port);
 
   const report = (order: WeightOrderRow, kind: WeightOrderFact['kind']): void => {
@@ -72,15 +74,14 @@
 
   const send = (order: WeightOrderRow): void => {
     const upstream = world.registrations.get(order.id);
-    if (upstream === undefined || !canActAsLeader(world, clock())) return;
+    if (upstream === undefined || !isAllowed()) return;
     const { path, headers, body } = dialect.encodeOrder(order, world.fleet.holder);
     const content = { method: 'POST', path, headers, body: Buffer.from(body) };
     const start = { upstream: upstream.id, startedAt: upstream.startedAt };
     const subject = { ...describeOrder(order), address: upstream.address };
     const state = { isWritten: false, isEnded: false };
-    const connection = client.send(
-      // The pooled connections may still deliver copies of responses to calls and items.
-      { address: upstream.address, content, headers: {}, requestId: null },
+    const connection = sendFenced(
+      { address: upstream.address, content, isAllowed },
       {
         onDidWrite: () => {
           state.isWritten = true;
@@ -90,9 +91,9 @@
           state.isEnded = true;
           handleResponse(order, start, response);
         },
-        onDidFail: (_, isNotRun) => {
+        onDidFail: (_, isWritten) => {
           state.isEnded = true;
-          report(order, isNotRun ? 'refused' : 'unknown');
+          report(order, isWritten ? 'unknown' : 'refused');
         },
       },
     );
--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -19,11 +19,25 @@
   readonly headers: Headers;
   /** Identifier that the response names; null gives the request a connection of its own. */
   readonly requestId: string | null;
+  /**
+   * Asked once the connection is established, right before the first byte is written. If it returns
+   * false, the request fails and has not run.
+   */
+  readonly isAllowed?: () => boolean;
+}
+
+/** A request that was sent. */
+export interface SentRequest extends Disposable {
+  /**
+   * Resets the connection, which discards the bytes that its peer has not received. After `dispose`
+   * the kernel goes on to deliver them.
+   */
+  readonly reset: () => void;
 }
 
 /** Callbacks of a request; either `onDidReceiveResponse` or `onDidFail` is called first. */
 export interface UpstreamListener {
-  /** The connection is established, and the request is written to it. */
+  /** The request is written: to the connection, or to the buffer of one that is being established. */
   readonly onDidWrite?: () => void;
   readonly onDidReceiveResponse: (response: IncomingMessage) => void;
   /** `isNotRun` is true only if no byte of the request was written. */
@@ -33,7 +47,7 @@
 /** Sends requests to upstreams over pooled connections. */
 export interface UpstreamClient extends Disposable {
   /** Sends a request; disposing of the result closes its connection. */
-  readonly send: (target: UpstreamRequest, listener: UpstreamListener) => Disposable;
+  readonly send: (target: UpstreamRequest, listener: UpstreamListener) => SentRequest;
   /** Closes the idle connections to an address, which may be as unresponsive as the one in use. */
   readonly closeIdleConnections: (address: string) => void;
 }
@@ -72,9 +86,17 @@
 };
 
 /** Reports a request that could not be written at all, after `send` has returned. */
-const failUnsendable = (reason: string, listener: UpstreamListener): Disposable => {
+const failUnsendable = (reason: string, listener: UpstreamListener): SentRequest => {
   const immediate = setImmediate(() => listener.onDidFail(reason, true));
-  return createDisposable(() => clearImmediate(immediate));
+  const { dispose } = createDisposable(() => clearImmediate(immediate));
+  return { dispose, reset: dispose };
+};
+
+/** Resets an established connection; one that is being established is closed without a byte. */
+const resetConnection = (outgoing: ClientRequest): void => {
+  const { socket } = outgoing;
+  if (socket?.connecting === false && !socket.destroyed) socket.resetAndDestroy();
+  outgoing.destroy();
 };
 
 /** Creates the upstream client of a process. */
@@ -133,7 +155,6 @@
       let isClosed = false;
       outgoing.once('socket', (socket) => {
         if (target.requestId !== null) rememberCarried(socket, target.requestId);
-        whenConnected(socket, () => listener.onDidWrite?.());
       });
       const fail = (reason: string, isNotRun: boolean): void => {
         if (isClosed) return;
@@ -171,12 +192,28 @@
         fail('too many interim responses', false);
         outgoing.destroy();
       });
-      outgoing.end(target.content.body ?? undefined);
+      const write = (): void => {
+        if (isClosed) return;
+        if (target.isAllowed?.() === false) {
+          fail('no longer allowed', true);
+          outgoing.destroy();
+          return;
+        }
+        listener.onDidWrite?.();
+        outgoing.end(target.content.body ?? undefined);
+      };
+      // Without a condition the head and the body are buffered until the connection is established.
+      if (target.isAllowed === undefined) write();
+      else outgoing.once('socket', (socket) => whenConnected(socket, write));
       return {
         dispose: () => {
           isClosed = true;
           outgoing.destroy();
         },
+        reset: () => {
+          isClosed = true;
+          resetConnection(outgoing);
+        },
       };
     },
     closeIdleConnections: (address) => {
