--- a/src/daemon/duties/node/capacityOrderPort.ts
+++ b/src/daemon/duties/node/capacityOrderPort.ts
@@ -1,6 +1,6 @@
 /**
  * Sends capacity orders that systems have marked as in flight and reports each result to
- * `capacityFacts`. Right before sending, it checks again that this daemon holds the leader lease.
+ * `capacityFacts`. An order is sent only while this daemon holds the leader lease.
  */
 import type { Disposable } from '../../../base/common/disposable.js';
 import type { Clock } from '../../../base/common/time.js';
@@ -13,10 +13,14 @@
 import type { World } from '../../../service/world/common/world.js';
 
 /**
- * Sends one order under the sender name `holder`; resolves to null if it was accepted, otherwise to
- * the failure reason.
+ * Sends one order under the sender name `holder`, if `isAllowed` returns true right before the first
+ * byte is written; resolves to null if it was accepted, otherwise to the failure reason.
  */
-export type SendCapacityOrder = (order: CapacityOrderRow, holder: string) => Promise<string | null>;
+export type SendCapacityOrder = (
+  order: CapacityOrderRow,
+  holder: string,
+  isAllowed: () => boolean,
+) => Promise<string | null>;
 
 /** Sends capacity orders; `drain` runs after each tick. */
 export interface CapacityOrderPort extends Disposable {
@@ -32,10 +36,12 @@
 ): CapacityOrderPort => {
   const changes = world.capacityOrders.createChangeReader(RowReader.Port);
 
+  const isAllowed = (): boolean => canActAsLeader(world, clock());
+
   const send = async (order: CapacityOrderRow): Promise<void> => {
     const { id, count } = order;
-    const failureReason = canActAsLeader(world, clock())
-      ? await sendOrder(order, world.fleet.holder)
+    const failureReason = isAllowed()
+      ? await sendOrder(order, world.fleet.holder, isAllowed)
       : 'this daemon no longer holds the leader lease';
     world.capacityFacts.append(
       failureReason === null
--- a/src/daemon/duties/node/usageReportPort.ts
+++ b/src/daemon/duties/node/usageReportPort.ts
@@ -1,6 +1,6 @@
 /**
  * Sends usage reports that systems have marked as in flight and reports each result to
- * `reportFacts`. Right before sending, it checks again that this daemon holds the leader lease.
+ * `reportFacts`. A report is sent only while this daemon holds the leader lease.
  */
 import type { Disposable } from '../../../base/common/disposable.js';
 import type { Clock } from '../../../base/common/time.js';
@@ -13,10 +13,14 @@
 import type { World } from '../../../service/world/common/world.js';
 
 /**
- * Sends one report under the sender name `holder`; resolves to null if it was accepted, otherwise
- * to the failure reason.
+ * Sends one report under the sender name `holder`, if `isAllowed` returns true right before the first
+ * byte is written; resolves to null if it was accepted, otherwise to the failure reason.
  */
-export type SendUsageReport = (report: UsageReportRow, holder: string) => Promise<string | null>;
+export type SendUsageReport = (
+  report: UsageReportRow,
+  holder: string,
+  isAllowed: () => boolean,
+) => Promise<string | null>;
 
 /** Sends usage reports; `drain` runs after each tick. */
 export interface UsageReportPort extends Disposable {
@@ -37,13 +41,15 @@
     wake();
   };
 
+  const isAllowed = (): boolean => canActAsLeader(world, clock());
+
   const send = async (report: UsageReportRow): Promise<void> => {
     const { window } = report;
-    if (!canActAsLeader(world, clock())) {
+    if (!isAllowed()) {
       reportFailure(window, 'this daemon no longer holds the leader lease');
       return;
     }
-    const failureReason = await sendReport(report, world.fleet.holder);
+    const failureReason = await sendReport(report, world.fleet.holder, isAllowed);
     if (failureReason !== null) reportFailure(window, failureReason);
     else {
       world.reportFacts.append({ kind: 'accepted', window });
