Read the state of an engine before it gets an order for weights

Cause: a worker that stands still has the order of the earlier leader in its kernel, where no reset reaches it, and the order of the next leader on another connection; it reads them in any order when it goes on. An order whose sender has given it up was taken for one that can't arrive any more. Besides, an order could be carried out late, after a newer one.

An order has two phases now, in its row: the state of the engine is read, and only an engine that answers and is not busy gets the order. The answer shows that the engine runs and has read what had reached it. The order names the number of orders that the engine had accepted, by which the engine refuses it after another one.

--- a/src/daemon/forwarding/node/upstreamDialect.ts
+++ b/src/daemon/forwarding/node/upstreamDialect.ts
@@ -4,7 +4,8 @@
  */
 import type { Milliseconds } from '../../../base/common/time.js';
 import type {
-  WeightOrderFact,
+  EngineOrderState,
+  WeightOrderOutcome,
   WeightOrderRow,
 } from '../../../service/weights/common/versionTables.js';
 
@@ -85,5 +86,9 @@
   /** Name of the event field that announces a change of the weight version. */
   readonly weightVersionField: string;
   readonly encodeOrder: (order: WeightOrderRow, holder: string) => EncodedOrder;
-  readonly classifyOrderStatus: (status: number) => WeightOrderFact['kind'];
+  readonly classifyOrderStatus: (status: number) => WeightOrderOutcome;
+  /** The request for the state of an engine. */
+  readonly stateRequest: RequestContent;
+  /** The state in the body of a successful response; null if it has none that can be read. */
+  readonly decodeState: (body: Buffer) => EngineOrderState | null;
 }
--- a/src/service/weights/common/versionTables.ts
+++ b/src/service/weights/common/versionTables.ts
@@ -31,6 +31,18 @@
 } as const;
 export type InFlightPolicy = ValueOf<typeof InFlightPolicy>;
 
+/** Phases of an order to an engine. */
+export const WeightOrderPhase = {
+  /**
+   * The state of the engine is read. An engine that answers has read the orders of earlier leaders
+   * that had reached it.
+   */
+  Read: 'read',
+  /** The order is sent, and may be in execution. */
+  Send: 'send',
+} as const;
+export type WeightOrderPhase = ValueOf<typeof WeightOrderPhase>;
+
 export type WeightOrderName = Brand<'weightOrder'>;
 
 /** An open order to an engine: not yet answered, or in execution. */
@@ -38,6 +50,12 @@
   readonly id: UpstreamId;
   /** Distinguishes this order from an earlier one to the same engine. */
   readonly order: WeightOrderName;
+  readonly phase: WeightOrderPhase;
+  /**
+   * Number of orders that the engine had accepted when its state was read; 0 before. It refuses an
+   * order that it carries out after another one.
+   */
+  readonly acceptedOrders: number;
   readonly model: string;
   readonly version: number;
   readonly inFlightPolicy: InFlightPolicy;
@@ -48,12 +66,28 @@
   readonly orderDeadline: Instant;
 }
 
-/** Outcome of sending an order to an engine, as reported by the port. */
-export interface WeightOrderFact {
+/** What an engine says of its orders. */
+export interface EngineOrderState {
+  /** Number of orders that it has accepted since its start. */
+  readonly acceptedOrders: number;
+  /** Whether an order is in execution. */
+  readonly isBusy: boolean;
+}
+
+/** Outcome of sending an order to an engine. */
+export type WeightOrderOutcome = 'accepted' | 'held' | 'refused' | 'unknown';
+
+/** What the port reports of the current phase of an order. */
+export type WeightOrderReport =
+  | { readonly kind: WeightOrderOutcome }
+  | ({ readonly kind: 'read' } & EngineOrderState)
+  /** The engine has not told its state in time, or not in a form that can be read. */
+  | { readonly kind: 'notRead' };
+
+export type WeightOrderFact = WeightOrderReport & {
   readonly upstream: UpstreamId;
   readonly order: WeightOrderName;
-  readonly kind: 'accepted' | 'held' | 'refused' | 'unknown';
-}
+};
 
 export const createVersionTables = () => ({
   modelVersions: createTable<ModelVersionRow>({
--- a/src/service/weights/common/weightSystem.ts
+++ b/src/service/weights/common/weightSystem.ts
@@ -3,8 +3,10 @@
  * version is loaded only on the engines of its model. Only a limited number of engines load at
  * once, and where jobs allow older versions, only a part of the engines loads each new one. Only
  * the leader creates orders; if the outcome of an order is unknown, the next reports of the engine
- * decide whether another one is created.
+ * decide whether another one is created. The state of the engine is read before an order is sent, so
+ * that orders of an earlier leader that wait in a stopped engine are read before it.
  */
+import { dispatchByKind, type HandlerTable } from '../../../base/common/handlers.js';
 import type { Instant, Milliseconds } from '../../../base/common/time.js';
 import { deadlineAfter, never } from '../../../base/common/time.js';
 import type { System } from '../../../infrastructure/tables/common/tick.js';
@@ -19,8 +21,10 @@
 import { placeEngines } from './placement.js';
 import {
   InFlightPolicy,
+  WeightOrderPhase,
   type WeightOrderName,
   type WeightOrderFact,
+  type WeightOrderOutcome,
   type WeightOrderRow,
 } from './versionTables.js';
 
@@ -36,12 +40,16 @@
 /** Load time given by the specification; afterwards the engine is offered work for the version. */
 const expectedLoadMilliseconds = 900;
 
-/** Time until an order expires and may be sent again, by the outcome that the port reported. */
-const orderRetryMilliseconds: Readonly<Record<WeightOrderFact['kind'], Milliseconds>> = {
+/** Time until an order expires and may be sent again, by its outcome. */
+const orderRetryMilliseconds: Readonly<
+  Record<WeightOrderOutcome | 'notRead' | 'busy', Milliseconds>
+> = {
   accepted: loadTimeoutMilliseconds,
   held: 2_500,
   refused: 500,
   unknown: 2_500,
+  notRead: 500,
+  busy: 500,
 };
 
 const removeFulfilledOrders = (world: World): void =>
@@ -64,6 +72,8 @@
   const order: WeightOrderRow = {
     id: row.id,
     order: world.identifiers.next<WeightOrderName>('weightOrder'),
+    phase: WeightOrderPhase.Read,
+    acceptedOrders: 0,
     model,
     version: newestVersion(world, model),
     inFlightPolicy: inFlightPolicyOf(world, model),
@@ -105,26 +115,65 @@
     .forEach((row) => putOrder(world, row, world.placements.get(row.id)!.model, now));
 };
 
-const handleWeightOrderFact = (world: World, fact: WeightOrderFact, now: Instant): void => {
-  const order = world.weightOrders.get(fact.upstream);
-  if (order?.order !== fact.order) return;
-  const orderDeadline = deadlineAfter(now, orderRetryMilliseconds[fact.kind]);
-  const isAccepted = fact.kind === 'accepted' || fact.kind === 'held';
-  const loadedDeadline = isAccepted ? deadlineAfter(now, expectedLoadMilliseconds) : never;
-  world.weightOrders.change(order.id, { orderDeadline, loadedDeadline });
+/** Sets the time at which an order expires by its outcome, and records the outcome. */
+const endAttempt = (
+  world: World,
+  { id: upstream, order, model, version, fencing }: WeightOrderRow,
+  outcome: keyof typeof orderRetryMilliseconds,
+  now: Instant,
+): void => {
+  const orderDeadline = deadlineAfter(now, orderRetryMilliseconds[outcome]);
+  world.weightOrders.change(upstream, { orderDeadline });
   world.events.append({
     kind: EventKind.WeightOrderEnded,
-    subject: {
-      upstream: order.id,
-      order: order.order,
-      model: order.model,
-      version: order.version,
-      fencing: order.fencing,
-      outcome: fact.kind,
-    },
+    subject: { upstream, order, model, version, fencing, outcome },
+  });
+};
+
+const endLoading = (
+  { kind }: { readonly kind: WeightOrderOutcome },
+  world: World,
+  row: WeightOrderRow,
+  now: Instant,
+): void => {
+  endAttempt(world, row, kind, now);
+  world.weightOrders.change(row.id, {
+    loadedDeadline: deadlineAfter(now, expectedLoadMilliseconds),
   });
 };
 
+const endWithoutLoading = (
+  { kind }: { readonly kind: WeightOrderOutcome | 'notRead' },
+  world: World,
+  row: WeightOrderRow,
+  now: Instant,
+): void => {
+  endAttempt(world, row, kind, now);
+  world.weightOrders.change(row.id, { loadedDeadline: never });
+};
+
+const weightOrderFactHandlers: HandlerTable<
+  WeightOrderFact,
+  void,
+  [World, WeightOrderRow, Instant]
+> = {
+  read: ({ acceptedOrders, isBusy }, world, row, now) => {
+    if (isBusy) endAttempt(world, row, 'busy', now);
+    else world.weightOrders.change(row.id, { phase: WeightOrderPhase.Send, acceptedOrders });
+  },
+  notRead: endWithoutLoading,
+  accepted: endLoading,
+  held: endLoading,
+  refused: endWithoutLoading,
+  unknown: endWithoutLoading,
+};
+
+const handleWeightOrderFact = (world: World, fact: WeightOrderFact, now: Instant): void => {
+  const row = world.weightOrders.get(fact.upstream);
+  if (row?.order !== fact.order) return;
+  dispatchByKind(weightOrderFactHandlers, fact, world, row, now);
+};
+
 const removeLeaderRows = (world: World): void => {
   [...world.weightOrders.rows()].forEach(({ id }) => world.weightOrders.remove(id));
   [...world.placements.rows()].forEach(({ id }) => world.placements.remove(id));
