Let a link to a worker lose packets in the script of late orders

The link completes handshakes and drops payload by a filter of its own sockets, so that the sender's kernel repeats the bytes. They arrive after the sender closed the connection, and after its process was killed.

--- a/scripts/incidents/late-orders/case.mjs
+++ b/scripts/incidents/late-orders/case.mjs
@@ -3,7 +3,8 @@
  * Workers that cannot be reached for seconds, and changes of leader meanwhile. A judge applies rule
  * ONE to the orders in the order in which each worker handled them. `claim.txt` names the variables.
  */
-import { fork } from 'node:child_process';
+import { fork, spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { subscribe } from 'node:diagnostics_channel';
 import {
   mkdirSync as makeFolder,
@@ -13,6 +14,7 @@
 import { connect } from 'node:net';
 import { loadavg } from 'node:os';
 import { dirname, join } from 'node:path';
+import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
 import {
   call,
@@ -159,18 +161,20 @@
 
 /**
  * Says how an order came to be late. A connection that opened for long is a SYN that the kernel
- * repeated; bytes that lay unread were sent in time and read late.
+ * repeated; bytes that the sender's kernel kept were repeated by it; bytes that lay unread were sent
+ * in time and read late.
  */
 const longMilliseconds = 700;
-const describeMechanism = ({ openingAt, establishedAt, bytesAt }, at) => {
+const describeMechanism = ({ openingAt, establishedAt, unsentAt, bytesAt }, at) => {
   const arrivedAt = bytesAt ?? at;
-  const since = openingAt ?? establishedAt;
-  const isOpeningLong =
-    since !== undefined && (establishedAt ?? arrivedAt) - since > longMilliseconds;
-  const isUnreadLong = at - arrivedAt > longMilliseconds;
-  if (isOpeningLong) return isUnreadLong ? 'late SYN, then unread bytes' : 'late SYN';
-  if (isUnreadLong) return "bytes in the worker's kernel";
-  return 'sent at once';
+  const isLong = (from, to) => from !== undefined && to - from > longMilliseconds;
+  const found = [
+    isLong(openingAt, establishedAt ?? arrivedAt) && 'late SYN',
+    isLong(establishedAt, unsentAt ?? arrivedAt) && 'written late',
+    isLong(unsentAt, arrivedAt) && "bytes in the sender's kernel",
+    isLong(arrivedAt, at) && "bytes in the worker's kernel",
+  ].filter(Boolean);
+  return found.length === 0 ? 'sent at once' : found.join(', ');
 };
 
 const handleMessage = (worker, message) => {
@@ -180,13 +184,13 @@
     return;
   }
   const { order, remotePort, at } = message;
-  const connection = watch.find(worker.address, remotePort);
+  const connection = watch.find(worker.address, worker.link?.ports.get(remotePort) ?? remotePort);
   const mechanism = describeMechanism(connection, at);
   counts.orders += 1;
   record(
     `${worker.name} ${worker.id} handled at ${secondsOf(at)} version ${order.version} ` +
       `${nameCall(order)} (${mechanism}; opening ${secondsOf(connection.openingAt)}, ` +
-      `established ${secondsOf(connection.establishedAt)}, unread ${secondsOf(connection.bytesAt)}, ` +
+      `established ${secondsOf(connection.establishedAt)}, unsent ${secondsOf(connection.unsentAt)}, unread ${secondsOf(connection.bytesAt)}, ` +
       `closed by the sender ${secondsOf(connection.closedAt)})`,
   );
   const { holder, fence } = order;
@@ -198,6 +202,24 @@
   );
 };
 
+/** A link of its own in front of a worker; see `lossy_link.py`. */
+const openLink = async (number, workerAddress) => {
+  const host = fleet.ipOf(150 + number);
+  const child = spawn(
+    'python3',
+    [join(caseFolder, 'lossy_link.py'), host, ...workerAddress.split(':')],
+    { stdio: ['pipe', 'pipe', 'inherit'] },
+  );
+  const ports = new Map();
+  const lines = createInterface({ input: child.stdout });
+  const [port] = await once(lines, 'line');
+  lines.on('line', (line) => {
+    const [towardsWorker, sender] = line.split(' ').map(Number);
+    ports.set(towardsWorker, sender);
+  });
+  return { address: `${host}:${port}`, child, ports };
+};
+
 const addWorker = async (number) => {
   const worker = {
     id: `i-${hex(4)}`,
@@ -217,6 +239,10 @@
     worker.child.once('message', done);
   });
   worker.address = `${host}:${port}`;
+  if (plan === 'lossy') {
+    worker.link = await openLink(number, worker.address);
+    worker.address = worker.link.address;
+  }
   worker.child.on('message', (message) => handleMessage(worker, message));
   watch.add(worker.address);
   workers.push(worker);
@@ -225,11 +251,15 @@
   return worker;
 };
 
-const endRun = (code, text) => {
-  workers.forEach(({ child }) => {
-    child.kill('SIGCONT');
+/** Also when the harness ends the run; a stopped worker would stay. */
+process.on('exit', () =>
+  workers.forEach(({ child, link }) => {
     child.kill('SIGKILL');
-  });
+    link?.child.kill('SIGKILL');
+  }),
+);
+
+const endRun = (code, text) => {
   watch.dispose();
   fleet.end(code, text);
 };
@@ -312,11 +342,23 @@
   fillers.forEach((socket) => socket.destroy());
 };
 
-const isFilledByPlan = {
-  full: () => true,
-  stopped: () => false,
-  threads: () => false,
-  mixed: (random) => random.next() < 0.6,
+const breakLink = async (worker, milliseconds) => {
+  worker.isBlocked = true;
+  record(`the link of ${worker.name} ${worker.id} goes down for ${Math.round(milliseconds)} ms`);
+  worker.link.child.stdin.write('down\n');
+  await delay(milliseconds);
+  worker.openedAt = Date.now();
+  worker.link.child.stdin.write('up\n');
+  record(`the link of ${worker.name} ${worker.id} goes up`);
+  worker.isBlocked = false;
+};
+
+const blockByPlan = {
+  full: (worker, milliseconds) => block(worker, milliseconds, true),
+  stopped: (worker, milliseconds) => block(worker, milliseconds, false),
+  threads: (worker, milliseconds) => block(worker, milliseconds, false),
+  mixed: (worker, milliseconds, random) => block(worker, milliseconds, random.next() < 0.6),
+  lossy: breakLink,
 };
 
 const until = Date.now() + durationSeconds * 1000;
@@ -348,11 +390,7 @@
   while (!isOver()) {
     await delay(random.between(300, 1500));
     const free = workers.filter(({ isBlocked }) => !isBlocked);
-    await block(
-      random.select(free),
-      random.between(...blockMilliseconds),
-      isFilledByPlan[plan](random),
-    );
+    await blockByPlan[plan](random.select(free), random.between(...blockMilliseconds), random);
   }
 };
 
--- a/scripts/incidents/late-orders/judge.mjs
+++ b/scripts/incidents/late-orders/judge.mjs
@@ -35,18 +35,24 @@
   };
 };
 
-const states = { '01': 'established', '02': 'opening', '08': 'closed by the sender' };
+const states = {
+  '01': 'established',
+  '02': 'opening',
+  '04': 'closing',
+  '08': 'closed by the sender',
+};
 
 /** `127.0.0.1:80` as the kernel writes it; the bytes of the address are in reverse. */
 const encodeAddress = (address) => {
   const [host, port] = address.split(':');
   const bytes = host.split('.').map((byte) => Number(byte).toString(16).padStart(2, '0'));
-  return `${bytes.reverse().join('')}${':'}${Number(port).toString(16).padStart(4, '0')}`.toUpperCase();
+  return `${bytes.reverse().join('')}:${Number(port).toString(16).padStart(4, '0')}`.toUpperCase();
 };
 
 /**
  * Samples the connections to the workers. Each gets the instants at which it was first seen opening
- * and established (by the sender's end), and with unread bytes at the worker's end.
+ * established and with bytes that the worker's kernel has not taken (by the sender's end), and with
+ * unread bytes (by the worker's end).
  */
 export const createConnectionWatch = (sampleMilliseconds) => {
   const connections = new Map();
@@ -65,6 +71,10 @@
       const connection = connectionOf(remote, local.split(':')[1]);
       if (states[state] === 'opening') connection.openingAt ??= now;
       if (states[state] === 'established') connection.establishedAt ??= now;
+      if (states[state] === 'closing') connection.closedAt ??= now;
+      if (!queues.startsWith('00000000:') && states[state] !== 'opening') {
+        connection.unsentAt ??= now;
+      }
     } else if (addresses.has(local) && state !== '0A') {
       const connection = connectionOf(local, remote.split(':')[1]);
       if (!queues.endsWith(':00000000')) connection.bytesAt ??= now;
