--- a/scripts/incidents/late-orders/worker.mjs
+++ b/scripts/incidents/late-orders/worker.mjs
@@ -2,22 +2,32 @@
 /**
  * A model worker as a process of its own, so that it can be stopped while its kernel still accepts
  * connections. It answers weight orders and tells the starting process of each one that it handled,
- * in the order in which it handled them. It does not report itself; `case.mjs` does that.
+ * in the order in which it handled them, also of those that it refuses. It does not report itself;
+ * `case.mjs` does that.
  */
 import { createServer } from 'node:http';
 
 const { id, host, backlog, handlingMilliseconds } = JSON.parse(process.argv[2]);
 const loadMilliseconds = 300;
 let version = 1;
+let acceptedOrders = 0;
+let isBusy = false;
 
 const handleOrder = (order, remotePort, outgoing) => {
   process.send({ kind: 'order', order, remotePort, at: Date.now() });
+  if (isBusy || (order.expected ?? acceptedOrders) !== acceptedOrders) {
+    outgoing.writeHead(409).end();
+    return;
+  }
   if (order.version === version) {
     outgoing.writeHead(200).end();
     return;
   }
+  acceptedOrders += 1;
+  isBusy = true;
   setTimeout(() => {
     version = order.version;
+    isBusy = false;
     process.send({ kind: 'loaded', version });
   }, loadMilliseconds);
   outgoing.writeHead(202).end();
@@ -42,6 +52,8 @@
     } else if (incoming.url === '/shallotquay/order') {
       const order = JSON.parse(Buffer.concat(chunks).toString('utf8'));
       handleSoon(() => handleOrder(order, remotePort, outgoing));
+    } else if (incoming.url === '/shallotquay/report') {
+      outgoing.writeHead(200).end(JSON.stringify({ seq: acceptedOrders, busy: isBusy }));
     } else {
       outgoing.writeHead(200, { 'instance-id': id }).end('{}');
     }
