Let a leader append its changes of voters itself, in its own term

Cause: a change of voters was a proposal like any other. The daemon that had computed it as the leader sent it again for 5 s to whoever led then, and proposalForwarded appended it without a check, on top of changes that the new leader had made since. The two sets differ by two voters, so each may have a quorum that shares no voter with one of the other: two leaders at once could be elected, each with a lease and fencing tokens. What callers could see: a lower fencing token after a higher one. That the users' records come from this is not shown; they name no change of voters. Evidence: deposedLeaderVoters.test.ts cuts a leader off in the millisecond in which it adds a voter, and joins it again 3.5 s later. After, 8 of 8 pass. Change: the voter system appends the entry in the tick that computes it, where it has just checked lease, term and the commit of the change before. Nothing is pending that could outlive the leadership. A change of voters in a proposal, own or forwarded, is refused with a remedy. Entries and messages keep their format. Ruled out: a change before an entry of the leader's own term is committed (the known flaw of changes by one voter). isCurrentLeader asks for the delivery of the leadershipTaken entry, which follows its commit; the only way around it was the resent proposal. Tests: 161 of voters, retirement, elections, disks, commands and absence pass.

--- a/src/service/consensus/common/proposals.ts
+++ b/src/service/consensus/common/proposals.ts
@@ -21,15 +21,12 @@
 import { proposalResendIntervalMilliseconds } from './consensusTiming.js';
 import type { LogEntry } from './logEntry.js';
 import { appendEntry, entryOfProposal, replicaOf } from './replicaLog.js';
-import { applyLoggedVoters } from './voters.js';
 import { ReplicaState, type PendingProposalRow } from './replicaTables.js';
 
 type ProposedEntry = Pick<LogEntry, 'proposal' | 'origin' | 'command'>;
 
 const appendIfAbsent = (world: World, entry: ProposedEntry): void => {
-  if (entryOfProposal(world, entry.proposal) !== undefined) return;
-  appendEntry(world, entry);
-  if (entry.command.kind === 'votersSet') applyLoggedVoters(world);
+  if (entryOfProposal(world, entry.proposal) === undefined) appendEntry(world, entry);
 };
 
 const submitLocally = (world: World, row: PendingProposalRow, now: Instant): void => {
@@ -74,8 +71,23 @@
   },
 };
 
-/** Returns why no daemon could receive or read back a command; undefined if they can. */
+/**
+ * A change of voters is only safe on top of the one that it was computed from. The leader appends its
+ * own in the tick that computes them; in a proposal, one could outlive its leadership.
+ */
+const isVotersChange = ({ kind }: Command): boolean => kind === 'votersSet';
+
+const votersChangeOutcome: ProposalOutcome = {
+  kind: 'rejected',
+  rejection: {
+    kind: 'votersNotProposable',
+    message: 'Only the leader changes the voters; retire or start a control daemon instead.',
+  },
+};
+
+/** Returns why a command must not be appended to the log; undefined if it can be. */
 const findUnacceptableOutcome = (command: Command): ProposalOutcome | undefined => {
+  if (isVotersChange(command)) return votersChangeOutcome;
   if (!commandSchema.safeParse(command).success) return unreadableOutcome;
   return computeEncodedBytes(command) > maximumRowBytes ? tooLargeOutcome : undefined;
 };
@@ -142,8 +154,8 @@
 > = {
   proposalForwarded: ({ proposal, command }, world, origin) => {
     const stored = world.rememberedOutcomes.get(asBrand(proposal));
-    if (stored !== undefined) {
-      const { outcome } = stored;
+    const outcome = stored?.outcome ?? (isVotersChange(command) ? votersChangeOutcome : undefined);
+    if (outcome !== undefined) {
       world.outgoingMessages.append({
         to: origin.id,
         message: { kind: 'proposalAnswered', proposal, outcome },
--- a/src/service/consensus/common/voterSystem.ts
+++ b/src/service/consensus/common/voterSystem.ts
@@ -15,7 +15,7 @@
 import type { World } from '../../world/common/world.js';
 import { leaseRenewalIntervalMilliseconds } from './consensusTiming.js';
 import { becomeFollower, otherMembers, quorumSize } from './election.js';
-import { changeReplica, replicaOf } from './replicaLog.js';
+import { appendEntry, changeReplica, replicaOf } from './replicaLog.js';
 import { isCurrentLeader, type ReplicaRow } from './replicaTables.js';
 import { areVotersCaughtUp, isRetiring } from './retirement.js';
 import {
@@ -26,8 +26,7 @@
   findSurplusVoter,
   type PlacedDaemon,
 } from './voterPlacement.js';
-
-const proposalTimeoutMilliseconds = 5_000;
+import { applyLoggedVoters } from './voters.js';
 
 /**
  * Time for which a voter that has resigned does not request votes, so that the others can elect a
@@ -152,13 +151,18 @@
   return promoted === undefined ? undefined : [...voters, promoted.id];
 };
 
-const proposeVoters = (world: World, voters: string[], now: Instant): void => {
+/**
+ * Appends a change of voters. It is not proposed like other commands: a pending proposal is resent to
+ * later leaders, which would append it on top of changes that it was not computed from.
+ */
+const appendVoters = (world: World, voters: string[]): void => {
   world.events.append({ kind: EventKind.VotersChanging, subject: { voters: voters.join(',') } });
-  world.proposals.append({
-    id: world.identifiers.next('voters'),
+  appendEntry(world, {
+    proposal: world.identifiers.next('voters'),
+    origin: world.self.name,
     command: { kind: 'votersSet', voters },
-    proposalDeadline: deadlineAfter(now, proposalTimeoutMilliseconds),
   });
+  applyLoggedVoters(world);
 };
 
 /** Steps down in favour of another voter, and sends heartbeats to all voters at once. */
@@ -202,9 +206,9 @@
         return;
       }
       if (!hasChanges) return;
-      const voters = world.proposals.size() === 0 ? computeNextVoters(world) : undefined;
+      const voters = computeNextVoters(world);
       if (voters === undefined) resignIfRetiring(world, now);
-      else if (canReachQuorum(world, voters, now)) proposeVoters(world, voters, now);
+      else if (canReachQuorum(world, voters, now)) appendVoters(world, voters);
     },
   };
 };
