Extend the waits for the lease of another daemon when the clock jumps

Cause: processes of the platform add to their monotonic clock what the time of day advances further, for suspensions of the VM. A time of day that is set forward looks the same. What callers could see: two daemons that lead at once, and orders of a new leader before those of the old one have ended; a voter grants a pre-vote and a vote while the lease of its leader holds. Change: the clock reports each jump before it returns a reading that includes it. A system that runs before messages are handled extends refusal, election and order deadlines that had not expired by the jump. Leases and freshness still end early.

--- a/src/base/common/time.ts
+++ b/src/base/common/time.ts
@@ -16,6 +16,12 @@
 /** Reads the wall clock in milliseconds since the Unix epoch; only for display and event stamps. */
 export type WallClock = () => number;
 
+/** A jump of a clock: what it would have read without the jump, and what it read. */
+export interface ClockJump {
+  readonly from: Instant;
+  readonly to: Instant;
+}
+
 /** A deadline that never expires. */
 export const never: Instant = Number.POSITIVE_INFINITY;
 
--- a/src/daemon/fleet/node/fleetDaemon.ts
+++ b/src/daemon/fleet/node/fleetDaemon.ts
@@ -5,8 +5,9 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import type { Event } from '../../../base/common/emitter.js';
 import { createDaemonRandom } from '../../../base/common/random.js';
-import type { Clock, WallClock } from '../../../base/common/time.js';
+import type { Clock, ClockJump, WallClock } from '../../../base/common/time.js';
 import type { Log } from '../../../infrastructure/log/node/log.js';
 import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
 import type {
@@ -59,6 +60,8 @@
   readonly sendUsageReport: SendUsageReport;
   readonly sendCapacityOrder: SendCapacityOrder;
   readonly clock: Clock;
+  /** Fires when `clock` jumps, before it returns a reading that includes the jump. */
+  readonly onDidClockJump?: Event<ClockJump>;
   readonly wallClock: WallClock;
   readonly metrics: Metrics;
   readonly log: Log;
@@ -97,6 +100,7 @@
     Profile.Declaration,
   );
 
+  const clockJumps = options.onDidClockJump?.((jump) => world.clockJumps.append(jump));
   let driver: TickDriver | undefined;
   const wake = (): void => driver?.wake();
   const wakeSoon = (): void => driver?.wakeSoon();
@@ -165,6 +169,7 @@
     proposals,
     dispose: async () => {
       driver?.dispose();
+      clockJumps?.dispose();
       [calls, addressProbes, runs, weightOrders, usageReports, capacityOrders, client].forEach(
         (port) => port.dispose(),
       );
--- a/src/service/consensus/common/replicaTables.ts
+++ b/src/service/consensus/common/replicaTables.ts
@@ -5,7 +5,7 @@
  */
 import { asBrand, type Brand } from '../../../base/common/brand.js';
 import type { ValueOf } from '../../../base/common/handlers.js';
-import { never, type Instant } from '../../../base/common/time.js';
+import { never, type ClockJump, type Instant } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { createRowQueue } from '../../../infrastructure/tables/common/rowQueue.js';
 import { createTable } from '../../../infrastructure/tables/common/table.js';
@@ -268,4 +268,5 @@
   }),
   storageRequests: createRowQueue<StorageRequest>('storageRequests', RowReader.Port),
   storageFacts: createRowQueue<StorageFact>('storageFacts', RowReader.System),
+  clockJumps: createRowQueue<ClockJump>('clockJumps', RowReader.System),
 });
--- a/src/service/core/common/core.ts
+++ b/src/service/core/common/core.ts
@@ -21,6 +21,7 @@
 import { createRevocationSystem } from '../../configuration/common/revocationSystem.js';
 import { createRotationSystem } from '../../configuration/common/rotationSystem.js';
 import { createApplySystem } from '../../consensus/common/applySystem.js';
+import { createClockJumpSystem } from '../../consensus/common/clockJumpSystem.js';
 import { createCompactionSystem } from '../../consensus/common/compaction.js';
 import { createVoterSystem } from '../../consensus/common/voterSystem.js';
 import { createReplicaSystem, insertReplica } from '../../consensus/common/replicaSystem.js';
@@ -89,6 +90,7 @@
 export type Profile = ValueOf<typeof Profile>;
 
 const treeSystems: readonly SystemFactory[] = [
+  createClockJumpSystem,
   createInboxSystem,
   createReplicaSystem,
   createApplySystem,
@@ -122,6 +124,7 @@
 ];
 
 const declarationSystems: readonly SystemFactory[] = [
+  createClockJumpSystem,
   createInboxSystem,
   createReplicaSystem,
   createVoterSystem,
--- a/src/service/events/common/eventKind.ts
+++ b/src/service/events/common/eventKind.ts
@@ -10,6 +10,8 @@
 export const EventKind = {
   DaemonStarted: 'daemonStarted',
   DaemonLeaving: 'daemonLeaving',
+  /** The clock of the process jumped: its VM was suspended, or its time of day was set forward. */
+  ClockJumped: 'clockJumped',
   PeerAlive: 'peerAlive',
   PeerSuspected: 'peerSuspected',
   SettingsPublished: 'settingsPublished',
--- a/src/service/timeline/common/explainLog.ts
+++ b/src/service/timeline/common/explainLog.ts
@@ -54,6 +54,7 @@
 const processKinds: ReadonlySet<string> = new Set<string>([
   EventKind.DaemonStarted,
   EventKind.DaemonLeaving,
+  EventKind.ClockJumped,
   EventKind.PeerSuspected,
   EventKind.PeerAlive,
   EventKind.DeclarationActivated,
--- a/standins/virtual/controlHistory.ts
+++ b/standins/virtual/controlHistory.ts
@@ -33,7 +33,10 @@
     const actingLeaders = currentInstallation
       .runningNames()
       .filter((name) =>
-        canActAsLeader(currentInstallation.daemon(name).core.world, currentInstallation.now()),
+        canActAsLeader(
+          currentInstallation.daemon(name).core.world,
+          currentInstallation.clockOf(name),
+        ),
       );
     if (actingLeaders.length > 1)
       violations.push(
@@ -44,7 +47,7 @@
       .filter((name) =>
         isCurrentLeader(
           replicaOf(currentInstallation.daemon(name).core.world),
-          currentInstallation.now(),
+          currentInstallation.clockOf(name),
         ),
       );
     if (currentLeaders.length > 1)
--- a/standins/virtual/inspection.ts
+++ b/standins/virtual/inspection.ts
@@ -16,7 +16,9 @@
 export const leaderOf = (installation: VirtualInstallation): string | undefined =>
   installation
     .runningNames()
-    .find((name) => isCurrentLeader(replicaOf(worldOf(installation, name)), installation.now()));
+    .find((name) =>
+      isCurrentLeader(replicaOf(worldOf(installation, name)), installation.clockOf(name)),
+    );
 
 /** Returns the version of the declaration that a daemon holds; 0 if it holds none. */
 export const versionAt = (installation: VirtualInstallation, name: string): number =>
--- a/standins/virtual/virtualInstallation.ts
+++ b/standins/virtual/virtualInstallation.ts
@@ -10,40 +10,16 @@
 import type { Deployment } from '../../src/infrastructure/settings/common/deployment.js';
 import type { FleetSettings } from '../../src/infrastructure/settings/common/fleetSettings.js';
 import type { Tree } from '../../src/service/configuration/common/tree.js';
-import { createCore, type Core, type Profile } from '../../src/service/core/common/core.js';
+import { createCore, type Profile } from '../../src/service/core/common/core.js';
 import type { RecordedEvent } from '../../src/service/events/common/eventKind.js';
 import type { Message } from '../../src/service/messages/common/message.js';
 import type { DaemonId } from '../../src/service/world/common/identifiers.js';
 import { createLinkDelays } from './linkDelays.js';
+import type { VirtualContext, VirtualDaemon, VirtualPort } from './virtualDaemon.js';
 import { createVirtualDisk, createVirtualStoragePort, type VirtualDisk } from './virtualDisk.js';
 import { createVirtualTime } from './virtualTime.js';
 
-/** A fake port of one daemon; `drain` runs after each tick of the daemon. */
-export interface VirtualPort {
-  readonly drain: () => void;
-}
-
-/** One process of a daemon, from its start until it is stopped. */
-export interface VirtualDaemon {
-  readonly name: string;
-  readonly core: Core;
-  readonly incarnation: number;
-  /** Time of the installation at which the clock of this process read 0. */
-  readonly clockOrigin: Instant;
-}
-
-/** The services that a fake port can use. */
-export interface VirtualContext {
-  readonly daemon: VirtualDaemon;
-  readonly now: () => Instant;
-  /**
-   * Runs an action after a delay and then ticks the daemon; skipped if this process has been
-   * stopped.
-   */
-  readonly schedule: (delay: Milliseconds, action: () => void) => void;
-  /** Runs an action after a delay, even if the daemon is stopped or frozen. */
-  readonly scheduleAlways: (delay: Milliseconds, action: () => void) => void;
-}
+export type { VirtualContext, VirtualDaemon, VirtualPort };
 
 export interface VirtualOptions {
   readonly deployment: Deployment;
@@ -104,6 +80,10 @@
   /** Suspends a daemon; its messages and deadlines are held until it is thawed. */
   readonly freeze: (name: string) => void;
   readonly thaw: (name: string) => void;
+  /** The time by the clock of a daemon's process. */
+  readonly clockOf: (name: string) => Instant;
+  /** Sets the clock of a daemon's process forward, as a step of the time of day of its VM does. */
+  readonly stepClock: (name: string, duration: Milliseconds) => void;
   /** Drops messages between two daemons in both directions. */
   readonly cut: (first: string, second: string) => void;
   readonly heal: (first: string, second: string) => void;
@@ -144,6 +124,8 @@
     tick(to);
   };
 
+  const clockOf = (name: string): Instant => time.now() - daemons.get(name)!.clockOrigin;
+
   const runWhenThawed = (name: string, action: () => void): void => {
     if (frozen.has(name)) deferredActions.set(name, [...(deferredActions.get(name) ?? []), action]);
     else action();
@@ -287,6 +269,14 @@
       actions.forEach((action) => action());
       tick(name);
     },
+    clockOf,
+    stepClock: (name, duration) => {
+      const daemon = daemons.get(name)!;
+      const from = clockOf(name);
+      daemon.clockOrigin -= duration;
+      daemon.core.world.clockJumps.append({ from, to: clockOf(name) });
+      runWhenThawed(name, () => tick(name));
+    },
     cut: (first, second) => {
       cutLinks.add(linkKeyOf(first, second));
     },
