Send usage reports with the fencing token of the present leadership

Cause: a report kept the token of the leadership in which it was scheduled, and the rows are removed only by the check of each 500 ms. What callers could see: a report with a lower token than one sent before. No interleaving was found in which such a row survives: a leader waits 2.2 s after its election, renews its lease by ticks meanwhile, and the check is due in one of them. Orders of capacity already took the token when they are marked; orders of weights are removed in the tick in which their leadership ends.

--- a/src/service/metering/common/meteringSystem.ts
+++ b/src/service/metering/common/meteringSystem.ts
@@ -115,11 +115,16 @@
   },
 };
 
-/** Marks the due reports as in flight; the port sends them while the lease is valid. */
-const startDueReports = (world: World, now: Instant): void =>
-  world.usageReports.takeDue('send', now).forEach(({ id }) => {
-    if (canActAsLeader(world, now)) world.usageReports.change(id, { isInFlight: true });
-  });
+/**
+ * Marks the due reports as in flight, with the present fencing token; the port sends them while the
+ * lease is valid.
+ */
+const startDueReports = (world: World, now: Instant): void => {
+  const due = world.usageReports.takeDue('send', now);
+  if (!canActAsLeader(world, now)) return;
+  const { fencing } = leadershipOf(world);
+  due.forEach(({ id }) => world.usageReports.change(id, { isInFlight: true, fencing }));
+};
 
 /** Creates the metering system, which does nothing without metering settings. */
 export const createMeteringSystem = (world: World): System => {
