Take the reset of a worker's connection for no end of its answer

What callers saw: a worker answered a long upload at once with a 200 without length, sent a part of its body and reset the connection. The client got the part, with the worker's signature, on a connection that ended in order: a complete answer. Cause: the runtime reports a reset that is read in the same turn as the last bytes as an end (libuv: after a partial read with a hang-up), and node:http then calls the message complete. An upload makes it no likelier: the same came without a body, and with resets by a close with unread bytes of the upload. Change: sockets of the upstream client fail in place of ending where the system no longer knows the peer, which it forgets at a reset and keeps after an orderly end (orderlyEnd.ts). The check is made when the end is read, so it does not depend on which of several events comes first, and nothing waits. An end that comes together with a reset behind it counts as a reset.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -4,11 +4,18 @@
  * time, and no request identifier twice, because the copy of an earlier response would name the
  * repeated request too.
  */
-import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
+import {
+  Agent,
+  request,
+  type AgentOptions,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
+import { connect, type NetConnectOpts, type Socket } from 'node:net';
 import { Result } from 'neverthrow';
 import { createDisposable, type Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
+import { requireOrderlyEnd } from '../../../infrastructure/sockets/node/orderlyEnd.js';
 import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import type { Headers, RequestContent } from './upstreamDialect.js';
 
@@ -69,16 +76,23 @@
   return createDisposable(() => clearImmediate(immediate));
 };
 
+/** The end of a connection may be the end of a response, so a reset must not pass for one. */
+const createAgent = (options: AgentOptions): Agent =>
+  Object.assign(new Agent(options), {
+    createConnection: (connectOptions: NetConnectOpts) =>
+      requireOrderlyEnd(connect(connectOptions)),
+  });
+
 /** Creates the upstream client of a process. */
 export const createUpstreamClient = (): UpstreamClient => {
-  const agent = new Agent({
+  const agent = createAgent({
     keepAlive: true,
     maxFreeSockets: maximumIdleConnections,
     scheduling: 'lifo',
   });
 
   /** Opens a connection for each request and closes it after the response. */
-  const singleUseAgent = new Agent({ keepAlive: false });
+  const singleUseAgent = createAgent({ keepAlive: false });
   const carriedBySocket = new WeakMap<Socket, Set<string>>();
 
   const rememberCarried = (socket: Socket, requestId: string): void => {
