Take the reset of an upstream for no end on the product's own interface

What callers saw: on the product's own interface each answer without length whose connection was reset ended in order, so the part that had come looked like the whole. Cause: undici takes ECONNRESET for the end of a response that may end with its connection, whenever the reset comes; one that is read together with the last bytes the runtime reports as an end, as for the upstream client. Change: the connections to upstreams are opened by orderlyConnector.ts, whose sockets fail at a reset (orderlyEnd.ts) and report it to undici under the code of a failed connection. The caller's connection is then reset, or the request gets another answer, as for other broken attempts. Ruled out: texts of engines with events, and JSON bodies, which show their end themselves. Tests: cutUploads.test.ts of the daemon, 8 of 12 failed before in 5 of 5 runs (plain and engine upstreams, short and long bodies, reset with and after the last bytes), 12 of 12 pass after in 5 of 5; orderly ends with the upload half read passed before and pass.

--- a/src/daemon/upstream/node/upstreamConnections.ts
+++ b/src/daemon/upstream/node/upstreamConnections.ts
@@ -6,6 +6,7 @@
  */
 import { Agent, type Dispatcher } from 'undici';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
+import { createOrderlyConnector } from '../../../infrastructure/sockets/node/orderlyConnector.js';
 import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
 import { attemptHeader } from '../../../service/protocol/common/engineProtocol.js';
 import type { AttemptId } from '../../../service/world/common/identifiers.js';
@@ -31,7 +32,7 @@
 const noTimeout = 0;
 
 const agentOptions: Agent.Options = {
-  connect: { timeout: connectTimeoutMilliseconds },
+  connect: createOrderlyConnector(connectTimeoutMilliseconds),
   headersTimeout: noTimeout,
   bodyTimeout: noTimeout,
   pipelining: 1,
