Take the reset of a control daemon for no end of its answer to a trainer

What trainers would see: a daemon that forwards a trainer's request passed on the part of an answer without length whose connection was reset, with status 200 and a length of its own.

--- a/src/daemon/front/node/trainerRelay.ts
+++ b/src/daemon/front/node/trainerRelay.ts
@@ -6,6 +6,7 @@
 import { Agent, type Dispatcher } from 'undici';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import { Role } from '../../../infrastructure/settings/common/deployment.js';
+import { createOrderlyConnector } from '../../../infrastructure/sockets/node/orderlyConnector.js';
 import { DaemonState } from '../../../service/membership/common/membershipTables.js';
 import { createRefusal, RefusalKind } from '../../../service/traffic/common/refusal.js';
 import type { World } from '../../../service/world/common/world.js';
@@ -42,7 +43,7 @@
 /** Creates the relay of a daemon. */
 export const createTrainerRelay = (world: World): TrainerRelay => {
   const agent = new Agent({
-    connect: { timeout: connectTimeoutMilliseconds },
+    connect: createOrderlyConnector(connectTimeoutMilliseconds),
     headersTimeout: responseTimeoutMilliseconds,
     bodyTimeout: responseTimeoutMilliseconds,
   });
