--- a/src/daemon/orders/test/node/answersToNoOrder.test.ts
+++ b/src/daemon/orders/test/node/answersToNoOrder.test.ts
@@ -40,3 +40,9 @@
     t.is(await orderOnce(answer.replace('200', status)), 'unknown');
   }),
 );
+
+['x odd', 'x-odd ', ' x-odd', 'x-\todd', 'x-\0odd', 'x-\u0001odd', 'x-\u007fodd'].forEach((name) =>
+  test(`an order whose answer has a field named ${JSON.stringify(name)} is not done`, async (t) => {
+    t.is(await orderOnce(answer.replace('\r\n', `\r\n${name}: 1\r\n`)), 'unknown');
+  }),
+);
