Report what became of a request to an upstream once

What operators saw: nothing yet. A weight order that an engine had accepted was counted as unknown when the connection of its answer was reset afterwards, so it was sent again 2.5 s later, and runs at the loading engine lost the time that they have for it. Of an item whose answer was reset, the events since its last report of progress were dropped. Calls and items took the first of two reports and were right. Change: after the head the error goes to the response, which then emits error and never end. So node:http can't end a response without a length either once its connection has failed. The reason of such a break is now the runtime's message, read ECONNRESET, in place of its code.

--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -28,7 +28,7 @@
   readonly requestId: string | null;
 }
 
-/** Callbacks of a request; either `onDidReceiveResponse` or `onDidFail` is called first. */
+/** Callbacks of a request; one of them is called, once. A response that breaks emits `error`. */
 export interface UpstreamListener {
   readonly onDidReceiveResponse: (response: IncomingMessage) => void;
   /** `isNotRun` is true only if no byte of the request was written. */
@@ -145,9 +145,9 @@
         isClosed = true;
         listener.onDidFail(reason, isNotRun);
       };
-      let hasResponse = false;
+      let received: IncomingMessage | undefined;
       outgoing.once('response', (response) => {
-        hasResponse = true;
+        received = response;
         if (!isClosed && isFinalStatus(response.statusCode)) {
           listener.onDidReceiveResponse(response);
           return;
@@ -162,12 +162,17 @@
       });
       // A connection may report several errors; one without a listener ends the process.
       outgoing.on('error', (error) => {
+        // After the head it is the response that breaks; node:http would end one without a length.
+        if (received !== undefined) {
+          received.destroy(error);
+          return;
+        }
         const code = errorCodeOf(error);
         fail(code, connectFailureCodes.has(code));
       });
       // A connection may end with neither a response nor an error.
       outgoing.once('close', () => {
-        if (!hasResponse) fail('closed without a response', false);
+        if (received === undefined) fail('closed without a response', false);
       });
       let interimResponses = 0;
       outgoing.on('information', () => {
--- a/src/infrastructure/sockets/node/orderlyEnd.ts
+++ b/src/infrastructure/sockets/node/orderlyEnd.ts
@@ -8,8 +8,9 @@
 /** Code of the error with which the connection was reset by the peer. */
 export const connectionResetCode = 'ECONNRESET';
 
+/** Returns the error that the runtime reports where it sees the reset itself. */
 const createResetError = (): Error =>
-  Object.assign(new Error('The peer has reset the connection.'), { code: connectionResetCode });
+  Object.assign(new Error(`read ${connectionResetCode}`), { code: connectionResetCode });
 
 /**
  * Makes a socket that has not been read yet fail with `connectionResetCode` where the runtime would
