--- a/src/daemon/forwarding/node/upstreamClient.ts
+++ b/src/daemon/forwarding/node/upstreamClient.ts
@@ -4,11 +4,18 @@
  * time, and no request identifier twice, because the copy of an earlier response would name the
  * repeated request too.
  */
-import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
+import {
+  Agent,
+  request,
+  type AgentOptions,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
+import { connect, type NetConnectOpts, type Socket } from 'node:net';
 import { Result } from 'neverthrow';
 import { createDisposable, type Disposable } from '../../../base/common/disposable.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
+import { requireOrderlyEnd } from '../../../infrastructure/sockets/node/orderlyEnd.js';
 import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import type { Headers, RequestContent } from './upstreamDialect.js';
 
@@ -35,7 +42,7 @@
   readonly reset: () => void;
 }
 
-/** Callbacks of a request; either `onDidReceiveResponse` or `onDidFail` is called first. */
+/** Callbacks of a request; one of them is called, once. A response that breaks emits `error`. */
 export interface UpstreamListener {
   /** The request is written: to the connection, or to the buffer of one that is being established. */
   readonly onDidWrite?: () => void;
@@ -99,16 +106,23 @@
   outgoing.destroy();
 };
 
+/** The end of a connection may be the end of a response, so a reset must not pass for one. */
+const createAgent = (options: AgentOptions): Agent =>
+  Object.assign(new Agent(options), {
+    createConnection: (connectOptions: NetConnectOpts) =>
+      requireOrderlyEnd(connect(connectOptions)),
+  });
+
 /** Creates the upstream client of a process. */
 export const createUpstreamClient = (): UpstreamClient => {
-  const agent = new Agent({
+  const agent = createAgent({
     keepAlive: true,
     maxFreeSockets: maximumIdleConnections,
     scheduling: 'lifo',
   });
 
   /** Opens a connection for each request and closes it after the response. */
-  const singleUseAgent = new Agent({ keepAlive: false });
+  const singleUseAgent = createAgent({ keepAlive: false });
   const carriedBySocket = new WeakMap<Socket, Set<string>>();
 
   const rememberCarried = (socket: Socket, requestId: string): void => {
@@ -161,9 +175,9 @@
         isClosed = true;
         listener.onDidFail(reason, isNotRun);
       };
-      let hasResponse = false;
+      let received: IncomingMessage | undefined;
       outgoing.once('response', (response) => {
-        hasResponse = true;
+        received = response;
         if (!isClosed && isFinalStatus(response.statusCode)) {
           listener.onDidReceiveResponse(response);
           return;
@@ -178,12 +192,17 @@
       });
       // A connection may report several errors; one without a listener ends the process.
       outgoing.on('error', (error) => {
+        // After the head it is the response that breaks; node:http would end one without a length.
+        if (received !== undefined) {
+          received.destroy(error);
+          return;
+        }
         const code = errorCodeOf(error);
         fail(code, connectFailureCodes.has(code));
       });
       // A connection may end with neither a response nor an error.
       outgoing.once('close', () => {
-        if (!hasResponse) fail('closed without a response', false);
+        if (received === undefined) fail('closed without a response', false);
       });
       let interimResponses = 0;
       outgoing.on('information', () => {
