Send nothing with the token of an earlier leadership

What callers could see: a lower fencing token after a higher one. Cause: the ports of orders for weights, usage reports and orders for capacity checked that their daemon leads, and not that it leads with the token in the row. A row that outlives its leadership would have been sent with the old one.

--- a/src/daemon/duties/node/capacityOrderPort.ts
+++ b/src/daemon/duties/node/capacityOrderPort.ts
@@ -9,7 +9,7 @@
   CapacityOrderId,
   CapacityOrderRow,
 } from '../../../service/capacity/common/capacityTables.js';
-import { canActAsLeader } from '../../../service/consensus/common/lease.js';
+import { canActWithToken } from '../../../service/consensus/common/lease.js';
 import type { World } from '../../../service/world/common/world.js';
 
 /**
@@ -36,10 +36,9 @@
 ): CapacityOrderPort => {
   const changes = world.capacityOrders.createChangeReader(RowReader.Port);
 
-  const isAllowed = (): boolean => canActAsLeader(world, clock());
-
   const send = async (order: CapacityOrderRow): Promise<void> => {
-    const { id, count } = order;
+    const { id, count, fencing } = order;
+    const isAllowed = (): boolean => canActWithToken(world, fencing, clock());
     const failureReason = isAllowed()
       ? await sendOrder(order, world.fleet.holder, isAllowed)
       : 'this daemon no longer holds the leader lease';
--- a/src/daemon/duties/node/usageReportPort.ts
+++ b/src/daemon/duties/node/usageReportPort.ts
@@ -5,7 +5,7 @@
 import type { Disposable } from '../../../base/common/disposable.js';
 import type { Clock } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
-import { canActAsLeader } from '../../../service/consensus/common/lease.js';
+import { canActWithToken } from '../../../service/consensus/common/lease.js';
 import type {
   UsageReportRow,
   UsageWindowId,
@@ -41,10 +41,9 @@
     wake();
   };
 
-  const isAllowed = (): boolean => canActAsLeader(world, clock());
-
   const send = async (report: UsageReportRow): Promise<void> => {
-    const { window } = report;
+    const { window, fencing } = report;
+    const isAllowed = (): boolean => canActWithToken(world, fencing, clock());
     if (!isAllowed()) {
       reportFailure(window, 'this daemon no longer holds the leader lease');
       return;
--- a/src/daemon/duties/node/weightOrderPort.ts
+++ b/src/daemon/duties/node/weightOrderPort.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
 import { EventKind } from '../../../service/events/common/eventKind.js';
-import { canActAsLeader } from '../../../service/consensus/common/lease.js';
+import { canActWithToken } from '../../../service/consensus/common/lease.js';
 import type { UpstreamId } from '../../../service/world/common/identifiers.js';
 import type { EventSubject } from '../../../infrastructure/timeline/common/timelineEvent.js';
 import type { World } from '../../../service/world/common/world.js';
@@ -58,7 +58,8 @@
 ): WeightOrderPort => {
   const openOrders = new Map<UpstreamId, OpenOrder>();
   const sendFenced = createFencedSender(client, clock);
-  const isAllowed = (): boolean => canActAsLeader(world, clock());
+  const canSend = ({ fencing }: WeightOrderRow): boolean =>
+    canActWithToken(world, fencing, clock());
   const changes = world.weightOrders.createChangeReader(RowReader.Port);
 
   const report = ({ id, order }: WeightOrderRow, result: WeightOrderReport): void => {
@@ -74,7 +75,11 @@
 
   const readState = (order: WeightOrderRow, upstream: RegistrationRow): Disposable =>
     sendFenced(
-      { address: upstream.address, content: dialect.stateRequest, isAllowed },
+      {
+        address: upstream.address,
+        content: dialect.stateRequest,
+        isAllowed: () => canSend(order),
+      },
       {
         onDidWrite: () => {},
         onDidReceiveResponse: (response) => {
@@ -96,7 +101,7 @@
     let isWritten = false;
     let hasEnded = false;
     const connection = sendFenced(
-      { address: upstream.address, content, isAllowed },
+      { address: upstream.address, content, isAllowed: () => canSend(order) },
       {
         onDidWrite: () => {
           isWritten = true;
@@ -130,7 +135,7 @@
 
   const startRequest = (order: WeightOrderRow): void => {
     const upstream = world.registrations.get(order.id);
-    if (upstream === undefined || !isAllowed()) return;
+    if (upstream === undefined || !canSend(order)) return;
     const request = requestsByPhase[order.phase](order, upstream);
     openOrders.set(order.id, { order: order.order, phase: order.phase, request });
   };
--- a/src/service/consensus/common/lease.ts
+++ b/src/service/consensus/common/lease.ts
@@ -23,6 +23,13 @@
   return isSelf && fencing > 0 && now < leaseDeadline;
 };
 
+/**
+ * Whether this daemon can act as the leader with this fencing token. A row may outlive the leadership
+ * whose token it holds.
+ */
+export const canActWithToken = (world: World, fencing: number, now: Instant): boolean =>
+  canActAsLeader(world, now) && leadershipOf(world).fencing === fencing;
+
 /** Returns the fencing token of orders, or 0 if this daemon must not send orders. */
 const fencingTokenOf = (replica: ReplicaRow, now: Instant): number => {
   const { orderDeadline, leadershipIndex, deliveredIndex } = replica;
