Count the values of a JSON body before it is parsed

What callers saw: one body of 30 MB of legal size, [[0],[0],...], ended the process: a front if it was sent as a job with a key, a control daemon if it was sent as a desired state, for which no key is asked. Cause: a limit of bytes does not bound what parsing takes; 7,500,000 arrays did not fit the heap. Change: hasMoreValuesThan counts values and names outside of strings; beyond maximumBodyValues the request gets 413 and is not parsed. Texts are decoded once from the bytes, without the copies of a Response.

--- a/src/daemon/front/node/errorResponse.ts
+++ b/src/daemon/front/node/errorResponse.ts
@@ -16,6 +16,7 @@
   bodyNotJson: 400,
   bodyInvalid: 400,
   bodyTooLarge: 413,
+  bodyTooManyValues: 413,
   bodyMemoryFull: 503,
   headersTooLarge: 431,
   queueFull: 429,
--- a/src/daemon/front/node/httpServer.ts
+++ b/src/daemon/front/node/httpServer.ts
@@ -115,6 +115,7 @@
 ): Promise<Result<HttpServer, ListenError>> => {
   const bodyLimits = {
     maximumBytes: limits.maximumBodyBytes,
+    maximumValues: limits.maximumBodyValues,
     memory: shared.bodyMemory,
     clock: monotonicClock,
     metrics: shared.metrics,
--- a/src/daemon/front/node/requestBody.ts
+++ b/src/daemon/front/node/requestBody.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { MiddlewareHandler } from 'hono';
+import { hasMoreValuesThan } from '../../../base/common/jsonValues.js';
 import type { Clock } from '../../../base/common/time.js';
 import { createChunkList } from '../../../base/node/chunkList.js';
 import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
@@ -33,6 +34,8 @@
 /** Limits of the bodies of one listener. */
 export interface BodyLimits {
   readonly maximumBytes: number;
+  /** Maximum number of values of a body that is read as JSON. */
+  readonly maximumValues: number;
   /** The memory for the bodies of all listeners of the process. */
   readonly memory: BodyMemory;
   readonly clock: Clock;
@@ -42,6 +45,8 @@
 interface RequestBody {
   /** Reads the body, at the first call; the promise is rejected with a `BodyRefusedError`. */
   readonly read: () => Promise<ArrayBuffer>;
+  /** Reads the body as a text that will be parsed as JSON. */
+  readonly readText: () => Promise<string>;
   /** Why the body was not read in full; undefined if it was, or was not asked for. */
   readonly refusal: () => Refusal | undefined;
 }
@@ -118,10 +123,19 @@
           refusal = reason;
         })
       : Promise.resolve(new ArrayBuffer(0));
+  const read = (): Promise<ArrayBuffer> => {
+    reading ??= start();
+    return reading;
+  };
   return {
-    read: () => {
-      reading ??= start();
-      return reading;
+    read,
+    readText: async () => {
+      const bytes = await read();
+      if (!hasMoreValuesThan(new Uint8Array(bytes), limits.maximumValues))
+        return new TextDecoder().decode(bytes);
+      refusal = createRefusal(RefusalKind.BodyTooManyValues, true);
+      limits.metrics.count('bodies.refused', 1, { reason: refusal.kind });
+      throw createBodyRefusedError(refusal);
     },
     refusal: () => refusal,
   };
@@ -143,9 +157,9 @@
       return createErrorResponse(createRefusal(RefusalKind.BodyTooLarge, true));
     const body = createRequestBody(incoming, outgoing, limits);
     // All methods of `context.req` that read the body take it from here.
-    Object.defineProperty(context.req.bodyCache, 'arrayBuffer', {
-      enumerable: true,
-      get: body.read,
+    Object.defineProperties(context.req.bodyCache, {
+      arrayBuffer: { enumerable: true, get: body.read },
+      text: { get: body.readText },
     });
     await next();
     const refusal = body.refusal();
--- a/src/infrastructure/settings/common/deployment.ts
+++ b/src/infrastructure/settings/common/deployment.ts
@@ -59,6 +59,8 @@
     .int()
     .positive()
     .default(64 * 1024 * 1024),
+  /** Values of a body of JSON; one of the most items and routes that were measured has 200,000. */
+  maximumBodyValues: z.number().int().positive().default(1_000_000),
   maximumHeaderBytes: z.number().int().positive().default(16_384),
   /** Size at which the answer of an upstream is abandoned, because it may never end. */
   maximumAnswerBytes: z
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -15,6 +15,8 @@
   BodyNotJson: 'bodyNotJson',
   BodyInvalid: 'bodyInvalid',
   BodyTooLarge: 'bodyTooLarge',
+  /** Parsing the body would take more memory than its bytes suggest. */
+  BodyTooManyValues: 'bodyTooManyValues',
   /** The memory for bodies is taken by other requests. */
   BodyMemoryFull: 'bodyMemoryFull',
   HeadersTooLarge: 'headersTooLarge',
@@ -61,6 +63,8 @@
   bodyNotJson: 'The body is not JSON; send a JSON object with `content-type: application/json`.',
   bodyInvalid: 'The body has missing or invalid members; correct the members that are listed.',
   bodyTooLarge: 'The body exceeds the limit; send less or ask the operator to raise the limit.',
+  bodyTooManyValues:
+    'The body has more values than the limit; send less or ask the operator to raise the limit.',
   bodyMemoryFull:
     'The entry has no memory for the body, or the body came too slowly while memory was short; send ' +
     'the request again after the specified delay.',
