Bound the connections of callers, and close the least useful one for a new one

A process without descriptors accepts nobody and opens no connection to a worker. Cause: no listener bounded its connections. Ruled out: refusing at the limit alone (who connects and is silent keeps the others out); a limit for each address (callers behind one address are many). Silent connections give way first, then bodies and unread answers without progress for a second, then those idle longest; a connection whose request runs is never closed. Without any, 503 as not run.

--- a/src/daemon/front/node/errorResponse.ts
+++ b/src/daemon/front/node/errorResponse.ts
@@ -18,6 +18,7 @@
   bodyTooLarge: 413,
   bodyTooManyValues: 413,
   bodyMemoryFull: 503,
+  tooManyConnections: 503,
   headersTooLarge: 431,
   queueFull: 429,
   quarantined: 422,
@@ -42,6 +43,7 @@
   RefusalKind.QueueDeadlinePassed,
   RefusalKind.Leaving,
   RefusalKind.BodyMemoryFull,
+  RefusalKind.TooManyConnections,
   RefusalKind.StaleConfiguration,
 ]);
 
@@ -59,7 +61,7 @@
 });
 
 /** Creates the `retry-after` header of a retryable refusal, in whole seconds, rounded up. */
-const createRetryHeaders = (refusal: Refusal): Record<string, string> => {
+export const createRetryHeaders = (refusal: Refusal): Record<string, string> => {
   if (!retryableKinds.has(refusal.kind)) return {};
   const milliseconds = refusal.retryAfterMilliseconds ?? defaultRetryAfterMilliseconds;
   return { 'retry-after': String(Math.ceil(milliseconds / millisecondsPerSecond)) };
--- a/src/daemon/front/node/httpServer.ts
+++ b/src/daemon/front/node/httpServer.ts
@@ -3,6 +3,7 @@
  * that fail before they reach a route get typed errors too.
  */
 import { createServer, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { getRequestListener } from '@hono/node-server';
 import { Hono } from 'hono';
@@ -14,13 +15,23 @@
 import type { Limits } from '../../../infrastructure/settings/common/deployment.js';
 import { listen, type ListenError } from '../../../infrastructure/sockets/node/listen.js';
 import { createBodyMemory, type BodyMemory } from '../../../service/admission/common/bodyMemory.js';
+import {
+  createConnectionTable,
+  type ConnectionTable,
+} from '../../../service/admission/common/connectionTable.js';
 import {
   createRefusal,
   RefusalKind,
   type Refusal,
 } from '../../../service/traffic/common/refusal.js';
 import type { RouteEnvironment } from './decoding.js';
-import { createErrorBody, createErrorResponse, httpStatusOf } from './errorResponse.js';
+import { createConnectionGuard } from '../../connections/node/connectionGuard.js';
+import {
+  createErrorBody,
+  createErrorResponse,
+  createRetryHeaders,
+  httpStatusOf,
+} from './errorResponse.js';
 import { isBodyRefusedError, readBodiesWithin, type BodyLimits } from './requestBody.js';
 import { handleInSequence } from './requestSequence.js';
 
@@ -43,12 +54,22 @@
 
 const writeRefusal = (socket: Duplex, refusal: Refusal): void => {
   const body = JSON.stringify(createErrorBody(refusal));
+  const retryHeaders = Object.entries(createRetryHeaders(refusal))
+    .map(([name, value]) => `${name}: ${value}\r\n`)
+    .join('');
   socket.end(
-    `HTTP/1.1 ${httpStatusOf(refusal)} Refused\r\nconnection: close\r\n` +
+    `HTTP/1.1 ${httpStatusOf(refusal)} Refused\r\nconnection: close\r\n${retryHeaders}` +
       `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
   );
 };
 
+/** Answers a connection for which there is no room, and closes it without waiting for its request. */
+const refuseConnection = (socket: Socket): void => {
+  socket.on('error', () => {});
+  writeRefusal(socket, createRefusal(RefusalKind.TooManyConnections, true));
+  socket.destroySoon();
+};
+
 /** Internal property of node:http that holds the response in progress on a connection. */
 const currentResponseProperty = '_httpMessage';
 
@@ -96,9 +117,17 @@
 /** What the listeners of a process have in common. */
 export interface SharedByListeners {
   readonly bodyMemory: BodyMemory;
+  readonly connections: ConnectionTable;
   readonly metrics: Metrics;
 }
 
+/** Creates what the listeners of a process have in common. */
+export const createSharedByListeners = (limits: Limits, metrics: Metrics): SharedByListeners => ({
+  bodyMemory: createBodyMemory(limits.maximumReceivedBytes),
+  connections: createConnectionTable(limits.maximumConnections),
+  metrics,
+});
+
 /**
  * Opens the server on `address` (`host:port`; port 0 selects a free port). A process with several
  * servers passes what they share.
@@ -108,10 +137,7 @@
   limits: Limits,
   routes: readonly Hono<RouteEnvironment>[],
   onDidFail: (error: Error) => void,
-  shared: SharedByListeners = {
-    bodyMemory: createBodyMemory(limits.maximumReceivedBytes),
-    metrics: noopMetrics,
-  },
+  shared: SharedByListeners = createSharedByListeners(limits, noopMetrics),
 ): Promise<Result<HttpServer, ListenError>> => {
   const bodyLimits = {
     maximumBytes: limits.maximumBodyBytes,
@@ -121,6 +147,12 @@
     metrics: shared.metrics,
   };
   const application = createApplication(bodyLimits, routes, onDidFail);
+  const guard = createConnectionGuard({
+    table: shared.connections,
+    clock: monotonicClock,
+    metrics: shared.metrics,
+    refuse: refuseConnection,
+  });
   const server = createServer(
     {
       maxHeaderSize: limits.maximumHeaderBytes,
@@ -128,10 +160,12 @@
       requestTimeout: requestTimeoutMilliseconds,
       connectionsCheckingInterval: timeoutCheckMilliseconds,
     },
-    handleInSequence(getRequestListener(application.fetch), () =>
-      shared.metrics.count('connections.closedAhead'),
-    ),
+    handleInSequence(getRequestListener(application.fetch), {
+      onDidChangeState: guard.recordState,
+      onDidClose: () => shared.metrics.count('connections.closedAhead'),
+    }),
   );
+  guard.attach(server);
   server.on('clientError', handleClientError);
   let shouldCloseConnections = false;
   server.prependListener('request', (_: IncomingMessage, response) => {
--- a/src/daemon/front/node/requestBody.ts
+++ b/src/daemon/front/node/requestBody.ts
@@ -58,7 +58,8 @@
     ? buffer
     : Uint8Array.from(new Uint8Array(buffer, byteOffset, length)).buffer;
 
-const hasBody = ({ headers }: IncomingMessage): boolean =>
+/** Whether a body follows the head of a request. */
+export const hasBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
 const readBody = (
--- a/src/daemon/front/node/requestSequence.ts
+++ b/src/daemon/front/node/requestSequence.ts
@@ -5,6 +5,8 @@
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Milliseconds } from '../../../base/common/time.js';
+import { ConnectionState } from '../../../service/admission/common/connectionTable.js';
+import { hasBody } from './requestBody.js';
 
 /**
  * Maximum number of requests that wait on a connection. They arrive with the end of the one before
@@ -23,13 +25,20 @@
   waiting: Exchange[];
 }
 
+/** What the sequences of a listener report to. */
+export interface SequenceOptions {
+  readonly onDidChangeState: (socket: Socket, state: ConnectionState) => void;
+  /** A connection was closed because of too many requests ahead. */
+  readonly onDidClose: () => void;
+}
+
 /**
  * Returns a listener that passes the requests of each connection on one after the other, and closes a
  * connection with too many of them.
  */
 export const handleInSequence = (
   listener: RequestListener,
-  onDidClose: () => void,
+  { onDidChangeState, onDidClose }: SequenceOptions,
 ): RequestListener => {
   const sequences = new WeakMap<Socket, Sequence>();
 
@@ -44,7 +53,15 @@
   const start = (sequence: Sequence, [incoming, outgoing]: Exchange): void => {
     const { socket } = incoming;
     Object.assign(sequence, { isBusy: true });
-    outgoing.once('prefinish', () => socket.setTimeout(unreadAnswerMilliseconds));
+    onDidChangeState(
+      socket,
+      hasBody(incoming) ? ConnectionState.Arriving : ConnectionState.Running,
+    );
+    incoming.once('end', () => onDidChangeState(socket, ConnectionState.Running));
+    outgoing.once('prefinish', () => {
+      socket.setTimeout(unreadAnswerMilliseconds);
+      if (outgoing.writableLength > 0) onDidChangeState(socket, ConnectionState.Unread);
+    });
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- one request after the other
     outgoing.once('close', () => startNext(sequence, socket));
     listener(incoming, outgoing);
@@ -53,6 +70,7 @@
   const startNext = (sequence: Sequence, socket: Socket): void => {
     const [next, ...waiting] = socket.destroyed ? [] : sequence.waiting;
     Object.assign(sequence, { isBusy: false, waiting });
+    onDidChangeState(socket, ConnectionState.Idle);
     if (next !== undefined) {
       socket.setTimeout(0);
       start(sequence, next);
--- a/src/daemon/main/node/daemon.ts
+++ b/src/daemon/main/node/daemon.ts
@@ -33,8 +33,7 @@
 import { createExchangeRegistry } from '../../exchange/node/exchange.js';
 import { createExchangePort } from '../../exchange/node/exchangePort.js';
 import { createCallerRoutes } from '../../front/node/callerRoutes.js';
-import { createBodyMemory } from '../../../service/admission/common/bodyMemory.js';
-import { openHttpServer } from '../../front/node/httpServer.js';
+import { createSharedByListeners, openHttpServer } from '../../front/node/httpServer.js';
 import { createSubmitter } from '../../front/node/submission.js';
 import { createTrainerRelay } from '../../front/node/trainerRelay.js';
 import { createTrainerRoutes } from '../../front/node/trainerRoutes.js';
@@ -148,7 +147,7 @@
       createCallerRoutes(world, submitter),
     ],
     (error) => log.error({ message: error.message }, 'An HTTP route threw an unexpected error.'),
-    { bodyMemory: createBodyMemory(deployment.limits.maximumReceivedBytes), metrics },
+    createSharedByListeners(deployment.limits, metrics),
   );
   if (httpServer.isErr()) {
     await Promise.all([peerPort.value.dispose(), storagePort.value.dispose()]);
--- a/src/infrastructure/settings/common/deployment.ts
+++ b/src/infrastructure/settings/common/deployment.ts
@@ -62,6 +62,8 @@
   /** Values of a body of JSON; one of the most items and routes that were measured has 200,000. */
   maximumBodyValues: z.number().int().positive().default(1_000_000),
   maximumHeaderBytes: z.number().int().positive().default(16_384),
+  /** Connections of callers, workers and operators; half of the usual limit of descriptors. */
+  maximumConnections: z.number().int().positive().default(2_000),
   /** Size at which the answer of an upstream is abandoned, because it may never end. */
   maximumAnswerBytes: z
     .number()
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -20,6 +20,7 @@
   /** The memory for bodies is taken by other requests. */
   BodyMemoryFull: 'bodyMemoryFull',
   HeadersTooLarge: 'headersTooLarge',
+  TooManyConnections: 'tooManyConnections',
   QueueFull: 'queueFull',
   Quarantined: 'quarantined',
   QueueDeadlinePassed: 'queueDeadlinePassed',
@@ -69,6 +70,8 @@
     'The entry has no memory for the body, or the body came too slowly while memory was short; send ' +
     'the request again after the specified delay.',
   headersTooLarge: 'The headers exceed the limit; send fewer or shorter headers.',
+  tooManyConnections:
+    'All connections of the entry are in use; use another entry or retry after the specified delay.',
   queueFull: 'Too many requests of the workspace are waiting; retry after the specified delay.',
   quarantined:
     'Upstreams ended while running this request; change it or ask the operator to investigate.',
