Bound the connections and the incomplete messages at the port between daemons

What callers saw: nothing yet; whoever reaches the port took 726 descriptors with 700 silent connections, and 562 MB of 160 with 16 messages of 60 MB that stopped in the middle. Cause: each connection kept up to one frame of 64 MiB, and neither their number nor the bytes of all were bounded.

--- a/src/daemon/peers/node/peerPort.ts
+++ b/src/daemon/peers/node/peerPort.ts
@@ -9,6 +9,7 @@
 import { asBrand } from '../../../base/common/brand.js';
 import type { AsyncDisposable } from '../../../base/common/disposable.js';
 import { deadlineAfter, never, type Clock, type Milliseconds } from '../../../base/common/time.js';
+import { recordReceivedBytes, releaseBuffer } from '../../../base/node/garbage.js';
 import { monotonicClock } from '../../../base/node/monotonicClock.js';
 import { splitAddress } from '../../../infrastructure/settings/common/address.js';
 import { listen, type ListenError } from '../../../infrastructure/sockets/node/listen.js';
@@ -21,12 +22,23 @@
 import {
   createFrameDecoder,
   encodeFrame,
+  type FrameDecoder,
   type FrameError,
 } from '../../../infrastructure/wire/node/frames.js';
+import {
+  createBodyMemory,
+  type BodyMemory,
+  type BodyShare,
+} from '../../../service/admission/common/bodyMemory.js';
+import {
+  ConnectionState,
+  createConnectionTable,
+} from '../../../service/admission/common/connectionTable.js';
 import { EventKind } from '../../../service/events/common/eventKind.js';
 import { messageSchema, type OutgoingMessage } from '../../../service/messages/common/message.js';
 import type { DaemonId } from '../../../service/world/common/identifiers.js';
 import type { World } from '../../../service/world/common/world.js';
+import { createConnectionGuard } from '../../connections/node/connectionGuard.js';
 
 /** Sends and receives messages between daemons; `drain` runs after each tick. */
 export interface PeerPort extends AsyncDisposable {
@@ -106,6 +118,42 @@
   });
 };
 
+const noMemoryError: FrameError = {
+  kind: 'noFrameMemory',
+  message: 'Frames that have not arrived in full take all of their memory; raise its limit.',
+};
+
+/** Holds the incomplete frame of one connection against the memory for all of them. */
+const createPendingFrame = (
+  decoder: FrameDecoder,
+  memory: BodyMemory,
+  clock: Clock,
+  onDidRefuse: () => void,
+) => {
+  let share: BodyShare | undefined;
+  let heldBytes = 0;
+
+  const release = (): void => {
+    if (share !== undefined) releaseBuffer(heldBytes, share.release);
+    share = undefined;
+    heldBytes = 0;
+  };
+
+  return {
+    release,
+    /** Call it after a push, with the bytes that were pending before and those that were pushed. */
+    update: (pushedBytes: number): void => {
+      const pendingBytes = decoder.pendingBytes();
+      if (pendingBytes < pushedBytes) release();
+      const addedBytes = pendingBytes - heldBytes;
+      if (addedBytes === 0) return;
+      share ??= memory.open(onDidRefuse, clock());
+      heldBytes = pendingBytes;
+      if (!share.take(addedBytes, clock())) onDidRefuse();
+    },
+  };
+};
+
 /** Opens the port on the configured peer address. `wake` requests a tick. */
 export const openPeerPort = async (
   world: World,
@@ -130,22 +178,39 @@
     wake();
   };
 
+  const { maximumPeerConnections, maximumPendingFrameBytes } = world.deployment.limits;
+  const frameMemory = createBodyMemory(maximumPendingFrameBytes);
+  const guard = createConnectionGuard({
+    table: createConnectionTable(maximumPeerConnections),
+    clock,
+    metrics: world.metrics,
+    refuse: (socket) => socket.destroy(),
+  });
+
   const handleConnection = (socket: Socket): void => {
     const decoder = createFrameDecoder();
     const acknowledge = createAcknowledger(socket, clock);
+    const refuse = (error: FrameError): void => {
+      recordRefusedFrame(world, error, { sender: socket.remoteAddress ?? null });
+      socket.destroy();
+    };
+    const pending = createPendingFrame(decoder, frameMemory, clock, () => refuse(noMemoryError));
     acceptedSockets.add(socket);
     socket.on('error', () => {});
-    socket.on('close', () => acceptedSockets.delete(socket));
+    socket.on('close', () => {
+      acceptedSockets.delete(socket);
+      pending.release();
+    });
     socket.on('data', (bytes: Buffer) => {
       receivedBytes += bytes.length;
+      recordReceivedBytes(bytes.length);
       acknowledge();
-      decoder.push(bytes).match(
-        (values) => values.forEach(handleEnvelope),
-        (error) => {
-          recordRefusedFrame(world, error, { sender: socket.remoteAddress ?? null });
-          socket.destroy();
-        },
-      );
+      const pendingBytes = decoder.pendingBytes();
+      decoder.push(bytes).match((values) => {
+        if (values.length > 0) guard.recordState(socket, ConnectionState.Idle);
+        values.forEach(handleEnvelope);
+        pending.update(pendingBytes + bytes.length);
+      }, refuse);
     });
   };
 
@@ -179,6 +244,7 @@
   };
 
   const server = createServer(handleConnection);
+  guard.attach(server);
   const listenResult = await listen(server, world.self.peerAddress);
 
   return listenResult.map((address) => ({
--- a/src/infrastructure/settings/common/deployment.ts
+++ b/src/infrastructure/settings/common/deployment.ts
@@ -64,6 +64,14 @@
   maximumHeaderBytes: z.number().int().positive().default(16_384),
   /** Connections of callers, workers and operators; half of the usual limit of descriptors. */
   maximumConnections: z.number().int().positive().default(2_000),
+  /** Connections of other daemons, of which each has one or two. */
+  maximumPeerConnections: z.number().int().positive().default(1_000),
+  /** Memory for messages of other daemons that have not arrived in full. */
+  maximumPendingFrameBytes: z
+    .number()
+    .int()
+    .positive()
+    .default(128 * 1024 * 1024),
   /** Size at which the answer of an upstream is abandoned, because it may never end. */
   maximumAnswerBytes: z
     .number()
--- a/src/infrastructure/wire/node/frames.ts
+++ b/src/infrastructure/wire/node/frames.ts
@@ -10,7 +10,7 @@
 const lengthFieldBytes = 4;
 
 export interface FrameError {
-  readonly kind: 'frameTooLong' | 'frameNotCbor';
+  readonly kind: 'frameTooLong' | 'frameNotCbor' | 'noFrameMemory';
   readonly message: string;
 }
 
@@ -41,6 +41,8 @@
 /** Buffers received bytes and returns the values of the frames that are complete. */
 export interface FrameDecoder {
   readonly push: (bytes: Buffer) => Result<unknown[], FrameError>;
+  /** Received bytes of the frame that is not complete. */
+  readonly pendingBytes: () => number;
 }
 
 /** Creates a decoder for one connection. Received bytes are joined once for each frame. */
@@ -85,5 +87,6 @@
         values.push(value.value);
       }
     },
+    pendingBytes: () => pendingBytes,
   };
 };
