Bound the answers that callers leave unread, and read upstreams no faster

What callers saw: 30 requests for an answer of 16 MB that nobody read took a front to 444 MB of 160. Cause: the limit of collected answers ends when an answer is whole; from then on until it is read, for up to 15 s, nothing counted it. Abandoned and joined buffers were collected late. Ruled out: giving up unread answers alone (164 to 181 MB: answers that become whole at once are not counted yet); a buffer of the announced length (225 to 256 MB, trial). Change: unreadAnswers.ts gives up the oldest beyond a limit; its bytes, also of those given up, count towards the limit of collected answers until they are free. An answer of 1 MiB or more waits for room before it is read. Small answers do not wait.

--- a/src/daemon/fleet/node/fleetDaemon.ts
+++ b/src/daemon/fleet/node/fleetDaemon.ts
@@ -32,6 +32,7 @@
 import { createUsageReportPort, type SendUsageReport } from '../../duties/node/usageReportPort.js';
 import { createWeightOrderPort } from '../../duties/node/weightOrderPort.js';
 import { createAddressProbePort } from '../../quarantine/node/addressProbePort.js';
+import type { UnreadAnswers } from '../../../service/admission/common/unreadAnswers.js';
 import { createCallPort, type CallPort } from '../../forwarding/node/callPort.js';
 import { createUpstreamClient } from '../../forwarding/node/upstreamClient.js';
 import type { UpstreamDialect } from '../../forwarding/node/upstreamDialect.js';
@@ -64,6 +65,8 @@
   readonly log: Log;
   /** Returns the number of lines dropped since the last call because the log queue was full. */
   readonly takeDroppedLineCount: () => number;
+  /** Answers that the listeners of the process keep for callers. */
+  readonly unreadAnswers?: UnreadAnswers;
 }
 
 /** A running daemon. */
@@ -102,7 +105,15 @@
   const wakeSoon = (): void => driver?.wakeSoon();
   const client = createUpstreamClient();
   const findScoringRequest = createScoringRequestFinder(world, dialect, wake);
-  const calls = createCallPort(world, client, dialect, findScoringRequest, clock, wake);
+  const calls = createCallPort(
+    world,
+    client,
+    dialect,
+    findScoringRequest,
+    clock,
+    wake,
+    options.unreadAnswers,
+  );
   const addressProbes = createAddressProbePort(world, wake);
   const jobReads = createJobReadPort(world, clock, wake);
   const proposals = createProposalPort(world, clock, wake);
--- a/src/daemon/forwarding/node/callPort.ts
+++ b/src/daemon/forwarding/node/callPort.ts
@@ -6,6 +6,7 @@
 import type { Disposable } from '../../../base/common/disposable.js';
 import { remainingUntil, type Clock } from '../../../base/common/time.js';
 import { RowReader } from '../../../infrastructure/tables/common/rowReader.js';
+import type { UnreadAnswers } from '../../../service/admission/common/unreadAnswers.js';
 import type { CallRefusal } from '../../../service/forwarding/common/callRefusal.js';
 import {
   CallState,
@@ -19,7 +20,7 @@
   type SendRow,
 } from '../../../service/forwarding/common/forwardingTables.js';
 import type { World } from '../../../service/world/common/world.js';
-import { createAnswerCollector } from './answerCollector.js';
+import { createAnswerCollector, type CollectedAnswer } from './answerCollector.js';
 import { connectionRefusedCode } from '../../quarantine/node/addressProbePort.js';
 import { createNamedSender, type OwnedResponse } from './ownedAnswers.js';
 import { isDelimitedResponse, type UpstreamClient } from './upstreamClient.js';
@@ -65,6 +66,8 @@
 interface OpenSend {
   readonly connection: Disposable;
   answer: UpstreamResponse | null;
+  /** Gives back the memory of the answer. */
+  release: () => void;
 }
 
 /** Creates the port. `findInternalCall` finds calls that the daemon itself creates. */
@@ -75,11 +78,12 @@
   findInternalCall: (call: CallId) => PendingCall | undefined,
   clock: Clock,
   wake: () => void,
+  unreadAnswers?: UnreadAnswers,
 ): CallPort => {
   const pendingCalls = new Map<CallId, PendingCall>();
   const hostByCall = new Map<CallId, string>();
   const openSends = new Map<SendId, OpenSend>();
-  const collector = createAnswerCollector(world.deployment.limits);
+  const collector = createAnswerCollector(world.deployment.limits, unreadAnswers);
   const sendNamed = createNamedSender(world, client, dialect, 'call', wake);
   const callChanges = world.calls.createChangeReader(RowReader.Port);
   const sendChanges = world.sends.createChangeReader(RowReader.Port);
@@ -95,10 +99,16 @@
     return pending;
   };
 
-  const recordResponse = (send: SendRow, { head, ...owned }: OwnedResponse, body: Buffer): void => {
+  const recordResponse = (
+    send: SendRow,
+    { head, ...owned }: OwnedResponse,
+    collected: CollectedAnswer,
+  ): void => {
     const openSend = openSends.get(send.id);
     if (openSend !== undefined) {
+      const body = collected.take();
       openSend.answer = { ...head, body, isDelimited: isDelimitedResponse(head) };
+      openSend.release = collected.release;
     }
     const hasFailed = owned.class === ResponseClass.Failed;
     report({ kind: 'answered', send: send.id, status: head.status, hasFailed });
@@ -116,7 +126,9 @@
       reportBroken(reason);
       response.destroy();
     });
-    response.on('data', answer.add);
+    answer.waitForRoom(Number(head.headers['content-length'] ?? 0), () => {
+      response.on('data', answer.add);
+    });
     response.on('error', (error) => reportBroken(error.message));
     response.on('close', () => {
       answer.discard();
@@ -130,7 +142,7 @@
       } else if (dialect.promisesNotRun(head.status)) {
         const reason = `status ${head.status} without a statement that the request did not run`;
         report({ kind: 'broken', send: send.id, reason });
-      } else recordResponse(send, owned, answer.take());
+      } else recordResponse(send, owned, answer);
     });
   };
 
@@ -179,7 +191,7 @@
             : { kind: 'broken', send: send.id, reason },
         ),
     });
-    openSends.set(send.id, { connection, answer: null });
+    openSends.set(send.id, { connection, answer: null, release: () => {} });
   };
 
   const computeOutcome = (call: CallRow): CallOutcome => {
@@ -206,6 +218,7 @@
     }
     const openSend = openSends.get(id);
     openSends.delete(id);
+    openSend?.release();
     if (openSend?.answer !== null) return;
     openSend.connection.dispose();
     const upstream = send === undefined ? undefined : world.registrations.get(send.upstream);
--- a/src/daemon/front/node/httpServer.ts
+++ b/src/daemon/front/node/httpServer.ts
@@ -19,6 +19,10 @@
   createConnectionTable,
   type ConnectionTable,
 } from '../../../service/admission/common/connectionTable.js';
+import {
+  createUnreadAnswers,
+  type UnreadAnswers,
+} from '../../../service/admission/common/unreadAnswers.js';
 import {
   createRefusal,
   RefusalKind,
@@ -118,6 +122,7 @@
 export interface SharedByListeners {
   readonly bodyMemory: BodyMemory;
   readonly connections: ConnectionTable;
+  readonly unreadAnswers: UnreadAnswers;
   readonly metrics: Metrics;
 }
 
@@ -125,6 +130,7 @@
 export const createSharedByListeners = (limits: Limits, metrics: Metrics): SharedByListeners => ({
   bodyMemory: createBodyMemory(limits.maximumReceivedBytes),
   connections: createConnectionTable(limits.maximumConnections),
+  unreadAnswers: createUnreadAnswers(limits.maximumUnreadBytes),
   metrics,
 });
 
@@ -161,8 +167,10 @@
       connectionsCheckingInterval: timeoutCheckMilliseconds,
     },
     handleInSequence(getRequestListener(application.fetch), {
+      unreadAnswers: shared.unreadAnswers,
       onDidChangeState: guard.recordState,
       onDidClose: () => shared.metrics.count('connections.closedAhead'),
+      onDidGiveUpAnswer: () => shared.metrics.count('answers.givenUp'),
     }),
   );
   guard.attach(server);
--- a/src/daemon/front/node/requestSequence.ts
+++ b/src/daemon/front/node/requestSequence.ts
@@ -5,7 +5,9 @@
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Milliseconds } from '../../../base/common/time.js';
+import { releaseBuffer } from '../../../base/node/garbage.js';
 import { ConnectionState } from '../../../service/admission/common/connectionTable.js';
+import type { UnreadAnswers } from '../../../service/admission/common/unreadAnswers.js';
 import { hasBody } from './requestBody.js';
 
 /**
@@ -25,11 +27,14 @@
   waiting: Exchange[];
 }
 
-/** What the sequences of a listener report to. */
+/** What the sequences of a listener report to, and the bound of answers that they keep. */
 export interface SequenceOptions {
+  readonly unreadAnswers: UnreadAnswers;
   readonly onDidChangeState: (socket: Socket, state: ConnectionState) => void;
   /** A connection was closed because of too many requests ahead. */
   readonly onDidClose: () => void;
+  /** An answer was given up because others need its memory. */
+  readonly onDidGiveUpAnswer: () => void;
 }
 
 /**
@@ -38,7 +43,7 @@
  */
 export const handleInSequence = (
   listener: RequestListener,
-  { onDidChangeState, onDidClose }: SequenceOptions,
+  { unreadAnswers, onDidChangeState, onDidClose, onDidGiveUpAnswer }: SequenceOptions,
 ): RequestListener => {
   const sequences = new WeakMap<Socket, Sequence>();
 
@@ -50,6 +55,18 @@
     return created;
   };
 
+  /** Holds the part of an answer that the caller has not taken yet against the bound. */
+  const keepUnread = (outgoing: ServerResponse, socket: Socket): void => {
+    const bytes = outgoing.writableLength;
+    if (bytes === 0) return;
+    onDidChangeState(socket, ConnectionState.Unread);
+    const answer = unreadAnswers.add(bytes, () => {
+      onDidGiveUpAnswer();
+      socket.destroy();
+    });
+    outgoing.once('close', () => releaseBuffer(bytes, answer.release));
+  };
+
   const start = (sequence: Sequence, [incoming, outgoing]: Exchange): void => {
     const { socket } = incoming;
     Object.assign(sequence, { isBusy: true });
@@ -60,7 +77,7 @@
     incoming.once('end', () => onDidChangeState(socket, ConnectionState.Running));
     outgoing.once('prefinish', () => {
       socket.setTimeout(unreadAnswerMilliseconds);
-      if (outgoing.writableLength > 0) onDidChangeState(socket, ConnectionState.Unread);
+      keepUnread(outgoing, socket);
     });
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- one request after the other
     outgoing.once('close', () => startNext(sequence, socket));
--- a/src/infrastructure/settings/common/deployment.ts
+++ b/src/infrastructure/settings/common/deployment.ts
@@ -64,6 +64,12 @@
   maximumHeaderBytes: z.number().int().positive().default(16_384),
   /** Connections of callers, workers and operators; half of the usual limit of descriptors. */
   maximumConnections: z.number().int().positive().default(2_000),
+  /** Memory for complete answers that were not read; one larger answer is kept. */
+  maximumUnreadBytes: z
+    .number()
+    .int()
+    .positive()
+    .default(64 * 1024 * 1024),
   /** Connections of other daemons, of which each has one or two. */
   maximumPeerConnections: z.number().int().positive().default(1_000),
   /** Memory for messages of other daemons that have not arrived in full. */
