Collect released buffers later, when nothing refers to them any more

What was seen: of ten runs of "many whole large bodies at once", three peaked at 150 to 156 MB of 160, the others at 120 to 127. Cause: 100 ms after the end of a request its body was sometimes still referred to, so the collection missed it, and the next body found room too early. Evidence: with 300 ms 118 to 128 MB in six of six runs; six runs make it likely, not certain. The memory of large bodies counts 0.2 s longer.

--- a/src/base/node/garbage.ts
+++ b/src/base/node/garbage.ts
@@ -19,7 +19,7 @@
 const largeBufferBytes = 1024 * 1024;
 
 /** Time between the release of large buffers and the collection, and so between two of these. */
-const collectionDelayMilliseconds: Milliseconds = 100;
+const collectionDelayMilliseconds: Milliseconds = 300;
 
 const createGarbageCollection = () => {
   let receivedBytes = 0;
