--- a/src/daemon/front/node/requestBody.ts
+++ b/src/daemon/front/node/requestBody.ts
@@ -4,7 +4,9 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { MiddlewareHandler } from 'hono';
+import { hasMoreValuesThan } from '../../../base/common/jsonValues.js';
 import type { Clock } from '../../../base/common/time.js';
+import { recordReceivedBytes, releaseBuffer } from '../../../base/node/garbage.js';
 import { createChunkList } from '../../../base/node/chunkList.js';
 import type { Metrics } from '../../../infrastructure/metrics/common/metrics.js';
 import type { BodyMemory } from '../../../service/admission/common/bodyMemory.js';
@@ -33,6 +35,8 @@
 /** Limits of the bodies of one listener. */
 export interface BodyLimits {
   readonly maximumBytes: number;
+  /** Maximum number of values of a body that is read as JSON. */
+  readonly maximumValues: number;
   /** The memory for the bodies of all listeners of the process. */
   readonly memory: BodyMemory;
   readonly clock: Clock;
@@ -42,6 +46,8 @@
 interface RequestBody {
   /** Reads the body, at the first call; the promise is rejected with a `BodyRefusedError`. */
   readonly read: () => Promise<ArrayBuffer>;
+  /** Reads the body as a text that will be parsed as JSON. */
+  readonly readText: () => Promise<string>;
   /** Why the body was not read in full; undefined if it was, or was not asked for. */
   readonly refusal: () => Refusal | undefined;
 }
@@ -52,7 +58,8 @@
     ? buffer
     : Uint8Array.from(new Uint8Array(buffer, byteOffset, length)).buffer;
 
-const hasBody = ({ headers }: IncomingMessage): boolean =>
+/** Whether a body follows the head of a request. */
+export const hasBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
 const readBody = (
@@ -78,28 +85,31 @@
       reject(createBodyRefusedError(refusal));
     };
     const share = memory.open(() => refuse(RefusalKind.BodyMemoryFull), clock());
+    const release = (): void => releaseBuffer(receivedBytes, share.release);
     outgoing.once('close', () => {
-      share.release();
+      release();
       refuse(RefusalKind.CallerDisconnected);
     });
     incoming.on('data', (chunk: Buffer) => {
+      recordReceivedBytes(chunk.length);
       if (isSettled) return;
       receivedBytes += chunk.length;
       if (receivedBytes > maximumBytes) {
-        share.release();
         refuse(RefusalKind.BodyTooLarge);
+        release();
       } else if (share.take(chunk.length, clock())) {
         chunks.add(chunk);
       } else {
-        share.release();
         refuse(RefusalKind.BodyMemoryFull);
+        release();
       }
     });
     incoming.once('end', () => {
       if (isSettled) return;
       share.complete();
-      resolve(toArrayBuffer(chunks.join()));
+      const whole = chunks.join();
       settle();
+      resolve(toArrayBuffer(whole));
     });
     // The response is closed too.
     incoming.once('error', () => {});
@@ -118,10 +128,19 @@
           refusal = reason;
         })
       : Promise.resolve(new ArrayBuffer(0));
+  const read = (): Promise<ArrayBuffer> => {
+    reading ??= start();
+    return reading;
+  };
   return {
-    read: () => {
-      reading ??= start();
-      return reading;
+    read,
+    readText: async () => {
+      const bytes = await read();
+      if (!hasMoreValuesThan(new Uint8Array(bytes), limits.maximumValues))
+        return new TextDecoder().decode(bytes);
+      refusal = createRefusal(RefusalKind.BodyTooManyValues, true);
+      limits.metrics.count('bodies.refused', 1, { reason: refusal.kind });
+      throw createBodyRefusedError(refusal);
     },
     refusal: () => refusal,
   };
@@ -143,9 +162,9 @@
       return createErrorResponse(createRefusal(RefusalKind.BodyTooLarge, true));
     const body = createRequestBody(incoming, outgoing, limits);
     // All methods of `context.req` that read the body take it from here.
-    Object.defineProperty(context.req.bodyCache, 'arrayBuffer', {
-      enumerable: true,
-      get: body.read,
+    Object.defineProperties(context.req.bodyCache, {
+      arrayBuffer: { enumerable: true, get: body.read },
+      text: { get: body.readText },
     });
     await next();
     const refusal = body.refusal();
--- a/src/service/traffic/common/refusal.ts
+++ b/src/service/traffic/common/refusal.ts
@@ -15,9 +15,12 @@
   BodyNotJson: 'bodyNotJson',
   BodyInvalid: 'bodyInvalid',
   BodyTooLarge: 'bodyTooLarge',
+  /** Parsing the body would take more memory than its bytes suggest. */
+  BodyTooManyValues: 'bodyTooManyValues',
   /** The memory for bodies is taken by other requests. */
   BodyMemoryFull: 'bodyMemoryFull',
   HeadersTooLarge: 'headersTooLarge',
+  TooManyConnections: 'tooManyConnections',
   QueueFull: 'queueFull',
   Quarantined: 'quarantined',
   QueueDeadlinePassed: 'queueDeadlinePassed',
@@ -61,10 +64,14 @@
   bodyNotJson: 'The body is not JSON; send a JSON object with `content-type: application/json`.',
   bodyInvalid: 'The body has missing or invalid members; correct the members that are listed.',
   bodyTooLarge: 'The body exceeds the limit; send less or ask the operator to raise the limit.',
+  bodyTooManyValues:
+    'The body has more values than the limit; send less or ask the operator to raise the limit.',
   bodyMemoryFull:
     'The entry has no memory for the body, or the body came too slowly while memory was short; send ' +
     'the request again after the specified delay.',
   headersTooLarge: 'The headers exceed the limit; send fewer or shorter headers.',
+  tooManyConnections:
+    'All connections of the entry are in use; use another entry or retry after the specified delay.',
   queueFull: 'Too many requests of the workspace are waiting; retry after the specified delay.',
   quarantined:
     'Upstreams ended while running this request; change it or ask the operator to investigate.',
